Entry routers tell each other loads, outcomes and where parts are cached

Change: thrift datagrams between routers, listed in the store; outcomes and loads of others count; a question to the store counts for a router that was replied to after it asked.

--- a/src/primrosescale/connection/codec.py
+++ b/src/primrosescale/connection/codec.py
@@ -37,6 +37,7 @@
     | wire.PeerReport
     | wire.PeerReply
     | wire.DomainSums
+    | wire.RouterNews
     | wire.SectionRequest
     | wire.SectionReply
     | wire.ClaimRequest
@@ -64,6 +65,7 @@
     KIND.PEER_REPORT: wire.PeerReport,
     KIND.PEER_REPLY: wire.PeerReply,
     KIND.DOMAIN_SUMS: wire.DomainSums,
+    KIND.ROUTER_NEWS: wire.RouterNews,
     KIND.SECTION_REQUEST: wire.SectionRequest,
     KIND.SECTION_REPLY: wire.SectionReply,
     KIND.CLAIM_REQUEST: wire.ClaimRequest,
--- a/src/primrosescale/connection/wire.thrift
+++ b/src/primrosescale/connection/wire.thrift
@@ -10,7 +10,7 @@
   CALL = 10, ANSWER_HEAD = 11, ANSWER_CHUNK = 12, ANSWER_END = 13,
   CALL_FAILED = 14, CREDIT = 15, CANCEL = 16, RESUME = 17, ANSWER = 18, PLACED = 19,
   HEARTBEAT = 30, HEARTBEAT_REPLY = 31, PEER_REPORT = 32, PEER_REPLY = 33,
-  DOMAIN_SUMS = 34,
+  DOMAIN_SUMS = 34, ROUTER_NEWS = 35,
   SECTION_REQUEST = 40, SECTION_REPLY = 41,
   CLAIM_REQUEST = 50, CLAIM_REPLY = 51,
   CACHE_IMPORT = 60
@@ -152,6 +152,24 @@
 }
 struct DomainSums { 1: required DomainReport report, 2: required Head head }
 
+/* What an entry router tells the others, in one datagram each.
+ * "heard" is the newest sequence that the sender has from the receiver, so
+ * that the receiver knows after which of its own messages this was sent.
+ * "knowledge_age_ms" is the age of the sender's newest answer of the store
+ * about the configuration; -1 for none. */
+struct TargetNews {
+  1: required string name, 2: required i32 running, 3: required i32 good_percent,
+  4: required i32 bad_percent
+}
+struct PartNews {
+  1: required string part, 2: required i32 target, 3: required i32 age_ms
+}
+struct RouterNews {
+  1: required string origin, 2: required i64 incarnation, 3: required i64 sequence,
+  4: required i64 heard, 5: required i64 version, 6: required i32 knowledge_age_ms,
+  7: required list<TargetNews> targets, 8: required list<PartNews> parts
+}
+
 struct SectionRequest { 1: required string digest }
 struct SectionReply {
   1: required string digest, 2: required bool found, 3: required binary data
--- a/src/primrosescale/connection/wire/ttypes.py
+++ b/src/primrosescale/connection/wire/ttypes.py
@@ -36,6 +36,7 @@
     PEER_REPORT = 32
     PEER_REPLY = 33
     DOMAIN_SUMS = 34
+    ROUTER_NEWS = 35
     SECTION_REQUEST = 40
     SECTION_REPLY = 41
     CLAIM_REQUEST = 50
@@ -3961,6 +3962,402 @@
         return not (self == other)
 
 
+class TargetNews(object):
+    """
+    Attributes:
+     - name
+     - running
+     - good_percent
+     - bad_percent
+
+    """
+
+    __slots__ = (
+        'name',
+        'running',
+        'good_percent',
+        'bad_percent',
+    )
+
+
+    def __init__(self, name=None, running=None, good_percent=None, bad_percent=None,):
+        self.name = name
+        self.running = running
+        self.good_percent = good_percent
+        self.bad_percent = bad_percent
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.good_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.bad_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetNews')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 2)
+            oprot.writeI32(self.running)
+            oprot.writeFieldEnd()
+        if self.good_percent is not None:
+            oprot.writeFieldBegin('good_percent', TType.I32, 3)
+            oprot.writeI32(self.good_percent)
+            oprot.writeFieldEnd()
+        if self.bad_percent is not None:
+            oprot.writeFieldBegin('bad_percent', TType.I32, 4)
+            oprot.writeI32(self.bad_percent)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.name is None:
+            raise TProtocolException(message='Required field name is unset!')
+        if self.running is None:
+            raise TProtocolException(message='Required field running is unset!')
+        if self.good_percent is None:
+            raise TProtocolException(message='Required field good_percent is unset!')
+        if self.bad_percent is None:
+            raise TProtocolException(message='Required field bad_percent is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PartNews(object):
+    """
+    Attributes:
+     - part
+     - target
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'part',
+        'target',
+        'age_ms',
+    )
+
+
+    def __init__(self, part=None, target=None, age_ms=None,):
+        self.part = part
+        self.target = target
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.target = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartNews')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.I32, 2)
+            oprot.writeI32(self.target)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.part is None:
+            raise TProtocolException(message='Required field part is unset!')
+        if self.target is None:
+            raise TProtocolException(message='Required field target is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RouterNews(object):
+    """
+    Attributes:
+     - origin
+     - incarnation
+     - sequence
+     - heard
+     - version
+     - knowledge_age_ms
+     - targets
+     - parts
+
+    """
+
+    __slots__ = (
+        'origin',
+        'incarnation',
+        'sequence',
+        'heard',
+        'version',
+        'knowledge_age_ms',
+        'targets',
+        'parts',
+    )
+
+
+    def __init__(self, origin=None, incarnation=None, sequence=None, heard=None, version=None, knowledge_age_ms=None, targets=None, parts=None,):
+        self.origin = origin
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.heard = heard
+        self.version = version
+        self.knowledge_age_ms = knowledge_age_ms
+        self.targets = targets
+        self.parts = parts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.origin = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.heard = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.knowledge_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.targets = []
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = TargetNews()
+                        _elem138.read(iprot)
+                        self.targets.append(_elem138)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = PartNews()
+                        _elem144.read(iprot)
+                        self.parts.append(_elem144)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RouterNews')
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.STRING, 1)
+            oprot.writeString(self.origin.encode('utf-8') if sys.version_info[0] == 2 else self.origin)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.heard is not None:
+            oprot.writeFieldBegin('heard', TType.I64, 4)
+            oprot.writeI64(self.heard)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 5)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.knowledge_age_ms is not None:
+            oprot.writeFieldBegin('knowledge_age_ms', TType.I32, 6)
+            oprot.writeI32(self.knowledge_age_ms)
+            oprot.writeFieldEnd()
+        if self.targets is not None:
+            oprot.writeFieldBegin('targets', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.targets))
+            for iter145 in self.targets:
+                iter145.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.parts))
+            for iter146 in self.parts:
+                iter146.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.origin is None:
+            raise TProtocolException(message='Required field origin is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        if self.heard is None:
+            raise TProtocolException(message='Required field heard is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.knowledge_age_ms is None:
+            raise TProtocolException(message='Required field knowledge_age_ms is unset!')
+        if self.targets is None:
+            raise TProtocolException(message='Required field targets is unset!')
+        if self.parts is None:
+            raise TProtocolException(message='Required field parts is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SectionRequest(object):
     """
     Attributes:
@@ -4170,11 +4567,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = Header()
-                        _elem138.read(iprot)
-                        self.headers.append(_elem138)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = Header()
+                        _elem152.read(iprot)
+                        self.headers.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4205,8 +4602,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter139 in self.headers:
-                iter139.write(oprot)
+            for iter153 in self.headers:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -4663,21 +5060,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = LedgerEntry()
-                        _elem145.read(iprot)
-                        self.entries.append(_elem145)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = LedgerEntry()
+                        _elem159.read(iprot)
+                        self.entries.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.sealed = []
-                    (_etype149, _size146) = iprot.readListBegin()
-                    for _i150 in range(_size146):
-                        _elem151 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.sealed.append(_elem151)
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.sealed.append(_elem165)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4698,15 +5095,15 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter152 in self.entries:
-                iter152.write(oprot)
+            for iter166 in self.entries:
+                iter166.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sealed is not None:
             oprot.writeFieldBegin('sealed', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.sealed))
-            for iter153 in self.sealed:
-                oprot.writeString(iter153.encode('utf-8') if sys.version_info[0] == 2 else iter153)
+            for iter167 in self.sealed:
+                oprot.writeString(iter167.encode('utf-8') if sys.version_info[0] == 2 else iter167)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5113,6 +5510,33 @@
     (1, TType.STRUCT, 'report', [DomainReport, None], None, ),  # 1
     (2, TType.STRUCT, 'head', [Head, None], None, ),  # 2
 )
+all_structs.append(TargetNews)
+TargetNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'running', None, None, ),  # 2
+    (3, TType.I32, 'good_percent', None, None, ),  # 3
+    (4, TType.I32, 'bad_percent', None, None, ),  # 4
+)
+all_structs.append(PartNews)
+PartNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'target', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
+all_structs.append(RouterNews)
+RouterNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'origin', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.I64, 'heard', None, None, ),  # 4
+    (5, TType.I64, 'version', None, None, ),  # 5
+    (6, TType.I32, 'knowledge_age_ms', None, None, ),  # 6
+    (7, TType.LIST, 'targets', (TType.STRUCT, [TargetNews, None], False), None, ),  # 7
+    (8, TType.LIST, 'parts', (TType.STRUCT, [PartNews, None], False), None, ),  # 8
+)
 all_structs.append(SectionRequest)
 SectionRequest.thrift_spec = (
     None,  # 0
--- a/src/primrosescale/connection/wire/ttypes.pyi
+++ b/src/primrosescale/connection/wire/ttypes.pyi
@@ -21,6 +21,7 @@
     PEER_REPORT = 32
     PEER_REPLY = 33
     DOMAIN_SUMS = 34
+    ROUTER_NEWS = 35
     SECTION_REQUEST = 40
     SECTION_REPLY = 41
     CLAIM_REQUEST = 50
@@ -367,6 +368,36 @@
     def read(self, iprot: object) -> None: ...
     def write(self, oprot: object) -> None: ...
 
+class TargetNews:
+    name: str
+    running: int
+    good_percent: int
+    bad_percent: int
+    def __init__(self, name: str, running: int, good_percent: int, bad_percent: int) -> None: ...
+    def read(self, iprot: object) -> None: ...
+    def write(self, oprot: object) -> None: ...
+
+class PartNews:
+    part: str
+    target: int
+    age_ms: int
+    def __init__(self, part: str, target: int, age_ms: int) -> None: ...
+    def read(self, iprot: object) -> None: ...
+    def write(self, oprot: object) -> None: ...
+
+class RouterNews:
+    origin: str
+    incarnation: int
+    sequence: int
+    heard: int
+    version: int
+    knowledge_age_ms: int
+    targets: list[TargetNews]
+    parts: list[PartNews]
+    def __init__(self, origin: str, incarnation: int, sequence: int, heard: int, version: int, knowledge_age_ms: int, targets: list[TargetNews], parts: list[PartNews]) -> None: ...
+    def read(self, iprot: object) -> None: ...
+    def write(self, oprot: object) -> None: ...
+
 class SectionRequest:
     digest: str
     def __init__(self, digest: str) -> None: ...
--- a/src/primrosescale/platform/entry.py
+++ b/src/primrosescale/platform/entry.py
@@ -14,12 +14,12 @@
 from primrosescale.platform.host_settings import read_host_settings
 from primrosescale.platform.http_codec import PlatformCodec
 from primrosescale.platform.object_platform import ObjectPlatform
+from primrosescale.process.entry.codec import RecordDecoder
 from primrosescale.process.entry.entry_metrics import EntryMetrics
-from primrosescale.process.entry.entry_router import EntryParts
+from primrosescale.process.entry.entry_parts import EntryParts
 from primrosescale.process.entry.entry_router import EntryRouter
 from primrosescale.process.entry.entry_settings import EntrySettings
 from primrosescale.process.entry.entry_settings import EntryWatches
-from primrosescale.process.entry.knowledge import RecordDecoder
 from primrosescale.process.entry.log_writer import LogWriter
 from primrosescale.process.entry.store_watch import WatchedPrefix
 from primrosescale.process.events import EventLog
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from primrosescale.process.entry.router_news import OtherRouter
     from primrosescale.process.platform import StoredObject
     from primrosescale.request.serving_target import ServingTarget
     from primrosescale.version.routing_table import RoutingTable
@@ -41,6 +42,9 @@
 # silent connection sooner than that would.
 TARGETS_WAIT = 5.0
 
+# Routers come and go seldom, and nothing is promised about them.
+ROUTERS_WAIT = 10.0
+
 
 class PlatformRecords(RecordDecoder):
     """Translates the platform's records; see `RecordDecoder`."""
@@ -53,6 +57,10 @@
         """Return a target; see `RecordDecoder.target`."""
         return records.decode_target(stored)
 
+    def router(self, stored: StoredObject) -> OtherRouter:
+        """Return an entry router; see `RecordDecoder.router`."""
+        return records.decode_router(stored)
+
 
 def build_entry_router(reactor: Any, metrics_port: int, rng: Random) -> EntryRouter:
     """Build an entry router.
@@ -94,6 +102,7 @@
     watches = EntryWatches(
         configuration=WatchedPrefix(records.CONFIGURATION, CONFIGURATION_WAIT),
         targets=WatchedPrefix(records.TARGETS, TARGETS_WAIT),
+        routers=WatchedPrefix(records.ROUTERS, ROUTERS_WAIT),
     )
     return EntryRouter(settings, watches, parts)
 
--- a/src/primrosescale/platform/object_platform.py
+++ b/src/primrosescale/platform/object_platform.py
@@ -176,9 +176,10 @@
             return
         fields = {name: getattr(entry, name) for name in HostEntry.__slots__}  # type: ignore[attr-defined]
         value = json.dumps(fields).encode()
-        known = yield self.get(key)
-        expected = known.version if known is not None else MUST_NOT_EXIST
-        yield self.put(key, value, expected)
+        try:
+            yield self.put(key, value, MUST_NOT_EXIST)
+        except PlatformConflictError as conflict:
+            yield self.put(key, value, conflict.current)
 
     @inlineCallbacks
     def _pages(
--- a/src/primrosescale/platform/records.py
+++ b/src/primrosescale/platform/records.py
@@ -6,9 +6,11 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from primrosescale.connection.dialer import Endpoint
 from primrosescale.platform.exceptions import RecordError
 from primrosescale.platform.host_settings import MILLISECOND
 from primrosescale.platform.host_settings import parse_endpoint
+from primrosescale.process.entry.router_news import OtherRouter
 from primrosescale.request.serving_target import ServingTarget
 from primrosescale.version.routing_table import CallerLimits
 from primrosescale.version.routing_table import Organisation
@@ -105,6 +107,32 @@
         raise RecordError(stored.key, f"{type(error).__name__}: {error}") from error
 
 
+def decode_router(stored: StoredObject) -> OtherRouter:
+    """Return the entry router that an entry of the list of routers tells of.
+
+    Parameters
+    ----------
+    stored : StoredObject
+        The entry.
+
+    Returns
+    -------
+    OtherRouter
+        The router.
+
+    Raises
+    ------
+    RecordError
+        When it cannot be read.
+    """
+    try:
+        fields = json.loads(stored.value)
+        endpoint = Endpoint(str(fields["address"]), int(fields["port"]))
+        return OtherRouter(stored.key.split("/", 1)[1], endpoint)
+    except MALFORMED as error:
+        raise RecordError(stored.key, f"{type(error).__name__}: {error}") from error
+
+
 def _route(item: dict[str, Any]) -> Route:
     split = item.get("split")
     if split:
--- a/src/primrosescale/process/daemon.py
+++ b/src/primrosescale/process/daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import secrets
 import time
 import traceback
 from typing import TYPE_CHECKING
@@ -18,6 +17,7 @@
 from primrosescale.process.events import Event
 from primrosescale.process.events import EventLog
 from primrosescale.process.http_target import HttpTarget
+from primrosescale.process.incarnation import new_incarnation
 from primrosescale.process.metrics import Metrics
 from primrosescale.process.tls import make_tls
 from primrosescale.process.tracing import Tracing
@@ -35,21 +35,6 @@
     from primrosescale.process.settings import Settings
     from primrosescale.process.tls import LinkTls
 
-INCARNATION_SHIFT = 20
-
-
-def new_incarnation() -> int:
-    """Return a number for this life of a process.
-
-    Returns
-    -------
-    int
-        Higher than that of earlier lives by the clock, and unlike any
-        started in the same second.
-    """
-    seconds = int(time.time())
-    return (seconds << INCARNATION_SHIFT) | secrets.randbits(INCARNATION_SHIFT)
-
 
 class LinkFactory(Factory):
     """Makes the listening side of connections.
--- a/src/primrosescale/process/entry/codec.py
+++ b/src/primrosescale/process/entry/codec.py
@@ -9,10 +9,14 @@
 if TYPE_CHECKING:
     from twisted.web.http_headers import Headers
 
+    from primrosescale.process.entry.router_news import OtherRouter
+    from primrosescale.process.platform import StoredObject
     from primrosescale.request.direct_port import AnswerHead
     from primrosescale.request.direct_port import Refusal
     from primrosescale.request.direct_port import Sending
     from primrosescale.request.gate import CallerHead
+    from primrosescale.request.serving_target import ServingTarget
+    from primrosescale.version.routing_table import RoutingTable
 
 
 class EntryCodec(ABC):
@@ -99,3 +103,52 @@
         list[tuple[bytes, bytes]]
             Names and values.
         """
+
+
+class RecordDecoder(ABC):
+    """Translates records of the store; it decides nothing."""
+
+    @abstractmethod
+    def table(self, stored: StoredObject) -> RoutingTable:
+        """Return the routing table of a record.
+
+        Parameters
+        ----------
+        stored : StoredObject
+            The record.
+
+        Returns
+        -------
+        RoutingTable
+            The table; fails with a `PrimrosescaleError`.
+        """
+
+    @abstractmethod
+    def target(self, stored: StoredObject) -> ServingTarget:
+        """Return the target of a record.
+
+        Parameters
+        ----------
+        stored : StoredObject
+            The record.
+
+        Returns
+        -------
+        ServingTarget
+            The target; fails with a `PrimrosescaleError`.
+        """
+
+    @abstractmethod
+    def router(self, stored: StoredObject) -> OtherRouter:
+        """Return the entry router of a record.
+
+        Parameters
+        ----------
+        stored : StoredObject
+            The record.
+
+        Returns
+        -------
+        OtherRouter
+            The router; fails with a `PrimrosescaleError`.
+        """
--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -59,6 +59,7 @@
                 ("caller_connections", "Connections of callers"),
                 ("requests_under_way", "Requests under way"),
                 ("store_calls", "Calls made to the store"),
+                ("news_bytes", "Bytes of news sent to other routers"),
                 ("peers", "Other routers heard of lately"),
                 ("is_ready", "Whether the balancer is told to send callers"),
                 ("log_lines_dropped", "Log lines left out"),
--- /dev/null
+++ b/src/primrosescale/process/entry/entry_parts.py
@@ -0,0 +1,79 @@
+"""What an entry router is built with besides its settings."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from primrosescale.process.entry.codec import EntryCodec
+    from primrosescale.process.entry.codec import RecordDecoder
+    from primrosescale.process.entry.entry_metrics import EntryMetrics
+    from primrosescale.process.entry.entry_settings import EntrySettings
+    from primrosescale.process.entry.log_writer import LogWriter
+    from primrosescale.process.events import EventLog
+    from primrosescale.process.platform import Platform
+
+
+class EntryParts:
+    """What an entry router is built with besides its settings.
+
+    Parameters
+    ----------
+    reactor : Any
+        Twisted's reactor.
+    platform : Platform
+        The platform's store.
+    codec : EntryCodec
+        Translates heads.
+    decoder : RecordDecoder
+        Translates records of the store.
+    log : EventLog
+        Numbered events.
+    writer : LogWriter | None
+        Where their lines go, when it is bounded.
+    metrics : EntryMetrics
+        Counters and histograms.
+    rng : Random
+        Source of chance.
+    reread : Callable[[], EntrySettings]
+        Reads the settings anew; fails with a `PrimrosescaleError`.
+    """
+
+    __slots__ = (
+        "codec",
+        "decoder",
+        "log",
+        "metrics",
+        "platform",
+        "reactor",
+        "reread",
+        "rng",
+        "writer",
+    )
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        platform: Platform,
+        codec: EntryCodec,
+        decoder: RecordDecoder,
+        log: EventLog,
+        writer: LogWriter | None,
+        metrics: EntryMetrics,
+        rng: Random,
+        reread: Callable[[], EntrySettings],
+    ) -> None:
+        self.reread = reread
+        self.reactor = reactor
+        self.platform = platform
+        self.codec = codec
+        self.decoder = decoder
+        self.log = log
+        self.writer = writer
+        self.metrics = metrics
+        self.rng = rng
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -17,30 +17,29 @@
 from primrosescale.process.entry.caller_site import EntryHandler
 from primrosescale.process.entry.entry_metrics import MetricsResource
 from primrosescale.process.entry.knowledge import Knowledge
+from primrosescale.process.entry.router_exchange import NewsExchange
+from primrosescale.process.entry.router_exchange import RouterRegistry
+from primrosescale.process.entry.router_news import RouterNews
 from primrosescale.process.entry.target_caller import HttpTargetCaller
+from primrosescale.process.entry.target_list import TargetList
 from primrosescale.process.events import Event
+from primrosescale.process.incarnation import new_incarnation
 from primrosescale.request.direct_port import Refusal
 from primrosescale.request.forwarded_call import ForwardedCall
 from primrosescale.request.forwarded_call import ForwardTools
+from primrosescale.request.freshness import Freshness
 from primrosescale.request.gate import Gate
 from primrosescale.request.part_directory import PartDirectory
 from primrosescale.request.repeat_budget import RepeatBudget
 from primrosescale.request.target_choice import TargetChooser
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from collections.abc import Generator
-    from random import Random
 
     from primrosescale.process.entry.caller_site import EntryRequest
-    from primrosescale.process.entry.codec import EntryCodec
-    from primrosescale.process.entry.entry_metrics import EntryMetrics
+    from primrosescale.process.entry.entry_parts import EntryParts
     from primrosescale.process.entry.entry_settings import EntrySettings
     from primrosescale.process.entry.entry_settings import EntryWatches
-    from primrosescale.process.entry.knowledge import RecordDecoder
-    from primrosescale.process.entry.log_writer import LogWriter
-    from primrosescale.process.events import EventLog
-    from primrosescale.process.platform import Platform
     from primrosescale.version.routing_table import CallerLimits
 
 OK = 200
@@ -50,6 +49,8 @@
 # The balancer asks once a second and takes a router out after two misses; a
 # new connection may still come a little later.
 STILL_CHOSEN_SECONDS = 2.6
+# Routers that are taken to share the budget of repeats before the list came.
+UNLISTED_ROUTERS = 8
 # Left before SIGKILL for closing connections.
 STOP_MARGIN_SECONDS = 0.5
 
@@ -88,67 +89,6 @@
         return b"not ready\n"
 
 
-class EntryParts:
-    """What an entry router is built with besides its settings.
-
-    Parameters
-    ----------
-    reactor : Any
-        Twisted's reactor.
-    platform : Platform
-        The platform's store.
-    codec : EntryCodec
-        Translates heads.
-    decoder : RecordDecoder
-        Translates records of the store.
-    log : EventLog
-        Numbered events.
-    writer : LogWriter | None
-        Where their lines go, when it is bounded.
-    metrics : EntryMetrics
-        Counters and histograms.
-    rng : Random
-        Source of chance.
-    reread : Callable[[], EntrySettings]
-        Reads the settings anew; fails with a `PrimrosescaleError`.
-    """
-
-    __slots__ = (
-        "codec",
-        "decoder",
-        "log",
-        "metrics",
-        "platform",
-        "reactor",
-        "reread",
-        "rng",
-        "writer",
-    )
-
-    def __init__(
-        self,
-        *,
-        reactor: Any,
-        platform: Platform,
-        codec: EntryCodec,
-        decoder: RecordDecoder,
-        log: EventLog,
-        writer: LogWriter | None,
-        metrics: EntryMetrics,
-        rng: Random,
-        reread: Callable[[], EntrySettings],
-    ) -> None:
-        self.reread = reread
-        self.reactor = reactor
-        self.platform = platform
-        self.codec = codec
-        self.decoder = decoder
-        self.log = log
-        self.writer = writer
-        self.metrics = metrics
-        self.rng = rng
-
-
 class EntryRouter(EntryHandler):
     """Accepts callers' requests and sends them to targets.
 
@@ -173,9 +113,19 @@
         self._reactor = parts.reactor
         self._log = parts.log
         self._metrics = parts.metrics
-        self._knowledge = Knowledge(settings, watches, parts)
+        incarnation = new_incarnation()
+        freshness = Freshness(settings.revoke)
+        targets = TargetList(settings.drain)
         self._caller = HttpTargetCaller(parts.reactor, parts.codec)
         self._directory = PartDirectory()
+        self._news = RouterNews(
+            settings.name, incarnation, targets, self._directory, freshness
+        )
+        self._registry = RouterRegistry(settings, incarnation, self._news, parts)
+        self._exchange = NewsExchange(self._news, self._version, parts)
+        self._knowledge = Knowledge(
+            settings, watches, parts, freshness, targets, self._registry
+        )
         self._budgets: dict[str, RepeatBudget] = {}
         self._gate = Gate(self._knowledge.freshness, settings.config_apply, parts.rng)
         self._tools = ForwardTools(
@@ -185,9 +135,10 @@
             caller=self._caller,
             chooser=TargetChooser(settings.choice, self._directory, parts.rng),
             parts=self._directory,
-            states_of=self._knowledge.targets.of_service,
+            states_of=targets.of_service,
             budget_of=self._budget_of,
             routers=self._routers,
+            parts_changed=self._exchange.tell_soon,
         )
         self._factory = EntryFactory(self, parts.reactor)
         self._calls: set[ForwardedCall] = set()
@@ -224,6 +175,9 @@
             site.noisy = False
             self._listen(settings.metrics, site)
         self._caller_port = self._listen(settings.callers, self._factory)
+        links = settings.links
+        self._reactor.listenUDP(links.port, self._exchange, links.address)
+        self._registry.start()
         self._knowledge.start()
         self._reactor.callLater(HOUSEKEEPING_SECONDS, self._keep_house)
         self._log.emit(Event.PROCESS_STARTED, host=settings.name)
@@ -245,6 +199,8 @@
         if self._calls:
             self._log.emit(Event.STOP_CUT, requests=len(self._calls))
         self._knowledge.stop()
+        self._exchange.stop()
+        yield self._registry.stop()
         self._log.emit(Event.PROCESS_STOPPED, took=round(self._now() - began, 2))
 
     def reload(self) -> None:
@@ -346,7 +302,12 @@
         return budget
 
     def _routers(self) -> int:
-        return 4
+        listed = self._registry.routers
+        return UNLISTED_ROUTERS if listed is None else listed
+
+    def _version(self) -> int:
+        table = self._knowledge.table
+        return 0 if table is None else table.version
 
     def _keep_house(self) -> None:
         now = self._now()
@@ -382,6 +343,8 @@
             "targets": len(self._knowledge.targets),
             "caller_connections": self._factory.open_channels,
             "requests_under_way": len(self._calls),
+            "peers": self._news.heard_lately(now),
+            "news_bytes": self._exchange.bytes_out,
             "store_calls": self._knowledge.store_calls,
             "is_ready": float(self.is_ready),
             "log_lines_dropped": self._lines_dropped,
--- a/src/primrosescale/process/entry/entry_settings.py
+++ b/src/primrosescale/process/entry/entry_settings.py
@@ -75,7 +75,10 @@
         keys may still be accepted.
     targets : WatchedPrefix
         The list of targets.
+    routers : WatchedPrefix
+        The list of entry routers.
     """
 
     configuration: WatchedPrefix
     targets: WatchedPrefix
+    routers: WatchedPrefix
--- a/src/primrosescale/process/entry/knowledge.py
+++ b/src/primrosescale/process/entry/knowledge.py
@@ -2,62 +2,26 @@
 
 from __future__ import annotations
 
-from abc import ABC
-from abc import abstractmethod
 from typing import TYPE_CHECKING
 from typing import Any
 
 from primrosescale.exceptions import PrimrosescaleError
 from primrosescale.process.entry.store_watch import StoreWatch
 from primrosescale.process.entry.store_watch import WatchHandler
-from primrosescale.process.entry.target_list import TargetList
 from primrosescale.process.events import Event
-from primrosescale.request.freshness import Freshness
 
 if TYPE_CHECKING:
-    from primrosescale.process.entry.entry_router import EntryParts
+    from primrosescale.process.entry.entry_parts import EntryParts
     from primrosescale.process.entry.entry_settings import EntrySettings
     from primrosescale.process.entry.entry_settings import EntryWatches
+    from primrosescale.process.entry.target_list import TargetList
     from primrosescale.process.exceptions import PlatformError
     from primrosescale.process.platform import StoredObject
+    from primrosescale.request.freshness import Freshness
     from primrosescale.request.serving_target import ServingTarget
     from primrosescale.version.routing_table import RoutingTable
 
 
-class RecordDecoder(ABC):
-    """Translates records of the store; it decides nothing."""
-
-    @abstractmethod
-    def table(self, stored: StoredObject) -> RoutingTable:
-        """Return the routing table of a record.
-
-        Parameters
-        ----------
-        stored : StoredObject
-            The record.
-
-        Returns
-        -------
-        RoutingTable
-            The table; fails with a `PrimrosescaleError`.
-        """
-
-    @abstractmethod
-    def target(self, stored: StoredObject) -> ServingTarget:
-        """Return the target of a record.
-
-        Parameters
-        ----------
-        stored : StoredObject
-            The record.
-
-        Returns
-        -------
-        ServingTarget
-            The target; fails with a `PrimrosescaleError`.
-        """
-
-
 class _Connection:
     """Whether a watch gets answers, for the log."""
 
@@ -149,6 +113,12 @@
         What is followed.
     parts : EntryParts
         What the router is built with.
+    freshness : Freshness
+        How old the knowledge of the configuration is.
+    targets : TargetList
+        Targets and their states.
+    routers : WatchHandler
+        Follows the list of routers.
     """
 
     def __init__(
@@ -156,6 +126,9 @@
         settings: EntrySettings,
         watches: EntryWatches,
         parts: EntryParts,
+        freshness: Freshness,
+        targets: TargetList,
+        routers: WatchHandler,
     ) -> None:
         self._reactor = parts.reactor
         self._log = parts.log
@@ -163,8 +136,8 @@
         self._platform = parts.platform
         self._table: RoutingTable | None = None
         self._has_list = False
-        self.freshness = Freshness(settings.revoke)
-        self.targets = TargetList(settings.drain)
+        self.freshness = freshness
+        self.targets = targets
         connections = [
             _Connection(name, parts.log, self._now)
             for name in ("configuration", "targets")
@@ -174,6 +147,7 @@
             for watched, handler in (
                 (watches.configuration, _ConfigurationHandler(self, connections[0])),
                 (watches.targets, _TargetHandler(self, connections[1])),
+                (watches.routers, routers),
             )
         ]
 
--- /dev/null
+++ b/src/primrosescale/process/entry/router_exchange.py
@@ -0,0 +1,241 @@
+"""Datagrams between entry routers, and the list of these routers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.protocol import DatagramProtocol
+from twisted.internet.task import deferLater
+
+from primrosescale.clock import cancel_timer
+from primrosescale.connection.codec import decode
+from primrosescale.connection.codec import encode
+from primrosescale.connection.exceptions import FrameError
+from primrosescale.connection.wire import ttypes as wire
+from primrosescale.exceptions import PrimrosescaleError
+from primrosescale.process.entry.store_watch import WatchHandler
+from primrosescale.process.events import Event
+from primrosescale.process.exceptions import PlatformError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Generator
+
+    from primrosescale.clock import Timer
+    from primrosescale.process.entry.entry_parts import EntryParts
+    from primrosescale.process.entry.entry_settings import EntrySettings
+    from primrosescale.process.entry.router_news import RouterNews
+    from primrosescale.process.platform import StoredObject
+
+# Where a part of a prompt went is told at once, with what else comes up in
+# these milliseconds.
+URGENT_SECONDS = 0.005
+ANNOUNCE_PAUSE = 0.5
+
+
+class NewsExchange(DatagramProtocol):
+    """Sends this router's news in rounds and takes in that of others.
+
+    Parameters
+    ----------
+    news : RouterNews
+        Composes and takes in news.
+    version : Callable[[], int]
+        Returns the version in force here; 0 for none.
+    parts : EntryParts
+        What the router is built with.
+    """
+
+    def __init__(
+        self,
+        news: RouterNews,
+        version: Callable[[], int],
+        parts: EntryParts,
+    ) -> None:
+        self._news = news
+        self._version = version
+        self._reactor = parts.reactor
+        self._log = parts.log
+        self._timer: Timer | None = None
+        self._is_urgent = False
+        self._is_stopped = False
+        self._bytes_out = 0
+
+    @property
+    def bytes_out(self) -> int:
+        """Return the bytes of news sent."""
+        return self._bytes_out
+
+    def startProtocol(self) -> None:
+        """Begin the rounds."""
+        self._schedule(self._news.interval)
+
+    def stop(self) -> None:
+        """Send no more."""
+        self._is_stopped = True
+        cancel_timer(self._timer)
+
+    def tell_soon(self) -> None:
+        """Send the next round within milliseconds."""
+        if not self._is_urgent and not self._is_stopped:
+            self._is_urgent = True
+            self._schedule(URGENT_SECONDS)
+
+    def datagramReceived(self, datagram: bytes, addr: Any) -> None:
+        """Take in a datagram; what cannot be read is dropped.
+
+        Parameters
+        ----------
+        datagram : bytes
+            The datagram.
+        addr : Any
+            Where it comes from.
+        """
+        try:
+            message = decode(datagram)
+        except FrameError as error:
+            detail = f"{addr}: {error}"
+            self._log.emit(Event.NEWS_REFUSED, detail=detail)
+            return
+        if isinstance(message, wire.RouterNews):
+            self._news.take(message, self._version(), self._reactor.seconds())
+
+    def _schedule(self, seconds: float) -> None:
+        cancel_timer(self._timer)
+        self._timer = self._reactor.callLater(seconds, self._round)
+
+    def _round(self) -> None:
+        self._timer = None
+        self._is_urgent = False
+        if self._is_stopped:
+            return
+        self._schedule(self._news.interval)
+        transport: Any = self.transport
+        now = self._reactor.seconds()
+        for router, message in self._news.compose(self._version(), now):
+            frame = encode(message)
+            address = (router.endpoint.address, router.endpoint.port)
+            try:
+                transport.write(frame, address)
+            except OSError as error:
+                # The next round brings the same news.
+                detail = f"{router.name}: {error}"
+                self._log.emit(Event.NEWS_NOT_SENT, detail=detail)
+                continue
+            self._bytes_out += len(frame)
+
+
+class RouterRegistry(WatchHandler):
+    """Lists this router in the store and follows the list of the others.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Settings of the router.
+    incarnation : int
+        Number of this life of the process.
+    news : RouterNews
+        Told of the other routers.
+    parts : EntryParts
+        What the router is built with.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        incarnation: int,
+        news: RouterNews,
+        parts: EntryParts,
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._news = news
+        self._parts = parts
+        self._is_announcing = False
+        self._is_stopped = False
+        self._has_list = False
+
+    @property
+    def routers(self) -> int | None:
+        """Return how many routers are listed; None before the list came."""
+        return len(self._news.others) + 1 if self._has_list else None
+
+    def start(self) -> None:
+        """List this router."""
+        self._announce()
+
+    @inlineCallbacks
+    def stop(self) -> Generator[Any, Any, None]:
+        """Take this router off the list."""
+        self._is_stopped = True
+        try:
+            yield self._parts.platform.announce(self._entry(gone=True))
+        except PlatformError as error:
+            # The entry stays; the others stop to rely on this router anyway.
+            self._parts.log.emit(Event.ANNOUNCE_FAILED, detail=str(error))
+
+    def replaced(self, objects: tuple[StoredObject, ...], asked_at: float) -> None:
+        """Take in the whole list; see `WatchHandler.replaced`."""
+        self._has_list = True
+        listed = set()
+        for stored in objects:
+            listed.add(self._take(stored))
+        for router in self._news.others:
+            if router.name not in listed:
+                self._news.remove(router.name)
+        if self._settings.name not in listed:
+            self._announce()
+
+    def changed(self, objects: tuple[StoredObject, ...], asked_at: float) -> None:
+        """Take in changed entries; see `WatchHandler.changed`."""
+        for stored in objects:
+            name = self._take(stored)
+            if stored.is_deleted and name == self._settings.name:
+                self._announce()
+
+    def failed(self, error: PlatformError) -> None:
+        """Do nothing: the watch of the configuration logs outages."""
+
+    def _take(self, stored: StoredObject) -> str:
+        name = stored.key.split("/", 1)[1]
+        if stored.is_deleted:
+            self._news.remove(name)
+            return name
+        try:
+            self._news.put(self._parts.decoder.router(stored))
+        except PrimrosescaleError as error:
+            self._parts.log.emit(Event.TARGET_REFUSED, detail=str(error))
+        return name
+
+    @inlineCallbacks
+    def _announce(self) -> Generator[Any, Any, None]:
+        """Write this router's entry until the store has taken it."""
+        if self._is_announcing:
+            return
+        self._is_announcing = True
+        while not self._is_stopped:
+            try:
+                yield self._parts.platform.announce(self._entry(gone=False))
+                break
+            except PlatformError as error:
+                self._parts.log.emit(Event.ANNOUNCE_FAILED, detail=str(error))
+                yield deferLater(self._parts.reactor, ANNOUNCE_PAUSE, lambda: None)
+        self._is_announcing = False
+
+    def _entry(self, *, gone: bool) -> wire.HostEntry:
+        links = self._settings.links
+        return wire.HostEntry(
+            self._settings.name,
+            "router",
+            links.address,
+            links.port,
+            self._settings.domain,
+            "",
+            "",
+            leaving=gone,
+            gone=gone,
+            version=0,
+            incarnation=self._incarnation,
+        )
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -114,6 +114,8 @@
         Budget of a service.
     routers : Callable[[], int]
         How many routers share the budgets.
+    parts_changed : Callable[[], None]
+        Told that a part went to a target that was not known to have it.
     """
 
     settings: ForwardSettings
@@ -125,6 +127,7 @@
     states_of: Callable[[str], list[TargetState]]
     budget_of: Callable[[str], RepeatBudget]
     routers: Callable[[], int]
+    parts_changed: Callable[[], None]
 
 
 @dataclass(slots=True)
@@ -263,9 +266,9 @@
         self._is_at_target = True
         self._sent_to.append(state.target.name)
         if self._request.prompt is not None:
-            self._tools.parts.note_own(
-                state.target.name, self._request.prompt.parts, now
-            )
+            name = state.target.name
+            if self._tools.parts.note_own(name, self._request.prompt.parts, now):
+                self._tools.parts_changed()
         self._watch_silence(now)
 
     def run_not_sent(self, detail: str) -> None:
--- a/src/primrosescale/request/part_directory.py
+++ b/src/primrosescale/request/part_directory.py
@@ -65,7 +65,7 @@
             holders[target] = used_at
         return before is None
 
-    def note_own(self, target: str, parts: Iterable[PromptPart], now: float) -> None:
+    def note_own(self, target: str, parts: Iterable[PromptPart], now: float) -> bool:
         """Take in that a request of this router went to a target.
 
         Parameters
@@ -76,10 +76,17 @@
             The request's parts.
         now : float
             Present time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether some part was not known to be there.
         """
+        is_new = False
         for part in parts:
-            self.note(target, part.name, now)
+            is_new = self.note(target, part.name, now) or is_new
             self._news[(part.name, target)] = now
+        return is_new
 
     def take_news(self) -> list[tuple[str, str, float]]:
         """Return what this router noted since the last call.
--- a/src/primrosescale/request/target_state.py
+++ b/src/primrosescale/request/target_state.py
@@ -18,9 +18,6 @@
 # time most plain requests that it counted have ended (their mean is 0.1 s),
 # and streams are counted again by the next answers.
 REPORT_HALF_LIFE = 0.5
-# News of other routers' requests come four times a second; twice missed is
-# old.
-NEWS_FRESH_SECONDS = 1.0
 # Outcomes lose half of their influence in this time: at about one request a
 # second from one router to one target, five outcomes count.
 OUTCOME_HALF_LIFE = 5.0
@@ -28,6 +25,8 @@
 # as long after each further failure, up to the most. A restart takes 2-5 s.
 FIRST_PAUSE = 0.5
 LONGEST_PAUSE = 4.0
+# Fewer than this have faded to nothing.
+LEAST_OUTCOMES = 0.01
 # Pseudo-outcomes that hold a target to be good before it was tried.
 PRIOR_GOOD = 2.0
 
@@ -76,6 +75,7 @@
         "_seen_at",
         "_since",
         "_target",
+        "_told_outcomes",
     )
 
     def __init__(self, target: ServingTarget, now: float) -> None:
@@ -86,6 +86,7 @@
         self._report_at = now - 60.0
         self._own_at_report = 0
         self._news: dict[str, tuple[int, float]] = {}
+        self._told_outcomes: dict[str, tuple[float, float, float]] = {}
         self._good = 0.0
         self._bad = 0.0
         self._seen_at = now
@@ -160,7 +161,7 @@
         self._report_at = now
         self._own_at_report = self._own
 
-    def hear_router(self, router: str, running: int, now: float) -> None:
+    def hear_router(self, router: str, running: int, fresh_until: float) -> None:
         """Take in how many requests another router has there.
 
         Parameters
@@ -169,10 +170,28 @@
             The other router.
         running : int
             Its requests.
-        now : float
-            Present time in seconds.
+        fresh_until : float
+            When this stops to count, in seconds.
         """
-        self._news[router] = (running, now)
+        self._news[router] = (running, fresh_until)
+
+    def hear_outcomes(
+        self, router: str, good: float, bad: float, fresh_until: float
+    ) -> None:
+        """Take in what outcomes another router has seen lately.
+
+        Parameters
+        ----------
+        router : str
+            The other router.
+        good : float
+            Its good outcomes, fading as this router's own.
+        bad : float
+            Its bad ones.
+        fresh_until : float
+            When this stops to count, in seconds.
+        """
+        self._told_outcomes[router] = (good, bad, fresh_until)
 
     def load(self, now: float) -> float:
         """Return how many requests are there by the best knowledge.
@@ -192,8 +211,8 @@
         """
         told = sum(
             running
-            for running, at in self._news.values()
-            if now - at <= NEWS_FRESH_SECONDS
+            for running, fresh_until in self._news.values()
+            if now <= fresh_until
         )
         total = self._report.running + self._report.waiting
         others = max(0, total - self._own_at_report)
@@ -213,8 +232,44 @@
         float
             0 to 1.
         """
+        good, bad = self.outcomes(now)
+        for told_good, told_bad, fresh_until in self._told_outcomes.values():
+            if now <= fresh_until:
+                good += told_good
+                bad += told_bad
+        return bad / (good + bad + PRIOR_GOOD)
+
+    def outcomes(self, now: float) -> tuple[float, float]:
+        """Return this router's own recent outcomes.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        tuple[float, float]
+            Good and bad ones, fading.
+        """
         self._fade(now)
-        return self._bad / (self._good + self._bad + PRIOR_GOOD)
+        return self._good, self._bad
+
+    def has_outcomes(self, now: float) -> bool:
+        """Tell whether there are outcomes worth telling others.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        bool
+            True when they would be seen after rounding.
+        """
+        good, bad = self.outcomes(now)
+        return good + bad > LEAST_OUTCOMES
 
     def succeeded(self, now: float) -> None:
         """Take in a good outcome.
