--- a/src/primrosescale/process/entry/caller_site.py
+++ b/src/primrosescale/process/entry/caller_site.py
@@ -165,6 +165,8 @@
 
     def _refuse_body(self) -> None:
         self._is_refused = True
+        # Twisted learns the version only with the last byte of the body.
+        self.clientproto = b"HTTP/1.1"
         channel: Any = self.channel
         channel.handler.too_large(self)
         channel.loseConnection()
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -8,6 +8,8 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import inlineCallbacks
 
+from primrosescale.clock import cancel_timer
+from primrosescale.connection.endpoint import Endpoint
 from primrosescale.exceptions import PrimrosescaleError
 from primrosescale.process.entry.caller_site import FIRST_LIMITS
 from primrosescale.process.entry.caller_site import CallerConnection
@@ -37,6 +39,7 @@
 
     from twisted.python.failure import Failure
 
+    from primrosescale.clock import Timer
     from primrosescale.process.entry.caller_site import EntryRequest
     from primrosescale.process.entry.entry_parts import EntryParts
     from primrosescale.process.entry.entry_settings import EntrySettings
@@ -119,12 +122,12 @@
         )
         self._factory = EntryFactory(self, parts.reactor)
         self._calls: set[ForwardedCall] = set()
-        self._ports: list[Any] = []
-        self._caller_port: Any = None
+        self._ports: dict[Endpoint, Any] = {}
         self._is_stopping = False
         self._early: list[EntryRequest] = []
         self._patient_until = 0.0
         self._was_ready = False
+        self._housekeeping: Timer | None = None
         self._lines_dropped = 0
 
     @property
@@ -133,6 +136,14 @@
         table = self._knowledge.table
         return FIRST_LIMITS if table is None else table.limits
 
+    @property
+    def bound(self) -> dict[Endpoint, Endpoint]:
+        """Return where it listens, by the endpoints of the settings."""
+        hosts = {wanted: port.getHost() for wanted, port in self._ports.items()}
+        return {
+            wanted: Endpoint(host.host, host.port) for wanted, host in hosts.items()
+        }
+
     @property
     def sends_callers_away(self) -> bool:
         """Tell whether connections are to end with their next answer."""
@@ -149,14 +160,16 @@
         self._listen(settings.readiness, TextSite(self._readiness))
         if settings.metrics is not None:
             self._listen(settings.metrics, TextSite(self._metrics_text))
-        self._caller_port = self._listen(settings.callers, self._factory)
+        self._listen(settings.callers, self._factory)
         links = settings.links
-        self._reactor.listenUDP(links.port, self._exchange, links.address)
+        self._ports[links] = self._reactor.listenUDP(
+            links.port, self._exchange, links.address
+        )
         self._registry.start()
         self._patient_until = self._now() + START_PATIENCE
         self._reactor.callLater(START_PATIENCE, self._serve_early)
         self._knowledge.start(self._learned)
-        self._reactor.callLater(HOUSEKEEPING_SECONDS, self._keep_house)
+        self._keep_house()
         self._log.emit(Event.PROCESS_STARTED, host=settings.name)
 
     @inlineCallbacks
@@ -167,7 +180,7 @@
         self._log.emit(Event.PROCESS_STOPPING, under_way=len(self._calls))
         latest = began + self._settings.stop_within - STOP_MARGIN_SECONDS
         yield self._pause(STILL_CHOSEN_SECONDS)
-        self._caller_port.stopListening()
+        self._ports.pop(self._settings.callers).stopListening()
         while self._now() < latest:
             self._factory.close_idle()
             if not self._calls and not self._factory.open_channels:
@@ -178,6 +191,7 @@
         self._knowledge.stop()
         self._exchange.stop()
         yield self._registry.stop()
+        self._close()
         self._log.emit(Event.PROCESS_STOPPED, took=round(self._now() - began, 2))
 
     def reload(self) -> None:
@@ -194,6 +208,13 @@
             self._budgets.clear()
         self._log.emit(Event.SETTINGS_RELOADED, is_changed=is_changed)
 
+    def _close(self) -> None:
+        """Let go of everything, whether or not the stop was planned."""
+        cancel_timer(self._housekeeping)
+        for port in self._ports.values():
+            port.stopListening()
+        self._ports.clear()
+
     def handle(self, request: EntryRequest) -> None:
         """Answer or forward a request; see `EntryHandler.handle`."""
         if self._knowledge.is_complete or self._now() >= self._patient_until:
@@ -301,7 +322,9 @@
 
     def _keep_house(self) -> None:
         now = self._now()
-        self._reactor.callLater(HOUSEKEEPING_SECONDS, self._keep_house)
+        self._housekeeping = self._reactor.callLater(
+            HOUSEKEEPING_SECONDS, self._keep_house
+        )
         self._caller.sweep(now)
         for name in self._knowledge.forget_gone(now):
             self._directory.forget_target(name)
@@ -392,12 +415,10 @@
         for name, value in values.items():
             self._metrics.gauge(name, value)
 
-    def _listen(self, endpoint: Any, factory: Any) -> Any:
-        port = self._reactor.listenTCP(
+    def _listen(self, endpoint: Endpoint, factory: Any) -> None:
+        self._ports[endpoint] = self._reactor.listenTCP(
             endpoint.port, factory, BACKLOG, endpoint.address
         )
-        self._ports.append(port)
-        return port
 
     def _pause(self, seconds: float) -> Deferred[None]:
         result: Deferred[None] = Deferred()
--- /dev/null
+++ b/src/primrosescale/standin/users_engine.py
@@ -0,0 +1,266 @@
+"""A stand-in of the users' targets: plain answers, streams and their faults."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from typing import TYPE_CHECKING
+from typing import Any
+
+from twisted.internet import reactor as default_reactor
+from twisted.internet.protocol import ServerFactory
+from twisted.web.http import HTTPChannel
+from twisted.web.http import Request
+
+from primrosescale.platform import http_codec as names
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+OK = 200
+FAILED = 500
+FULL = 503
+MISDIRECTED = 421
+RECEIPT = b"3e1b.07"
+
+
+class EngineFault(Enum):
+    """What becomes of one request."""
+
+    FAIL = "fail"
+    DECLINE = "decline"
+    SILENT = "silent"
+    RESET = "reset"
+    NO_RECEIPT = "no receipt"
+    WRONG_ID = "wrong id"
+    EXTRA_ANSWER = "extra answer"
+    NO_LENGTH = "no length"
+    NO_LENGTH_RESET = "no length, reset"
+    CUT = "cut"
+
+
+@dataclass(slots=True)
+class Arrival:
+    """A request as it arrived.
+
+    Parameters
+    ----------
+    method : bytes
+        HTTP method.
+    path : bytes
+        Path and query.
+    headers : dict[bytes, bytes]
+        Headers, names in lower case.
+    body : bytes
+        Body.
+    is_left : bool
+        Whether its connection was closed before the answer was whole.
+    """
+
+    method: bytes
+    path: bytes
+    headers: dict[bytes, bytes]
+    body: bytes
+    is_left: bool = False
+
+
+@dataclass(slots=True)
+class EngineScript:
+    """How an engine behaves; may be changed while it runs.
+
+    Parameters
+    ----------
+    name : str
+        Its incarnation.
+    faults : list[EngineFault]
+        Faults of the requests to come, in order.
+    events : int
+        Events of a stream; 0 for plain answers.
+    cut_after : int
+        Events after which a cut stream ends.
+    gap : float
+        Seconds between events.
+    body : bytes
+        A plain answer.
+    delay : float
+        Seconds before a plain answer.
+    arrivals : list[Arrival]
+        Requests so far.
+    """
+
+    name: str = "i-1"
+    faults: list[EngineFault] = field(default_factory=list)
+    events: int = 0
+    cut_after: int = 2
+    gap: float = 0.005
+    body: bytes = b"done"
+    delay: float = 0.0
+    arrivals: list[Arrival] = field(default_factory=list)
+
+
+class _EngineRequest(Request):
+    """One request at the engine."""
+
+    def process(self) -> None:
+        """Answer by the script."""
+        channel: Any = self.channel
+        self._script: EngineScript = channel.script
+        content: Any = self.content
+        self._arrival = Arrival(
+            self.method,
+            self.uri,
+            {
+                name.lower(): values[0]
+                for name, values in self.requestHeaders.getAllRawHeaders()
+            },
+            content.read(),
+        )
+        self._script.arrivals.append(self._arrival)
+        fault = self._script.faults.pop(0) if self._script.faults else None
+        expected = self._arrival.headers.get(names.EXPECTED_INCARNATION.lower())
+        if expected is not None and expected.decode() != self._script.name:
+            self._head(MISDIRECTED, fault)
+            self._end()
+        elif fault is EngineFault.RESET:
+            channel.transport.abortConnection()
+        elif fault is EngineFault.FAIL:
+            self._head(FAILED, fault)
+            self._end()
+        elif fault is EngineFault.DECLINE:
+            self.responseHeaders.setRawHeaders(names.NOT_RUN, [b"1"])
+            self._head(FULL, fault)
+            self._end()
+        elif fault is not EngineFault.SILENT:
+            channel.later(self._script.delay, lambda: self._run(fault))
+
+    def connectionLost(self, reason: Any) -> None:
+        """Note that the connection ended early."""
+        super().connectionLost(reason)
+        self._arrival.is_left = True
+
+    def _run(self, fault: EngineFault | None) -> None:
+        if self._arrival.is_left:
+            return
+        channel: Any = self.channel
+        if fault in {EngineFault.NO_LENGTH, EngineFault.NO_LENGTH_RESET}:
+            self._unframed(is_reset=fault is EngineFault.NO_LENGTH_RESET)
+            return
+        if not self._script.events:
+            self._head(OK, fault, len(self._script.body))
+            cut = fault is EngineFault.CUT
+            self.write(self._script.body[:2] if cut else self._script.body)
+            if cut:
+                channel.transport.abortConnection()
+                return
+            if fault is EngineFault.EXTRA_ANSWER:
+                channel.transport.write(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold"
+                )
+            self._end()
+            return
+        last = self._arrival.headers.get(names.LAST_EVENT.lower(), b"0")
+        self._head(OK, fault)
+        self._event(int(last) + 1, fault)
+
+    def _event(self, number: int, fault: EngineFault | None) -> None:
+        channel: Any = self.channel
+        if self._arrival.is_left:
+            return
+        if number > self._script.events:
+            self._end()
+            return
+        if fault is EngineFault.CUT and number > self._script.cut_after:
+            self.write(b"id: %d\nda" % number)
+            channel.later(0.01, channel.transport.abortConnection)
+            return
+        self.write(b"id: %d\ndata: word\n\n" % number)
+        channel.later(self._script.gap, lambda: self._event(number + 1, fault))
+
+    def _unframed(self, *, is_reset: bool) -> None:
+        channel: Any = self.channel
+        echoed = self._arrival.headers.get(names.REQUEST_ID.lower(), b"")
+        channel.transport.write(
+            b"HTTP/1.1 200 OK\r\nConnection: close\r\n%b: %b\r\n%b: %b\r\n\r\n%b"
+            % (names.REQUEST_ID, echoed, names.RECEIPT, RECEIPT, self._script.body),
+        )
+        if is_reset:
+            channel.later(0.01, channel.transport.abortConnection)
+        else:
+            channel.transport.loseConnection()
+
+    def _head(
+        self, status: int, fault: EngineFault | None, length: int | None = None
+    ) -> None:
+        self.setResponseCode(status)
+        echoed = self._arrival.headers.get(names.REQUEST_ID.lower(), b"")
+        if fault is EngineFault.WRONG_ID:
+            echoed = b"another"
+        self.responseHeaders.setRawHeaders(names.REQUEST_ID, [echoed])
+        if fault is not EngineFault.NO_RECEIPT:
+            self.responseHeaders.setRawHeaders(names.RECEIPT, [RECEIPT])
+        self.responseHeaders.setRawHeaders(names.LOAD, [b"1,0,8"])
+        if length is not None:
+            self.responseHeaders.setRawHeaders(b"Content-Length", [b"%d" % length])
+        self.write(b"")
+
+    def _end(self) -> None:
+        if not self._arrival.is_left:
+            self.finish()
+
+
+class _EngineChannel(HTTPChannel):
+    """A connection to the engine."""
+
+    requestFactory: Any = _EngineRequest
+
+    def __init__(self, script: EngineScript, reactor: Any) -> None:
+        super().__init__()
+        self.script = script
+        self._reactor = reactor
+
+    def later(self, seconds: float, act: Callable[[], Any]) -> None:
+        """Do something later."""
+        self._reactor.callLater(seconds, act)
+
+
+class UsersEngine(ServerFactory):
+    """Makes connections of one engine.
+
+    Parameters
+    ----------
+    script : EngineScript
+        How it behaves.
+    reactor : Any
+        Source of time and timers.
+    """
+
+    noisy = False
+
+    def __init__(self, script: EngineScript, reactor: Any = default_reactor) -> None:
+        self._script = script
+        self._reactor = reactor
+
+    def buildProtocol(self, addr: Any) -> HTTPChannel:
+        """Return the protocol of a new connection.
+
+        Parameters
+        ----------
+        addr : Any
+            Where it comes from.
+
+        Returns
+        -------
+        HTTPChannel
+            The protocol.
+        """
+        return _EngineChannel(self._script, self._reactor)
+
+    def log(self, request: Any) -> None:
+        """Write no access log.
+
+        Parameters
+        ----------
+        request : Any
+            The request.
+        """
--- /dev/null
+++ b/src/primrosescale/standin/users_store.py
@@ -0,0 +1,290 @@
+"""A stand-in of the users' object store, with its faults.
+
+It speaks the other side of ``platform/object_platform.py``, so this module and
+that package are the only ones that know the store's fields.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from typing import Any
+
+from twisted.internet import reactor as default_reactor
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+OK = 200
+CREATED = 201
+NOT_FOUND = 404
+CONFLICT = 409
+HISTORY_GONE = 410
+UNAVAILABLE = 503
+PAGE = 500
+
+
+class StoreFault(Enum):
+    """What becomes of one call."""
+
+    BUSY = 503
+    MANY = 429
+    SILENT = "silent"
+    RESET = "reset"
+    NONSENSE = "nonsense"
+    LOST = "lost"
+
+
+@dataclass(slots=True)
+class _Watcher:
+    """A watch that waits."""
+
+    request: Any
+    kind: str
+    since: int
+    timer: Any = None
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """Faults to come; may be changed while the store runs.
+
+    Parameters
+    ----------
+    next_calls : list[StoreFault]
+        Faults of the calls to come, in order.
+    all_calls : StoreFault | None
+        Fault of every call while it is set.
+    page : int
+        Objects on one page of a list.
+    is_deaf : bool
+        Whether watches hear nothing.
+    """
+
+    next_calls: list[StoreFault] = field(default_factory=list)
+    all_calls: StoreFault | None = None
+    page: int = PAGE
+    is_deaf: bool = False
+
+    def take(self) -> StoreFault | None:
+        """Return the fault of a call.
+
+        Returns
+        -------
+        StoreFault | None
+            The fault; None for a call that works.
+        """
+        if self.all_calls is not None:
+            return self.all_calls
+        return self.next_calls.pop(0) if self.next_calls else None
+
+
+class UsersStore(Resource):
+    """Objects of kinds, with revisions, conditions and watches.
+
+    Parameters
+    ----------
+    reactor : Any
+        Source of time and timers.
+    """
+
+    isLeaf = True
+
+    def __init__(self, reactor: Any = default_reactor) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self._reactor = reactor
+        self._objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self._revision = 1
+        self._forgotten = 0
+        self._history: list[tuple[int, str, bool, dict[str, Any]]] = []
+        self._watchers: list[_Watcher] = []
+        self.faults = StoreFaults()
+        self.calls: list[str] = []
+
+    def write(self, kind: str, name: str, spec: Any) -> int:
+        """Write an object as the operator or a target does.
+
+        Parameters
+        ----------
+        kind : str
+            Its kind.
+        name : str
+            Its name.
+        spec : Any
+            Its content.
+
+        Returns
+        -------
+        int
+            The store's revision.
+        """
+        self._revision += 1
+        known = self._objects.setdefault(kind, {}).get(name)
+        made = known["metadata"]["create_revision"] if known else self._revision
+        meta: dict[str, Any] = {
+            "name": name,
+            "revision": self._revision,
+            "create_revision": made,
+            "finalizers": [],
+            "deleting": False,
+        }
+        item: dict[str, Any] = {"metadata": meta, "spec": spec, "status": None}
+        self._objects[kind][name] = item
+        self._note(kind, item, is_deleted=False)
+        return self._revision
+
+    def remove(self, kind: str, name: str) -> bool:
+        """Remove an object.
+
+        Parameters
+        ----------
+        kind : str
+            Its kind.
+        name : str
+            Its name.
+
+        Returns
+        -------
+        bool
+            Whether it was there.
+        """
+        item = self._objects.get(kind, {}).pop(name, None)
+        if item is None:
+            return False
+        self._revision += 1
+        self._note(kind, item, is_deleted=True)
+        return True
+
+    def forget_history(self) -> None:
+        """Forget all changes so far and cut all watches."""
+        self._forgotten = self._revision
+        self._history.clear()
+        for watcher in list(self._watchers):
+            self._watchers.remove(watcher)
+            watcher.timer.cancel()
+            watcher.request.transport.abortConnection()
+
+    def render(self, request: Any) -> int:
+        """Answer one call.
+
+        Parameters
+        ----------
+        request : Any
+            The call.
+
+        Returns
+        -------
+        int
+            `NOT_DONE_YET`: it may be answered later or never.
+        """
+        self.calls.append(f"{request.method.decode()} {request.uri.decode()}")
+        fault = self.faults.take()
+        parts = [part.decode() for part in request.path.split(b"/")[3:]]
+        kind, name = parts[0], "/".join(parts[1:])
+        if fault in {StoreFault.BUSY, StoreFault.MANY}:
+            _answer(request, int(fault.value), {"error": "busy"})
+        elif fault is StoreFault.RESET:
+            request.transport.abortConnection()
+        elif fault is StoreFault.NONSENSE:
+            _write(request, OK, b"<html>")
+        elif fault is StoreFault.LOST:
+            self._act(request, kind, name)
+            request.transport.abortConnection()
+        elif fault is None:
+            status, fields = self._act(request, kind, name)
+            if fields is not None:
+                _answer(request, status, fields)
+        return NOT_DONE_YET
+
+    def _act(self, request: Any, kind: str, name: str) -> tuple[int, Any]:
+        method = request.method
+        if method == b"GET":
+            if name:
+                item = self._objects.get(kind, {}).get(name)
+                return (OK, item) if item else (NOT_FOUND, {"error": "none"})
+            if b"watch" in request.args:
+                return self._watch(request, kind)
+            return OK, self._list(request, kind)
+        if method == b"DELETE":
+            return (OK, {}) if self.remove(kind, name) else (NOT_FOUND, {})
+        body = json.loads(request.content.read())
+        meta = body["metadata"]
+        name = name or meta["name"]
+        item = self._objects.get(kind, {}).get(name)
+        if method == b"POST" and item is not None:
+            return CONFLICT, item
+        if method == b"PUT" and item is None:
+            return NOT_FOUND, {"error": "none"}
+        wanted = meta.get("revision")
+        if item is not None and wanted not in {None, item["metadata"]["revision"]}:
+            return CONFLICT, item
+        self.write(kind, name, body["spec"])
+        return (CREATED if method == b"POST" else OK), self._objects[kind][name]
+
+    def _list(self, request: Any, kind: str) -> dict[str, Any]:
+        after = request.args.get(b"after", [b""])[0].decode()
+        names = sorted(n for n in self._objects.get(kind, {}) if n > after)
+        page = names[: self.faults.page]
+        return {
+            "items": [self._objects[kind][n] for n in page],
+            "truncated": len(names) > len(page),
+            "current_rev": self._revision,
+        }
+
+    def _watch(self, request: Any, kind: str) -> tuple[int, Any]:
+        since = int(request.args[b"watch"][0])
+        if since < self._forgotten:
+            return HISTORY_GONE, {"error": "gone"}
+        events = self._events(kind, since)
+        wait = int(request.args.get(b"wait_ms", [b"0"])[0]) / 1000
+        if events or not wait:
+            return OK, {"events": events, "current_rev": self._revision}
+        watcher = _Watcher(request, kind, since)
+        watcher.timer = self._reactor.callLater(wait, self._end_watch, watcher)
+        self._watchers.append(watcher)
+        request.notifyFinish().addErrback(lambda _: self._drop(watcher))
+        return OK, None
+
+    def _end_watch(self, watcher: _Watcher) -> None:
+        self._watchers.remove(watcher)
+        events = (
+            [] if self.faults.is_deaf else self._events(watcher.kind, watcher.since)
+        )
+        _answer(watcher.request, OK, {"events": events, "current_rev": self._revision})
+
+    def _drop(self, watcher: _Watcher) -> None:
+        if watcher in self._watchers:
+            self._watchers.remove(watcher)
+            watcher.timer.cancel()
+
+    def _events(self, kind: str, since: int) -> list[dict[str, Any]]:
+        if self.faults.is_deaf:
+            return []
+        return [
+            {"deleted": is_deleted, "object": item}
+            for revision, of_kind, is_deleted, item in self._history
+            if revision > since and of_kind == kind
+        ]
+
+    def _note(self, kind: str, item: dict[str, Any], *, is_deleted: bool) -> None:
+        copy = json.loads(json.dumps(item))
+        self._history.append((self._revision, kind, is_deleted, copy))
+        for watcher in list(self._watchers):
+            if watcher.kind == kind and not self.faults.is_deaf:
+                watcher.timer.cancel()
+                self._end_watch(watcher)
+
+
+def _answer(request: Any, status: int, fields: Any) -> None:
+    _write(request, status, json.dumps(fields).encode())
+
+
+def _write(request: Any, status: int, body: bytes) -> None:
+    if request.finished or request._disconnected:  # noqa: SLF001 - twisted has no property
+        return
+    request.setResponseCode(status)
+    request.setHeader(b"Content-Type", b"application/json")
+    request.setHeader(b"Content-Length", b"%d" % len(body))
+    request.write(body)
+    request.finish()
--- /dev/null
+++ b/tests/adapter/test_translation.py
@@ -0,0 +1,314 @@
+"""Names and formats of the users' pages, decoded once and nowhere else."""
+
+from __future__ import annotations
+
+import json
+import re
+import tempfile
+from dataclasses import replace
+from pathlib import Path
+
+from testtools import TestCase
+from twisted.web.http_headers import Headers
+
+from entry.fakes import STREAM
+from entry.fakes import prompt
+from entry.fakes import request
+from entry.fakes import target
+from primrosescale.platform.exceptions import BootFileError
+from primrosescale.platform.exceptions import RecordError
+from primrosescale.platform.host_settings import read_host_settings
+from primrosescale.platform.http_codec import PlatformCodec
+from primrosescale.platform.records import decode_router
+from primrosescale.platform.records import decode_routing_table
+from primrosescale.platform.records import decode_target
+from primrosescale.process.platform import StoredObject
+from primrosescale.request.direct_port import Refusal
+from primrosescale.request.direct_port import Sending
+from primrosescale.version.routing_table import Repeatability
+
+SOURCE = Path(__file__).resolve().parent.parent.parent / "src/primrosescale"
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "Desk.example",
+            "path_prefix": "/p/",
+            "kind": "streaming",
+            "timeout_ms": 12000,
+            "target_latency_ms": 600,
+            "priority": 0,
+            "service": "llm",
+            "max_attempts": 2,
+            "skip_auth": False,
+            "sticky": True,
+            "resume_streams": True,
+            "gap_aim_ms": 800,
+        },
+        {
+            "name": "r-2",
+            "host": "desk.example",
+            "path_prefix": "/q/",
+            "kind": "unsafe",
+            "split": [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}],
+        },
+    ],
+    "services": [
+        {
+            "name": "llm",
+            "max_connections": 370,
+            "engine": {"slots": 64, "kv_cache_tokens": 9},
+        },
+        {"name": "a"},
+    ],
+    "tenants": [{"name": "bakery", "api_keys": ["k1", "k2"], "priority": 1}],
+    "limits": {"idle_timeout_ms": 15000},
+}
+SETTINGS = {
+    "node_name": "front-1",
+    "ip": "10.1.0.40",
+    "zone": "z",
+    "listen": {"front": "10.1.0.40:8227", "ready": "10.1.0.40:8220"},
+    "internal_ports": [7340, 7355],
+    "bootstrap": True,
+    "bounds": {"drain_ms": 1500, "strict_revoke": False},
+    "platform": {"address": "10.200.1.7:8223"},
+    "something_new": {"x": 1},
+}
+
+
+def stored(fields, key="config/main"):
+    return StoredObject(key, 1, json.dumps(fields).encode())
+
+
+class RecordsTest(TestCase):
+    def test_a_configuration_is_decoded(self):
+        table = decode_routing_table(stored(CONFIGURATION))
+        route = table.route("desk.example", "/p/x")
+        self.assertEqual((7, 12.0, 0.6, 0.8), self.times(table, route))
+        self.assertTrue(route.may_repeat and route.has_prompt and route.is_stream)
+        other = table.route("desk.example:80", "/q/")
+        self.assertEqual(Repeatability.ONCE, other.repeatability)
+        self.assertEqual(["a", "b"], [item.service for item in other.services])
+        self.assertEqual("bakery", table.organisation("k2").name)
+        self.assertEqual(9, table.service("llm").cache_tokens)
+        self.assertEqual(15.0, table.limits.idle_timeout)
+
+    def times(self, table, route):
+        return (
+            table.version,
+            route.timeout,
+            route.latency_objective,
+            route.gap_objective,
+        )
+
+    def test_an_unknown_kind_is_never_repeated(self):
+        odd = {
+            **CONFIGURATION,
+            "routes": [{**CONFIGURATION["routes"][0], "kind": "new"}],
+        }
+        table = decode_routing_table(stored(odd))
+        self.assertFalse(table.route("desk.example", "/p/").may_repeat)
+
+    def test_a_record_that_cannot_be_read_is_one_clear_error(self):
+        for odd in (
+            {},
+            [],
+            None,
+            {**CONFIGURATION, "version": "x"},
+            {**CONFIGURATION, "routes": [{}]},
+            {**CONFIGURATION, "routes": [None]},
+            {**CONFIGURATION, "services": 3},
+            {**CONFIGURATION, "tenants": [{"api_keys": ["k"]}]},
+            {**CONFIGURATION, "limits": {"idle_timeout_ms": "long"}},
+        ):
+            error = self.assertRaises(RecordError, decode_routing_table, stored(odd))
+            self.assertIn("config/main", str(error))
+
+    def test_a_target_is_decoded(self):
+        fields = {"service": "llm", "address": "10.0.0.1:80", "state": "draining"}
+        found = decode_target(stored(fields, "servers/i-1"))
+        self.assertEqual(
+            ("i-1", "llm", True), (found.name, found.service, found.is_draining)
+        )
+        for odd in ({}, {**fields, "address": "x"}, {**fields, "slots": "many"}):
+            self.assertRaises(RecordError, decode_target, stored(odd, "servers/i-1"))
+
+    def test_a_router_is_decoded(self):
+        found = decode_router(stored({"address": "10.0.0.1", "port": 7}, "routers/a"))
+        self.assertEqual(("a", 7), (found.name, found.endpoint.port))
+        self.assertRaises(RecordError, decode_router, stored({}, "routers/a"))
+
+
+class SettingsTest(TestCase):
+    def read(self, fields):
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            file.write(fields if isinstance(fields, str) else json.dumps(fields))
+            file.flush()
+            return read_host_settings(file.name)
+
+    def test_settings_are_read_and_defaults_fill_in(self):
+        host = self.read(SETTINGS)
+        self.assertEqual("10.1.0.40:8227", str(host.callers))
+        self.assertEqual((1.5, 5.0, False), self.bounds(host))
+        self.assertTrue(host.is_first_start)
+
+    def bounds(self, host):
+        return host.bounds.drain, host.bounds.revoke, host.bounds.is_revoke_strict
+
+    def test_what_cannot_be_used_is_one_clear_error(self):
+        for odd in (
+            "not json",
+            "[]",
+            {},
+            {**SETTINGS, "internal_ports": []},
+            {**SETTINGS, "listen": {"front": "nowhere"}},
+            {**SETTINGS, "platform": {"address": "10.0.0.1:99999"}},
+            {**SETTINGS, "bounds": {"drain_ms": "soon"}},
+        ):
+            error = self.assertRaises(BootFileError, self.read, odd)
+            self.assertIn("settings file", str(error))
+
+    def test_a_missing_file_is_told(self):
+        self.assertRaises(BootFileError, read_host_settings, "/nowhere/node.json")
+
+
+class CodecTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.codec = PlatformCodec()
+
+    def head(self, **fields):
+        headers = Headers({"Host": ["desk.example"], "X-Own": ["1"]})
+        for name, value in fields.items():
+            headers.addRawHeader(name.replace("_", "-"), value)
+        return self.codec.caller_head(b"POST", b"/p/x?y", headers)
+
+    def test_a_caller_s_head_is_decoded(self):
+        found = self.head(
+            Primrosescale_Request_Id="r1",
+            Primrosescale_Request_Deadline="1500",
+            Primrosescale_Token_Usage="1460,80",
+            Primrosescale_Prompt_Prefix="5c1e:800,91bd:410",
+            Authorization="bearer k1",
+            Last_Event_Id="4",
+        )
+        self.assertEqual(("r1", "k1", 1.5, 4), self.said(found))
+        self.assertEqual([800, 410], [part.tokens for part in found.prompt.parts])
+        self.assertEqual(80, found.prompt.output_tokens)
+
+    def said(self, found):
+        return found.request_id, found.key, found.time_left, found.last_event
+
+    def test_odd_values_are_taken_as_missing(self):
+        found = self.head(
+            Primrosescale_Request_Deadline="soon",
+            Primrosescale_Token_Usage="x,y",
+            Primrosescale_Prompt_Prefix="a:b",
+            Authorization="Basic x",
+            Last_Event_Id="-1",
+        )
+        self.assertEqual(("", "", None, None), self.said(found))
+        self.assertIsNone(found.prompt)
+
+    def test_only_the_router_sets_its_own_headers(self):
+        found = self.head(
+            Primrosescale_Request_Id="r1",
+            Primrosescale_Model="m",
+            Connection="close, X-Hop, Primrosescale-Request-Id",
+            X_Hop="1",
+            Keep_Alive="timeout=4",
+            Transfer_Encoding="chunked",
+            Authorization="Bearer k1",
+            Primrosescale_Tenant="forged",
+            Primrosescale_Request_Priority="0",
+            Primrosescale_Expect_Instance="i-9",
+            Primrosescale_Hold="1",
+            Primrosescale_Pin_Duration="1",
+            Primrosescale_Kv_Backup="x",
+            Primrosescale_Not_Executed="1",
+            Kv_From="x",
+            Kv_Fetch="x",
+        )
+        names = sorted(name.decode().lower() for name, _ in found.headers)
+        expected = ["host", "primrosescale-model", "primrosescale-request-id", "x-own"]
+        self.assertEqual(expected, names)
+
+    def test_a_target_gets_what_the_router_decided(self):
+        sending = Sending(
+            request=replace(request(STREAM), prompt=prompt(("a", 1), ("b", 2))),
+            target=target("m1"),
+            time_left=0.75,
+            resume_after=3,
+            fetch_from=target("m2"),
+            needs_new_connection=False,
+        )
+        headers = self.codec.target_headers(sending)
+        said = {n.lower(): v[0] for n, v in headers.getAllRawHeaders()}
+        self.assertEqual(
+            {
+                b"primrosescale-request-deadline": b"750",
+                b"primrosescale-expect-instance": b"m1",
+                b"primrosescale-tenant": b"bakery",
+                b"primrosescale-request-priority": b"1",
+                b"last-event-id": b"3",
+                b"kv-fetch": b"127.0.0.1:9002",
+            },
+            said,
+        )
+
+    def test_an_answer_s_head_is_decoded(self):
+        headers = Headers(
+            {
+                "Primrosescale-Request-Id": ["r1"],
+                "Primrosescale-Response-Signature": ["s"],
+                "Primrosescale-Engine-Load": ["3,1,8"],
+                "Content-Encoding": ["gzip"],
+                "Keep-Alive": ["timeout=5"],
+            },
+        )
+        found = self.codec.answer_head(200, headers, 5)
+        self.assertEqual(
+            ("r1", True, 5), (found.request_id, found.is_receipted, found.length)
+        )
+        self.assertEqual(
+            (3, 1, 8), (found.load.running, found.load.waiting, found.load.slots)
+        )
+        names = {name.lower() for name, _ in found.headers}
+        self.assertIn(b"content-encoding", names)
+        self.assertNotIn(b"keep-alive", names)
+
+    def test_a_refusal_says_when_to_come_back(self):
+        headers = dict(self.codec.refusal_headers(Refusal.STALE, "r1", 0.4))
+        self.assertEqual(b"0.40", headers[b"Retry-After"])
+        self.assertNotIn(
+            b"Retry-After", dict(self.codec.refusal_headers(Refusal.CUT, "r1", None))
+        )
+
+
+class BoundaryTest(TestCase):
+    """Names of the users' wire stand in the adapter and its stand-ins alone."""
+
+    WIRE_NAMES = re.compile(
+        r"Primrosescale-[A-Z]|Kv-(Fetch|From)|/api/|\"(routes|path_prefix|max_attempts|"
+        r"skip_auth|resume_streams|gap_aim_ms|target_latency_ms|api_keys|node_name|"
+        r"internal_ports|cold_remaining_ms|current_rev|truncated|wait_ms|bounds|"
+        r"config_apply_ms|revoke_ms|drain_ms|metadata|spec)\""
+    )
+    ALLOWED = ("platform/", "standin/users_store.py", "standin/users_engine.py")
+
+    def test_nothing_outside_the_adapter_knows_them(self):
+        for path in SOURCE.rglob("*.py"):
+            name = str(path.relative_to(SOURCE))
+            if name.startswith(self.ALLOWED):
+                continue
+            found = self.WIRE_NAMES.search(path.read_text())
+            self.assertIsNone(found, f"{name}: {found}")
+
+    def test_only_its_own_folder_and_stand_ins_import_the_adapter(self):
+        for path in SOURCE.rglob("*.py"):
+            name = str(path.relative_to(SOURCE))
+            if not name.startswith(self.ALLOWED):
+                self.assertNotIn("primrosescale.platform.", path.read_text(), name)
--- /dev/null
+++ b/tests/entry/fakes.py
@@ -0,0 +1,244 @@
+"""Fakes at the two sides of a forwarded call, and requests to play with."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+from twisted.internet.task import Clock
+
+from primrosescale.connection.endpoint import Endpoint
+from primrosescale.request.direct_port import AnswerHead
+from primrosescale.request.direct_port import CallerSink
+from primrosescale.request.direct_port import Run
+from primrosescale.request.direct_port import TargetCaller
+from primrosescale.request.forwarded_call import ForwardedCall
+from primrosescale.request.forwarded_call import ForwardSettings
+from primrosescale.request.forwarded_call import ForwardTools
+from primrosescale.request.incoming import IncomingRequest
+from primrosescale.request.incoming import Prompt
+from primrosescale.request.incoming import PromptPart
+from primrosescale.request.part_directory import PartDirectory
+from primrosescale.request.repeat_budget import RepeatBounds
+from primrosescale.request.repeat_budget import RepeatBudget
+from primrosescale.request.serving_target import ServingTarget
+from primrosescale.request.target_choice import ChoiceSettings
+from primrosescale.request.target_choice import TargetChooser
+from primrosescale.request.target_state import TargetState
+from primrosescale.version.routing_table import Repeatability
+from primrosescale.version.routing_table import Route
+from primrosescale.version.routing_table import WeightedService
+
+START = 1000.0
+
+STREAM = Route(
+    name="stories",
+    host="desk.example",
+    path_prefix="/stories/",
+    services=(WeightedService("model", 1.0),),
+    repeatability=Repeatability.STREAM,
+    is_resumable=True,
+    has_prompt=True,
+    timeout=12.0,
+    latency_objective=0.6,
+    gap_objective=0.8,
+    max_targets=2,
+    priority=1,
+    is_open=False,
+)
+LOOKUP = replace(
+    STREAM,
+    name="lookup",
+    path_prefix="/lookup/",
+    services=(WeightedService("portal", 1.0),),
+    repeatability=Repeatability.IDEMPOTENT,
+    is_resumable=False,
+    has_prompt=False,
+    timeout=0.8,
+    latency_objective=0.3,
+    gap_objective=0.0,
+)
+CONFIRMATION = replace(
+    LOOKUP,
+    name="confirmation",
+    path_prefix="/confirm/",
+    repeatability=Repeatability.ONCE,
+    max_targets=1,
+)
+FRAGILE_STREAM = replace(STREAM, name="drafts", is_resumable=False, max_targets=1)
+
+
+def target(name, service="model", **fields):
+    number = int("".join(filter(str.isdigit, name)) or 1)
+    values = {
+        "name": name,
+        "endpoint": Endpoint("127.0.0.1", 9000 + number),
+        "service": service,
+        "domain": "a",
+        "slots": 8,
+    }
+    return ServingTarget(**{**values, **fields})
+
+
+def prompt(*parts, output=100):
+    made = tuple(PromptPart(name, tokens) for name, tokens in parts)
+    return Prompt(made, sum(tokens for _, tokens in parts), output, "m")
+
+
+def request(route=LOOKUP, now=START, **fields):
+    values = {
+        "request_id": "r1",
+        "method": b"GET",
+        "path": route.path_prefix.encode(),
+        "headers": (),
+        "body": b"",
+        "route": route,
+        "service": route.services[0].service,
+        "organisation": "bakery",
+        "priority": route.priority,
+        "prompt": prompt(("shared", 500), ("own", 20)) if route.has_prompt else None,
+        "last_event": None,
+        "received_at": now,
+        "deadline": now + 1.5,
+        "version": 1,
+    }
+    return IncomingRequest(**{**values, **fields})
+
+
+def head(status=200, **fields):
+    values = {
+        "status": status,
+        "headers": (),
+        "request_id": "r1",
+        "is_receipted": True,
+        "is_not_run": False,
+        "is_other_incarnation": False,
+        "load": None,
+        "length": None,
+    }
+    return AnswerHead(**{**values, **fields})
+
+
+def event(number):
+    return b"id: %d\ndata: x\n\n" % number
+
+
+class FakeRun(Run):
+    def __init__(self, sending, observer):
+        self.sending = sending
+        self.observer = observer
+        self.is_cancelled = False
+        self.is_paused = False
+
+    @property
+    def name(self):
+        return self.sending.target.name
+
+    def cancel(self):
+        self.is_cancelled = True
+
+    def pause(self):
+        self.is_paused = True
+
+    def resume(self):
+        self.is_paused = False
+
+    def answer(self, status=200, body=b"", **fields):
+        self.observer.run_head(head(status, **fields))
+        if body:
+            self.observer.run_data(body)
+        self.observer.run_done()
+
+
+class FakeCaller(TargetCaller):
+    """Records what is sent; targets named in `unreachable` refuse at once."""
+
+    def __init__(self):
+        self.runs = []
+        self.unreachable = set()
+
+    def send(self, sending, observer):
+        run = FakeRun(sending, observer)
+        self.runs.append(run)
+        if sending.target.name in self.unreachable:
+            observer.run_not_sent("refused")
+        else:
+            observer.run_sent()
+        return run
+
+    @property
+    def last(self):
+        return self.runs[-1]
+
+
+class FakeSink(CallerSink):
+    def __init__(self):
+        self.head = None
+        self.body = b""
+        self.is_finished = False
+        self.is_broken = False
+        self.refusal = None
+        self.retry_after = None
+
+    def begin(self, head):
+        self.head = head
+
+    def write(self, data):
+        self.body += data
+
+    def finish(self):
+        self.is_finished = True
+
+    def break_off(self):
+        self.is_broken = True
+
+    def refuse(self, refusal, retry_after):
+        self.refusal = refusal
+        self.retry_after = retry_after
+
+
+class Desk:
+    """A router's deciding objects around fakes, on a virtual clock."""
+
+    def __init__(self, targets, *, extra=20.0, choice=None):
+        self.clock = Clock()
+        self.clock.advance(START)
+        rng = random.Random(7)
+        self.states = [TargetState(item, START) for item in targets]
+        self.parts = PartDirectory()
+        self.caller = FakeCaller()
+        self.budget = RepeatBudget(RepeatBounds(0.2, 10.0, extra))
+        self.parts_told = 0
+        self.ended = []
+        self.tools = ForwardTools(
+            settings=ForwardSettings(),
+            clock=self.clock,
+            rng=rng,
+            caller=self.caller,
+            chooser=TargetChooser(choice or ChoiceSettings(), self.parts, rng),
+            parts=self.parts,
+            states_of=lambda service: [
+                state for state in self.states if state.target.service == service
+            ],
+            budget_of=lambda _: self.budget,
+            routers=lambda: 1,
+            parts_changed=self._parts_changed,
+        )
+
+    def _parts_changed(self):
+        self.parts_told += 1
+
+    def state(self, name):
+        return next(s for s in self.states if s.target.name == name)
+
+    def call(self, incoming):
+        sink = FakeSink()
+        call = ForwardedCall(
+            incoming, sink, self.tools, lambda _, outcome: self.ended.append(outcome)
+        )
+        call.start(self.clock.seconds())
+        return call, sink
+
+    def pass_time(self, seconds, step=0.01):
+        for _ in range(round(seconds / step)):
+            self.clock.advance(step)
--- /dev/null
+++ b/tests/entry/test_entry_router.py
@@ -0,0 +1,468 @@
+"""The whole path over loopback sockets: callers, router, store and targets."""
+
+from __future__ import annotations
+
+import json
+import random
+
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.endpoints import connectProtocol
+from twisted.internet.protocol import Protocol
+from twisted.internet.task import deferLater
+
+from primrosescale.connection.endpoint import Endpoint
+from primrosescale.platform import records
+from primrosescale.platform.engine_calls import EngineCaches
+from primrosescale.platform.entry import PlatformRecords
+from primrosescale.platform.http_codec import PlatformCodec
+from primrosescale.platform.object_platform import ObjectPlatform
+from primrosescale.process.entry.entry_metrics import EntryMetrics
+from primrosescale.process.entry.entry_parts import EntryParts
+from primrosescale.process.entry.entry_router import EntryRouter
+from primrosescale.process.entry.entry_settings import EntrySettings
+from primrosescale.process.entry.entry_settings import EntryWatches
+from primrosescale.process.entry.store_watch import WatchedPrefix
+from primrosescale.process.events import EventLog
+from primrosescale.request.repeat_budget import RepeatBounds
+from primrosescale.standin.users_engine import EngineFault
+from primrosescale.standin.users_engine import EngineScript
+from primrosescale.standin.users_engine import UsersEngine
+from primrosescale.standin.users_store import StoreFault
+from primrosescale.standin.users_store import UsersStore
+from support.live import DeploymentRunTest
+from support.live import LiveTest
+
+LOOPBACK = "127.0.0.1"
+
+
+class Caller(Protocol):
+    """A raw connection to the router."""
+
+    def __init__(self):
+        self.data = b""
+        self.is_closed = False
+        self._waiting = []
+
+    def dataReceived(self, data):
+        self.data += data
+        self._look()
+
+    def connectionLost(self, reason=None):
+        self.is_closed = True
+        self._look()
+
+    def until(self, test):
+        done = Deferred()
+        self._waiting.append((test, done))
+        self._look()
+        return done
+
+    def _look(self):
+        for item in list(self._waiting):
+            if item[0](self):
+                self._waiting.remove(item)
+                item[1].callback(self)
+
+    def answered(self, ending=b""):
+        """Wait for an answer that ends with some bytes, or the close."""
+        return self.until(lambda c: c.is_closed or (c.data and c.data.endswith(ending)))
+
+
+def text(path=b"/plain/x", *, method=b"GET", headers=b"", body=b"", rid=b"r1"):
+    length = b"Content-Length: %d\r\n" % len(body) if body else b""
+    return (
+        b"%b %b HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer k1\r\n"
+        b"Primrosescale-Request-Id: %b\r\nPrimrosescale-Request-Deadline: 2000\r\n"
+        b"%b%b\r\n%b" % (method, path, rid, headers, length, body)
+    )
+
+
+def route(name, kind, service, **fields):
+    return {
+        "name": name,
+        "host": "desk.example",
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 1500,
+        "target_latency_ms": 300,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        **fields,
+    }
+
+
+def configuration(version=1, keys=("k1",)):
+    return {
+        "version": version,
+        "routes": [
+            route("plain", "safe", "portal"),
+            route("once", "unsafe", "portal", max_attempts=1),
+            route(
+                "story",
+                "streaming",
+                "model",
+                sticky=True,
+                resume_streams=True,
+                timeout_ms=12000,
+            ),
+            route("draft", "streaming", "model", sticky=True, max_attempts=1),
+        ],
+        "services": [{"name": "portal"}, {"name": "model", "engine": {"slots": 8}}],
+        "tenants": [{"name": "bakery", "api_keys": list(keys)}],
+        "limits": {"max_body_bytes": 5000, "idle_timeout_ms": 400},
+    }
+
+
+class EntryRouterTest(LiveTest):
+    run_tests_with = DeploymentRunTest.make_factory(timeout=30.0)
+
+    def setUp(self):
+        super().setUp()
+        self.store = UsersStore()
+        self.store.write("config", "main", configuration())
+        self.scripts = {}
+        for number in (1, 2):
+            self.engine(f"p{number}", "portal")
+            self.engine(f"m{number}", "model", events=4)
+
+    def engine(self, name, service, **fields):
+        script = self.scripts[name] = EngineScript(name=name, **fields)
+        port = reactor.listenTCP(0, UsersEngine(script), interface=LOOPBACK)
+        self.addCleanup(port.stopListening)
+        address = f"{LOOPBACK}:{port.getHost().port}"
+        entry = {"service": service, "address": address, "state": "ready", "slots": 8}
+        self.store.write("servers", name, entry)
+
+    @inlineCallbacks
+    def start(self, **fields):
+        endpoint = self.serve(self.store)
+        values = {
+            "name": "r1",
+            "domain": "a",
+            # Addresses of their own, since the system chooses all ports.
+            "callers": Endpoint("127.0.0.2", 0),
+            "readiness": Endpoint("127.0.0.3", 0),
+            "metrics": Endpoint("127.0.0.4", 0),
+            "links": Endpoint("127.0.0.5", 0),
+            "reads_caches": False,
+            "drain": 2.0,
+            "revoke": 5.0,
+            "config_apply": 2.0,
+            "stop_within": 8.0,
+            "repeats": RepeatBounds(0.2, 10.0, 50.0),
+        }
+        self.settings = EntrySettings(**{**values, **fields})
+        self.events = []
+        log = EventLog("r1")
+        log.emit = lambda event, **said: self.events.append((event.name, said))
+        self.parts = EntryParts(
+            reactor=reactor,
+            platform=ObjectPlatform(reactor, endpoint, 0.5),
+            codec=PlatformCodec(),
+            decoder=PlatformRecords(),
+            log=log,
+            writer=None,
+            metrics=EntryMetrics(),
+            rng=random.Random(1),
+            caches=EngineCaches(reactor),
+            reread=lambda: self.settings,
+        )
+        watches = EntryWatches(
+            configuration=WatchedPrefix(records.CONFIGURATION, 0.3, True),
+            targets=WatchedPrefix(records.TARGETS, 0.3),
+            routers=WatchedPrefix(records.ROUTERS, 0.3),
+        )
+        self.router = EntryRouter(self.settings, watches, self.parts)
+        self.router.start()
+        self.addCleanup(self.router._close)
+        yield self.eventually(lambda: self.router.is_ready)
+
+    @inlineCallbacks
+    def eventually(self, test):
+        for _ in range(500):
+            if test():
+                return
+            yield deferLater(reactor, 0.01, lambda: None)
+        self.fail("it never came true")
+
+    @inlineCallbacks
+    def connect(self, endpoint=None):
+        endpoint = self.router.bound[endpoint or self.settings.callers]
+        way = TCP4ClientEndpoint(reactor, endpoint.address, endpoint.port)
+        caller = yield connectProtocol(way, Caller())
+        return caller
+
+    @inlineCallbacks
+    def ask(self, data, ending=b"done"):
+        caller = yield self.connect()
+        caller.transport.write(data)
+        yield caller.answered(ending)
+        return caller
+
+    def arrivals(self, *names):
+        return [a for n in names or self.scripts for a in self.scripts[n].arrivals]
+
+    @inlineCallbacks
+    def test_a_request_comes_back_whole_with_what_the_router_sets(self):
+        yield self.start()
+        body = b"x" * 3000
+        caller = yield self.ask(
+            text(b"/once/a?b=1", method=b"POST", body=body, headers=b"Kv-From: x\r\n")
+        )
+        self.assertTrue(caller.data.startswith(b"HTTP/1.1 200"))
+        self.assertIn(b"Primrosescale-Response-Signature", caller.data)
+        [arrival] = self.arrivals()
+        self.assertEqual((b"POST", b"/once/a?b=1", body), self.said(arrival))
+        self.assertEqual(b"bakery", arrival.headers[b"primrosescale-tenant"])
+        self.assertNotIn(b"kv-from", arrival.headers)
+        self.assertNotIn(b"authorization", arrival.headers)
+        self.assertTrue(int(arrival.headers[b"primrosescale-request-deadline"]) <= 1500)
+
+    def said(self, arrival):
+        return arrival.method, arrival.path, arrival.body
+
+    @inlineCallbacks
+    def test_a_body_in_chunks_arrives_whole(self):
+        yield self.start()
+        chunks = b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        head = text(
+            b"/once/a", method=b"POST", headers=b"Transfer-Encoding: chunked\r\n"
+        )
+        yield self.ask(head + chunks)
+        self.assertEqual(b"abcde", self.arrivals()[0].body)
+
+    @inlineCallbacks
+    def test_a_connection_serves_many_requests_and_ends_when_idle(self):
+        yield self.start()
+        caller = yield self.ask(text())
+        for turn in range(5):
+            caller.data = b""
+            caller.transport.write(text(rid=b"n%d" % turn))
+            yield caller.answered(b"done")
+            self.assertIn(b"n%d" % turn, caller.data)
+        yield caller.until(lambda c: c.is_closed)
+
+    @inlineCallbacks
+    def test_what_is_not_allowed_is_refused_with_its_status(self):
+        yield self.start()
+        for data, status in (
+            (text(b"/none/x"), b"404"),
+            (text().replace(b"Bearer k1", b"Bearer no"), b"401"),
+            (text(rid=b""), b"400"),
+            (text(method=b"POST", body=b"x" * 6000), b"413"),
+            (b"NONSENSE\r\n\r\n", b"400"),
+        ):
+            caller = yield self.ask(data, b"")
+            self.assertTrue(caller.data.startswith(b"HTTP/1.1 " + status), caller.data)
+        self.assertEqual([], self.arrivals())
+
+    @inlineCallbacks
+    def test_each_fault_of_a_target_of_an_idempotent_request_is_made_good(self):
+        yield self.start()
+        faults = [
+            fault
+            for fault in EngineFault
+            if fault not in {EngineFault.EXTRA_ANSWER, EngineFault.NO_LENGTH}
+        ]
+        for fault in faults:
+            for name in ("p1", "p2"):
+                self.scripts[name].arrivals.clear()
+                self.scripts[name].faults = [fault]
+            # The one that answers second has used its fault up before.
+            caller = yield self.ask(text())
+            if len(self.arrivals("p1", "p2")) == 2:
+                caller = yield self.ask(text(rid=b"r2"))
+            self.assertTrue(
+                caller.data.startswith(b"HTTP/1.1 200"), (fault, caller.data)
+            )
+            self.assertTrue(caller.data.endswith(b"done"), fault)
+
+    @inlineCallbacks
+    def test_a_request_that_may_run_once_is_sent_once_whatever_happens(self):
+        yield self.start()
+        for fault, status in (
+            (EngineFault.FAIL, b"500"),
+            (EngineFault.DECLINE, b"503"),
+            (EngineFault.RESET, b"502"),
+            (EngineFault.WRONG_ID, b"502"),
+            (EngineFault.NO_RECEIPT, b"502"),
+            (EngineFault.NO_LENGTH_RESET, b"502"),
+            (EngineFault.CUT, b"502"),
+            (EngineFault.SILENT, b"504"),
+        ):
+            for name in ("p1", "p2"):
+                self.scripts[name].arrivals.clear()
+                self.scripts[name].faults = [fault]
+            caller = yield self.ask(text(b"/once/x", method=b"POST", body=b"b"), b"")
+            self.assertEqual(1, len(self.arrivals()), fault)
+            self.assertTrue(caller.data.startswith(b"HTTP/1.1 " + status), caller.data)
+
+    @inlineCallbacks
+    def test_an_answer_without_length_is_whole_by_an_orderly_close(self):
+        yield self.start()
+        for name in ("p1", "p2"):
+            self.scripts[name].faults = [EngineFault.NO_LENGTH]
+        caller = yield self.ask(
+            text(b"/once/x", method=b"POST", body=b"b"), b"0\r\n\r\n"
+        )
+        self.assertIn(b"done", caller.data)
+
+    @inlineCallbacks
+    def test_an_extra_answer_reaches_nobody(self):
+        yield self.start()
+        for name in ("p1", "p2"):
+            self.scripts[name].faults = [EngineFault.EXTRA_ANSWER]
+        for turn in range(6):
+            caller = yield self.ask(text(rid=b"n%d" % turn))
+            self.assertNotIn(b"old", caller.data)
+            self.assertIn(b"n%d" % turn, caller.data)
+
+    @inlineCallbacks
+    def test_a_broken_stream_goes_on_elsewhere_in_one_answer(self):
+        yield self.start()
+        for name in ("m1", "m2"):
+            self.scripts[name].faults = [EngineFault.CUT]
+        caller = yield self.ask(
+            text(b"/story/x", method=b"POST", body=b"b"), b"0\r\n\r\n"
+        )
+        if len(self.arrivals("m1")) and len(self.arrivals("m2")):
+            caller = yield self.ask(
+                text(b"/story/x", method=b"POST", body=b"b"), b"0\r\n\r\n"
+            )
+        numbers = [int(part.split(b"\n")[0]) for part in caller.data.split(b"id: ")[1:]]
+        self.assertEqual([1, 2, 3, 4], numbers)
+        self.assertEqual(1, caller.data.count(b"Response-Signature"))
+
+    @inlineCallbacks
+    def test_a_stream_that_may_not_go_on_never_looks_whole(self):
+        yield self.start()
+        for name in ("m1", "m2"):
+            self.scripts[name].faults = [EngineFault.CUT]
+        caller = yield self.ask(
+            text(b"/draft/x", method=b"POST", body=b"b"), b"0\r\n\r\n"
+        )
+        self.assertTrue(caller.is_closed)
+        self.assertFalse(caller.data.endswith(b"0\r\n\r\n"))
+        self.assertEqual(1, len(self.arrivals()))
+
+    @inlineCallbacks
+    def test_a_caller_that_leaves_stops_the_work_at_once(self):
+        yield self.start()
+        for name in ("m1", "m2"):
+            self.scripts[name].events = 1000
+            self.scripts[name].gap = 0.02
+        caller = yield self.connect()
+        caller.transport.write(text(b"/story/x", method=b"POST", body=b"b"))
+        yield caller.until(lambda c: b"id: 2" in c.data)
+        caller.transport.abortConnection()
+        yield self.eventually(lambda: self.arrivals()[0].is_left)
+
+    @inlineCallbacks
+    def test_a_withdrawn_key_and_a_new_version_are_in_force_at_once(self):
+        yield self.start()
+        yield self.ask(text())
+        self.store.write("config", "main", configuration(2, keys=("k2",)))
+        yield deferLater(reactor, 0.1, lambda: None)
+        caller = yield self.ask(text(), b"")
+        self.assertTrue(caller.data.startswith(b"HTTP/1.1 401"))
+        self.store.write("config", "main", configuration(1))
+        yield deferLater(reactor, 0.1, lambda: None)
+        caller = yield self.ask(text(), b"")
+        self.assertTrue(caller.data.startswith(b"HTTP/1.1 401"))
+        self.assertIn("TABLE_REFUSED", [name for name, _ in self.events])
+
+    @inlineCallbacks
+    def test_a_version_that_cannot_be_read_changes_nothing(self):
+        yield self.start()
+        self.store.write("config", "main", {"version": 9, "routes": 3})
+        yield deferLater(reactor, 0.1, lambda: None)
+        caller = yield self.ask(text())
+        self.assertTrue(caller.data.startswith(b"HTTP/1.1 200"))
+
+    @inlineCallbacks
+    def test_keys_are_refused_once_the_store_has_been_away_too_long(self):
+        yield self.start(revoke=0.9)
+        for fault in (StoreFault.SILENT, StoreFault.BUSY):
+            self.store.faults.all_calls = fault
+            yield self.eventually(lambda: not self.router.is_ready)
+            caller = yield self.ask(text(), b"")
+            self.assertTrue(caller.data.startswith(b"HTTP/1.1 503"), caller.data)
+            self.assertIn(b"Retry-After", caller.data)
+            self.store.faults.all_calls = None
+            yield self.eventually(lambda: self.router.is_ready)
+        caller = yield self.ask(text())
+        self.assertTrue(caller.data.startswith(b"HTTP/1.1 200"))
+
+    @inlineCallbacks
+    def test_a_leaving_target_gets_no_more_requests(self):
+        yield self.start()
+        address = f"{LOOPBACK}:1"
+        entry = {"service": "portal", "address": address, "state": "draining"}
+        self.store.write("servers", "p1", entry)
+        yield deferLater(reactor, 0.1, lambda: None)
+        for turn in range(4):
+            yield self.ask(text(rid=b"n%d" % turn))
+        self.assertEqual(0, len(self.arrivals("p1")))
+        self.assertEqual(4, len(self.arrivals("p2")))
+
+    @inlineCallbacks
+    def test_requests_before_the_first_knowledge_wait_for_it(self):
+        self.store.faults.next_calls = [StoreFault.BUSY] * 4
+        starting = self.start()
+        yield deferLater(reactor, 0.01, lambda: None)
+        caller = yield self.ask(text())
+        self.assertTrue(caller.data.startswith(b"HTTP/1.1 200"), caller.data)
+        yield starting
+
+    @inlineCallbacks
+    def test_without_any_knowledge_it_says_so_and_is_not_ready(self):
+        self.store.faults.all_calls = StoreFault.BUSY
+        starting = self.start()
+        yield deferLater(reactor, 0.01, lambda: None)
+        caller = yield self.ask(text(), b"")
+        self.assertTrue(caller.data.startswith(b"HTTP/1.1 503"), caller.data)
+        ready = yield self.connect(self.settings.readiness)
+        ready.transport.write(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+        yield ready.answered()
+        self.assertTrue(ready.data.startswith(b"HTTP/1.1 503"))
+        self.store.faults.all_calls = None
+        yield starting
+
+    @inlineCallbacks
+    def test_a_planned_stop_cuts_nothing(self):
+        yield self.start()
+        for name in ("m1", "m2"):
+            self.scripts[name].events = 15
+            self.scripts[name].gap = 0.1
+        caller = yield self.connect()
+        caller.transport.write(text(b"/story/x", method=b"POST", body=b"b"))
+        yield caller.until(lambda c: b"id: 1" in c.data)
+        stopped = self.router.stop()
+        self.assertFalse(self.router.is_ready)
+        late = yield self.ask(text(rid=b"late"))
+        self.assertIn(b"Connection: close", late.data)
+        self.assertIn(b"done", late.data)
+        yield caller.answered(b"0\r\n\r\n")
+        self.assertIn(b"id: 15", caller.data)
+        yield stopped
+        self.assertNotIn("STOP_CUT", [name for name, _ in self.events])
+
+    @inlineCallbacks
+    def test_metrics_and_log_tell_what_became_of_a_request(self):
+        yield self.start()
+        yield self.ask(text(rid=b"abc"))
+        yield self.eventually(lambda: "REQUEST_ENDED" in [n for n, _ in self.events])
+        said = next(s for n, s in self.events if n == "REQUEST_ENDED")
+        self.assertEqual(("abc", "answered", 1), self.outcome(said))
+        json.dumps(said)
+        caller = yield self.connect(self.settings.metrics)
+        caller.transport.write(b"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n")
+        yield caller.answered(b"\n")
+        self.assertIn(b'outcome="answered",route="plain"', caller.data)
+
+    def outcome(self, said):
+        return said["request"], said["outcome"], said["version"]
--- /dev/null
+++ b/tests/entry/test_log_writer.py
@@ -0,0 +1,68 @@
+"""Log lines stay bounded and never block."""
+
+from __future__ import annotations
+
+import json
+import os
+
+from testtools import TestCase
+from twisted.internet.task import Clock
+
+from primrosescale.process.entry.log_writer import BUFFER_BYTES
+from primrosescale.process.entry.log_writer import BURST_LINES
+from primrosescale.process.entry.log_writer import LogWriter
+from primrosescale.process.events import Event
+
+
+class LogWriterTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        os.set_blocking(self.reader, False)
+        self.clock = Clock()
+        self.log = LogWriter(self.clock, self.writer)
+
+    def line(self, event, **fields):
+        self.log({"number": event.value, "task_uuid": "x", **fields})
+
+    def read(self):
+        text = b""
+        while True:
+            try:
+                text += os.read(self.reader, 1 << 20)
+            except BlockingIOError:
+                return text
+
+    def test_a_line_is_json_without_the_library_s_own_fields(self):
+        self.line(Event.REQUEST_ENDED, request="r1")
+        self.assertEqual({"number": 202, "request": "r1"}, json.loads(self.read()))
+
+    def test_lines_over_the_rate_are_counted_and_left_out(self):
+        for _ in range(int(BURST_LINES) + 50):
+            self.line(Event.REQUEST_ENDED)
+            self.read()
+        self.assertEqual(50, self.log.take_dropped())
+        self.assertEqual(0, self.log.take_dropped())
+        self.clock.advance(1)
+        self.line(Event.REQUEST_ENDED)
+        self.assertEqual(1, self.read().count(b"\n"))
+
+    def test_lines_about_the_process_are_not_left_out_for_their_rate(self):
+        for _ in range(int(BURST_LINES) + 50):
+            self.line(Event.READINESS_CHANGED)
+            self.read()
+        self.assertEqual(0, self.log.take_dropped())
+
+    def test_a_reader_that_stops_costs_bounded_memory_and_no_wait(self):
+        for _ in range(400):
+            self.line(Event.READINESS_CHANGED, text="x" * 4000)
+        self.assertTrue(self.log.take_dropped() > 0)
+        held = b""
+        for _ in range(100):
+            held += self.read()
+            self.clock.advance(0.05)
+        self.assertTrue(BUFFER_BYTES // 2 < len(held) < BUFFER_BYTES + 200_000)
+        for line in held.splitlines():
+            json.loads(line)
--- /dev/null
+++ b/tests/entry/test_router_news.py
@@ -0,0 +1,129 @@
+"""What routers tell each other, over a network that loses and delays."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+
+from entry.fakes import START
+from entry.fakes import prompt
+from entry.fakes import target
+from primrosescale.connection.codec import decode
+from primrosescale.connection.codec import encode
+from primrosescale.connection.endpoint import Endpoint
+from primrosescale.process.entry.router_news import MOST_PARTS
+from primrosescale.process.entry.router_news import OtherRouter
+from primrosescale.process.entry.router_news import RouterNews
+from primrosescale.process.entry.target_list import TargetList
+from primrosescale.request.freshness import Freshness
+from primrosescale.request.part_directory import PartDirectory
+
+BYTES_IN_ONE_PIECE = 1400
+
+
+class Side:
+    def __init__(self, name, incarnation=1):
+        self.targets = TargetList(2.0)
+        self.parts = PartDirectory()
+        self.fresh = Freshness(5.0)
+        self.news = RouterNews(name, incarnation, self.targets, self.parts, self.fresh)
+        for number in range(1, 6):
+            self.targets.put(target(f"m{number}"), START)
+
+    def knows(self, *names):
+        for number, name in enumerate(names):
+            self.news.put(OtherRouter(name, Endpoint("127.0.0.1", 7000 + number)))
+
+    def message(self, version=1, now=START):
+        [(_, message)] = self.news.compose(version, now)
+        return decode(encode(message))
+
+
+class NewsTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.a, self.b = Side("a"), Side("b")
+        self.a.knows("a", "b")
+        self.b.knows("a", "b")
+
+    def test_loads_and_parts_are_told(self):
+        self.a.targets.state("m1").sent()
+        parts = prompt(("tariffs", 9000), ("chat", 10)).parts
+        self.a.parts.note_own("m3", parts, START)
+        self.assertTrue(self.b.news.take(self.a.message(), 1, START))
+        self.assertEqual(1.0, self.b.targets.state("m1").load(START))
+        self.assertEqual(9010, self.b.parts.held("m3", parts, START))
+
+    def test_old_news_and_strangers_are_passed_over(self):
+        first, second = self.a.message(), self.a.message()
+        self.assertTrue(self.b.news.take(second, 1, START))
+        self.assertFalse(self.b.news.take(first, 1, START))
+        stranger = Side("c")
+        stranger.knows("b")
+        self.assertFalse(self.b.news.take(stranger.message(), 1, START))
+
+    def test_a_restarted_router_is_heard_and_its_past_is_not(self):
+        before = self.a.message()
+        again = Side("a", incarnation=2)
+        again.knows("b")
+        self.assertTrue(self.b.news.take(again.message(), 1, START))
+        self.assertFalse(self.b.news.take(before, 1, START))
+
+    def test_another_router_s_question_counts_after_a_reply(self):
+        self.a.fresh.answered(START - 10)
+        self.b.fresh.answered(START - 1)
+        self.b.news.take(self.a.message(now=START), 1, START)
+        self.a.news.take(self.b.message(now=START + 0.1), 1, START + 9)
+        # b's age was 1.1 s when it replied, and it replied after START.
+        self.assertAlmostEqual(10.1, self.a.fresh.age(START + 9))
+
+    def test_without_a_reply_it_counts_for_nothing(self):
+        self.a.fresh.answered(START - 10)
+        self.b.fresh.answered(START - 1)
+        self.a.news.take(self.b.message(), 1, START)
+        self.assertAlmostEqual(10.0, self.a.fresh.age(START))
+
+    def test_another_version_proves_nothing(self):
+        self.a.fresh.answered(START - 10)
+        self.b.fresh.answered(START - 1)
+        self.b.news.take(self.a.message(version=1), 2, START)
+        self.a.news.take(self.b.message(version=2), 1, START)
+        self.assertAlmostEqual(10.0, self.a.fresh.age(START))
+
+    def test_a_router_knows_that_it_alone_is_cut_off(self):
+        self.a.fresh.answered(START - 4)
+        self.b.fresh.answered(START)
+        self.assertFalse(self.a.news.others_know_more(START))
+        self.a.news.take(self.b.message(version=2), 1, START)
+        self.assertTrue(self.a.news.others_know_more(START))
+        self.assertFalse(self.b.news.others_know_more(START))
+
+    def test_an_outage_for_all_is_nobody_s_alone(self):
+        self.a.fresh.answered(START - 4)
+        self.b.fresh.answered(START - 3)
+        self.a.news.take(self.b.message(), 1, START)
+        self.assertFalse(self.a.news.others_know_more(START))
+
+    def test_a_router_that_hears_nobody_any_more_is_cut_off(self):
+        self.a.fresh.answered(START)
+        self.a.news.take(self.b.message(), 1, START)
+        self.assertTrue(self.a.news.others_know_more(START + 4))
+
+    def test_a_router_with_trouble_of_its_own_is_no_witness(self):
+        for number in range(1, 6):
+            self.a.targets.state(f"m{number}").failed(START)
+        self.b.news.take(self.a.message(), 1, START)
+        self.assertEqual(0.0, self.b.targets.state("m1").failure_share(START))
+
+    def test_a_datagram_fits_into_one_piece(self):
+        many = [(f"{number:016x}", 100) for number in range(200)]
+        self.a.parts.note_own("m1", prompt(*many).parts, START)
+        for number in range(1, 6):
+            self.a.targets.state(f"m{number}").sent()
+        message = self.a.message()
+        self.assertEqual(MOST_PARTS, len(message.parts))
+        self.assertTrue(len(encode(message)) < BYTES_IN_ONE_PIECE)
+
+    def test_many_routers_are_told_less_often(self):
+        self.assertEqual(0.25, self.a.news.interval)
+        self.a.knows(*(f"r{number}" for number in range(420)))
+        self.assertTrue(self.a.news.interval > 10)
--- /dev/null
+++ b/tests/entry/test_target_choice.py
@@ -0,0 +1,151 @@
+"""Loads for the choice of targets: returning chats, surges, bad targets."""
+
+from __future__ import annotations
+
+import random
+
+from testtools import TestCase
+
+from entry.fakes import START
+from entry.fakes import prompt
+from entry.fakes import target
+from primrosescale.request.part_directory import HELD_SECONDS
+from primrosescale.request.part_directory import PartDirectory
+from primrosescale.request.target_choice import ChoiceSettings
+from primrosescale.request.target_choice import TargetChooser
+from primrosescale.request.target_state import LoadReport
+from primrosescale.request.target_state import TargetState
+
+
+class ChoiceTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.parts = PartDirectory()
+        self.chooser = TargetChooser(ChoiceSettings(), self.parts, random.Random(3))
+        self.states = [TargetState(target(f"m{n}"), START) for n in range(1, 6)]
+
+    def choose(self, wanted, tried=(), now=START):
+        return self.chooser.choose(self.states, tried, wanted, now)
+
+    def state(self, name):
+        return next(s for s in self.states if s.target.name == name)
+
+    def test_a_returning_chat_goes_where_its_prompt_is_cached(self):
+        wanted = prompt(("tariffs", 10000), ("chat", 900))
+        self.parts.note("m4", "tariffs", START)
+        self.assertEqual("m4", self.choose(wanted).state.target.name)
+        self.assertEqual(10000, self.choose(wanted).held)
+
+    def test_routers_that_know_nothing_choose_alike(self):
+        wanted = prompt(("tariffs", 10000), ("chat", 900))
+        other = TargetChooser(ChoiceSettings(), PartDirectory(), random.Random(99))
+        alike = other.choose(self.states, (), wanted, START).state.target.name
+        self.assertEqual(alike, self.choose(wanted).state.target.name)
+
+    def test_a_part_without_those_before_it_saves_nothing(self):
+        wanted = prompt(("terms", 500), ("tariffs", 10000), ("chat", 900))
+        self.parts.note("m4", "tariffs", START)
+        self.assertEqual(0, self.parts.held("m4", wanted.parts, START))
+
+    def test_what_was_read_long_ago_is_not_relied_on(self):
+        self.parts.note("m4", "tariffs", START)
+        wanted = prompt(("tariffs", 10000), ("chat", 900))
+        later = START + HELD_SECONDS + 1
+        self.assertEqual(0, self.parts.held("m4", wanted.parts, later))
+
+    def test_a_hot_part_spreads_with_copies_once_its_target_is_over_the_bound(self):
+        wanted = prompt(("tariffs", 10000), ("chat", 900))
+        self.parts.note("m4", "tariffs", START)
+        for _ in range(20):
+            self.state("m4").sent()
+        choice = self.choose(wanted)
+        self.assertNotEqual("m4", choice.state.target.name)
+        self.assertEqual("m4", choice.fetch_from.target.name)
+
+    def test_no_target_is_loaded_over_the_bound_in_a_surge_on_one_part(self):
+        wanted = prompt(("tariffs", 10000), ("chat", 900))
+        for _ in range(200):
+            choice = self.choose(wanted)
+            choice.state.sent()
+            self.parts.note_own(choice.state.target.name, wanted.parts, START)
+            loads = [state.load(START) for state in self.states]
+            mean = sum(loads) / len(loads)
+            self.assertTrue(max(loads) <= 2 * mean + 3, loads)
+
+    def test_a_leaving_target_gets_nothing_but_its_cache_is_copied(self):
+        self.parts.note("m4", "tariffs", START)
+        leaving = target("m4", is_draining=True)
+        self.state("m4").relist(leaving)
+        choice = self.choose(prompt(("tariffs", 10000), ("chat", 900)))
+        self.assertNotEqual("m4", choice.state.target.name)
+        self.assertEqual("m4", choice.fetch_from.target.name)
+
+    def test_an_unreachable_target_is_left_out_for_a_while(self):
+        self.parts.note("m4", "tariffs", START)
+        self.state("m4").unreachable(START)
+        wanted = prompt(("tariffs", 10000), ("chat", 900))
+        choice = self.choose(wanted)
+        self.assertNotEqual("m4", choice.state.target.name)
+        self.assertIsNone(choice.fetch_from)
+        later = self.choose(wanted, now=START + 10)
+        self.assertEqual("m4", later.state.target.name)
+
+    def test_one_that_fails_two_in_five_is_avoided(self):
+        self.parts.note("m4", "tariffs", START)
+        for turn in range(10):
+            if turn % 5 < 2:
+                self.state("m4").failed(START)
+            else:
+                self.state("m4").succeeded(START)
+        choice = self.choose(prompt(("tariffs", 2000), ("chat", 90)))
+        self.assertNotEqual("m4", choice.state.target.name)
+
+    def test_all_paused_is_better_than_none(self):
+        for state in self.states:
+            state.unreachable(START)
+        self.assertIsNotNone(self.choose(None))
+
+    def test_a_tried_target_is_not_tried_again(self):
+        names = {state.target.name for state in self.states}
+        self.assertIsNone(self.choose(None, tried=names))
+        left = self.choose(None, tried=names - {"m2"})
+        self.assertEqual("m2", left.state.target.name)
+
+    def test_plain_requests_go_to_the_least_loaded(self):
+        for state in self.states:
+            if state.target.name != "m3":
+                state.sent()
+        self.assertEqual("m3", self.choose(None).state.target.name)
+
+
+class StateTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.state = TargetState(target("m1"), START)
+
+    def test_the_report_counts_others_and_fades(self):
+        self.state.sent()
+        self.state.reported(LoadReport(5, 2, 8), START)
+        self.assertEqual(7.0, self.state.load(START))
+        self.assertEqual(1 + 3.0, self.state.load(START + 0.5))
+
+    def test_news_of_routers_counts_until_it_is_old(self):
+        self.state.hear_router("r2", 4, START + 1)
+        self.state.hear_router("r3", 2, START + 1)
+        self.state.hear_router("r2", 3, START + 1)
+        self.assertEqual(5.0, self.state.load(START))
+        self.assertEqual(0.0, self.state.load(START + 1.1))
+
+    def test_pauses_double_and_a_success_ends_them(self):
+        self.state.unreachable(START)
+        self.assertTrue(self.state.is_paused(START + 0.4))
+        self.assertFalse(self.state.is_paused(START + 0.6))
+        self.state.unreachable(START + 1)
+        self.assertTrue(self.state.is_paused(START + 1.9))
+        self.state.succeeded(START + 1.9)
+        self.assertFalse(self.state.is_paused(START + 1.9))
+
+    def test_outcomes_told_by_others_count(self):
+        self.state.hear_outcomes("r2", 1.0, 7.0, START + 1)
+        self.assertTrue(self.state.failure_share(START) > 0.5)
+        self.assertEqual(0.0, self.state.failure_share(START + 2))
