A router that alone misses the store sends its callers away within a second

Cause: readiness fell only with the age of the knowledge (4.7 s), so callers stayed until keys had to be refused; targets that one router could not reach counted as failing for all. Change: routers tell each other whether the store answers them; one that has been without it for 1 s while another reaches it is not ready and closes connections with its answers. An unreachable target is paused here and is no outcome for others.

--- a/src/primrosescale/connection/wire/ttypes.py
+++ b/src/primrosescale/connection/wire/ttypes.py
@@ -4183,6 +4183,7 @@
      - knowledge_age_ms
      - targets
      - parts
+     - store_lost
 
     """
 
@@ -4195,10 +4196,11 @@
         'knowledge_age_ms',
         'targets',
         'parts',
+        'store_lost',
     )
 
 
-    def __init__(self, origin=None, incarnation=None, sequence=None, heard=None, version=None, knowledge_age_ms=None, targets=None, parts=None,):
+    def __init__(self, origin=None, incarnation=None, sequence=None, heard=None, version=None, knowledge_age_ms=None, targets=None, parts=None, store_lost=None,):
         self.origin = origin
         self.incarnation = incarnation
         self.sequence = sequence
@@ -4207,6 +4209,7 @@
         self.knowledge_age_ms = knowledge_age_ms
         self.targets = targets
         self.parts = parts
+        self.store_lost = store_lost
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4269,6 +4272,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.store_lost = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4317,6 +4325,10 @@
                 iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.store_lost is not None:
+            oprot.writeFieldBegin('store_lost', TType.BOOL, 9)
+            oprot.writeBool(self.store_lost)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4337,6 +4349,8 @@
             raise TProtocolException(message='Required field targets is unset!')
         if self.parts is None:
             raise TProtocolException(message='Required field parts is unset!')
+        if self.store_lost is None:
+            raise TProtocolException(message='Required field store_lost is unset!')
         return
 
     def __repr__(self):
@@ -5536,6 +5550,7 @@
     (6, TType.I32, 'knowledge_age_ms', None, None, ),  # 6
     (7, TType.LIST, 'targets', (TType.STRUCT, [TargetNews, None], False), None, ),  # 7
     (8, TType.LIST, 'parts', (TType.STRUCT, [PartNews, None], False), None, ),  # 8
+    (9, TType.BOOL, 'store_lost', None, None, ),  # 9
 )
 all_structs.append(SectionRequest)
 SectionRequest.thrift_spec = (
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -61,10 +61,10 @@
 # A request that comes before the store has been read waits this long: reading
 # takes some 10 ms, and 0.25 s while the store is slow.
 START_PATIENCE = 0.5
-# Part of the time for which keys may be relied on after which a router that
-# seems alone in being cut off sends its callers to others. The balancer needs
-# up to 3 s to move them.
-EARLY_SHARE = 0.45
+# A router that alone has not reached the store for this long sends its callers
+# to others. The balancer needs up to 3 s to move them, and keys may be relied
+# on for 5 s; in an outage for all, routers notice up to 2 s apart.
+LOST_SECONDS = 1.0
 # Left before SIGKILL for closing connections.
 STOP_MARGIN_SECONDS = 0.5
 
@@ -102,7 +102,9 @@
             settings.name, incarnation, targets, self._directory, freshness
         )
         self._registry = RouterRegistry(settings, incarnation, self._news, parts)
-        self._exchange = NewsExchange(self._news, self._version, parts)
+        self._exchange = NewsExchange(
+            self._news, self._version, self._is_store_lost, parts
+        )
         self._knowledge = Knowledge(
             settings, watches, parts, freshness, targets, self._registry
         )
@@ -316,6 +318,9 @@
         listed = self._registry.routers
         return UNLISTED_ROUTERS if listed is None else listed
 
+    def _is_store_lost(self) -> bool:
+        return self._knowledge.lost_for(self._now()) > 0
+
     def _version(self) -> int:
         table = self._knowledge.table
         return 0 if table is None else table.version
@@ -364,10 +369,9 @@
 
     def _is_cut_off(self, now: float) -> bool:
         """Tell whether callers are better served by other routers."""
-        age = self._knowledge.freshness.age(now)
-        if age is None or age < EARLY_SHARE * self._settings.revoke:
+        if self._knowledge.lost_for(now) < LOST_SECONDS:
             return False
-        return self._news.others_know_more(now)
+        return self._news.others_reach_store(now)
 
     def _unready_reason(self, now: float) -> str:
         if self._is_stopping:
--- a/src/primrosescale/process/entry/knowledge.py
+++ b/src/primrosescale/process/entry/knowledge.py
@@ -36,9 +36,9 @@
         self._lost_at: float | None = None
 
     @property
-    def is_lost(self) -> bool:
-        """Tell whether the last question failed."""
-        return self._lost_at is not None
+    def lost_at(self) -> float | None:
+        """Return when questions began to fail; None while they are answered."""
+        return self._lost_at
 
     def lost(self, error: PlatformError) -> None:
         """Take in a failed question."""
@@ -145,6 +145,7 @@
             _Connection(name, parts.log, self._now)
             for name in ("configuration", "targets")
         ]
+        self._configuration = connections[0]
         self._watches = [
             StoreWatch(parts.platform, watched, handler, parts.reactor, parts.rng)
             for watched, handler in (
@@ -198,6 +199,22 @@
         for watch in self._watches:
             watch.stop()
 
+    def lost_for(self, now: float) -> float:
+        """Return for how long the store has not told of the configuration.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        float
+            Seconds; 0 while it answers.
+        """
+        lost_at = self._configuration.lost_at
+        return 0.0 if lost_at is None else now - lost_at
+
     def missing(self, now: float) -> str:
         """Return what is missing for serving callers.
 
--- a/src/primrosescale/process/entry/router_exchange.py
+++ b/src/primrosescale/process/entry/router_exchange.py
@@ -44,6 +44,8 @@
         Composes and takes in news.
     version : Callable[[], int]
         Returns the version in force here; 0 for none.
+    is_store_lost : Callable[[], bool]
+        Returns whether the store did not answer the last question.
     parts : EntryParts
         What the router is built with.
     """
@@ -52,10 +54,12 @@
         self,
         news: RouterNews,
         version: Callable[[], int],
+        is_store_lost: Callable[[], bool],
         parts: EntryParts,
     ) -> None:
         self._news = news
         self._version = version
+        self._is_store_lost = is_store_lost
         self._reactor = parts.reactor
         self._log = parts.log
         self._timer: Timer | None = None
@@ -114,7 +118,10 @@
         self._schedule(self._news.interval)
         transport: Any = self.transport
         now = self._reactor.seconds()
-        for router, message in self._news.compose(self._version(), now):
+        messages = self._news.compose(
+            self._version(), now, is_store_lost=self._is_store_lost()
+        )
+        for router, message in messages:
             frame = encode(message)
             address = (router.endpoint.address, router.endpoint.port)
             try:
--- a/src/primrosescale/process/entry/router_news.py
+++ b/src/primrosescale/process/entry/router_news.py
@@ -37,8 +37,6 @@
 # A router that sees more than half of its requests fail everywhere has a
 # trouble of its own and is no witness.
 WITNESS_MOST_FAILURES = 0.5
-# Twice the time between two questions to the store.
-CLEARLY_LATER = 3.0
 PERCENT = 100
 MILLISECONDS = 1000
 UNKNOWN = -1
@@ -67,7 +65,7 @@
         "heard",
         "heard_at",
         "incarnation",
-        "knew_at",
+        "is_store_lost",
         "router",
         "sent_at",
     )
@@ -77,7 +75,7 @@
         self.incarnation = 0
         self.heard = 0
         self.heard_at: float | None = None
-        self.knew_at: float | None = None
+        self.is_store_lost = False
         self.sent_at: OrderedDict[int, float] = OrderedDict()
 
 
@@ -145,8 +143,8 @@
             if peer.heard_at is not None and peer.heard_at >= oldest
         )
 
-    def others_know_more(self, now: float) -> bool:
-        """Tell whether this router alone seems to be cut off from the store.
+    def others_reach_store(self, now: float) -> bool:
+        """Tell whether other routers are better off than one without the store.
 
         Parameters
         ----------
@@ -156,17 +154,15 @@
         Returns
         -------
         bool
-            True when another router had an answer of the store clearly later
-            than this one, or when none is heard of any more.
+            True when another router says that it reaches the store, or when
+            none is heard of any more, so that the network fails here.
         """
-        own_age = self._freshness.age(now)
-        if own_age is None or not self._peers:
-            return False
         known = [peer for peer in self._peers.values() if peer.heard_at is not None]
-        if known and not self.heard_lately(now):
-            return True
-        newest = max((peer.knew_at or 0.0 for peer in known), default=0.0)
-        return newest > now - own_age + CLEARLY_LATER
+        if not known:
+            return False
+        oldest = now - FRESH_INTERVALS * self.interval
+        heard = [peer for peer in known if (peer.heard_at or 0.0) >= oldest]
+        return not heard or any(not peer.is_store_lost for peer in heard)
 
     def put(self, router: OtherRouter) -> None:
         """Take in another router of the list.
@@ -193,7 +189,7 @@
         self._peers.pop(name, None)
 
     def compose(
-        self, version: int, now: float
+        self, version: int, now: float, *, is_store_lost: bool = False
     ) -> list[tuple[OtherRouter, wire.RouterNews]]:
         """Return what to tell each other router now.
 
@@ -203,6 +199,8 @@
             Version of the configuration in force here; 0 for none.
         now : float
             Present time in seconds.
+        is_store_lost : bool
+            Whether the store did not answer this router's last question.
 
         Returns
         -------
@@ -242,6 +240,7 @@
                 UNKNOWN if age is None else _milliseconds(age),
                 told,
                 parts,
+                is_store_lost,
             )
             messages.append((peer.router, message))
         return messages
@@ -275,8 +274,7 @@
             return False
         peer.heard = message.sequence
         peer.heard_at = now
-        if message.knowledge_age_ms >= 0:
-            peer.knew_at = now - message.knowledge_age_ms / MILLISECONDS
+        peer.is_store_lost = message.store_lost
         self._take_freshness(peer, message, version)
         self._take_targets(message, now)
         self._take_parts(message, now)
--- a/src/primrosescale/request/target_state.py
+++ b/src/primrosescale/request/target_state.py
@@ -315,12 +315,14 @@
     def unreachable(self, now: float) -> None:
         """Take in that no connection could be opened, or that it went silent.
 
+        It is no outcome that others are told: the way there may be cut from
+        here alone.
+
         Parameters
         ----------
         now : float
             Present time in seconds.
         """
-        self.failed(now)
         if now < self._paused_until:
             return
         pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2.0**self._failures)
