process/ split by matter; the demo tells who had to come back and why

administration, ledger, membership, configuration, transport, daemons, entry: a module a decision, a folder a matter; no behaviour changed.

--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -12,13 +12,13 @@
 from primrosescale.connection.endpoint import Endpoint
 from primrosescale.connection.wire import ttypes as wire
 from primrosescale.connection.wire.ttypes import MemberState
-from primrosescale.process.load_sums import AgentSums
-from primrosescale.process.load_sums import DomainSums
-from primrosescale.process.load_sums import FleetSums
-from primrosescale.process.load_sums import SumSettings
-from primrosescale.process.version_keeper import SectionSource
-from primrosescale.process.version_keeper import VersionKeeper
-from primrosescale.process.version_keeper import VersionObserver
+from primrosescale.process.configuration.version_keeper import SectionSource
+from primrosescale.process.configuration.version_keeper import VersionKeeper
+from primrosescale.process.configuration.version_keeper import VersionObserver
+from primrosescale.process.membership.load_sums import AgentSums
+from primrosescale.process.membership.load_sums import DomainSums
+from primrosescale.process.membership.load_sums import FleetSums
+from primrosescale.process.membership.load_sums import SumSettings
 from primrosescale.request.admission import Admission
 from primrosescale.request.admission import AdmissionSettings
 from primrosescale.request.candidates import Locality
--- a/benchmarks/ledger_rate.py
+++ b/benchmarks/ledger_rate.py
@@ -10,8 +10,8 @@
 from primrosescale.connection.wire import ttypes as wire
 from primrosescale.connection.wire.ttypes import ClaimState
 from primrosescale.connection.wire.ttypes import ClaimVerb
-from primrosescale.process.claim_writer import ClaimWriter
-from primrosescale.process.ledger_bucket import LedgerSettings
+from primrosescale.process.ledger.claim_writer import ClaimWriter
+from primrosescale.process.ledger.ledger_bucket import LedgerSettings
 from primrosescale.standin.memory_platform import MemoryPlatform
 from primrosescale.standin.object_store import ObjectStore
 from primrosescale.standin.object_store import StoreSettings
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -21,7 +21,7 @@
 PRELUDE = """
 import sys, gc
 sys.path.insert(0, {root!r})
-from primrosescale.process import router, agent
+from primrosescale.process.daemons import agent, router
 def memory():
     gc.collect()
     return int(open('/proc/self/statm').read().split()[1]) * 4096
@@ -30,8 +30,8 @@
 BODIES = {
     "router_base": "pass",
     "targets": """
-from primrosescale.process.members import Members
-from primrosescale.process.flap_damper import MemberSettings
+from primrosescale.process.membership.members import Members
+from primrosescale.process.membership.flap_damper import MemberSettings
 from primrosescale.request.candidates import Locality
 from primrosescale.connection.wire import ttypes as wire
 members = Members(MemberSettings(), Locality('r1', 'd1'))
@@ -45,7 +45,7 @@
 from primrosescale.version.bundle import Bundle
 from primrosescale.version.section import build_tree
 from primrosescale.version.head import HeadCheck, VersionHead
-from primrosescale.process.version_keeper import VersionKeeper, VersionObserver, SectionSource
+from primrosescale.process.configuration.version_keeper import VersionKeeper, VersionObserver, SectionSource
 from twisted.internet.defer import succeed
 import subprocess, pickle
 class Quiet(VersionObserver):
@@ -77,7 +77,7 @@
     directory.served(f'organisation-{{n%100}}/chat-{{n:07d}}', f'engine-{{n%1000}}', 2000, 1.0)
 """,
     "sealed_keys": """
-from primrosescale.process.ledger_bucket import SealedIndex
+from primrosescale.process.ledger.ledger_bucket import SealedIndex
 from primrosescale.connection.wire import ttypes as wire
 import os
 def segment(n):
--- a/src/primrosescale/console/commands/agent.py
+++ b/src/primrosescale/console/commands/agent.py
@@ -7,10 +7,10 @@
 from primrosescale.console.daemon_command import DaemonCommand
 
 if TYPE_CHECKING:
-    from primrosescale.process.agent import Agent
-    from primrosescale.process.daemon import Tools
-    from primrosescale.process.platform import Platform
+    from primrosescale.process.daemons.agent import Agent
+    from primrosescale.process.daemons.daemon import Tools
     from primrosescale.process.settings import Settings
+    from primrosescale.process.transport.platform import Platform
 
 
 class AgentCommand(DaemonCommand):
@@ -33,6 +33,6 @@
 
     def make(self, settings: Settings, tools: Tools, platform: Platform) -> Agent:
         """Build an agent."""
-        from primrosescale.process.agent import Agent  # noqa: PLC0415
+        from primrosescale.process.daemons.agent import Agent  # noqa: PLC0415
 
         return Agent(settings, tools, platform)
--- a/src/primrosescale/console/commands/router.py
+++ b/src/primrosescale/console/commands/router.py
@@ -7,10 +7,10 @@
 from primrosescale.console.daemon_command import DaemonCommand
 
 if TYPE_CHECKING:
-    from primrosescale.process.daemon import Tools
-    from primrosescale.process.platform import Platform
-    from primrosescale.process.router import Router
+    from primrosescale.process.daemons.daemon import Tools
+    from primrosescale.process.daemons.router import Router
     from primrosescale.process.settings import Settings
+    from primrosescale.process.transport.platform import Platform
 
 
 class RouterCommand(DaemonCommand):
@@ -33,6 +33,6 @@
 
     def make(self, settings: Settings, tools: Tools, platform: Platform) -> Router:
         """Build a router."""
-        from primrosescale.process.router import Router  # noqa: PLC0415
+        from primrosescale.process.daemons.router import Router  # noqa: PLC0415
 
         return Router(settings, tools, platform)
--- a/src/primrosescale/console/daemon_command.py
+++ b/src/primrosescale/console/daemon_command.py
@@ -17,11 +17,11 @@
     from twisted.internet.defer import Deferred
 
     from primrosescale.console.exit_codes import ExitCode
-    from primrosescale.process.agent import Agent
-    from primrosescale.process.daemon import Tools
-    from primrosescale.process.platform import Platform
-    from primrosescale.process.router import Router
+    from primrosescale.process.daemons.agent import Agent
+    from primrosescale.process.daemons.daemon import Tools
+    from primrosescale.process.daemons.router import Router
     from primrosescale.process.settings import Settings
+    from primrosescale.process.transport.platform import Platform
 
 
 class DaemonCommand(Command):
@@ -60,8 +60,8 @@
         settings = settings_for(values, self.name)
         from twisted.internet import reactor  # noqa: PLC0415
 
-        from primrosescale.process.daemon import Tools  # noqa: PLC0415
-        from primrosescale.process.http_platform import HttpPlatform  # noqa: PLC0415
+        from primrosescale.process.daemons.daemon import Tools  # noqa: PLC0415
+        from primrosescale.process.transport.http_platform import HttpPlatform  # noqa: PLC0415
 
         endpoint = Endpoint(settings.platform.address, settings.platform.port)
         platform = HttpPlatform(reactor, endpoint, settings.platform.timeout)
--- a/src/primrosescale/platform/engine_calls.py
+++ b/src/primrosescale/platform/engine_calls.py
@@ -11,7 +11,7 @@
 from primrosescale.platform.records import MALFORMED
 from primrosescale.process.entry.codec import CacheReader
 from primrosescale.process.exceptions import TargetError
-from primrosescale.process.http_call import HttpCaller
+from primrosescale.process.transport.http_call import HttpCaller
 
 if TYPE_CHECKING:
     from collections.abc import Generator
--- a/src/primrosescale/platform/entry.py
+++ b/src/primrosescale/platform/entry.py
@@ -31,7 +31,7 @@
     from random import Random
 
     from primrosescale.process.entry.router_news import OtherRouter
-    from primrosescale.process.platform import StoredObject
+    from primrosescale.process.transport.platform import StoredObject
     from primrosescale.request.serving_target import ServingTarget
     from primrosescale.version.routing_table import RoutingTable
 
--- a/src/primrosescale/platform/object_platform.py
+++ b/src/primrosescale/platform/object_platform.py
@@ -19,14 +19,14 @@
 from primrosescale.process.exceptions import PlatformHistoryGoneError
 from primrosescale.process.exceptions import PlatformLimitError
 from primrosescale.process.exceptions import PlatformUnavailableError
-from primrosescale.process.http_call import HttpCaller
-from primrosescale.process.http_call import Reply
-from primrosescale.process.platform import MAX_VALUE
-from primrosescale.process.platform import MUST_NOT_EXIST
-from primrosescale.process.platform import HostList
-from primrosescale.process.platform import Platform
-from primrosescale.process.platform import StoredObject
-from primrosescale.process.platform import WatchResult
+from primrosescale.process.transport.http_call import HttpCaller
+from primrosescale.process.transport.http_call import Reply
+from primrosescale.process.transport.platform import MAX_VALUE
+from primrosescale.process.transport.platform import MUST_NOT_EXIST
+from primrosescale.process.transport.platform import HostList
+from primrosescale.process.transport.platform import Platform
+from primrosescale.process.transport.platform import StoredObject
+from primrosescale.process.transport.platform import WatchResult
 
 if TYPE_CHECKING:
     from collections.abc import Generator
--- a/src/primrosescale/platform/records.py
+++ b/src/primrosescale/platform/records.py
@@ -21,7 +21,7 @@
 from primrosescale.version.routing_table import WeightedService
 
 if TYPE_CHECKING:
-    from primrosescale.process.platform import StoredObject
+    from primrosescale.process.transport.platform import StoredObject
 
 CONFIGURATION = "config/main"
 TARGETS = "servers/"
--- /dev/null
+++ b/src/primrosescale/process/administration/__init__.py
@@ -0,0 +1,1 @@
+"""Operators: bundles, sign-off, roll-out and their HTTP interface."""
--- a/src/primrosescale/process/admin_resource.py
+++ b/src/primrosescale/process/administration/admin_resource.py
@@ -15,13 +15,13 @@
 from primrosescale.exceptions import PrimrosescaleError
 from primrosescale.ini.exceptions import FaultsError
 from primrosescale.ini.exceptions import IniError
-from primrosescale.process.administration import READER
-from primrosescale.process.administration import require_role
+from primrosescale.process.administration.administration import READER
+from primrosescale.process.administration.administration import require_role
 from primrosescale.process.events import Event
 from primrosescale.process.exceptions import PlatformError
 from primrosescale.process.exceptions import ProcessError
-from primrosescale.process.http_bodies import request_body
-from primrosescale.process.http_sink import write_json
+from primrosescale.process.transport.http_bodies import request_body
+from primrosescale.process.transport.http_sink import write_json
 from primrosescale.version.bundle import Bundle
 from primrosescale.version.exceptions import ConflictError
 from primrosescale.version.exceptions import HeadError
@@ -39,8 +39,8 @@
     from twisted.python.failure import Failure
     from twisted.web.server import Request
 
-    from primrosescale.process.administration import Administration
-    from primrosescale.process.administration import BundleInfo
+    from primrosescale.process.administration.administration import Administration
+    from primrosescale.process.administration.administration import BundleInfo
     from primrosescale.process.events import EventLog
     from primrosescale.version.view import VersionView
 
--- a/src/primrosescale/process/administration.py
+++ b/src/primrosescale/process/administration/administration.py
@@ -11,13 +11,13 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import inlineCallbacks
 
+from primrosescale.process.configuration.section_sources import section_key
+from primrosescale.process.daemons.router_control import HEAD_KEY
 from primrosescale.process.exceptions import PlatformAnswerLostError
 from primrosescale.process.exceptions import PlatformConflictError
 from primrosescale.process.exceptions import PlatformError
 from primrosescale.process.exceptions import PlatformUnavailableError
-from primrosescale.process.platform import MUST_NOT_EXIST
-from primrosescale.process.router_control import HEAD_KEY
-from primrosescale.process.section_sources import section_key
+from primrosescale.process.transport.platform import MUST_NOT_EXIST
 from primrosescale.version.bundle import Bundle
 from primrosescale.version.diff import changed_records
 from primrosescale.version.diff import diff_text
@@ -39,8 +39,8 @@
     from collections.abc import Generator
 
     from primrosescale.clock import Clock
-    from primrosescale.process.platform import Platform
-    from primrosescale.process.version_keeper import VersionKeeper
+    from primrosescale.process.configuration.version_keeper import VersionKeeper
+    from primrosescale.process.transport.platform import Platform
     from primrosescale.version.head import HeadCheck
     from primrosescale.version.records import OperatorRecord
 
--- /dev/null
+++ b/src/primrosescale/process/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Getting a version and keeping it in force."""
--- a/src/primrosescale/process/section_sources.py
+++ b/src/primrosescale/process/configuration/section_sources.py
@@ -8,13 +8,13 @@
 from twisted.internet.defer import Deferred
 
 from primrosescale.connection.wire import ttypes as wire
+from primrosescale.process.configuration.version_keeper import SectionSource
 from primrosescale.process.exceptions import PlatformError
-from primrosescale.process.version_keeper import SectionSource
 
 if TYPE_CHECKING:
     from primrosescale.connection.link import Link
-    from primrosescale.process.platform import Platform
-    from primrosescale.process.platform import StoredObject
+    from primrosescale.process.transport.platform import Platform
+    from primrosescale.process.transport.platform import StoredObject
 
 SECTION_PREFIX = "config/sections/"
 
--- /dev/null
+++ b/src/primrosescale/process/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The router and the agent, put together."""
--- a/src/primrosescale/process/agent.py
+++ b/src/primrosescale/process/daemons/agent.py
@@ -13,26 +13,26 @@
 from primrosescale.connection.pool import LinkPool
 from primrosescale.connection.wire import ttypes as wire
 from primrosescale.connection.wire.ttypes import MemberState
-from primrosescale.process.agent_core import AgentCore
-from primrosescale.process.agent_core import AgentCoreSettings
-from primrosescale.process.agent_observer import AgentObserver
-from primrosescale.process.daemon import LinkFactory
-from primrosescale.process.daemon import Tools
-from primrosescale.process.engine_orders import EngineOrders
-from primrosescale.process.engine_orders import OrderObserver
-from primrosescale.process.engine_orders import OrderSettings
-from primrosescale.process.engine_orders import wish_of
+from primrosescale.process.configuration.section_sources import LinkSources
+from primrosescale.process.configuration.version_keeper import VersionKeeper
+from primrosescale.process.configuration.version_keeper import VersionObserver
+from primrosescale.process.daemons.agent_core import AgentCore
+from primrosescale.process.daemons.agent_core import AgentCoreSettings
+from primrosescale.process.daemons.agent_observer import AgentObserver
+from primrosescale.process.daemons.daemon import LinkFactory
+from primrosescale.process.daemons.daemon import Tools
+from primrosescale.process.daemons.engine_orders import EngineOrders
+from primrosescale.process.daemons.engine_orders import OrderObserver
+from primrosescale.process.daemons.engine_orders import OrderSettings
+from primrosescale.process.daemons.engine_orders import wish_of
 from primrosescale.process.events import Event
 from primrosescale.process.exceptions import SettingsError
-from primrosescale.process.heartbeat import AgentState
-from primrosescale.process.heartbeat import Heartbeat
-from primrosescale.process.heartbeat import HeartbeatHost
+from primrosescale.process.ledger.remote_ledger import RemoteLedger
+from primrosescale.process.membership.heartbeat import AgentState
+from primrosescale.process.membership.heartbeat import Heartbeat
+from primrosescale.process.membership.heartbeat import HeartbeatHost
 from primrosescale.process.metrics import Metric
-from primrosescale.process.remote_ledger import RemoteLedger
-from primrosescale.process.section_sources import LinkSources
 from primrosescale.process.settings import parse_endpoint
-from primrosescale.process.version_keeper import VersionKeeper
-from primrosescale.process.version_keeper import VersionObserver
 from primrosescale.request.candidates import TargetRing
 from primrosescale.version.head import HeadCheck
 
@@ -41,12 +41,12 @@
 
     from primrosescale.connection.codec import Message
     from primrosescale.connection.link import Link
-    from primrosescale.process.engine_orders import EngineWish
-    from primrosescale.process.engine_port import EnginePort
-    from primrosescale.process.platform import Platform
+    from primrosescale.process.daemons.engine_orders import EngineWish
     from primrosescale.process.settings import AgentSettings
     from primrosescale.process.settings import Settings
     from primrosescale.process.tracing import Hop
+    from primrosescale.process.transport.engine_port import EnginePort
+    from primrosescale.process.transport.platform import Platform
     from primrosescale.request.agent_call import AgentCall
     from primrosescale.request.call_names import CallName
     from primrosescale.request.load_bound import MeanView
--- a/src/primrosescale/process/agent_core.py
+++ b/src/primrosescale/process/daemons/agent_core.py
@@ -37,7 +37,7 @@
     from primrosescale.clock import Clock
     from primrosescale.connection.codec import Message
     from primrosescale.connection.link import Link
-    from primrosescale.process.agent_observer import AgentObserver
+    from primrosescale.process.daemons.agent_observer import AgentObserver
     from primrosescale.request.claim import Ledger
     from primrosescale.request.target_port import TargetPort
 
--- a/src/primrosescale/process/daemon.py
+++ b/src/primrosescale/process/daemons/daemon.py
@@ -16,11 +16,11 @@
 from primrosescale.connection.link import Link
 from primrosescale.process.events import Event
 from primrosescale.process.events import EventLog
-from primrosescale.process.http_target import HttpTarget
 from primrosescale.process.incarnation import new_incarnation
 from primrosescale.process.metrics import Metrics
-from primrosescale.process.tls import make_tls
 from primrosescale.process.tracing import Tracing
+from primrosescale.process.transport.http_target import HttpTarget
+from primrosescale.process.transport.tls import make_tls
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,9 +31,9 @@
     from primrosescale.connection.link import LinkHandler
     from primrosescale.connection.link import LinkSettings
     from primrosescale.connection.wire import ttypes as wire
-    from primrosescale.process.engine_port import EnginePort
     from primrosescale.process.settings import Settings
-    from primrosescale.process.tls import LinkTls
+    from primrosescale.process.transport.engine_port import EnginePort
+    from primrosescale.process.transport.tls import LinkTls
 
 
 class LinkFactory(Factory):
--- a/src/primrosescale/process/engine_orders.py
+++ b/src/primrosescale/process/daemons/engine_orders.py
@@ -21,15 +21,15 @@
 from primrosescale.process.exceptions import PlatformConflictError
 from primrosescale.process.exceptions import PlatformError
 from primrosescale.process.exceptions import TargetError
-from primrosescale.process.platform import MUST_NOT_EXIST
+from primrosescale.process.transport.platform import MUST_NOT_EXIST
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Generator
 
-    from primrosescale.process.engine_port import EnginePort
-    from primrosescale.process.platform import Platform
-    from primrosescale.process.platform import StoredObject
+    from primrosescale.process.transport.engine_port import EnginePort
+    from primrosescale.process.transport.platform import Platform
+    from primrosescale.process.transport.platform import StoredObject
     from primrosescale.version.view import VersionView
 
 FENCE_PREFIX = "fences/"
--- a/src/primrosescale/process/router.py
+++ b/src/primrosescale/process/daemons/router.py
@@ -14,30 +14,30 @@
 from primrosescale.connection.wire import ttypes as wire
 from primrosescale.connection.wire.ttypes import MemberState
 from primrosescale.connection.wire.ttypes import Outcome
-from primrosescale.process.admin_resource import AdminResource
-from primrosescale.process.admin_resource import OperatorKeys
-from primrosescale.process.administration import Administration
-from primrosescale.process.bounded_request import BoundedRequest
-from primrosescale.process.callers_resource import CallersResource
-from primrosescale.process.callers_resource import CallGate
-from primrosescale.process.callers_resource import RefusedError
-from primrosescale.process.claim_writer import ClaimWriter
-from primrosescale.process.daemon import LinkFactory
-from primrosescale.process.daemon import Tools
+from primrosescale.process.administration.admin_resource import AdminResource
+from primrosescale.process.administration.admin_resource import OperatorKeys
+from primrosescale.process.administration.administration import Administration
+from primrosescale.process.configuration.section_sources import LinkSources
+from primrosescale.process.configuration.version_keeper import VersionKeeper
+from primrosescale.process.configuration.version_keeper import VersionObserver
+from primrosescale.process.daemons.daemon import LinkFactory
+from primrosescale.process.daemons.daemon import Tools
+from primrosescale.process.daemons.router_control import ControlObserver
+from primrosescale.process.daemons.router_control import Identity
+from primrosescale.process.daemons.router_control import RouterControl
 from primrosescale.process.events import Event
-from primrosescale.process.fleet_status import fleet_status
-from primrosescale.process.ledger_bucket import bucket_of
-from primrosescale.process.load_sums import first_in_order
-from primrosescale.process.members import Members
+from primrosescale.process.ledger.claim_writer import ClaimWriter
+from primrosescale.process.ledger.ledger_bucket import bucket_of
+from primrosescale.process.membership.fleet_status import fleet_status
+from primrosescale.process.membership.load_sums import first_in_order
+from primrosescale.process.membership.members import Members
 from primrosescale.process.metrics import Metric
-from primrosescale.process.quiet_site import QuietSite
-from primrosescale.process.router_control import ControlObserver
-from primrosescale.process.router_control import Identity
-from primrosescale.process.router_control import RouterControl
-from primrosescale.process.section_sources import LinkSources
 from primrosescale.process.settings import parse_endpoint
-from primrosescale.process.version_keeper import VersionKeeper
-from primrosescale.process.version_keeper import VersionObserver
+from primrosescale.process.transport.bounded_request import BoundedRequest
+from primrosescale.process.transport.callers_resource import CallersResource
+from primrosescale.process.transport.callers_resource import CallGate
+from primrosescale.process.transport.callers_resource import RefusedError
+from primrosescale.process.transport.quiet_site import QuietSite
 from primrosescale.request.attempts import AttemptPlan
 from primrosescale.request.backoff import Backoff
 from primrosescale.request.call_table import CallObserver
@@ -55,11 +55,11 @@
 
     from primrosescale.connection.codec import Message
     from primrosescale.connection.link import Link
-    from primrosescale.process.http_sink import HttpSink
-    from primrosescale.process.platform import Platform
-    from primrosescale.process.problems import ProblemDocument
     from primrosescale.process.settings import Settings
     from primrosescale.process.tracing import Hop
+    from primrosescale.process.transport.http_sink import HttpSink
+    from primrosescale.process.transport.platform import Platform
+    from primrosescale.process.transport.problems import ProblemDocument
     from primrosescale.request.call_request import CallRequest
     from primrosescale.request.candidates import Target
     from primrosescale.request.routed_call import CallReport
--- a/src/primrosescale/process/router_control.py
+++ b/src/primrosescale/process/daemons/router_control.py
@@ -15,17 +15,17 @@
 from primrosescale.connection.endpoint import Endpoint
 from primrosescale.connection.wire import ttypes as wire
 from primrosescale.connection.wire.ttypes import MemberState
+from primrosescale.process.configuration.section_sources import PlatformSource
+from primrosescale.process.configuration.wire_head import from_wire
+from primrosescale.process.configuration.wire_head import to_wire
 from primrosescale.process.exceptions import PlatformError
-from primrosescale.process.host_changes import CHANGES_LIMIT
-from primrosescale.process.host_changes import HostChanges
-from primrosescale.process.load_sums import AGGREGATORS
-from primrosescale.process.load_sums import AgentSums
-from primrosescale.process.load_sums import DomainSums
-from primrosescale.process.load_sums import FleetSums
-from primrosescale.process.load_sums import first_in_order
-from primrosescale.process.section_sources import PlatformSource
-from primrosescale.process.wire_head import from_wire
-from primrosescale.process.wire_head import to_wire
+from primrosescale.process.membership.host_changes import CHANGES_LIMIT
+from primrosescale.process.membership.host_changes import HostChanges
+from primrosescale.process.membership.load_sums import AGGREGATORS
+from primrosescale.process.membership.load_sums import AgentSums
+from primrosescale.process.membership.load_sums import DomainSums
+from primrosescale.process.membership.load_sums import FleetSums
+from primrosescale.process.membership.load_sums import first_in_order
 from primrosescale.request.rate_limit import Demand
 from primrosescale.version.exceptions import HeadError
 from primrosescale.version.head import NO_HEAD
@@ -38,12 +38,12 @@
     from primrosescale.connection.codec import Message
     from primrosescale.connection.link import Link
     from primrosescale.connection.pool import LinkPool
-    from primrosescale.process.load_sums import SumSettings
-    from primrosescale.process.members import Member
-    from primrosescale.process.members import Members
-    from primrosescale.process.platform import Platform
-    from primrosescale.process.section_sources import LinkSources
-    from primrosescale.process.version_keeper import VersionKeeper
+    from primrosescale.process.configuration.section_sources import LinkSources
+    from primrosescale.process.configuration.version_keeper import VersionKeeper
+    from primrosescale.process.membership.load_sums import SumSettings
+    from primrosescale.process.membership.members import Member
+    from primrosescale.process.membership.members import Members
+    from primrosescale.process.transport.platform import Platform
     from primrosescale.request.rate_limit import OrganisationLimiter
 
 HEAD_KEY = "config/head"
--- a/src/primrosescale/process/entry/entry_parts.py
+++ b/src/primrosescale/process/entry/entry_parts.py
@@ -16,7 +16,7 @@
     from primrosescale.process.entry.entry_settings import EntrySettings
     from primrosescale.process.entry.log_writer import LogWriter
     from primrosescale.process.events import EventLog
-    from primrosescale.process.platform import Platform
+    from primrosescale.process.transport.platform import Platform
 
 
 class EntryParts:
--- a/src/primrosescale/process/entry/knowledge.py
+++ b/src/primrosescale/process/entry/knowledge.py
@@ -18,7 +18,7 @@
     from primrosescale.process.entry.entry_settings import EntryWatches
     from primrosescale.process.entry.target_list import TargetList
     from primrosescale.process.exceptions import PlatformError
-    from primrosescale.process.platform import StoredObject
+    from primrosescale.process.transport.platform import StoredObject
     from primrosescale.request.freshness import Freshness
     from primrosescale.request.serving_target import ServingTarget
     from primrosescale.version.routing_table import RoutingTable
--- a/src/primrosescale/process/entry/router_exchange.py
+++ b/src/primrosescale/process/entry/router_exchange.py
@@ -27,7 +27,7 @@
     from primrosescale.process.entry.entry_parts import EntryParts
     from primrosescale.process.entry.entry_settings import EntrySettings
     from primrosescale.process.entry.router_news import RouterNews
-    from primrosescale.process.platform import StoredObject
+    from primrosescale.process.transport.platform import StoredObject
 
 # Where a part of a prompt went is told at once, with what else comes up in
 # these milliseconds.
--- a/src/primrosescale/process/entry/store_watch.py
+++ b/src/primrosescale/process/entry/store_watch.py
@@ -18,8 +18,8 @@
     from collections.abc import Generator
     from random import Random
 
-    from primrosescale.process.platform import Platform
-    from primrosescale.process.platform import StoredObject
+    from primrosescale.process.transport.platform import Platform
+    from primrosescale.process.transport.platform import StoredObject
 
 # Pause after a failed call, growing by half to the most. An outage is asked
 # through two or three times a second, which finds its end soon enough for a
--- a/src/primrosescale/process/entry/target_caller.py
+++ b/src/primrosescale/process/entry/target_caller.py
@@ -14,7 +14,7 @@
 
 from primrosescale.connection.failure_text import failure_text
 from primrosescale.connection.target_channel import ChannelPool
-from primrosescale.process.http_bodies import body_producer
+from primrosescale.process.transport.http_bodies import body_producer
 from primrosescale.request.direct_port import Run
 from primrosescale.request.direct_port import TargetCaller
 
--- /dev/null
+++ b/src/primrosescale/process/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Claims of requests that may run once, kept in the platform."""
--- a/src/primrosescale/process/claim_writer.py
+++ b/src/primrosescale/process/ledger/claim_writer.py
@@ -20,19 +20,19 @@
 from primrosescale.process.exceptions import PlatformAnswerLostError
 from primrosescale.process.exceptions import PlatformConflictError
 from primrosescale.process.exceptions import PlatformError
-from primrosescale.process.ledger_bucket import FORMAT
-from primrosescale.process.ledger_bucket import LAYOUT_NAME
-from primrosescale.process.ledger_bucket import MILLISECONDS
-from primrosescale.process.ledger_bucket import Decision
-from primrosescale.process.ledger_bucket import LedgerFormatError
-from primrosescale.process.ledger_bucket import SealedIndex
-from primrosescale.process.ledger_bucket import bucket_of
-from primrosescale.process.ledger_bucket import decide
-from primrosescale.process.ledger_bucket import decode_segment
-from primrosescale.process.ledger_bucket import encode_segment
-from primrosescale.process.ledger_bucket import sealed_name
-from primrosescale.process.ledger_bucket import tail_name
-from primrosescale.process.platform import MUST_NOT_EXIST
+from primrosescale.process.ledger.ledger_bucket import FORMAT
+from primrosescale.process.ledger.ledger_bucket import LAYOUT_NAME
+from primrosescale.process.ledger.ledger_bucket import MILLISECONDS
+from primrosescale.process.ledger.ledger_bucket import Decision
+from primrosescale.process.ledger.ledger_bucket import LedgerFormatError
+from primrosescale.process.ledger.ledger_bucket import SealedIndex
+from primrosescale.process.ledger.ledger_bucket import bucket_of
+from primrosescale.process.ledger.ledger_bucket import decide
+from primrosescale.process.ledger.ledger_bucket import decode_segment
+from primrosescale.process.ledger.ledger_bucket import encode_segment
+from primrosescale.process.ledger.ledger_bucket import sealed_name
+from primrosescale.process.ledger.ledger_bucket import tail_name
+from primrosescale.process.transport.platform import MUST_NOT_EXIST
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -41,8 +41,8 @@
     from twisted.python.failure import Failure
 
     from primrosescale.clock import Clock
-    from primrosescale.process.ledger_bucket import LedgerSettings
-    from primrosescale.process.platform import Platform
+    from primrosescale.process.ledger.ledger_bucket import LedgerSettings
+    from primrosescale.process.transport.platform import Platform
 
 RETRY_PAUSE = 0.1
 
--- /dev/null
+++ b/src/primrosescale/process/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is in the fleet, and the sums of its loads."""
--- a/src/primrosescale/process/fleet_status.py
+++ b/src/primrosescale/process/membership/fleet_status.py
@@ -7,8 +7,8 @@
 
 if TYPE_CHECKING:
     from primrosescale.connection.wire import ttypes as wire
-    from primrosescale.process.router_control import RouterControl
-    from primrosescale.process.version_keeper import VersionKeeper
+    from primrosescale.process.configuration.version_keeper import VersionKeeper
+    from primrosescale.process.daemons.router_control import RouterControl
 
 
 def fleet_status(
--- a/src/primrosescale/process/heartbeat.py
+++ b/src/primrosescale/process/membership/heartbeat.py
@@ -11,15 +11,15 @@
 
 from primrosescale.connection.endpoint import Endpoint
 from primrosescale.connection.wire import ttypes as wire
-from primrosescale.process.load_sums import first_in_order
-from primrosescale.process.wire_head import from_wire
+from primrosescale.process.configuration.wire_head import from_wire
+from primrosescale.process.membership.load_sums import first_in_order
 from primrosescale.request.load_bound import MeanView
 
 if TYPE_CHECKING:
     from primrosescale.clock import Clock
     from primrosescale.connection.link import Link
     from primrosescale.connection.pool import LinkPool
-    from primrosescale.process.load_sums import SumSettings
+    from primrosescale.process.membership.load_sums import SumSettings
     from primrosescale.version.head import VersionHead
 
 MILLISECONDS = 1000
--- a/src/primrosescale/process/load_sums.py
+++ b/src/primrosescale/process/membership/load_sums.py
@@ -18,8 +18,8 @@
 from primrosescale.connection.wire.ttypes import MemberState
 from primrosescale.ini.options import SECONDS
 from primrosescale.ini.options import option
-from primrosescale.process.notice_board import NOTICES_LIMIT
-from primrosescale.process.notice_board import NoticeBoard
+from primrosescale.process.membership.notice_board import NOTICES_LIMIT
+from primrosescale.process.membership.notice_board import NoticeBoard
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/primrosescale/process/members.py
+++ b/src/primrosescale/process/membership/members.py
@@ -13,7 +13,7 @@
 
 from primrosescale.connection.endpoint import Endpoint
 from primrosescale.connection.wire.ttypes import MemberState
-from primrosescale.process.flap_damper import FlapDamper
+from primrosescale.process.membership.flap_damper import FlapDamper
 from primrosescale.request.candidates import ServiceTargets
 from primrosescale.request.candidates import Target
 
@@ -22,7 +22,7 @@
 
     from primrosescale.connection.wire.ttypes import HostEntry
     from primrosescale.connection.wire.ttypes import MemberNotice
-    from primrosescale.process.flap_damper import MemberSettings
+    from primrosescale.process.membership.flap_damper import MemberSettings
     from primrosescale.request.candidates import Locality
 
 ROUTER_ROLE = "router"
--- a/src/primrosescale/process/settings.py
+++ b/src/primrosescale/process/settings.py
@@ -31,9 +31,9 @@
 from primrosescale.ini.reader import parse_text
 from primrosescale.ini.reader import read_section
 from primrosescale.ini.reader import unknown_section
-from primrosescale.process.flap_damper import MemberSettings
-from primrosescale.process.ledger_bucket import LedgerSettings
-from primrosescale.process.load_sums import SumSettings
+from primrosescale.process.ledger.ledger_bucket import LedgerSettings
+from primrosescale.process.membership.flap_damper import MemberSettings
+from primrosescale.process.membership.load_sums import SumSettings
 from primrosescale.request.admission import AdmissionSettings
 from primrosescale.request.agent_call import StreamSettings
 from primrosescale.request.backoff import BackoffSettings
--- /dev/null
+++ b/src/primrosescale/process/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP to callers, targets and the platform, and its security."""
--- a/src/primrosescale/process/bounded_request.py
+++ b/src/primrosescale/process/transport/bounded_request.py
@@ -8,9 +8,9 @@
 
 from twisted.web.server import Request
 
-from primrosescale.process.problems import CONTENT_TYPE
-from primrosescale.process.problems import TOO_LARGE
-from primrosescale.process.problems import ProblemDocument
+from primrosescale.process.transport.problems import CONTENT_TYPE
+from primrosescale.process.transport.problems import TOO_LARGE
+from primrosescale.process.transport.problems import ProblemDocument
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/primrosescale/process/callers_resource.py
+++ b/src/primrosescale/process/transport/callers_resource.py
@@ -13,14 +13,14 @@
 from twisted.web.server import NOT_DONE_YET
 
 from primrosescale.connection.wire.ttypes import Header
-from primrosescale.process import problems
 from primrosescale.process.exceptions import ProcessError
-from primrosescale.process.http_bodies import request_body
-from primrosescale.process.http_sink import HttpSink
-from primrosescale.process.http_sink import write_json
-from primrosescale.process.http_sink import write_problem
-from primrosescale.process.problems import ProblemDocument
 from primrosescale.process.tracing import HEADER as TRACE_HEADER
+from primrosescale.process.transport import problems
+from primrosescale.process.transport.http_bodies import request_body
+from primrosescale.process.transport.http_sink import HttpSink
+from primrosescale.process.transport.http_sink import write_json
+from primrosescale.process.transport.http_sink import write_problem
+from primrosescale.process.transport.problems import ProblemDocument
 from primrosescale.request.call_request import CallRequest
 from primrosescale.request.work import tokens_of
 
--- a/src/primrosescale/process/http_call.py
+++ b/src/primrosescale/process/transport/http_call.py
@@ -19,7 +19,7 @@
 from primrosescale.connection.target_channel import ChannelPool
 from primrosescale.process.exceptions import PlatformAnswerLostError
 from primrosescale.process.exceptions import PlatformUnavailableError
-from primrosescale.process.http_bodies import body_producer
+from primrosescale.process.transport.http_bodies import body_producer
 
 if TYPE_CHECKING:
     from collections.abc import Generator
--- a/src/primrosescale/process/http_sink.py
+++ b/src/primrosescale/process/transport/http_sink.py
@@ -10,9 +10,9 @@
 from zope.interface import implementer
 
 from primrosescale.connection.wire.ttypes import Outcome
-from primrosescale.process.problems import CONTENT_TYPE
-from primrosescale.process.problems import ProblemDocument
-from primrosescale.process.problems import problem_of
+from primrosescale.process.transport.problems import CONTENT_TYPE
+from primrosescale.process.transport.problems import ProblemDocument
+from primrosescale.process.transport.problems import problem_of
 from primrosescale.request.answer_sink import AnswerSink
 
 if TYPE_CHECKING:
--- a/src/primrosescale/process/http_target.py
+++ b/src/primrosescale/process/transport/http_target.py
@@ -23,9 +23,9 @@
 
 from primrosescale.connection.wire import ttypes as wire
 from primrosescale.connection.wire.ttypes import Outcome
-from primrosescale.process.engine_port import EnginePort
 from primrosescale.process.exceptions import TargetError
-from primrosescale.process.http_bodies import body_producer
+from primrosescale.process.transport.engine_port import EnginePort
+from primrosescale.process.transport.http_bodies import body_producer
 from primrosescale.request.target_port import TargetRun
 
 if TYPE_CHECKING:
--- a/src/primrosescale/standin/demo_run.py
+++ b/src/primrosescale/standin/demo_run.py
@@ -46,12 +46,16 @@
 
     Parameters
     ----------
+    calls : int
+        Calls that had to be answered, however often they were asked.
     requests : int
-        Requests made.
+        Requests made, those that came back after a refusal included.
     whole : int
         Answers that were whole and the caller's own.
     refusals : dict[str, int]
         Refusals by kind.
+    refused : dict[str, int]
+        Refusals by organisation.
     broken : list[str]
         Invariants that did not hold, in words.
     first_bytes : list[float]
@@ -68,9 +72,11 @@
         Runs of a case beyond its first.
     """
 
+    calls: int = 0
     requests: int = 0
     whole: int = 0
     refusals: dict[str, int] = field(default_factory=dict)
+    refused: dict[str, int] = field(default_factory=dict)
     broken: list[str] = field(default_factory=list)
     first_bytes: list[float] = field(default_factory=list)
     prompt_tokens: int = 0
@@ -92,11 +98,10 @@
         middle = _share(self.first_bytes, 0.5) * 1000
         late = _share(self.first_bytes, 0.95) * 1000
         first = f"p50 {middle:.0f} ms, p95 {late:.0f} ms"
-        refused = ", ".join(f"{k} {n}" for k, n in sorted(self.refusals.items()))
         lines = [
-            f"requests              {self.requests}",
-            f"answers whole         {self.whole}",
-            f"refusals              {refused or 'none'}",
+            f"calls                 {self.calls}",
+            f"answered whole        {self.whole}",
+            *self._refusal_lines(),
             f"switch cases          {self.cases} opened, {self.duplicates} duplicates",
             f"cache reuse           {reuse:.1f} % of returning prompts' tokens",
             f"max/mean load         {skew:.2f} at most, with the mean above the floor",
@@ -106,6 +111,31 @@
         lines += [f"  broken: {item}" for item in self.broken]
         return "\n".join(lines)
 
+    def _refusal_lines(self) -> list[str]:
+        """Tell who had to come back; in a surge large organisations give way."""
+        total = sum(self.refusals.values())
+        if not total:
+            return ["asked to come back    none"]
+        kinds = ", ".join(f"{k} {n}" for k, n in sorted(self.refusals.items()))
+        mean = sum(weight for _, weight in ORGANISATIONS) / len(ORGANISATIONS)
+        large = [name for name, weight in ORGANISATIONS if weight > mean]
+        theirs = sum(self.refused.get(name, 0) for name in large)
+        return [
+            f"asked to come back    {total} of {self.requests} requests ({kinds})",
+            (
+                f"  of these            {theirs} of the {len(large)} large organisations,"
+                f" {total - theirs} of the {len(ORGANISATIONS) - len(large)} small ones"
+            ),
+            (
+                "  why                 all chats begin within 2 s: the bound on each"
+                " engine's load holds,"
+            ),
+            (
+                "                      and who has most waiting gives way; each came"
+                " back when told to"
+            ),
+        ]
+
 
 class DemoRun:
     """Returning chats, confirmations, a restart and a drain.
@@ -218,6 +248,7 @@
             "Content-Type": "application/json",
             **headers,
         }
+        self._summary.calls += 1
         for _ in range(REPEATS):
             router = self._rng.choice(self._deployment.routers)
             url = f"http://{LOOPBACK}:{router.http_port}{path}"
@@ -227,6 +258,8 @@
                 break
             kind = str(reply.json().get("type", "")).rpartition(":")[2]
             self._summary.refusals[kind] = self._summary.refusals.get(kind, 0) + 1
+            refused = self._summary.refused
+            refused[organisation] = refused.get(organisation, 0) + 1
             after = float(reply.json().get("retry_after", 0.2))
             yield self._deployment.pause(min(1.0, after))
         if reply.status == OK and reply.is_whole:
--- a/src/primrosescale/standin/deployment.py
+++ b/src/primrosescale/standin/deployment.py
@@ -15,11 +15,11 @@
 from twisted.web.server import Site
 
 from primrosescale.connection.endpoint import Endpoint
-from primrosescale.process.agent import Agent
-from primrosescale.process.daemon import Tools
-from primrosescale.process.http_platform import HttpPlatform
-from primrosescale.process.router import Router
+from primrosescale.process.daemons.agent import Agent
+from primrosescale.process.daemons.daemon import Tools
+from primrosescale.process.daemons.router import Router
 from primrosescale.process.settings import read_settings
+from primrosescale.process.transport.http_platform import HttpPlatform
 from primrosescale.standin.engine import EngineResource
 from primrosescale.standin.engine import EngineSettings
 from primrosescale.standin.exceptions import StandInError
--- a/src/primrosescale/standin/http_caller.py
+++ b/src/primrosescale/standin/http_caller.py
@@ -16,7 +16,7 @@
 from twisted.web.client import ResponseDone
 from twisted.web.http_headers import Headers
 
-from primrosescale.process.http_bodies import body_producer
+from primrosescale.process.transport.http_bodies import body_producer
 from primrosescale.standin.exceptions import StandInError
 
 if TYPE_CHECKING:
--- a/src/primrosescale/standin/memory_platform.py
+++ b/src/primrosescale/standin/memory_platform.py
@@ -10,10 +10,10 @@
 
 from primrosescale.process.exceptions import PlatformAnswerLostError
 from primrosescale.process.exceptions import PlatformError
-from primrosescale.process.platform import HostList
-from primrosescale.process.platform import Platform
-from primrosescale.process.platform import StoredObject
-from primrosescale.process.platform import WatchResult
+from primrosescale.process.transport.platform import HostList
+from primrosescale.process.transport.platform import Platform
+from primrosescale.process.transport.platform import StoredObject
+from primrosescale.process.transport.platform import WatchResult
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/primrosescale/standin/object_store.py
+++ b/src/primrosescale/standin/object_store.py
@@ -8,10 +8,10 @@
 from primrosescale.process.exceptions import PlatformConflictError
 from primrosescale.process.exceptions import PlatformLimitError
 from primrosescale.process.exceptions import PlatformUnavailableError
-from primrosescale.process.platform import MAX_VALUE
-from primrosescale.process.platform import HostList
-from primrosescale.process.platform import StoredObject
-from primrosescale.process.platform import WatchResult
+from primrosescale.process.transport.platform import MAX_VALUE
+from primrosescale.process.transport.platform import HostList
+from primrosescale.process.transport.platform import StoredObject
+from primrosescale.process.transport.platform import WatchResult
 
 if TYPE_CHECKING:
     from primrosescale.connection.wire.ttypes import HostEntry
--- a/src/primrosescale/standin/plain_service.py
+++ b/src/primrosescale/standin/plain_service.py
@@ -9,7 +9,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
-from primrosescale.process.http_bodies import request_body
+from primrosescale.process.transport.http_bodies import request_body
 
 if TYPE_CHECKING:
     from collections import Counter
--- a/src/primrosescale/standin/platform_site.py
+++ b/src/primrosescale/standin/platform_site.py
@@ -15,18 +15,18 @@
 from primrosescale.process.exceptions import PlatformConflictError
 from primrosescale.process.exceptions import PlatformError
 from primrosescale.process.exceptions import PlatformLimitError
-from primrosescale.process.http_bodies import request_body
-from primrosescale.process.http_platform import fields_of_host
-from primrosescale.process.http_platform import host_from_fields
+from primrosescale.process.transport.http_bodies import request_body
+from primrosescale.process.transport.http_platform import fields_of_host
+from primrosescale.process.transport.http_platform import host_from_fields
 
 if TYPE_CHECKING:
     from twisted.internet.defer import Deferred
     from twisted.python.failure import Failure
     from twisted.web.server import Request
 
-    from primrosescale.process.platform import HostList
-    from primrosescale.process.platform import StoredObject
-    from primrosescale.process.platform import WatchResult
+    from primrosescale.process.transport.platform import HostList
+    from primrosescale.process.transport.platform import StoredObject
+    from primrosescale.process.transport.platform import WatchResult
     from primrosescale.standin.memory_platform import MemoryPlatform
 
 OK = 200
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -22,7 +22,7 @@
 from primrosescale.platform.records import decode_router
 from primrosescale.platform.records import decode_routing_table
 from primrosescale.platform.records import decode_target
-from primrosescale.process.platform import StoredObject
+from primrosescale.process.transport.platform import StoredObject
 from primrosescale.request.direct_port import Refusal
 from primrosescale.request.direct_port import Sending
 from primrosescale.version.routing_table import Repeatability
--- a/tests/connection/test_link_contract.py
+++ b/tests/connection/test_link_contract.py
@@ -32,9 +32,9 @@
 from primrosescale.connection.link import LinkSettings
 from primrosescale.connection.pool import LinkPool
 from primrosescale.connection.wire import ttypes as wire
-from primrosescale.process.daemon import LinkFactory
+from primrosescale.process.daemons.daemon import LinkFactory
 from primrosescale.process.settings import TlsSettings
-from primrosescale.process.tls import LinkTls
+from primrosescale.process.transport.tls import LinkTls
 from support.drawn import drawn
 from support.live import LiveTest
 from support.memory_network import MemoryDialer
--- a/tests/process/test_engine_orders.py
+++ b/tests/process/test_engine_orders.py
@@ -10,10 +10,10 @@
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
 
-from primrosescale.process.engine_orders import EngineOrders
-from primrosescale.process.engine_orders import EngineWish
-from primrosescale.process.engine_orders import OrderObserver
-from primrosescale.process.engine_orders import OrderSettings
+from primrosescale.process.daemons.engine_orders import EngineOrders
+from primrosescale.process.daemons.engine_orders import EngineWish
+from primrosescale.process.daemons.engine_orders import OrderObserver
+from primrosescale.process.daemons.engine_orders import OrderSettings
 from primrosescale.process.exceptions import TargetError
 from primrosescale.standin.memory_platform import MemoryPlatform
 from primrosescale.standin.object_store import ObjectStore
--- a/tests/process/test_ledger.py
+++ b/tests/process/test_ledger.py
@@ -8,15 +8,15 @@
 from primrosescale.connection.wire import ttypes as wire
 from primrosescale.connection.wire.ttypes import ClaimState
 from primrosescale.connection.wire.ttypes import ClaimVerb
-from primrosescale.process.claim_writer import ClaimWriter
-from primrosescale.process.ledger_bucket import FORMAT
-from primrosescale.process.ledger_bucket import LedgerFormatError
-from primrosescale.process.ledger_bucket import LedgerSettings
-from primrosescale.process.ledger_bucket import SealedIndex
-from primrosescale.process.ledger_bucket import decide
-from primrosescale.process.ledger_bucket import decode_segment
-from primrosescale.process.ledger_bucket import encode_segment
-from primrosescale.process.ledger_bucket import tail_name
+from primrosescale.process.ledger.claim_writer import ClaimWriter
+from primrosescale.process.ledger.ledger_bucket import FORMAT
+from primrosescale.process.ledger.ledger_bucket import LedgerFormatError
+from primrosescale.process.ledger.ledger_bucket import LedgerSettings
+from primrosescale.process.ledger.ledger_bucket import SealedIndex
+from primrosescale.process.ledger.ledger_bucket import decide
+from primrosescale.process.ledger.ledger_bucket import decode_segment
+from primrosescale.process.ledger.ledger_bucket import encode_segment
+from primrosescale.process.ledger.ledger_bucket import tail_name
 from primrosescale.request.claim import claim_key
 from primrosescale.request.claim import request_fingerprint
 from primrosescale.standin.memory_platform import MemoryPlatform
--- a/tests/process/test_members.py
+++ b/tests/process/test_members.py
@@ -6,14 +6,14 @@
 
 from primrosescale.connection.wire import ttypes as wire
 from primrosescale.connection.wire.ttypes import MemberState
-from primrosescale.process.flap_damper import MemberSettings
-from primrosescale.process.host_changes import HostChanges
-from primrosescale.process.load_sums import AgentSums
-from primrosescale.process.load_sums import DomainSums
-from primrosescale.process.load_sums import FleetSums
-from primrosescale.process.load_sums import SumSettings
-from primrosescale.process.load_sums import first_in_order
-from primrosescale.process.members import Members
+from primrosescale.process.membership.flap_damper import MemberSettings
+from primrosescale.process.membership.host_changes import HostChanges
+from primrosescale.process.membership.load_sums import AgentSums
+from primrosescale.process.membership.load_sums import DomainSums
+from primrosescale.process.membership.load_sums import FleetSums
+from primrosescale.process.membership.load_sums import SumSettings
+from primrosescale.process.membership.load_sums import first_in_order
+from primrosescale.process.membership.members import Members
 from primrosescale.request.candidates import Locality
 
 READY, DOWN, LEAVING = MemberState.READY, MemberState.DOWN, MemberState.LEAVING
--- a/tests/process/test_platform_contract.py
+++ b/tests/process/test_platform_contract.py
@@ -12,7 +12,7 @@
 from primrosescale.process.exceptions import PlatformConflictError
 from primrosescale.process.exceptions import PlatformLimitError
 from primrosescale.process.exceptions import PlatformUnavailableError
-from primrosescale.process.http_platform import HttpPlatform
+from primrosescale.process.transport.http_platform import HttpPlatform
 from primrosescale.standin.memory_platform import MemoryPlatform
 from primrosescale.standin.object_store import ObjectStore
 from primrosescale.standin.object_store import StoreSettings
--- a/tests/process/test_seeded_bugs.py
+++ b/tests/process/test_seeded_bugs.py
@@ -10,11 +10,11 @@
 from primrosescale.connection.wire.ttypes import ClaimState
 from primrosescale.connection.wire.ttypes import Outcome
 from primrosescale.connection.wire.ttypes import Reason
-from primrosescale.process import claim_writer
-from primrosescale.process.agent import Agent
-from primrosescale.process.agent_core import AgentCore
-from primrosescale.process.ledger_bucket import Decision
-from primrosescale.process.version_keeper import VersionKeeper
+from primrosescale.process.configuration.version_keeper import VersionKeeper
+from primrosescale.process.daemons.agent import Agent
+from primrosescale.process.daemons.agent_core import AgentCore
+from primrosescale.process.ledger import claim_writer
+from primrosescale.process.ledger.ledger_bucket import Decision
 from primrosescale.request.admission import Admission
 from primrosescale.request.agent_call import AgentCall
 from primrosescale.request.answer_check import AnswerCheck
--- a/tests/process/test_target_contract.py
+++ b/tests/process/test_target_contract.py
@@ -18,7 +18,7 @@
 from primrosescale.connection.wire import ttypes as wire
 from primrosescale.connection.wire.ttypes import Outcome
 from primrosescale.process.exceptions import TargetError
-from primrosescale.process.http_target import HttpTarget
+from primrosescale.process.transport.http_target import HttpTarget
 from primrosescale.request.target_port import TargetReceiver
 from primrosescale.standin.engine import EngineResource
 from primrosescale.standin.engine import EngineSettings
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -13,13 +13,13 @@
 
 from primrosescale.connection.wire import ttypes as wire
 from primrosescale.connection.wire.ttypes import Outcome
-from primrosescale.process.agent import Agent
-from primrosescale.process.daemon import Tools
-from primrosescale.process.engine_port import EnginePort
-from primrosescale.process.router import Router
-from primrosescale.process.router_control import HEAD_KEY
-from primrosescale.process.section_sources import section_key
+from primrosescale.process.configuration.section_sources import section_key
+from primrosescale.process.daemons.agent import Agent
+from primrosescale.process.daemons.daemon import Tools
+from primrosescale.process.daemons.router import Router
+from primrosescale.process.daemons.router_control import HEAD_KEY
 from primrosescale.process.settings import read_settings
+from primrosescale.process.transport.engine_port import EnginePort
 from primrosescale.request.agent_call import CallPhase
 from primrosescale.request.answer_sink import AnswerSink
 from primrosescale.request.call_request import CallRequest
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -11,7 +11,7 @@
 
 from primrosescale.process.events import Event
 from primrosescale.process.metrics import Metric
-from primrosescale.process.problems import ALL_PROBLEMS
+from primrosescale.process.transport.problems import ALL_PROBLEMS
 
 ROOT = Path(__file__).resolve().parent.parent
 DOCS = ROOT / "docs"
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -46,21 +46,30 @@
 SLOPE = "built, slope measured"
 PARTS = "built, worked out from measured parts"
 MECHANISMS = {
-    "heartbeats of its agents": ("one router an agent, `process/heartbeat.py`", PARTS),
-    "its report and the reply": ("`process/router_control.py`", PARTS),
-    "changes pulled": ("sections by digest, `process/version_keeper.py`", MEASURED),
+    "heartbeats of its agents": (
+        "one router an agent, `process/membership/heartbeat.py`",
+        PARTS,
+    ),
+    "its report and the reply": ("`process/daemons/router_control.py`", PARTS),
+    "changes pulled": (
+        "sections by digest, `process/configuration/version_keeper.py`",
+        MEASURED,
+    ),
     "changes served to routers": ("three pulls, then holders are named", PARTS),
     "roots served to agents": ("agents skip organisations", PARTS),
     "reports of its domain's routers": (
-        "aggregators in turn, `process/load_sums.py`",
+        "aggregators in turn, `process/membership/load_sums.py`",
+        PARTS,
+    ),
+    "sums to and from other domains": (
+        "sums by origin, `process/membership/load_sums.py`",
         PARTS,
     ),
-    "sums to and from other domains": ("sums by origin, `process/load_sums.py`", PARTS),
-    "idle, with its agents' heartbeats": ("`process/router_control.py`", SLOPE),
+    "idle, with its agents' heartbeats": ("`process/daemons/router_control.py`", SLOPE),
     "changes applied": ("only the changed group, `version/view.py`", MEASURED),
-    "sums of domains": ("`process/load_sums.py`", PARTS),
+    "sums of domains": ("`process/membership/load_sums.py`", PARTS),
     "interpreter, libraries, code": ("imports of a router", MEASURED),
-    "hosts": ("`process/members.py`, `request/candidates.py`", SLOPE),
+    "hosts": ("`process/membership/members.py`, `request/candidates.py`", SLOPE),
     "organisations": ("`version/view.py`, `version/section.py`", SLOPE),
     "meters of limits, all busy": ("`request/rate_limit.py`", SLOPE),
 }
--- a/tools/fill_docs.py
+++ b/tools/fill_docs.py
@@ -11,8 +11,8 @@
 sys.path[:0] = [str(ROOT / "src"), str(ROOT / "tests"), str(ROOT / "tools")]
 
 import capacity  # noqa: E402
-from primrosescale.process.problems import ALL_PROBLEMS  # noqa: E402
 from primrosescale.process.settings import settings_reference  # noqa: E402
+from primrosescale.process.transport.problems import ALL_PROBLEMS  # noqa: E402
 
 DOCS = ROOT / "docs"
 RESULTS = ROOT / "benchmarks/results"
