--- a/src/primrosescale/connection/wire.thrift
+++ b/src/primrosescale/connection/wire.thrift
@@ -156,13 +156,15 @@
  * "heard" is the newest sequence that the sender has from the receiver, so
  * that the receiver knows after which of its own messages this was sent.
  * "knowledge_age_ms" is the age of the sender's newest answer of the store
- * about the configuration; -1 for none. */
+ * about the configuration; -1 for none. Targets are named by a hash of their
+ * name; "good_percent" and "bad_percent" are left out where nothing failed. */
 struct TargetNews {
-  1: required string name, 2: required i32 running, 3: required i32 good_percent,
-  4: required i32 bad_percent
+  1: required i32 target, 2: required i32 running,
+  3: optional i32 good_percent, 4: optional i32 bad_percent
 }
 struct PartNews {
-  1: required string part, 2: required i32 target, 3: required i32 age_ms
+  1: required string part, 2: required i32 target, 3: required i32 tokens,
+  4: required i32 age_ms
 }
 struct RouterNews {
   1: required string origin, 2: required i64 incarnation, 3: required i64 sequence,
--- a/src/primrosescale/connection/wire/ttypes.py
+++ b/src/primrosescale/connection/wire/ttypes.py
@@ -3965,7 +3965,7 @@
 class TargetNews(object):
     """
     Attributes:
-     - name
+     - target
      - running
      - good_percent
      - bad_percent
@@ -3973,15 +3973,15 @@
     """
 
     __slots__ = (
-        'name',
+        'target',
         'running',
         'good_percent',
         'bad_percent',
     )
 
 
-    def __init__(self, name=None, running=None, good_percent=None, bad_percent=None,):
-        self.name = name
+    def __init__(self, target=None, running=None, good_percent=None, bad_percent=None,):
+        self.target = target
         self.running = running
         self.good_percent = good_percent
         self.bad_percent = bad_percent
@@ -3996,8 +3996,8 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.target = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -4025,9 +4025,9 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('TargetNews')
-        if self.name is not None:
-            oprot.writeFieldBegin('name', TType.STRING, 1)
-            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.I32, 1)
+            oprot.writeI32(self.target)
             oprot.writeFieldEnd()
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.I32, 2)
@@ -4045,14 +4045,10 @@
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.name is None:
-            raise TProtocolException(message='Required field name is unset!')
+        if self.target is None:
+            raise TProtocolException(message='Required field target is unset!')
         if self.running is None:
             raise TProtocolException(message='Required field running is unset!')
-        if self.good_percent is None:
-            raise TProtocolException(message='Required field good_percent is unset!')
-        if self.bad_percent is None:
-            raise TProtocolException(message='Required field bad_percent is unset!')
         return
 
     def __repr__(self):
@@ -4079,6 +4075,7 @@
     Attributes:
      - part
      - target
+     - tokens
      - age_ms
 
     """
@@ -4086,13 +4083,15 @@
     __slots__ = (
         'part',
         'target',
+        'tokens',
         'age_ms',
     )
 
 
-    def __init__(self, part=None, target=None, age_ms=None,):
+    def __init__(self, part=None, target=None, tokens=None, age_ms=None,):
         self.part = part
         self.target = target
+        self.tokens = tokens
         self.age_ms = age_ms
 
     def read(self, iprot):
@@ -4115,6 +4114,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
                 if ftype == TType.I32:
                     self.age_ms = iprot.readI32()
                 else:
@@ -4137,8 +4141,12 @@
             oprot.writeFieldBegin('target', TType.I32, 2)
             oprot.writeI32(self.target)
             oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 3)
+            oprot.writeI32(self.tokens)
+            oprot.writeFieldEnd()
         if self.age_ms is not None:
-            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4149,6 +4157,8 @@
             raise TProtocolException(message='Required field part is unset!')
         if self.target is None:
             raise TProtocolException(message='Required field target is unset!')
+        if self.tokens is None:
+            raise TProtocolException(message='Required field tokens is unset!')
         if self.age_ms is None:
             raise TProtocolException(message='Required field age_ms is unset!')
         return
@@ -5527,7 +5537,7 @@
 all_structs.append(TargetNews)
 TargetNews.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (1, TType.I32, 'target', None, None, ),  # 1
     (2, TType.I32, 'running', None, None, ),  # 2
     (3, TType.I32, 'good_percent', None, None, ),  # 3
     (4, TType.I32, 'bad_percent', None, None, ),  # 4
@@ -5537,7 +5547,8 @@
     None,  # 0
     (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
     (2, TType.I32, 'target', None, None, ),  # 2
-    (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (3, TType.I32, 'tokens', None, None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
 )
 all_structs.append(RouterNews)
 RouterNews.thrift_spec = (
--- a/src/primrosescale/platform/engine_calls.py
+++ b/src/primrosescale/platform/engine_calls.py
@@ -12,6 +12,7 @@
 from primrosescale.process.entry.codec import CacheReader
 from primrosescale.process.exceptions import TargetError
 from primrosescale.process.transport.http_call import HttpCaller
+from primrosescale.request.incoming import PromptPart
 
 if TYPE_CHECKING:
     from collections.abc import Generator
@@ -37,7 +38,7 @@
         self._reactor = reactor
 
     @inlineCallbacks
-    def read(self, target: ServingTarget) -> Generator[Any, Any, list[str]]:
+    def read(self, target: ServingTarget) -> Generator[Any, Any, list[PromptPart]]:
         """Ask one engine; see `CacheReader.read`."""
         caller = HttpCaller(self._reactor, target.endpoint, TIMEOUT)
         try:
@@ -48,6 +49,7 @@
             raise TargetError(f"status {reply.status}")
         try:
             # Each entry is [empty, part, tokens held, model].
-            return [str(entry[1]) for entry in json.loads(reply.body)["held"]]
+            held = json.loads(reply.body)["held"]
+            return [PromptPart(str(entry[1]), int(entry[2])) for entry in held]
         except MALFORMED as error:
             raise TargetError(f"odd answer: {error}") from error
--- a/src/primrosescale/platform/entry.py
+++ b/src/primrosescale/platform/entry.py
@@ -40,12 +40,15 @@
 # Keys may be relied on for 5 s after the store was last asked about them, so
 # the question is asked anew every 1.5 s; each costs one call.
 CONFIGURATION_WAIT = 1.5
+# What the routers wait that rely on the questions of others; a change ends the
+# wait at once, and a newer version in others' news is asked for.
+LONGEST_CONFIGURATION_WAIT = 10.0
 # A watch that works leaves the knowledge at most this old: a question that
 # was answered after its wait, and the next one that is still waiting.
 CERTAIN_FOR = 2 * CONFIGURATION_WAIT + STORE_TIMEOUT
 # A leaving target must be known of within 2 s; keep-alive probes find a
 # silent connection sooner than that would.
-TARGETS_WAIT = 5.0
+TARGETS_WAIT = 8.0
 
 # Part of the multiple of the mean that targets are loaded to, since other
 # routers' requests are known a quarter of a second late.
@@ -54,7 +57,7 @@
 # times over in buffers, and as much again in reserve.
 BYTES_PER_REQUEST = 600_000
 # Routers come and go seldom, and nothing is promised about them.
-ROUTERS_WAIT = 10.0
+ROUTERS_WAIT = 20.0
 
 
 class PlatformRecords(RecordDecoder):
@@ -113,7 +116,10 @@
     )
     watches = EntryWatches(
         configuration=WatchedPrefix(
-            records.CONFIGURATION, CONFIGURATION_WAIT, reads_after_failure=True
+            records.CONFIGURATION,
+            CONFIGURATION_WAIT,
+            longest_wait=LONGEST_CONFIGURATION_WAIT,
+            reads_after_failure=True,
         ),
         targets=WatchedPrefix(records.TARGETS, TARGETS_WAIT),
         routers=WatchedPrefix(records.ROUTERS, ROUTERS_WAIT),
--- a/src/primrosescale/process/entry/codec.py
+++ b/src/primrosescale/process/entry/codec.py
@@ -16,6 +16,7 @@
     from primrosescale.request.direct_port import Refusal
     from primrosescale.request.direct_port import Sending
     from primrosescale.request.gate import CallerHead
+    from primrosescale.request.incoming import PromptPart
     from primrosescale.request.serving_target import ServingTarget
     from primrosescale.version.routing_table import RoutingTable
 
@@ -159,7 +160,7 @@
     """Asks model engines which parts of prompts they hold."""
 
     @abstractmethod
-    def read(self, target: ServingTarget) -> Deferred[list[str]]:
+    def read(self, target: ServingTarget) -> Deferred[list[PromptPart]]:
         """Ask one engine.
 
         Parameters
@@ -169,6 +170,6 @@
 
         Returns
         -------
-        Deferred[list[str]]
-            Names of the parts; fails with a `PrimrosescaleError`.
+        Deferred[list[PromptPart]]
+            The parts; fails with a `PrimrosescaleError`.
         """
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -31,6 +31,7 @@
 from primrosescale.request.freshness import Freshness
 from primrosescale.request.gate import Gate
 from primrosescale.request.part_directory import PartDirectory
+from primrosescale.request.part_directory import PartUse
 from primrosescale.request.repeat_budget import RepeatBudget
 from primrosescale.request.target_choice import TargetChooser
 
@@ -45,6 +46,7 @@
     from primrosescale.process.entry.entry_settings import EntrySettings
     from primrosescale.process.entry.entry_settings import EntryWatches
     from primrosescale.request.gate import CallerHead
+    from primrosescale.request.incoming import PromptPart
     from primrosescale.request.serving_target import ServingTarget
     from primrosescale.version.routing_table import CallerLimits
 
@@ -111,7 +113,13 @@
             self._news, self._version, self._is_store_lost, parts
         )
         self._knowledge = Knowledge(
-            settings, watches, parts, freshness, targets, self._registry
+            settings,
+            watches,
+            parts,
+            freshness,
+            targets,
+            self._registry,
+            lambda: self._news.asks_often(self._now()),
         )
         self._budgets: dict[str, RepeatBudget] = {}
         self._gate = Gate(self._knowledge.freshness, settings.certain_for, parts.rng)
@@ -358,6 +366,9 @@
         if now >= self._reread_at:
             self._reread_at = now + REREAD_SECONDS
             self.reload(is_asked=False)
+        for state in self._knowledge.targets.states:
+            self._limit_cache(state.target)
+        self._knowledge.look_after(self._news.newest_version(now), now)
         for name in self._knowledge.forget_gone(now):
             self._directory.forget_target(name)
             self._caller.forget(name)
@@ -374,6 +385,13 @@
                 self._read_cache(state.target)
         self._serve_early()
 
+    def _limit_cache(self, target: ServingTarget) -> None:
+        """Take in how much a target holds, once its service is known."""
+        table = self._knowledge.table
+        service = table.service(target.service) if table is not None else None
+        if service is not None:
+            self._directory.limit(target.name, service.cache_tokens)
+
     def _read_cache(self, target: ServingTarget) -> None:
         """Learn what a model engine holds from before this process's start."""
         table = self._knowledge.table
@@ -382,10 +400,10 @@
             return
         reading = self._parts.caches.read(target)
 
-        def learned(parts: list[str]) -> None:
+        def learned(parts: list[PromptPart]) -> None:
             now = self._now()
             for part in parts:
-                self._directory.note(target.name, part, now)
+                self._directory.note(PartUse(part.name, target.name, part.tokens, now))
             self._log.emit(Event.CACHE_READ, target=target.name, parts=len(parts))
 
         def failed(failure: Failure) -> None:
--- a/src/primrosescale/process/entry/knowledge.py
+++ b/src/primrosescale/process/entry/knowledge.py
@@ -9,21 +9,31 @@
 from primrosescale.process.entry.store_watch import StoreWatch
 from primrosescale.process.entry.store_watch import WatchHandler
 from primrosescale.process.events import Event
+from primrosescale.process.exceptions import PlatformError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from twisted.python.failure import Failure
+
     from primrosescale.process.entry.entry_parts import EntryParts
     from primrosescale.process.entry.entry_settings import EntrySettings
     from primrosescale.process.entry.entry_settings import EntryWatches
     from primrosescale.process.entry.target_list import TargetList
-    from primrosescale.process.exceptions import PlatformError
     from primrosescale.process.transport.platform import StoredObject
+    from primrosescale.process.transport.platform import WatchResult
     from primrosescale.request.freshness import Freshness
     from primrosescale.request.serving_target import ServingTarget
     from primrosescale.version.routing_table import RoutingTable
 
 
+# Age of the knowledge at which this router asks, though others do so for it:
+# their questions leave it at most twice a watch of 1.5 s old and a round of
+# news more.
+ASK_AT_AGE = 3.4
+ASK_AGAIN_SECONDS = 0.7
+
+
 class _Connection:
     """Whether a watch gets answers, for the log."""
 
@@ -121,6 +131,8 @@
         Targets and their states.
     routers : WatchHandler
         Follows the list of routers.
+    asks_often : Callable[[], bool]
+        Returns whether this router asks the store for others too.
     """
 
     def __init__(
@@ -131,6 +143,7 @@
         freshness: Freshness,
         targets: TargetList,
         routers: WatchHandler,
+        asks_often: Callable[[], bool],
     ) -> None:
         self._reactor = parts.reactor
         self._log = parts.log
@@ -146,12 +159,16 @@
             for name in ("configuration", "targets")
         ]
         self._configuration = connections[0]
+        self._watched = watches.configuration
+        self._handler = _ConfigurationHandler(self, connections[0])
+        self._asks_often = asks_often
+        self._asking_since: float | None = None
         self._watches = [
-            StoreWatch(parts.platform, watched, handler, parts.reactor, parts.rng)
-            for watched, handler in (
-                (watches.configuration, _ConfigurationHandler(self, connections[0])),
-                (watches.targets, _TargetHandler(self, connections[1])),
-                (watches.routers, routers),
+            StoreWatch(parts.platform, watched, handler, parts.reactor, parts.rng, wait)
+            for watched, handler, wait in (
+                (watches.configuration, self._handler, self._configuration_wait),
+                (watches.targets, _TargetHandler(self, connections[1]), None),
+                (watches.routers, routers, None),
             )
         ]
 
@@ -194,6 +211,47 @@
             running = watch.run()
             running.addErrback(self._broken)
 
+    def look_after(self, newest_version: int, now: float) -> None:
+        """Ask about the configuration when others' questions do not suffice.
+
+        Parameters
+        ----------
+        newest_version : int
+            Newest version that another router tells of.
+        now : float
+            Present time in seconds.
+        """
+        own = 0 if self._table is None else self._table.version
+        age = self.freshness.age(now)
+        is_old = age is None or age > ASK_AT_AGE
+        if not is_old and newest_version <= own:
+            return
+        if self._asking_since is None or now - self._asking_since > ASK_AGAIN_SECONDS:
+            self._asking_since = now
+            self._ask(now)
+
+    def _ask(self, asked_at: float) -> None:
+        reading = self._platform.watch(self._watched.prefix, 0, 0.0)
+
+        def answered(found: WatchResult) -> None:
+            self._asking_since = None
+            self._handler.replaced(found.changes, asked_at)
+
+        def failed(failure: Failure) -> None:
+            error = failure.value
+            if not isinstance(error, PlatformError):
+                self._broken(failure)
+                return
+            self._handler.failed(error)
+
+        reading.addCallbacks(answered, failed)
+        reading.addErrback(self._broken)
+
+    def _configuration_wait(self) -> float:
+        if self._asks_often():
+            return self._watched.wait
+        return max(self._watched.wait, self._watched.longest_wait)
+
     def stop(self) -> None:
         """Follow the store no more."""
         for watch in self._watches:
--- a/src/primrosescale/process/entry/router_news.py
+++ b/src/primrosescale/process/entry/router_news.py
@@ -11,9 +11,13 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
+from xxhash import xxh32_intdigest
+
 from primrosescale.connection.wire import ttypes as wire
+from primrosescale.request.part_directory import PartUse
 
 if TYPE_CHECKING:
     from primrosescale.connection.endpoint import Endpoint
@@ -24,12 +28,18 @@
 
 # Datagrams stay under what every link carries in one piece.
 MOST_PARTS = 36
-MOST_TARGETS = 24
+MOST_TARGETS = 40
+# Short names that are remembered.
+MOST_KEYS = 16384
+# Failures that are worth telling.
+LEAST_TOLD = 0.05
 # Bytes a second that a router spends on telling; the users allow 22 KB/s for
 # all control.
 BYTES_PER_SECOND = 12_000.0
-USUAL_DATAGRAM = 450
+USUAL_DATAGRAM = 180
 SHORTEST_INTERVAL = 0.25
+# Routers that ask the store often for all; two, so that one may be lost.
+ASKING_ROUTERS = 2
 # News of another router is relied on for this many of its intervals.
 FRESH_INTERVALS = 4
 # Own messages whose sending time is remembered for each other router.
@@ -68,6 +78,7 @@
         "is_store_lost",
         "router",
         "sent_at",
+        "version",
     )
 
     def __init__(self, router: OtherRouter) -> None:
@@ -76,6 +87,7 @@
         self.heard = 0
         self.heard_at: float | None = None
         self.is_store_lost = False
+        self.version = 0
         self.sent_at: OrderedDict[int, float] = OrderedDict()
 
 
@@ -164,6 +176,57 @@
         heard = [peer for peer in known if (peer.heard_at or 0.0) >= oldest]
         return not heard or any(not peer.is_store_lost for peer in heard)
 
+    def newest_version(self, now: float) -> int:
+        """Return the newest version that another router has lately told of.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        int
+            The version; 0 for none.
+        """
+        oldest = now - FRESH_INTERVALS * self.interval
+        return max(
+            (
+                peer.version
+                for peer in self._peers.values()
+                if peer.heard_at is not None and peer.heard_at >= oldest
+            ),
+            default=0,
+        )
+
+    def asks_often(self, now: float) -> bool:
+        """Tell whether this router is one of the few that ask the store often.
+
+        The others rely on the questions of these. Which ones they are follows
+        from an order of names that all agree on; where two routers have heard
+        of different ones, one more asks.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        bool
+            True for the first two of those that reach the store.
+        """
+        oldest = now - FRESH_INTERVALS * self.interval
+        before = sum(
+            1
+            for name, peer in self._peers.items()
+            if target_key(name) < target_key(self._name)
+            and peer.heard_at is not None
+            and peer.heard_at >= oldest
+            and not peer.is_store_lost
+        )
+        return before < ASKING_ROUTERS
+
     def put(self, router: OtherRouter) -> None:
         """Take in another router of the list.
 
@@ -211,18 +274,16 @@
             state
             for state in self._targets.states
             if state.own_running or state.has_outcomes(now)
-        ][:MOST_TARGETS]
-        news = self._parts.take_news()[-MOST_PARTS:]
-        names = [state.target.name for state in states]
-        places = {name: place for place, name in enumerate(names)}
-        told = [_target_news(state, now) for state in states]
-        for _, target, _ in news:
-            if target not in places:
-                places[target] = len(told)
-                told.append(wire.TargetNews(target, UNKNOWN, 0, 0))
+        ]
+        told = [_target_news(state, now) for state in states[:MOST_TARGETS]]
         parts = [
-            wire.PartNews(part, places[target], _milliseconds(now - at))
-            for part, target, at in news
+            wire.PartNews(
+                use.part,
+                target_key(use.target),
+                use.tokens,
+                _milliseconds(now - use.used_at),
+            )
+            for use in self._parts.take_news()[-MOST_PARTS:]
         ]
         age = self._freshness.age(now)
         self._sequence += 1
@@ -275,6 +336,7 @@
         peer.heard = message.sequence
         peer.heard_at = now
         peer.is_store_lost = message.store_lost
+        peer.version = message.version
         self._take_freshness(peer, message, version)
         self._take_targets(message, now)
         self._take_parts(message, now)
@@ -298,37 +360,62 @@
 
     def _take_targets(self, message: wire.RouterNews, now: float) -> None:
         fresh_until = now + FRESH_INTERVALS * self.interval
-        good = sum(item.good_percent for item in message.targets)
-        bad = sum(item.bad_percent for item in message.targets)
+        states = self._states_by_key()
+        good = sum(item.good_percent or 0 for item in message.targets)
+        bad = sum(item.bad_percent or 0 for item in message.targets)
         is_witness = bad <= WITNESS_MOST_FAILURES * (good + bad)
         for item in message.targets:
-            state = self._targets.state(item.name)
-            if state is None or item.running < 0:
+            state = states.get(item.target)
+            if state is None:
                 continue
             state.hear_router(message.origin, item.running, fresh_until)
             if is_witness:
                 state.hear_outcomes(
                     message.origin,
-                    item.good_percent / PERCENT,
-                    item.bad_percent / PERCENT,
+                    (item.good_percent or 0) / PERCENT,
+                    (item.bad_percent or 0) / PERCENT,
                     fresh_until,
                 )
 
     def _take_parts(self, message: wire.RouterNews, now: float) -> None:
+        states = self._states_by_key()
         for item in message.parts:
-            if 0 <= item.target < len(message.targets):
-                target = message.targets[item.target].name
+            state = states.get(item.target)
+            if state is not None:
                 used_at = now - item.age_ms / MILLISECONDS
-                self._parts.note(target, item.part, used_at)
+                name = state.target.name
+                self._parts.note(PartUse(item.part, name, item.tokens, used_at))
+
+    def _states_by_key(self) -> dict[int, TargetState]:
+        return {target_key(state.target.name): state for state in self._targets.states}
+
+
+@lru_cache(maxsize=MOST_KEYS)
+def target_key(name: str) -> int:
+    """Return the short name of a target in news.
+
+    Parameters
+    ----------
+    name : str
+        The target.
+
+    Returns
+    -------
+    int
+        32 bits. Two of 11,000 targets share one in about one fleet of seventy;
+        then a load is counted for the wrong one of them.
+    """
+    return int(xxh32_intdigest(name.encode())) - 2**31
 
 
 def _target_news(state: TargetState, now: float) -> wire.TargetNews:
     good, bad = state.outcomes(now)
+    is_worth_telling = bad > LEAST_TOLD
     return wire.TargetNews(
-        state.target.name,
+        target_key(state.target.name),
         state.own_running,
-        round(good * PERCENT),
-        round(bad * PERCENT),
+        round(good * PERCENT) if is_worth_telling else None,
+        round(bad * PERCENT) if is_worth_telling else None,
     )
 
 
--- a/src/primrosescale/process/entry/store_watch.py
+++ b/src/primrosescale/process/entry/store_watch.py
@@ -15,6 +15,7 @@
 from primrosescale.process.exceptions import PlatformHistoryGoneError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Generator
     from random import Random
 
@@ -77,6 +78,8 @@
         What the objects' names begin with.
     wait : float
         Seconds that the store may keep the question waiting.
+    longest_wait : float
+        The same while other routers ask often.
     reads_after_failure : bool
         Whether all objects are read after a failed question. That is answered
         at once, while a watch may be kept waiting by a store that has not
@@ -85,6 +88,7 @@
 
     prefix: str
     wait: float
+    longest_wait: float = 0.0
     reads_after_failure: bool = False
 
 
@@ -103,6 +107,9 @@
         Twisted's reactor.
     rng : Random
         Source of chance for pauses.
+    wait : Callable[[], float] | None
+        Returns the seconds that the store may keep the next question waiting;
+        None for what `watched` says.
     """
 
     def __init__(
@@ -112,7 +119,9 @@
         handler: WatchHandler,
         reactor: Any,
         rng: Random,
+        wait: Callable[[], float] | None = None,
     ) -> None:
+        self._wait = wait
         self._platform = platform
         self._watched = watched
         self._handler = handler
@@ -132,9 +141,8 @@
         while not self._is_stopped:
             asked_at = self._reactor.seconds()
             try:
-                found = yield self._platform.watch(
-                    self._watched.prefix, since, self._watched.wait
-                )
+                wait = self._wait() if self._wait is not None else self._watched.wait
+                found = yield self._platform.watch(self._watched.prefix, since, wait)
             except PlatformHistoryGoneError as error:
                 self._handler.failed(error)
                 since = 0
--- a/src/primrosescale/request/part_directory.py
+++ b/src/primrosescale/request/part_directory.py
@@ -2,12 +2,14 @@
 
 The pattern it answers: chats that return. A part that a target has read is
 not read again there, so the directory remembers where parts went, from this
-router's own requests and from what other routers tell.
+router's own requests and from what other routers tell. Targets forget the
+least recently used parts when their memory is full, and so does the directory.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -16,63 +18,119 @@
 
     from primrosescale.request.incoming import PromptPart
 
-# Targets forget the least recently used parts. On the deployments of today
-# all shared parts of a minute fit into one target's cache.
+# What was used longer ago is not relied on, whatever the memory: other
+# routers' use of it may have gone unheard.
 HELD_SECONDS = 60.0
-# At 132 parts a minute on the deployments of today; 16,384 entries of about
-# 200 bytes are 3 MB.
-MOST_PARTS = 16384
+# Of a target's memory. Shared parts of running requests are held once for all,
+# and what a router does not hear of (other routers' chats) is left out here.
+CACHE_SHARE = 1.0
+# Parts remembered for one target whose memory is not known.
+MOST_PARTS = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class PartUse:
+    """That a target was given a part.
+
+    Parameters
+    ----------
+    part : str
+        The part.
+    target : str
+        The target.
+    tokens : int
+        Its length.
+    used_at : float
+        When, in seconds.
+    """
+
+    part: str
+    target: str
+    tokens: int
+    used_at: float
+
+
+class _Holder:
+    """What one target is taken to hold, least recently used first."""
+
+    __slots__ = ("parts", "tokens")
+
+    def __init__(self) -> None:
+        self.parts: OrderedDict[str, tuple[float, int]] = OrderedDict()
+        self.tokens = 0
+
+    def note(self, part: str, tokens: int, used_at: float, capacity: int) -> bool:
+        """Take in the use of a part; tell whether it was not held."""
+        known = self.parts.pop(part, None)
+        if known is not None:
+            self.tokens -= known[1]
+            used_at = max(used_at, known[0])
+        self.parts[part] = (used_at, tokens)
+        self.tokens += tokens
+        while len(self.parts) > 1 and (
+            len(self.parts) > MOST_PARTS or (capacity and self.tokens > capacity)
+        ):
+            _, (_, dropped) = self.parts.popitem(last=False)
+            self.tokens -= dropped
+        return known is None
 
 
 class PartDirectory:
     """Remembers which target has read which part, and when."""
 
-    __slots__ = ("_news", "_parts")
+    __slots__ = ("_capacity", "_holders", "_news")
 
     def __init__(self) -> None:
-        self._parts: OrderedDict[str, dict[str, float]] = OrderedDict()
-        self._news: dict[tuple[str, str], float] = {}
+        self._holders: dict[str, _Holder] = {}
+        self._capacity: dict[str, int] = {}
+        self._news: dict[tuple[str, str], PartUse] = {}
 
     def __len__(self) -> int:
-        """Return how many parts are known."""
-        return len(self._parts)
+        """Return how many parts are known, counted for each target."""
+        return sum(len(holder.parts) for holder in self._holders.values())
 
-    def note(self, target: str, part: str, used_at: float) -> bool:
-        """Take in that a target has a part.
+    def limit(self, target: str, tokens: int) -> None:
+        """Take in the size of a target's memory.
 
         Parameters
         ----------
         target : str
             The target.
-        part : str
-            The part.
-        used_at : float
-            When it was used there, in seconds.
+        tokens : int
+            Tokens it holds; 0 when not told.
+        """
+        self._capacity[target] = int(tokens * CACHE_SHARE)
+
+    def note(self, use: PartUse) -> bool:
+        """Take in that a target has a part.
+
+        Parameters
+        ----------
+        use : PartUse
+            The part and the target.
 
         Returns
         -------
         bool
             Whether this was not known.
         """
-        holders = self._parts.get(part)
-        if holders is None:
-            holders = self._parts[part] = {}
-            if len(self._parts) > MOST_PARTS:
-                self._parts.popitem(last=False)
-        self._parts.move_to_end(part)
-        before = holders.get(target)
-        if before is None or used_at > before:
-            holders[target] = used_at
-        return before is None
-
-    def note_own(self, target: str, parts: Iterable[PromptPart], now: float) -> bool:
+        holder = self._holders.get(use.target)
+        if holder is None:
+            holder = self._holders[use.target] = _Holder()
+        capacity = self._capacity.get(use.target, 0)
+        return holder.note(use.part, use.tokens, use.used_at, capacity)
+
+    def note_own(self, target: str, parts: Sequence[PromptPart], now: float) -> bool:
         """Take in that a request of this router went to a target.
 
+        The last part belongs to the request or its chat alone and is no news
+        for others.
+
         Parameters
         ----------
         target : str
             The target.
-        parts : Iterable[PromptPart]
+        parts : Sequence[PromptPart]
             The request's parts.
         now : float
             Present time in seconds.
@@ -80,24 +138,27 @@
         Returns
         -------
         bool
-            Whether some part was not known to be there.
+            Whether some shared part was not known to be there.
         """
         is_new = False
-        for part in parts:
-            is_new = self.note(target, part.name, now) or is_new
-            self._news[(part.name, target)] = now
+        for place, part in enumerate(parts):
+            use = PartUse(part.name, target, part.tokens, now)
+            was_unknown = self.note(use)
+            if place < len(parts) - 1:
+                is_new = was_unknown or is_new
+                self._news[(part.name, target)] = use
         return is_new
 
-    def take_news(self) -> list[tuple[str, str, float]]:
+    def take_news(self) -> list[PartUse]:
         """Return what this router noted since the last call.
 
         Returns
         -------
-        list[tuple[str, str, float]]
-            Part, target, and when it was used in seconds.
+        list[PartUse]
+            Uses of shared parts.
         """
         news, self._news = self._news, {}
-        return [(part, target, at) for (part, target), at in news.items()]
+        return list(news.values())
 
     def forget_target(self, target: str) -> None:
         """Take in that a target is gone with all it held.
@@ -107,17 +168,17 @@
         target : str
             The target.
         """
-        for holders in self._parts.values():
-            holders.pop(target, None)
+        self._holders.pop(target, None)
+        self._capacity.pop(target, None)
 
-    def held(self, target: str, parts: Sequence[PromptPart], now: float) -> int:
+    def held(self, target: str, parts: Iterable[PromptPart], now: float) -> int:
         """Return how many leading tokens a target need not read.
 
         Parameters
         ----------
         target : str
             The target.
-        parts : Sequence[PromptPart]
+        parts : Iterable[PromptPart]
             Parts in order.
         now : float
             Present time in seconds.
@@ -127,10 +188,13 @@
         int
             Tokens of the parts up to the first that it does not have.
         """
+        holder = self._holders.get(target)
+        if holder is None:
+            return 0
         tokens = 0
         for part in parts:
-            used_at = self._parts.get(part.name, {}).get(target)
-            if used_at is None or now - used_at > HELD_SECONDS:
+            found = holder.parts.get(part.name)
+            if found is None or now - found[0] > HELD_SECONDS:
                 break
             tokens += part.tokens
         return tokens
--- a/src/primrosescale/standin/demo_run.py
+++ b/src/primrosescale/standin/demo_run.py
@@ -123,8 +123,8 @@
         return [
             f"asked to come back    {total} of {self.requests} requests ({kinds})",
             (
-                f"  of these            {theirs} of the {len(large)} large organisations,"
-                f" {total - theirs} of the {len(ORGANISATIONS) - len(large)} small ones"
+                f"  of these            {theirs} large organisations ({len(large)}),"
+                f" {total - theirs} small ones ({len(ORGANISATIONS) - len(large)})"
             ),
             (
                 "  why                 all chats begin within 2 s: the bound on each"
--- a/tools/generate_wire.py
+++ b/tools/generate_wire.py
@@ -83,6 +83,8 @@
     ("ClaimRequest", "answer"),
     ("ClaimReply", "answer"),
     ("LedgerEntry", "answer"),
+    ("TargetNews", "good_percent"),
+    ("TargetNews", "bad_percent"),
 ]
 ENUM_FIELDS = {
     ("CallFailed", "outcome"): "Outcome",
