--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -9,9 +9,11 @@
 
 from testtools import TestCase
 
+from primrosescale.process.entry.entry_metrics import EntryMetrics
 from primrosescale.process.events import Event
 from primrosescale.process.metrics import Metric
 from primrosescale.process.transport.problems import ALL_PROBLEMS
+from primrosescale.request.direct_port import Refusal
 
 ROOT = Path(__file__).resolve().parent.parent
 DOCS = ROOT / "docs"
@@ -44,6 +46,18 @@
             self.assertIn(f"`{metric.value}`", text)
             self.assertIn(f"Metric.{metric.name}", code)
 
+    def test_every_metric_of_an_entry_router_is_in_the_catalogue(self):
+        text = (DOCS / "metrics.md").read_text()
+        exposed = EntryMetrics().text().decode()
+        for name in re.findall(r"^# TYPE primrosescale_(\w+) ", exposed, re.MULTILINE):
+            if not name.endswith("_created"):
+                self.assertIn(f"`{name}`", text)
+
+    def test_every_outcome_is_explained_to_who_is_on_call(self):
+        text = (DOCS / "OPERATIONS.md").read_text()
+        for refusal in Refusal:
+            self.assertIn(refusal.name.lower(), text)
+
     def test_problem_types_are_distinct(self):
         kinds = [problem.kind for problem in ALL_PROBLEMS]
         self.assertEqual(len(kinds), len(set(kinds)))
