--- a/src/primrosescale/platform/entry.py
+++ b/src/primrosescale/platform/entry.py
@@ -56,6 +56,12 @@
 # Memory that one request may take: a body of 72 KB, the longest of today, four
 # times over in buffers, and as much again in reserve.
 BYTES_PER_REQUEST = 600_000
+# Changes come in bursts: versions 0.1-0.3 s apart in a storm, targets of a
+# release together, all routers at a start. Each rest is a small part of the
+# time in which the change must be known: 2 s, 2 s, and none.
+CONFIGURATION_REST = 0.15
+TARGETS_REST = 0.25
+ROUTERS_REST = 2.0
 # Routers come and go seldom, and nothing is promised about them.
 ROUTERS_WAIT = 20.0
 
@@ -119,10 +125,11 @@
             records.CONFIGURATION,
             CONFIGURATION_WAIT,
             longest_wait=LONGEST_CONFIGURATION_WAIT,
+            rest=CONFIGURATION_REST,
             reads_after_failure=True,
         ),
-        targets=WatchedPrefix(records.TARGETS, TARGETS_WAIT),
-        routers=WatchedPrefix(records.ROUTERS, ROUTERS_WAIT),
+        targets=WatchedPrefix(records.TARGETS, TARGETS_WAIT, rest=TARGETS_REST),
+        routers=WatchedPrefix(records.ROUTERS, ROUTERS_WAIT, rest=ROUTERS_REST),
     )
     return EntryRouter(settings, watches, parts)
 
--- a/src/primrosescale/process/entry/store_watch.py
+++ b/src/primrosescale/process/entry/store_watch.py
@@ -80,6 +80,9 @@
         Seconds that the store may keep the question waiting.
     longest_wait : float
         The same while other routers ask often.
+    rest : float
+        Seconds after a change before the next question, so that changes that
+        come together are read together.
     reads_after_failure : bool
         Whether all objects are read after a failed question. That is answered
         at once, while a watch may be kept waiting by a store that has not
@@ -89,6 +92,7 @@
     prefix: str
     wait: float
     longest_wait: float = 0.0
+    rest: float = 0.0
     reads_after_failure: bool = False
 
 
@@ -157,7 +161,10 @@
             pause = FIRST_PAUSE
             tell = self._handler.changed if since else self._handler.replaced
             tell(found.changes, asked_at)
+            is_news = bool(since and found.changes)
             since = found.revision
+            if is_news and self._watched.rest:
+                yield deferLater(self._reactor, self._watched.rest, lambda: None)
 
     def _sleep(self, seconds: float) -> Any:
         drawn = seconds * self._rng.uniform(0.5, 1.0)
--- a/src/primrosescale/request/part_directory.py
+++ b/src/primrosescale/request/part_directory.py
@@ -78,9 +78,10 @@
 class PartDirectory:
     """Remembers which target has read which part, and when."""
 
-    __slots__ = ("_capacity", "_holders", "_news")
+    __slots__ = ("_again", "_capacity", "_holders", "_news")
 
     def __init__(self) -> None:
+        self._again: dict[tuple[str, str], PartUse] = {}
         self._holders: dict[str, _Holder] = {}
         self._capacity: dict[str, int] = {}
         self._news: dict[tuple[str, str], PartUse] = {}
@@ -150,7 +151,10 @@
         return is_new
 
     def take_news(self) -> list[PartUse]:
-        """Return what this router noted since the last call.
+        """Return what this router noted since the call before the last.
+
+        All is told twice, since datagrams are lost now and then and a lost one
+        costs a prompt that is read again.
 
         Returns
         -------
@@ -158,7 +162,9 @@
             Uses of shared parts.
         """
         news, self._news = self._news, {}
-        return list(news.values())
+        told = {**self._again, **news}
+        self._again = news
+        return list(told.values())
 
     def forget_target(self, target: str) -> None:
         """Take in that a target is gone with all it held.
--- a/src/primrosescale/request/target_choice.py
+++ b/src/primrosescale/request/target_choice.py
@@ -50,9 +50,9 @@
     tokens_per_request: float = option(
         SECONDS,
         "tokens to read that weigh as much as one request at the target; below "
-        "the bound the targets of today keep their objectives with either, so "
+        "the bound the targets of today keep their objectives in any case, so "
         "the cost of reading or moving tokens goes first",
-        150.0,
+        40.0,
     )
     fetch_weight: float = option(
         SECONDS,
