Four routers ask for all, at times of their own; bound for many routers; failures of the library are events

Change: four askers, waits drawn anew each time. Settings reread keep addresses; timing and tools of forwarded calls in a module of their own.

--- a/src/primrosescale/platform/entry.py
+++ b/src/primrosescale/platform/entry.py
@@ -21,6 +21,7 @@
 from primrosescale.process.entry.entry_router import EntryRouter
 from primrosescale.process.entry.entry_settings import EntrySettings
 from primrosescale.process.entry.entry_settings import EntryWatches
+from primrosescale.process.entry.log_writer import FailureObserver
 from primrosescale.process.entry.log_writer import LogWriter
 from primrosescale.process.entry.store_watch import WatchedPrefix
 from primrosescale.process.events import EventLog
@@ -37,15 +38,17 @@
 
 # An answer of the store takes 4 ms, and 60 times as long while it is slow.
 STORE_TIMEOUT = 0.5
-# Keys may be relied on for 5 s after the store was last asked about them, so
-# the question is asked anew every 1.5 s; each costs one call.
+# Keys may be relied on for 5 s after the store was last asked about them. The
+# four routers that ask for all do so every 0.9-1.5 s at times of their own,
+# which leaves 3 s of an outage in which nobody is refused.
 CONFIGURATION_WAIT = 1.5
 # What the routers wait that rely on the questions of others; a change ends the
 # wait at once, and a newer version in others' news is asked for.
 LONGEST_CONFIGURATION_WAIT = 10.0
 # A watch that works leaves the knowledge at most this old: a question that
-# was answered after its wait, and the next one that is still waiting.
-CERTAIN_FOR = 2 * CONFIGURATION_WAIT + STORE_TIMEOUT
+# was answered after its wait, the next one that is still waiting, and a round
+# of news from the router that asked.
+CERTAIN_FOR = 2 * CONFIGURATION_WAIT + STORE_TIMEOUT + 0.5
 # A leaving target must be known of within 2 s; keep-alive probes find a
 # silent connection sooner than that would.
 TARGETS_WAIT = 8.0
@@ -108,12 +111,14 @@
     settings = entry_settings(host, metrics_port)
     writer = LogWriter(reactor)
     writer.install()
+    log = EventLog(host.name)
+    FailureObserver(log).install()
     parts = EntryParts(
         reactor=reactor,
         platform=ObjectPlatform(reactor, host.store, STORE_TIMEOUT),
         codec=PlatformCodec(),
         decoder=PlatformRecords(),
-        log=EventLog(host.name),
+        log=log,
         writer=writer,
         metrics=EntryMetrics(),
         rng=rng,
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -26,8 +27,8 @@
 from primrosescale.process.events import Event
 from primrosescale.process.incarnation import new_incarnation
 from primrosescale.request.direct_port import Refusal
+from primrosescale.request.forward_tools import ForwardTools
 from primrosescale.request.forwarded_call import ForwardedCall
-from primrosescale.request.forwarded_call import ForwardTools
 from primrosescale.request.freshness import Freshness
 from primrosescale.request.gate import Gate
 from primrosescale.request.part_directory import PartDirectory
@@ -123,12 +124,13 @@
         )
         self._budgets: dict[str, RepeatBudget] = {}
         self._gate = Gate(self._knowledge.freshness, settings.certain_for, parts.rng)
+        self._chooser = TargetChooser(settings.choice, self._directory, parts.rng)
         self._tools = ForwardTools(
             settings=settings.forward,
             clock=parts.reactor,
             rng=parts.rng,
             caller=self._caller,
-            chooser=TargetChooser(settings.choice, self._directory, parts.rng),
+            chooser=self._chooser,
             parts=self._directory,
             states_of=targets.of_service,
             budget_of=self._budget_of,
@@ -227,6 +229,14 @@
             self._settings_fault = str(error)
             return
         self._settings_fault = ""
+        # It goes on listening where it does; other addresses need a restart.
+        settings = replace(
+            settings,
+            callers=self._settings.callers,
+            readiness=self._settings.readiness,
+            metrics=self._settings.metrics,
+            links=self._settings.links,
+        )
         is_changed = settings != self._settings
         if is_changed:
             self._settings = settings
@@ -366,6 +376,7 @@
         if now >= self._reread_at:
             self._reread_at = now + REREAD_SECONDS
             self.reload(is_asked=False)
+        self._chooser.share_with(self._routers(), self._news.interval)
         for state in self._knowledge.targets.states:
             self._limit_cache(state.target)
         self._knowledge.look_after(self._news.newest_version(now), now)
--- a/src/primrosescale/process/entry/entry_settings.py
+++ b/src/primrosescale/process/entry/entry_settings.py
@@ -6,7 +6,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
-from primrosescale.request.forwarded_call import ForwardSettings
+from primrosescale.request.forward_tools import ForwardSettings
 from primrosescale.request.target_choice import ChoiceSettings
 
 if TYPE_CHECKING:
--- a/src/primrosescale/process/entry/knowledge.py
+++ b/src/primrosescale/process/entry/knowledge.py
@@ -28,8 +28,8 @@
 
 
 # Age of the knowledge at which this router asks, though others do so for it:
-# their questions leave it at most twice a watch of 1.5 s old and a round of
-# news more.
+# their questions leave it at most twice a watch of 1.5 s old and a round of news
+# more.
 ASK_AT_AGE = 3.4
 ASK_AGAIN_SECONDS = 0.7
 
--- a/src/primrosescale/process/entry/log_writer.py
+++ b/src/primrosescale/process/entry/log_writer.py
@@ -8,12 +8,18 @@
 
 import orjson
 from eliot import add_destinations
+from twisted.logger import ILogObserver
+from twisted.logger import LogLevel
+from twisted.logger import eventAsText
+from twisted.logger import globalLogBeginner
+from zope.interface import implementer
 
 from primrosescale.process.events import Event
 
 if TYPE_CHECKING:
     from primrosescale.clock import Clock
     from primrosescale.clock import Timer
+    from primrosescale.process.events import EventLog
 
 STANDARD_OUTPUT = 1
 # A line of about 600 bytes for each of 400 requests a second is what one
@@ -154,3 +160,35 @@
         del self._buffer[:written]
         if self._buffer:
             self._timer = self._clock.callLater(RETRY_SECONDS, self._flush)
+
+
+@implementer(ILogObserver)
+class FailureObserver:
+    """Takes what twisted itself logs as failed into the log.
+
+    Parameters
+    ----------
+    log : EventLog
+        Numbered events.
+    """
+
+    def __init__(self, log: EventLog) -> None:
+        self._log = log
+
+    def install(self) -> None:
+        """Have twisted log here and nowhere else."""
+        observer: Any = self
+        globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False)
+
+    def __call__(self, event: dict[str, Any]) -> None:
+        """Take in one event of twisted's.
+
+        Parameters
+        ----------
+        event : dict[str, Any]
+            The event; those that are no failures are passed over.
+        """
+        level = event.get("log_level")
+        if level is None or level < LogLevel.error:
+            return
+        self._log.emit(Event.LOOP_FAILED, detail=eventAsText(event))
--- a/src/primrosescale/process/entry/router_news.py
+++ b/src/primrosescale/process/entry/router_news.py
@@ -38,8 +38,9 @@
 BYTES_PER_SECOND = 12_000.0
 USUAL_DATAGRAM = 180
 SHORTEST_INTERVAL = 0.25
-# Routers that ask the store often for all; two, so that one may be lost.
-ASKING_ROUTERS = 2
+# Routers that ask the store often for all. Four at times of their own leave the
+# newest answer half as old as two do, for one call more a second in all.
+ASKING_ROUTERS = 4
 # News of another router is relied on for this many of its intervals.
 FRESH_INTERVALS = 4
 # Own messages whose sending time is remembered for each other router.
@@ -214,7 +215,7 @@
         Returns
         -------
         bool
-            True for the first two of those that reach the store.
+            True for the first few of those that reach the store.
         """
         oldest = now - FRESH_INTERVALS * self.interval
         before = sum(
--- a/src/primrosescale/process/entry/store_watch.py
+++ b/src/primrosescale/process/entry/store_watch.py
@@ -28,6 +28,9 @@
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 0.5
 GROWTH = 1.5
+# A change answers the watches of all routers at once; drawing each wait anew
+# keeps their next questions apart, so that one of them is always recent.
+LEAST_WAIT_SHARE = 0.6
 
 
 class WatchHandler(ABC):
@@ -146,6 +149,7 @@
             asked_at = self._reactor.seconds()
             try:
                 wait = self._wait() if self._wait is not None else self._watched.wait
+                wait *= self._rng.uniform(LEAST_WAIT_SHARE, 1.0)
                 found = yield self._platform.watch(self._watched.prefix, since, wait)
             except PlatformHistoryGoneError as error:
                 self._handler.failed(error)
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -9,33 +9,25 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from primrosescale.clock import cancel_timer
-from primrosescale.ini.options import COUNT
-from primrosescale.ini.options import SECONDS
-from primrosescale.ini.options import option
 from primrosescale.request.direct_port import Refusal
 from primrosescale.request.direct_port import RunObserver
 from primrosescale.request.direct_port import Sending
 from primrosescale.request.event_stream import EventSplitter
+from primrosescale.request.forward_tools import Attempt
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from random import Random
 
-    from primrosescale.clock import Clock
     from primrosescale.clock import Timer
     from primrosescale.request.direct_port import AnswerHead
     from primrosescale.request.direct_port import CallerSink
     from primrosescale.request.direct_port import Run
-    from primrosescale.request.direct_port import TargetCaller
+    from primrosescale.request.forward_tools import ForwardTools
     from primrosescale.request.incoming import IncomingRequest
-    from primrosescale.request.part_directory import PartDirectory
-    from primrosescale.request.repeat_budget import RepeatBudget
     from primrosescale.request.target_choice import Choice
-    from primrosescale.request.target_choice import TargetChooser
     from primrosescale.request.target_state import TargetState
 
 FIRST_SUCCESS = 200
@@ -45,133 +37,6 @@
 TIMER_SLACK = 0.001
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardSettings:
-    """Timing of requests that the router sends to targets itself."""
-
-    shortest_time: float = option(
-        SECONDS,
-        "seconds that must be left for sending a request to be worth it; a plain "
-        "request works 0.06 s in the mean",
-        0.02,
-    )
-    unreached_most: int = option(
-        COUNT,
-        "targets that may be unreachable before a request is refused",
-        4,
-    )
-    plain_patience: float = option(
-        SECONDS,
-        "part of the time for a plain request after which a silent target is left "
-        "for another; nine in ten answers come within a third of it",
-        0.5,
-    )
-    first_event_patience: float = option(
-        SECONDS,
-        "multiple of the latency objective after which a stream without an event "
-        "goes on elsewhere",
-        2.0,
-    )
-    silence_patience: float = option(
-        SECONDS,
-        "seconds after which a request leaves a target that sends nothing to "
-        "anyone, so that a stream goes on within the pause that is allowed",
-        0.45,
-    )
-    heard_lately: float = option(
-        SECONDS,
-        "seconds since a target was last heard for which a kept connection is "
-        "good enough for a stream that may be sent only once",
-        0.15,
-    )
-    gap_patience: float = option(
-        SECONDS,
-        "multiple of the pause allowed between events after which a stream goes "
-        "on elsewhere",
-        1.5,
-    )
-    buffer_limit: int = option(
-        COUNT,
-        "bytes of a plain answer that are held back until it is whole, so that a "
-        "cut one can be asked for again",
-        262144,
-    )
-    retry_after: float = option(
-        SECONDS,
-        "seconds after which a refused caller is told to come back, with a spread "
-        "of half of it",
-        0.4,
-    )
-
-
-@dataclass(slots=True)
-class ForwardTools:
-    """What all calls of a router share.
-
-    Parameters
-    ----------
-    settings : ForwardSettings
-        Timing.
-    clock : Clock
-        Source of time and timers.
-    rng : Random
-        Source of chance.
-    caller : TargetCaller
-        Sends requests to targets.
-    chooser : TargetChooser
-        Chooses targets.
-    parts : PartDirectory
-        Where parts of prompts are cached.
-    states_of : Callable[[str], list[TargetState]]
-        Targets of a service.
-    budget_of : Callable[[str], RepeatBudget]
-        Budget of a service.
-    routers : Callable[[], int]
-        How many routers share the budgets.
-    parts_changed : Callable[[], None]
-        Told that a part went to a target that was not known to have it.
-    """
-
-    settings: ForwardSettings
-    clock: Clock
-    rng: Random
-    caller: TargetCaller
-    chooser: TargetChooser
-    parts: PartDirectory
-    states_of: Callable[[str], list[TargetState]]
-    budget_of: Callable[[str], RepeatBudget]
-    routers: Callable[[], int]
-    parts_changed: Callable[[], None]
-
-
-@dataclass(slots=True)
-class Attempt:
-    """What became of a request at one target, for the log.
-
-    Parameters
-    ----------
-    target : str
-        The target.
-    began_at : float
-        Seconds.
-    load : float
-        Requests there by the best knowledge.
-    held : int
-        Leading tokens that it was taken to have cached.
-    fetched_from : str
-        Target whose cache was to be copied; empty for none.
-    outcome : str
-        How it ended.
-    """
-
-    target: str
-    began_at: float
-    load: float
-    held: int
-    fetched_from: str
-    outcome: str = "running"
-
-
 class ForwardedCall(RunObserver):
     """One request, from its acceptance to its end.
 
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -12,9 +12,9 @@
 from primrosescale.request.direct_port import CallerSink
 from primrosescale.request.direct_port import Run
 from primrosescale.request.direct_port import TargetCaller
+from primrosescale.request.forward_tools import ForwardSettings
+from primrosescale.request.forward_tools import ForwardTools
 from primrosescale.request.forwarded_call import ForwardedCall
-from primrosescale.request.forwarded_call import ForwardSettings
-from primrosescale.request.forwarded_call import ForwardTools
 from primrosescale.request.incoming import IncomingRequest
 from primrosescale.request.incoming import Prompt
 from primrosescale.request.incoming import PromptPart
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -466,7 +466,9 @@
     @inlineCallbacks
     def test_a_changed_settings_file_is_taken_in_and_a_bad_one_is_not(self):
         yield self.start()
-        self.settings = replace(self.settings, drain=1.0)
+        self.settings = replace(
+            self.settings, drain=1.0, callers=Endpoint("127.0.0.9", 1)
+        )
         self.router.reload()
         self.assertIn(("SETTINGS_RELOADED", {"is_changed": True}), self.events)
 
@@ -474,6 +476,7 @@
             raise BootFileError("node.json", "field 'ip' is missing")
 
         self.parts.reread = fail
+        self.settings = replace(self.settings, callers=Endpoint("127.0.0.2", 0))
         self.router.reload()
         self.assertIn("SETTINGS_REFUSED", [name for name, _ in self.events])
         caller = yield self.ask(text())
--- a/tests/entry/test_log_writer.py
+++ b/tests/entry/test_log_writer.py
@@ -7,11 +7,31 @@
 
 from testtools import TestCase
 from twisted.internet.task import Clock
+from twisted.logger import Logger
+from twisted.logger import LogPublisher
+from twisted.python.failure import Failure
 
 from primrosescale.process.entry.log_writer import BUFFER_BYTES
 from primrosescale.process.entry.log_writer import BURST_LINES
+from primrosescale.process.entry.log_writer import FailureObserver
 from primrosescale.process.entry.log_writer import LogWriter
 from primrosescale.process.events import Event
+from primrosescale.process.events import EventLog
+
+
+class FailureObserverTest(TestCase):
+    def test_failures_of_the_library_are_numbered_events(self):
+        told = []
+        log = EventLog("r1")
+        log.emit = lambda event, **said: told.append((event, said))
+        observer = FailureObserver(log)
+        publisher = LogPublisher(observer)
+        logger = Logger(observer=publisher)
+        logger.info("all is well")
+        logger.failure("while doing something", failure=Failure(KeyError("lost")))
+        [(event, said)] = told
+        self.assertEqual(Event.LOOP_FAILED, event)
+        self.assertIn("KeyError", said["detail"])
 
 
 class LogWriterTest(TestCase):
--- a/tests/entry/test_router_news.py
+++ b/tests/entry/test_router_news.py
@@ -128,8 +128,8 @@
         self.assertEqual(MOST_PARTS, len(message.parts))
         self.assertTrue(len(encode(message)) < BYTES_IN_ONE_PIECE)
 
-    def test_two_routers_ask_the_store_for_all(self):
-        names = ["a", "b", "c", "d", "e"]
+    def test_four_routers_ask_the_store_for_all(self):
+        names = ["a", "b", "c", "d", "e", "f", "g"]
         sides = {name: Side(name) for name in names}
         for side in sides.values():
             side.knows(*names)
@@ -137,7 +137,7 @@
             for router, message in side.news.compose(1, START):
                 sides[router.name].news.take(decode(encode(message)), 1, START)
         asking = [n for n, side in sides.items() if side.news.asks_often(START)]
-        self.assertEqual(2, len(asking))
+        self.assertEqual(4, len(asking))
         # When these are no longer heard of, everyone asks.
         self.assertTrue(all(s.news.asks_often(START + 9) for s in sides.values()))
 
--- a/tests/entry/test_target_choice.py
+++ b/tests/entry/test_target_choice.py
@@ -73,6 +73,41 @@
             mean = sum(loads) / len(loads)
             self.assertTrue(max(loads) <= 2 * mean + 3, loads)
 
+    def test_many_routers_with_old_news_keep_a_hot_part_within_twice_the_mean(self):
+        names = [f"m{n}" for n in range(1, 28)]
+        wanted = prompt(("tariffs", 10000), ("chat", 900))
+        routers = []
+        for number in range(23):
+            parts = PartDirectory()
+            parts.note(PartUse("tariffs", "m1", 10000, START))
+            chooser = TargetChooser(ChoiceSettings(), parts, random.Random(number))
+            chooser.share_with(23, 0.33)
+            states = [TargetState(target(name), START) for name in names]
+            routers.append((chooser, states))
+        for state in (s for _, states in routers for s in states):
+            # Six requests are at every target, as news of one more router.
+            state.hear_router("others", 6, START + 99)
+        total = dict.fromkeys(names, 6)
+        over = 0
+        for step in range(300):
+            now = START + step / 45
+            if step % 15 == 0:
+                self.spread_news(routers, now)
+            chooser, states = routers[step % 23]
+            choice = chooser.choose(states, (), wanted, now)
+            choice.state.sent(now)
+            total[choice.state.target.name] += 1
+            mean = sum(total.values()) / len(total)
+            over += total[choice.state.target.name] > 2 * mean + 3
+        self.assertTrue(over <= 0.03 * 300, over)
+
+    def spread_news(self, routers, now):
+        for number, (_, states) in enumerate(routers):
+            for other, (_, theirs) in enumerate(routers):
+                if other != number:
+                    for mine, told in zip(states, theirs, strict=True):
+                        mine.hear_router(str(other), told.own_running, now + 99)
+
     def test_a_leaving_target_gets_nothing_but_its_cache_is_copied(self):
         self.parts.note(PartUse("tariffs", "m4", 10000, START))
         leaving = target("m4", is_draining=True)
