--- a/src/primrosescale/process/entry/router_news.py
+++ b/src/primrosescale/process/entry/router_news.py
@@ -124,6 +124,8 @@
         self._freshness = freshness
         self._peers: dict[str, _Peer] = {}
         self._sequence = 0
+        self._generation = -1
+        self._by_key: dict[int, TargetState] = {}
 
     @property
     def interval(self) -> float:
@@ -388,7 +390,12 @@
                 self._parts.note(PartUse(item.part, name, item.tokens, used_at))
 
     def _states_by_key(self) -> dict[int, TargetState]:
-        return {target_key(state.target.name): state for state in self._targets.states}
+        if self._generation != self._targets.generation:
+            self._generation = self._targets.generation
+            self._by_key = {
+                target_key(state.target.name): state for state in self._targets.states
+            }
+        return self._by_key
 
 
 @lru_cache(maxsize=MOST_KEYS)
--- a/src/primrosescale/process/entry/target_list.py
+++ b/src/primrosescale/process/entry/target_list.py
@@ -31,10 +31,11 @@
         Seconds after which a leaving target must get no new work.
     """
 
-    __slots__ = ("_drain", "_known", "_vanished")
+    __slots__ = ("_drain", "_generation", "_known", "_vanished")
 
     def __init__(self, drain: float) -> None:
         self._drain = drain
+        self._generation = 0
         self._known: dict[str, TargetState] = {}
         self._vanished: dict[str, float] = {}
 
@@ -42,6 +43,11 @@
         """Return how many targets are known."""
         return len(self._known)
 
+    @property
+    def generation(self) -> int:
+        """Return a number that rises when targets become known or forgotten."""
+        return self._generation
+
     @property
     def states(self) -> Iterable[TargetState]:
         """Return the states of all targets."""
@@ -113,6 +119,7 @@
         known = self._known.get(target.name)
         if known is None:
             self._known[target.name] = TargetState(target, now)
+            self._generation += 1
             return True
         is_new = known.target != target
         known.relist(target)
@@ -158,5 +165,6 @@
         gone = [name for name, until in self._vanished.items() if now >= until]
         for name in gone:
             del self._vanished[name]
+            self._generation += 1
             self._known.pop(name, None)
         return gone
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -26,8 +26,13 @@
 from primrosescale.process.entry.entry_router import EntryRouter
 from primrosescale.process.entry.entry_settings import EntrySettings
 from primrosescale.process.entry.entry_settings import EntryWatches
+from primrosescale.process.entry.router_news import OtherRouter
+from primrosescale.process.entry.router_news import RouterNews
 from primrosescale.process.entry.store_watch import WatchedPrefix
+from primrosescale.process.entry.target_list import TargetList
 from primrosescale.process.events import EventLog
+from primrosescale.request.freshness import Freshness
+from primrosescale.request.part_directory import PartDirectory
 from primrosescale.request.repeat_budget import RepeatBounds
 from primrosescale.standin.users_engine import EngineFault
 from primrosescale.standin.users_engine import EngineScript
@@ -380,6 +385,18 @@
         self.assertTrue(caller.data.startswith(b"HTTP/1.1 401"))
         self.assertIn("TABLE_REFUSED", [name for name, _ in self.events])
 
+    @inlineCallbacks
+    def test_a_newer_version_in_another_router_s_news_is_asked_for(self):
+        yield self.start()
+        self.store.faults.is_deaf = True
+        self.store.write("config", "main", configuration(2, keys=("k2",)))
+        other = RouterNews("r2", 1, TargetList(2.0), PartDirectory(), Freshness(5.0))
+        other.put(OtherRouter("r1", Endpoint("127.0.0.1", 1)))
+        self.router._news.put(OtherRouter("r2", Endpoint("127.0.0.1", 1)))
+        [(_, message)] = other.compose(2, reactor.seconds())
+        self.router._news.take(message, 1, reactor.seconds())
+        yield self.eventually(lambda: self.router._version() == 2)
+
     @inlineCallbacks
     def test_a_version_that_cannot_be_read_changes_nothing(self):
         yield self.start()
