--- a/src/primrosescale/platform/http_codec.py
+++ b/src/primrosescale/platform/http_codec.py
@@ -174,6 +174,7 @@
     dropped = set(CONNECTION_HEADERS | ROUTERS_HEADERS)
     for value in headers.getRawHeaders(b"Connection") or []:
         dropped.update(token.strip().lower() for token in value.split(b","))
+    # A caller must not strip by a Connection header what targets rely on.
     dropped -= {REQUEST_ID.lower(), PROMPT_PARTS.lower(), TOKENS.lower(), MODEL.lower()}
     return tuple(
         (name, value)
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -124,13 +124,12 @@
         )
         self._budgets: dict[str, RepeatBudget] = {}
         self._gate = Gate(self._knowledge.freshness, settings.certain_for, parts.rng)
-        self._chooser = TargetChooser(settings.choice, self._directory, parts.rng)
         self._tools = ForwardTools(
             settings=settings.forward,
             clock=parts.reactor,
             rng=parts.rng,
             caller=self._caller,
-            chooser=self._chooser,
+            chooser=TargetChooser(settings.choice, self._directory, parts.rng),
             parts=self._directory,
             states_of=targets.of_service,
             budget_of=self._budget_of,
@@ -376,7 +375,6 @@
         if now >= self._reread_at:
             self._reread_at = now + REREAD_SECONDS
             self.reload(is_asked=False)
-        self._chooser.share_with(self._routers(), self._news.interval)
         for state in self._knowledge.targets.states:
             self._limit_cache(state.target)
         self._knowledge.look_after(self._news.newest_version(now), now)
--- a/src/primrosescale/request/target_choice.py
+++ b/src/primrosescale/request/target_choice.py
@@ -29,9 +29,6 @@
 # slots taken, while the one in seven that some plain services fail anyway
 # hardly counts: 32 x 0.4^2 = 5, 32 x 0.14^2 = 0.6.
 PLAIN_FAILURE_WEIGHT = 32.0
-# Up to so many routers, what the others send unseen between two rounds of news
-# is less than the margin above the bound.
-FEW_ROUTERS = 8
 # Smaller than the difference that one request makes.
 TIE_BREAK = 0.01
 
@@ -63,12 +60,6 @@
         "is read; the transfer takes a twentieth of the time",
         0.15,
     )
-    crowded_multiple: float = option(
-        SECONDS,
-        "the same while many routers share the targets: what they send in the third "
-        "of a second between two rounds of news goes over the bound",
-        1.25,
-    )
     home_bonus: float = option(
         SECONDS,
         "tokens by which the first target in hash order is preferred, so that "
@@ -129,40 +120,6 @@
         self._settings = settings
         self._parts = parts
         self._rng = rng
-        self._routers = 1
-        self._news_interval = 0.0
-
-    def share_with(self, routers: int, news_interval: float) -> None:
-        """Take in how many routers choose among the same targets.
-
-        Parameters
-        ----------
-        routers : int
-            Routers, this one included.
-        news_interval : float
-            Seconds between two rounds of their news.
-        """
-        self._routers = routers
-        self._news_interval = news_interval
-
-    def _has_headroom(self, state: TargetState, room: float, now: float) -> bool:
-        """Tell by lot whether a target is still under the bound.
-
-        Many routers that see the same room would all use it before they hear
-        of each other. What the others send unseen is reckoned from what this
-        router sent, since chats spread over routers alike; each uses the room
-        with the chance that leaves it to all of them together.
-        """
-        if self._routers <= FEW_ROUTERS:
-            return True
-        others = self._routers - 1
-        unseen = others * state.sent_lately(now) * self._news_interval
-        return unseen <= room or self._rng.random() * unseen < room
-
-    def _multiple(self) -> float:
-        if self._routers > FEW_ROUTERS:
-            return min(self._settings.crowded_multiple, self._settings.load_multiple)
-        return self._settings.load_multiple
 
     def choose(
         self,
@@ -201,13 +158,8 @@
             return None
         settings = self._settings
         # The request itself counts into the mean.
-        cap = self._multiple() * (mean + 1 / len(serving)) + settings.load_margin
-        bounded = [
-            state
-            for state in usable
-            if loads[state.target.name] + 1 <= cap
-            and self._has_headroom(state, cap - loads[state.target.name], now)
-        ]
+        cap = settings.load_multiple * (mean + 1 / len(serving)) + settings.load_margin
+        bounded = [state for state in usable if loads[state.target.name] + 1 <= cap]
         bounded = bounded or [min(usable, key=lambda s: loads[s.target.name])]
         if prompt is None:
             best = min(bounded, key=lambda s: self._plain_cost(s, loads, now))
--- a/src/primrosescale/request/target_state.py
+++ b/src/primrosescale/request/target_state.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -78,8 +77,6 @@
         "_own",
         "_own_at_report",
         "_paused_until",
-        "_recent",
-        "_recent_at",
         "_report",
         "_report_at",
         "_seen_at",
@@ -104,8 +101,6 @@
         self._paused_until = 0.0
         self._heard_at = now
         self._busy_since = now
-        self._recent = 0.0
-        self._recent_at = now
 
     @property
     def target(self) -> ServingTarget:
@@ -153,23 +148,6 @@
         if not self._own:
             self._busy_since = now
         self._own += 1
-        self._recent = self.sent_lately(now) + 1.0
-        self._recent_at = now
-
-    def sent_lately(self, now: float) -> float:
-        """Return how many requests this router sent there in about a second.
-
-        Parameters
-        ----------
-        now : float
-            Present time in seconds.
-
-        Returns
-        -------
-        float
-            Requests, each fading with a time constant of 1 s.
-        """
-        return self._recent * math.exp(self._recent_at - now)
 
     def ended(self) -> None:
         """Count a request that is no longer there."""
--- a/tests/entry/test_target_choice.py
+++ b/tests/entry/test_target_choice.py
@@ -81,7 +81,6 @@
             parts = PartDirectory()
             parts.note(PartUse("tariffs", "m1", 10000, START))
             chooser = TargetChooser(ChoiceSettings(), parts, random.Random(number))
-            chooser.share_with(23, 0.33)
             states = [TargetState(target(name), START) for name in names]
             routers.append((chooser, states))
         for state in (s for _, states in routers for s in states):
