--- a/src/primrosescale/process/entry/caller_site.py
+++ b/src/primrosescale/process/entry/caller_site.py
@@ -40,6 +40,10 @@
 # Callers reuse connections up to four fifths of the idle limit; the rest is
 # left for the way there.
 CLOSE = b"close"
+HEAD_TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
 
 
 class EntryHandler(ABC):
@@ -375,6 +379,18 @@
         if self.factory is not None:
             self.factory.forget(self)
 
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """Answer a head with a line that is too long, and close.
+
+        Parameters
+        ----------
+        line : bytes
+            What has come of it.
+        """
+        transport: Any = self.transport
+        transport.write(HEAD_TOO_LARGE)
+        transport.loseConnection()
+
     def allHeadersReceived(self) -> None:
         """Take in that the head has come; the body may take longer."""
         self.head_read()
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -377,6 +377,7 @@
             self.reload(is_asked=False)
         for state in self._knowledge.targets.states:
             self._limit_cache(state.target)
+        self._registry.forget_silent(now)
         self._knowledge.look_after(self._news.newest_version(now), now)
         for name in self._knowledge.forget_gone(now):
             self._directory.forget_target(name)
--- a/src/primrosescale/process/entry/knowledge.py
+++ b/src/primrosescale/process/entry/knowledge.py
@@ -88,7 +88,8 @@
         for stored in objects:
             if not stored.is_deleted:
                 self._knowledge.adopt(stored, asked_at)
-        self._knowledge.freshness.answered(asked_at)
+        if not self._knowledge.is_behind:
+            self._knowledge.freshness.answered(asked_at)
 
 
 class _TargetHandler(WatchHandler):
@@ -151,6 +152,7 @@
         self._platform = parts.platform
         self._table: RoutingTable | None = None
         self._has_list = False
+        self._is_behind = False
         self._on_complete: Callable[[], None] | None = None
         self.freshness = freshness
         self.targets = targets
@@ -177,6 +179,15 @@
         """Return the newest version, if one is known."""
         return self._table
 
+    @property
+    def is_behind(self) -> bool:
+        """Tell whether the store has a version that cannot be read here.
+
+        It may withdraw keys, so that answers of the store say nothing about
+        the keys of the version that is known.
+        """
+        return self._is_behind
+
     @property
     def is_complete(self) -> bool:
         """Tell whether routes and targets are known."""
@@ -323,9 +334,11 @@
         try:
             table = self._decoder.table(stored)
         except PrimrosescaleError as error:
+            self._is_behind = True
             self._log.emit(Event.TABLE_REFUSED, detail=str(error))
             return
         known = self._table
+        self._is_behind = known is not None and table.version < known.version
         if known is not None and table.version <= known.version:
             if table.version < known.version:
                 detail = f"version {table.version} is older than {known.version}"
--- a/src/primrosescale/process/entry/router_exchange.py
+++ b/src/primrosescale/process/entry/router_exchange.py
@@ -23,6 +23,8 @@
     from collections.abc import Callable
     from collections.abc import Generator
 
+    from twisted.python.failure import Failure
+
     from primrosescale.clock import Timer
     from primrosescale.process.entry.entry_parts import EntryParts
     from primrosescale.process.entry.entry_settings import EntrySettings
@@ -178,7 +180,9 @@
         """Take this router off the list."""
         self._is_stopped = True
         try:
-            yield self._parts.platform.announce(self._entry(gone=True))
+            yield self._parts.platform.announce(
+                self._entry(self._settings.name, gone=True)
+            )
         except PlatformError as error:
             # The entry stays; the others stop to rely on this router anyway.
             self._parts.log.emit(Event.ANNOUNCE_FAILED, detail=str(error))
@@ -202,6 +206,26 @@
             if stored.is_deleted and name == self._settings.name:
                 self._announce()
 
+    def forget_silent(self, now: float) -> None:
+        """Take routers off the list that are gone for good.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+        """
+        if not self._news.asks_often(now):
+            return
+        for name in self._news.unheard(now):
+            self._news.remove(name)
+            gone = self._parts.platform.announce(self._entry(name, gone=True))
+            gone.addErrback(self._not_forgotten)
+
+    def _not_forgotten(self, failure: Failure) -> None:
+        failure.trap(PlatformError)
+        detail = failure.getErrorMessage()
+        self._parts.log.emit(Event.ANNOUNCE_FAILED, detail=detail)
+
     def failed(self, error: PlatformError) -> None:
         """Do nothing: the watch of the configuration logs outages."""
 
@@ -211,7 +235,8 @@
             self._news.remove(name)
             return name
         try:
-            self._news.put(self._parts.decoder.router(stored))
+            router = self._parts.decoder.router(stored)
+            self._news.put(router, self._parts.reactor.seconds())
         except PrimrosescaleError as error:
             self._parts.log.emit(Event.TARGET_REFUSED, detail=str(error))
         return name
@@ -224,17 +249,19 @@
         self._is_announcing = True
         while not self._is_stopped:
             try:
-                yield self._parts.platform.announce(self._entry(gone=False))
+                yield self._parts.platform.announce(
+                    self._entry(self._settings.name, gone=False)
+                )
                 break
             except PlatformError as error:
                 self._parts.log.emit(Event.ANNOUNCE_FAILED, detail=str(error))
                 yield deferLater(self._parts.reactor, ANNOUNCE_PAUSE, lambda: None)
         self._is_announcing = False
 
-    def _entry(self, *, gone: bool) -> wire.HostEntry:
+    def _entry(self, name: str, *, gone: bool) -> wire.HostEntry:
         links = self._settings.links
         return wire.HostEntry(
-            self._settings.name,
+            name,
             "router",
             links.address,
             links.port,
--- a/src/primrosescale/process/entry/router_news.py
+++ b/src/primrosescale/process/entry/router_news.py
@@ -48,6 +48,9 @@
 # A router that sees more than half of its requests fail everywhere has a
 # trouble of its own and is no witness.
 WITNESS_MOST_FAILURES = 0.5
+# A listed router that has been silent for so long is taken off the list. Cuts
+# and restarts of today last some seconds; one that lives lists itself again.
+GONE_SECONDS = 60.0
 PERCENT = 100
 MILLISECONDS = 1000
 UNKNOWN = -1
@@ -77,13 +80,15 @@
         "heard_at",
         "incarnation",
         "is_store_lost",
+        "listed_at",
         "router",
         "sent_at",
         "version",
     )
 
-    def __init__(self, router: OtherRouter) -> None:
+    def __init__(self, router: OtherRouter, now: float) -> None:
         self.router = router
+        self.listed_at = now
         self.incarnation = 0
         self.heard = 0
         self.heard_at: float | None = None
@@ -230,19 +235,43 @@
         )
         return before < ASKING_ROUTERS
 
-    def put(self, router: OtherRouter) -> None:
+    def unheard(self, now: float) -> list[str]:
+        """Return listed routers that have not been heard of for long.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        list[str]
+            Their names. Empty while no router is heard of: then the silence
+            is this router's own.
+        """
+        if not self.heard_lately(now):
+            return []
+        return [
+            name
+            for name, peer in self._peers.items()
+            if now - max(peer.listed_at, peer.heard_at or 0.0) > GONE_SECONDS
+        ]
+
+    def put(self, router: OtherRouter, now: float) -> None:
         """Take in another router of the list.
 
         Parameters
         ----------
         router : OtherRouter
             The router; this router itself is passed over.
+        now : float
+            Present time in seconds.
         """
         if router.name == self._name:
             return
         known = self._peers.get(router.name)
         if known is None or known.router != router:
-            self._peers[router.name] = _Peer(router)
+            self._peers[router.name] = _Peer(router, now)
 
     def remove(self, name: str) -> None:
         """Take in that a router is no longer listed.
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -265,6 +265,7 @@
             (text(rid=b""), b"400"),
             (text(method=b"POST", body=b"x" * 6000), b"413"),
             (b"NONSENSE\r\n\r\n", b"400"),
+            (text(headers=b"X-Long: %b\r\n" % (b"x" * 20000)), b"431"),
         ):
             caller = yield self.ask(data, b"")
             self.assertTrue(caller.data.startswith(b"HTTP/1.1 " + status), caller.data)
@@ -391,8 +392,9 @@
         self.store.faults.is_deaf = True
         self.store.write("config", "main", configuration(2, keys=("k2",)))
         other = RouterNews("r2", 1, TargetList(2.0), PartDirectory(), Freshness(5.0))
-        other.put(OtherRouter("r1", Endpoint("127.0.0.1", 1)))
-        self.router._news.put(OtherRouter("r2", Endpoint("127.0.0.1", 1)))
+        other.put(OtherRouter("r1", Endpoint("127.0.0.1", 1)), 0.0)
+        now = reactor.seconds()
+        self.router._news.put(OtherRouter("r2", Endpoint("127.0.0.1", 1)), now)
         [(_, message)] = other.compose(2, reactor.seconds())
         self.router._news.take(message, 1, reactor.seconds())
         yield self.eventually(lambda: self.router._version() == 2)
@@ -405,6 +407,18 @@
         caller = yield self.ask(text())
         self.assertTrue(caller.data.startswith(b"HTTP/1.1 200"))
 
+    @inlineCallbacks
+    def test_keys_are_not_relied_on_behind_a_version_that_cannot_be_read(self):
+        yield self.start(revoke=1.2)
+        self.store.write("config", "main", {"version": 9, "routes": 3})
+        yield self.eventually(lambda: not self.router.is_ready)
+        caller = yield self.ask(text(), b"")
+        self.assertTrue(caller.data.startswith(b"HTTP/1.1 503"), caller.data)
+        self.store.write("config", "main", configuration(10))
+        yield self.eventually(lambda: self.router.is_ready)
+        caller = yield self.ask(text())
+        self.assertTrue(caller.data.startswith(b"HTTP/1.1 200"), caller.data)
+
     @inlineCallbacks
     def test_keys_are_refused_once_the_store_has_been_away_too_long(self):
         yield self.start(revoke=0.9)
--- a/tests/entry/test_router_news.py
+++ b/tests/entry/test_router_news.py
@@ -33,7 +33,9 @@
 
     def knows(self, *names):
         for number, name in enumerate(names):
-            self.news.put(OtherRouter(name, Endpoint("127.0.0.1", 7000 + number)))
+            self.news.put(
+                OtherRouter(name, Endpoint("127.0.0.1", 7000 + number)), START
+            )
 
     def message(self, version=1, now=START):
         [(_, message)] = self.news.compose(version, now)
@@ -146,6 +148,13 @@
         self.assertEqual(7, self.b.news.newest_version(START))
         self.assertEqual(0, self.b.news.newest_version(START + 9))
 
+    def test_a_router_that_stays_silent_is_gone_and_a_lonely_one_judges_nobody(self):
+        self.a.knows("a", "b", "c")
+        self.assertEqual([], self.a.news.unheard(START + 100))
+        self.a.news.take(self.b.message(), 1, START + 100)
+        self.assertEqual(["c"], self.a.news.unheard(START + 100))
+        self.assertEqual([], self.a.news.unheard(START + 59))
+
     def test_many_routers_are_told_less_often(self):
         self.assertEqual(0.25, self.a.news.interval)
         self.a.knows(*(f"r{number}" for number in range(420)))
