Callers can connect while a router's program is loaded; its first requests know what engines hold

Routers listen 1.05 s after they were killed, 0.45 s of which is loading, so callers are reset; then the requests of the first 40 ms go out before the engines told which parts they hold, and their prompts are read again. Ruled out: a slow store (4 ms), a late list of targets (10 ms), readiness. Change: the port is opened before anything else is loaded and adopted by the reactor; no garbage collection while loading; early requests wait for the engines' caches, 0.1 s at most. Also found by the new test: a taken port left a process that ran without listening; it now ends with status 1 and a line.

--- a/src/primrosescale/platform/__main__.py
+++ b/src/primrosescale/platform/__main__.py
@@ -11,12 +11,18 @@
 import random
 import signal
 import sys
+from typing import TYPE_CHECKING
 from typing import Any
 
-from absl import flags
-
+from primrosescale.connection.early_listener import open_listener
 from primrosescale.connection.steady_reactor import install_steady_reactor
 from primrosescale.exceptions import PrimrosescaleError
+from primrosescale.platform.exceptions import BootFileError
+from primrosescale.platform.host_settings import BOOT_VARIABLE
+from primrosescale.platform.host_settings import read_host_settings
+
+if TYPE_CHECKING:
+    import socket
 
 # Objects that a start leaves behind are never looked at again; collecting
 # young ones seldom keeps pauses under a millisecond.
@@ -32,6 +38,16 @@
         Exit status: 0 after a planned stop, 78 for settings that cannot be
         used, 1 when a port is taken.
     """
+    # Nothing that is loaded becomes garbage; looking for it takes a tenth of
+    # the time to start.
+    gc.disable()
+    try:
+        early = _listen_early()
+    except OSError as error:
+        sys.stderr.write(f"primrosescale: cannot start: {error}\n")
+        return 1
+    from absl import flags  # noqa: PLC0415 - only once callers can connect
+
     values = flags.FlagValues()  # type: ignore[no-untyped-call]
     flags.DEFINE_integer(
         "metrics_port", 0, "port of the metrics; 0 for none", flag_values=values
@@ -46,7 +62,10 @@
 
     try:
         router = build_entry_router(
-            reactor, int(values["metrics_port"].value or 0), random.SystemRandom()
+            reactor,
+            int(values["metrics_port"].value or 0),
+            random.SystemRandom(),
+            early,
         )
     except PrimrosescaleError as error:
         sys.stderr.write(f"primrosescale: {error}\n")
@@ -54,8 +73,20 @@
     return _run(reactor, router)
 
 
+def _listen_early() -> socket.socket | None:
+    """Let callers connect while the rest is loaded, which takes 0.4 s."""
+    try:
+        host = read_host_settings(os.environ.get(BOOT_VARIABLE, ""))
+    except BootFileError:
+        # Building the router meets the same error and reports it.
+        return None
+    return None if host.callers is None else open_listener(host.callers)
+
+
 def _run(reactor: Any, router: Any) -> int:
     """Run the reactor until the router has stopped."""
+    from twisted.internet.error import CannotListenError  # noqa: PLC0415
+
     status = [0]
     stopping: list[bool] = []
 
@@ -69,13 +100,14 @@
         signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(router.reload))
         try:
             router.start()
-        except OSError as error:
+        except (OSError, CannotListenError) as error:
             sys.stderr.write(f"primrosescale: cannot start: {error}\n")
             status[0] = 1
             reactor.stop()
             return
         gc.freeze()
         gc.set_threshold(COLLECT_AFTER)
+        gc.enable()
 
     reactor.callWhenRunning(begin)
     reactor.run(installSignalHandlers=False)
--- a/src/primrosescale/platform/entry.py
+++ b/src/primrosescale/platform/entry.py
@@ -29,6 +29,7 @@
 from primrosescale.request.target_choice import ChoiceSettings
 
 if TYPE_CHECKING:
+    import socket
     from random import Random
 
     from primrosescale.process.entry.router_news import OtherRouter
@@ -85,7 +86,12 @@
         return records.decode_router(stored)
 
 
-def build_entry_router(reactor: Any, metrics_port: int, rng: Random) -> EntryRouter:
+def build_entry_router(
+    reactor: Any,
+    metrics_port: int,
+    rng: Random,
+    early: socket.socket | None = None,
+) -> EntryRouter:
     """Build an entry router.
 
     Parameters
@@ -96,6 +102,8 @@
         Port of the metrics; 0 for none.
     rng : Random
         Source of chance.
+    early : socket.socket | None
+        A socket that listens for callers already.
 
     Returns
     -------
@@ -124,6 +132,7 @@
         rng=rng,
         reread=lambda: _reread(metrics_port),
         caches=EngineCaches(reactor),
+        early=early,
     )
     watches = EntryWatches(
         configuration=WatchedPrefix(
--- a/src/primrosescale/process/entry/entry_parts.py
+++ b/src/primrosescale/process/entry/entry_parts.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Callable
     from random import Random
 
@@ -44,12 +45,15 @@
         Asks model engines which parts of prompts they hold.
     reread : Callable[[], EntrySettings]
         Reads the settings anew; fails with a `PrimrosescaleError`.
+    early : socket.socket | None
+        A socket that listens for callers already; None to open one.
     """
 
     __slots__ = (
         "caches",
         "codec",
         "decoder",
+        "early",
         "log",
         "metrics",
         "platform",
@@ -72,7 +76,9 @@
         rng: Random,
         caches: CacheReader,
         reread: Callable[[], EntrySettings],
+        early: socket.socket | None = None,
     ) -> None:
+        self.early = early
         self.reread = reread
         self.caches = caches
         self.reactor = reactor
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import socket
 from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
 from twisted.internet.defer import Deferred
+from twisted.internet.defer import DeferredList
 from twisted.internet.defer import inlineCallbacks
+from twisted.internet.defer import succeed
 
 from primrosescale.clock import cancel_timer
+from primrosescale.connection.early_listener import BACKLOG
 from primrosescale.connection.endpoint import Endpoint
 from primrosescale.exceptions import PrimrosescaleError
 from primrosescale.process.entry.caller_site import FIRST_LIMITS
@@ -55,7 +59,6 @@
 UNAVAILABLE = 503
 PLAIN = b"text/plain"
 METRICS_TYPE = b"text/plain; version=0.0.4"
-BACKLOG = 1024
 HOUSEKEEPING_SECONDS = 0.25
 # The balancer asks once a second and takes a router out after two misses; a
 # new connection may still come a little later.
@@ -65,6 +68,9 @@
 # A request that comes before the store has been read waits this long: reading
 # takes some 10 ms, and 0.25 s while the store is slow.
 START_PATIENCE = 0.5
+# Model engines tell what they hold within 20-40 ms; one that is silent must not
+# keep callers waiting.
+CACHE_PATIENCE = 0.1
 # A router that alone has not reached the store for this long sends its callers
 # to others. The balancer needs up to 3 s to move them, and keys may be relied
 # on for 5 s; in an outage for all, routers notice up to 2 s apart.
@@ -178,7 +184,7 @@
         self._listen(settings.readiness, TextSite(self._readiness))
         if settings.metrics is not None:
             self._listen(settings.metrics, TextSite(self._metrics_text))
-        self._listen(settings.callers, self._factory)
+        self._listen_for_callers(settings.callers)
         links = settings.links
         self._ports[links] = self._reactor.listenUDP(
             links.port, self._exchange, links.address
@@ -253,13 +259,14 @@
 
     def handle(self, request: EntryRequest) -> None:
         """Answer or forward a request; see `EntryHandler.handle`."""
-        if self._knowledge.is_complete or self._now() >= self._patient_until:
+        if self._now() >= self._patient_until:
             self._serve(request)
         else:
             self._early.append(request)
 
     def _serve_early(self) -> None:
         """Serve the requests that came before the first knowledge."""
+        self._patient_until = 0.0
         early, self._early = self._early, []
         for request in early:
             if not request.is_gone:
@@ -390,10 +397,17 @@
 
     def _learned(self) -> None:
         """Take in that routes and targets are known for the first time."""
-        if self._settings.reads_caches:
-            for state in self._knowledge.targets.states:
-                self._read_cache(state.target)
-        self._serve_early()
+        if not self._settings.reads_caches:
+            self._serve_early()
+            return
+        # Requests that waited for the start come in a burst; without this
+        # knowledge each of their prompts would be read again somewhere.
+        readings = [
+            self._read_cache(state.target) for state in self._knowledge.targets.states
+        ]
+        read = DeferredList(readings)
+        read.addCallback(lambda _: self._serve_early())
+        self._reactor.callLater(CACHE_PATIENCE, self._serve_early)
 
     def _limit_cache(self, target: ServingTarget) -> None:
         """Take in how much a target holds, once its service is known."""
@@ -402,12 +416,12 @@
         if service is not None:
             self._directory.limit(target.name, service.cache_tokens)
 
-    def _read_cache(self, target: ServingTarget) -> None:
+    def _read_cache(self, target: ServingTarget) -> Deferred[None]:
         """Learn what a model engine holds from before this process's start."""
         table = self._knowledge.table
         service = table.service(target.service) if table is not None else None
         if service is None or not service.cache_tokens:
-            return
+            return succeed(None)
         reading = self._parts.caches.read(target)
 
         def learned(parts: list[PromptPart]) -> None:
@@ -420,7 +434,7 @@
             detail = failure.getErrorMessage()
             self._log.emit(Event.CACHE_NOT_READ, target=target.name, detail=detail)
 
-        reading.addCallbacks(learned, failed)
+        return reading.addCallbacks(learned, failed)
 
     def _is_cut_off(self, now: float) -> bool:
         """Tell whether callers are better served by other routers."""
@@ -479,6 +493,17 @@
             endpoint.port, factory, BACKLOG, endpoint.address
         )
 
+    def _listen_for_callers(self, endpoint: Endpoint) -> None:
+        early = self._parts.early
+        if early is None:
+            self._listen(endpoint, self._factory)
+            return
+        self._ports[endpoint] = self._reactor.adoptStreamPort(
+            early.fileno(), socket.AF_INET, self._factory
+        )
+        # The reactor listens on a copy.
+        early.close()
+
     def _pause(self, seconds: float) -> Deferred[None]:
         result: Deferred[None] = Deferred()
         self._reactor.callLater(seconds, result.callback, None)
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -14,6 +14,7 @@
 from twisted.internet.protocol import Protocol
 from twisted.internet.task import deferLater
 
+from primrosescale.connection.early_listener import open_listener
 from primrosescale.connection.endpoint import Endpoint
 from primrosescale.platform import records
 from primrosescale.platform.engine_calls import EngineCaches
@@ -21,6 +22,7 @@
 from primrosescale.platform.exceptions import BootFileError
 from primrosescale.platform.http_codec import PlatformCodec
 from primrosescale.platform.object_platform import ObjectPlatform
+from primrosescale.process.entry.codec import CacheReader
 from primrosescale.process.entry.entry_metrics import EntryMetrics
 from primrosescale.process.entry.entry_parts import EntryParts
 from primrosescale.process.entry.entry_router import EntryRouter
@@ -78,6 +80,17 @@
         return self.until(lambda c: c.is_closed or (c.data and c.data.endswith(ending)))
 
 
+class SilentCaches(CacheReader):
+    """Engines that tell what they hold when the test says so."""
+
+    def __init__(self):
+        self.readings = []
+
+    def read(self, target):
+        self.readings.append(Deferred())
+        return self.readings[-1]
+
+
 def text(path=b"/plain/x", *, method=b"GET", headers=b"", body=b"", rid=b"r1"):
     length = b"Content-Length: %d\r\n" % len(body) if body else b""
     return (
@@ -145,7 +158,7 @@
         self.store.write("servers", name, entry)
 
     @inlineCallbacks
-    def start(self, **fields):
+    def start(self, *, early=None, caches=None, **fields):
         endpoint = self.serve(self.store)
         values = {
             "name": "r1",
@@ -176,8 +189,9 @@
             writer=None,
             metrics=EntryMetrics(),
             rng=random.Random(1),
-            caches=EngineCaches(reactor),
+            caches=caches or EngineCaches(reactor),
             reread=lambda: self.settings,
+            early=early,
         )
         watches = EntryWatches(
             configuration=WatchedPrefix(
@@ -232,6 +246,37 @@
         self.assertNotIn(b"authorization", arrival.headers)
         self.assertTrue(int(arrival.headers[b"primrosescale-request-deadline"]) <= 1500)
 
+    @inlineCallbacks
+    def test_callers_who_connect_while_it_is_loaded_are_served(self):
+        early = open_listener(Endpoint(LOOPBACK, 0))
+        way = TCP4ClientEndpoint(reactor, *early.getsockname())
+        caller = yield connectProtocol(way, Caller())
+        caller.transport.write(text())
+        yield self.start(early=early)
+        yield caller.answered(b"done")
+        self.assertTrue(caller.data.startswith(b"HTTP/1.1 200"), caller.data)
+
+    @inlineCallbacks
+    def test_early_requests_wait_for_what_the_engines_hold_but_not_for_long(self):
+        config = configuration()
+        config["services"][1]["engine"]["kv_cache_tokens"] = 1000
+        for is_silent in (False, True):
+            self.store.write("config", "main", config)
+            caches = SilentCaches()
+            yield self.start(reads_caches=True, caches=caches)
+            caller = yield self.connect()
+            caller.transport.write(text(b"/story/x", method=b"POST", body=b"b"))
+            yield self.eventually(lambda read=caches.readings: len(read) == 2)
+            self.assertEqual([], self.arrivals())
+            if not is_silent:
+                for reading in caches.readings:
+                    reading.callback([])
+            yield caller.answered(b"0\r\n\r\n")
+            self.assertIn(b"id: 4", caller.data)
+            self.router._close()
+            for script in self.scripts.values():
+                script.arrivals.clear()
+
     def said(self, arrival):
         return arrival.method, arrival.path, arrival.body
 
