A fault soak of separate processes; signals that come while a router is loaded are not its end

Ruled out: twisted's own handlers, not installed. Change: handlers first; what came meanwhile is done once it runs.

--- a/src/primrosescale/platform/__main__.py
+++ b/src/primrosescale/platform/__main__.py
@@ -38,6 +38,10 @@
         Exit status: 0 after a planned stop, 78 for settings that cannot be
         used, 1 when a port is taken.
     """
+    # Either signal would end a process that has no handler for it yet.
+    pending: list[int] = []
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, lambda received, _: pending.append(received))
     # Nothing that is loaded becomes garbage; looking for it takes a tenth of
     # the time to start.
     gc.disable()
@@ -70,7 +74,7 @@
     except PrimrosescaleError as error:
         sys.stderr.write(f"primrosescale: {error}\n")
         return os.EX_CONFIG
-    return _run(reactor, router)
+    return _run(reactor, router, pending)
 
 
 def _listen_early() -> socket.socket | None:
@@ -83,8 +87,11 @@
     return None if host.callers is None else open_listener(host.callers)
 
 
-def _run(reactor: Any, router: Any) -> int:
-    """Run the reactor until the router has stopped."""
+def _run(reactor: Any, router: Any, pending: list[int]) -> int:
+    """Run the reactor until the router has stopped.
+
+    `pending` holds the signals that came before it could run.
+    """
     from twisted.internet.error import CannotListenError  # noqa: PLC0415
 
     status = [0]
@@ -108,6 +115,10 @@
         gc.freeze()
         gc.set_threshold(COLLECT_AFTER)
         gc.enable()
+        if signal.SIGTERM in pending:
+            terminate()
+        elif signal.SIGHUP in pending:
+            router.reload()
 
     reactor.callWhenRunning(begin)
     reactor.run(installSignalHandlers=False)
--- a/src/primrosescale/standin/users_engine.py
+++ b/src/primrosescale/standin/users_engine.py
@@ -56,6 +56,8 @@
         Body.
     is_left : bool
         Whether its connection was closed before the answer was whole.
+    has_run : bool
+        Whether the engine began to work on it.
     """
 
     method: bytes
@@ -63,6 +65,7 @@
     headers: dict[bytes, bytes]
     body: bytes
     is_left: bool = False
+    has_run: bool = False
 
 
 @dataclass(slots=True)
@@ -87,6 +90,13 @@
         Seconds before a plain answer.
     arrivals : list[Arrival]
         Requests so far.
+    names_request : bool
+        Whether answers and events hold the request's name, so that a caller
+        can tell its own from others.
+    running : int
+        Requests that are being worked on.
+    on_arrival : Callable[[Arrival], None] | None
+        Told of each request, once it is decided whether it runs.
     """
 
     name: str = "i-1"
@@ -97,13 +107,38 @@
     body: bytes = b"done"
     delay: float = 0.0
     arrivals: list[Arrival] = field(default_factory=list)
+    names_request: bool = False
+    running: int = 0
+    on_arrival: Callable[[Arrival], None] | None = None
+
+    def answer_to(self, request_id: bytes) -> bytes:
+        """Return the whole plain answer to a request.
+
+        Parameters
+        ----------
+        request_id : bytes
+            Name of the request.
+
+        Returns
+        -------
+        bytes
+            The body.
+        """
+        return (
+            b"%b for %b" % (self.body, request_id) if self.names_request else self.body
+        )
 
 
 class _EngineRequest(Request):
     """One request at the engine."""
 
+    # A connection may be lost before its request is whole.
+    _has_arrived = False
+    _is_working = False
+
     def process(self) -> None:
         """Answer by the script."""
+        self._has_arrived = True
         channel: Any = self.channel
         self._script: EngineScript = channel.script
         content: Any = self.content
@@ -119,7 +154,13 @@
         self._script.arrivals.append(self._arrival)
         fault = self._script.faults.pop(0) if self._script.faults else None
         expected = self._arrival.headers.get(names.EXPECTED_INCARNATION.lower())
-        if expected is not None and expected.decode() != self._script.name:
+        is_other = expected is not None and expected.decode() != self._script.name
+        self._is_working = not is_other and fault is not EngineFault.DECLINE
+        self._arrival.has_run = self._is_working
+        self._script.running += self._is_working
+        if self._script.on_arrival is not None:
+            self._script.on_arrival(self._arrival)
+        if is_other:
             self._head(MISDIRECTED, fault)
             self._end()
         elif fault is EngineFault.RESET:
@@ -137,7 +178,13 @@
     def connectionLost(self, reason: Any) -> None:
         """Note that the connection ended early."""
         super().connectionLost(reason)
-        self._arrival.is_left = True
+        if self._has_arrived:
+            self._arrival.is_left = True
+            self._stop_working()
+
+    def _stop_working(self) -> None:
+        self._script.running -= self._is_working
+        self._is_working = False
 
     def _run(self, fault: EngineFault | None) -> None:
         if self._arrival.is_left:
@@ -147,9 +194,10 @@
             self._unframed(is_reset=fault is EngineFault.NO_LENGTH_RESET)
             return
         if not self._script.events:
-            self._head(OK, fault, len(self._script.body))
+            body = self._script.answer_to(self._id)
+            self._head(OK, fault, len(body))
             cut = fault is EngineFault.CUT
-            self.write(self._script.body[:2] if cut else self._script.body)
+            self.write(body[:2] if cut else body)
             if cut:
                 channel.transport.abortConnection()
                 return
@@ -174,15 +222,16 @@
             self.write(b"id: %d\nda" % number)
             channel.later(0.01, channel.transport.abortConnection)
             return
-        self.write(b"id: %d\ndata: word\n\n" % number)
+        word = self._id if self._script.names_request else b"word"
+        self.write(b"id: %d\ndata: %b\n\n" % (number, word))
         channel.later(self._script.gap, lambda: self._event(number + 1, fault))
 
     def _unframed(self, *, is_reset: bool) -> None:
         channel: Any = self.channel
-        echoed = self._arrival.headers.get(names.REQUEST_ID.lower(), b"")
+        body = self._script.answer_to(self._id)
         channel.transport.write(
             b"HTTP/1.1 200 OK\r\nConnection: close\r\n%b: %b\r\n%b: %b\r\n\r\n%b"
-            % (names.REQUEST_ID, echoed, names.RECEIPT, RECEIPT, self._script.body),
+            % (names.REQUEST_ID, self._id, names.RECEIPT, RECEIPT, body),
         )
         if is_reset:
             channel.later(0.01, channel.transport.abortConnection)
@@ -193,9 +242,7 @@
         self, status: int, fault: EngineFault | None, length: int | None = None
     ) -> None:
         self.setResponseCode(status)
-        echoed = self._arrival.headers.get(names.REQUEST_ID.lower(), b"")
-        if fault is EngineFault.WRONG_ID:
-            echoed = b"another"
+        echoed = b"another" if fault is EngineFault.WRONG_ID else self._id
         self.responseHeaders.setRawHeaders(names.REQUEST_ID, [echoed])
         if fault is not EngineFault.NO_RECEIPT:
             self.responseHeaders.setRawHeaders(names.RECEIPT, [RECEIPT])
@@ -204,7 +251,12 @@
             self.responseHeaders.setRawHeaders(b"Content-Length", [b"%d" % length])
         self.write(b"")
 
+    @property
+    def _id(self) -> bytes:
+        return self._arrival.headers.get(names.REQUEST_ID.lower(), b"")
+
     def _end(self) -> None:
+        self._stop_working()
         if not self._arrival.is_left:
             self.finish()
 
--- a/tests/adapter/test_start.py
+++ b/tests/adapter/test_start.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 
 from testtools import TestCase
 
 LOOPBACK = "127.0.0.1"
+PATIENCE = 60.0
 
 
 class StartTest(TestCase):
@@ -27,7 +31,7 @@
         with socket.create_server((LOOPBACK, 0)) as probe:
             self.free = probe.getsockname()[1]
 
-    def run_with(self, callers, readiness):
+    def write(self, callers, readiness):
         fields = {
             "node_name": "r1",
             "ip": LOOPBACK,
@@ -40,27 +44,53 @@
             "platform": {"address": f"{LOOPBACK}:9"},
         }
         self.boot.write_text(json.dumps(fields))
-        return self.run_program()
 
-    def run_program(self):
-        return subprocess.run(
+    def start_program(self):
+        child = subprocess.Popen(
             [sys.executable, "-m", "primrosescale.platform"],
             env={**os.environ, "PRIMROSESCALE_BOOT": str(self.boot)},
-            capture_output=True,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
             text=True,
-            timeout=60,
-            check=False,
         )
+        self.addCleanup(child.wait)
+        self.addCleanup(child.kill)
+        return child
+
+    def run_program(self):
+        child = self.start_program()
+        _, child.said = child.communicate(timeout=PATIENCE)
+        return child
+
+    def wait_for_port(self, port):
+        until = time.monotonic() + PATIENCE
+        while time.monotonic() < until:
+            with contextlib.suppress(ConnectionRefusedError):
+                return socket.create_connection((LOOPBACK, port), 1.0)
+            time.sleep(0.002)
+        raise AssertionError("it does not listen")
 
     def test_a_taken_port_ends_it_with_a_line_that_names_it(self):
         for callers, readiness in ((self.taken, self.free), (0, self.taken)):
-            done = self.run_with(callers or self.free, readiness)
-            self.assertEqual(1, done.returncode, done.stderr)
-            self.assertIn("cannot start", done.stderr)
-            self.assertNotIn("Traceback", done.stderr)
+            self.write(callers or self.free, readiness)
+            done = self.run_program()
+            self.assertEqual(1, done.returncode, done.said)
+            self.assertIn("cannot start", done.said)
+            self.assertNotIn("Traceback", done.said)
 
     def test_a_settings_file_that_cannot_be_used_ends_it_with_the_reason(self):
         self.boot.write_text("{}")
         done = self.run_program()
-        self.assertEqual(os.EX_CONFIG, done.returncode, done.stderr)
-        self.assertIn(str(self.boot), done.stderr)
+        self.assertEqual(os.EX_CONFIG, done.returncode, done.said)
+        self.assertIn(str(self.boot), done.said)
+
+    def test_signals_that_come_while_it_is_loaded_are_not_its_end(self):
+        with socket.create_server((LOOPBACK, 0)) as probe:
+            self.write(self.free, probe.getsockname()[1])
+        child = self.start_program()
+        self.addCleanup(self.wait_for_port(self.free).close)
+        child.send_signal(signal.SIGHUP)
+        child.send_signal(signal.SIGTERM)
+        said, _ = child.communicate(timeout=PATIENCE)
+        self.assertEqual(0, child.returncode)
+        self.assertIn("process_stopped", said)
--- /dev/null
+++ b/tests/soak/backends.py
@@ -0,0 +1,176 @@
+"""The targets, the store and the operator that the routers meet."""
+
+from __future__ import annotations
+
+from twisted.internet import reactor
+from twisted.web.server import Site
+
+from primrosescale.platform import http_codec as names
+from primrosescale.standin.users_engine import EngineScript
+from primrosescale.standin.users_engine import UsersEngine
+from primrosescale.standin.users_store import UsersStore
+from soak.fault_proxy import FaultProxy
+from soak.history import Ran
+from soak.history import Version
+
+LOOPBACK = "127.0.0.1"
+EVENTS = 8
+SLOTS = 16
+# Versions whose route is still there: the newest two.
+KEPT_VERSIONS = 2
+
+
+class Target:
+    """One target: its program's stand-in, its link and its entry."""
+
+    def __init__(self, name, service, history, peers, rng):
+        self.service = service
+        self.life = 0
+        self._base = name
+        self._history = history
+        self._peers = peers
+        plain = service == "portal"
+        self.script = EngineScript(
+            events=0 if plain else EVENTS,
+            gap=rng.uniform(0.01, 0.05),
+            delay=rng.uniform(0.02, 0.09) if plain else 0.03,
+            names_request=True,
+            on_arrival=self._arrived,
+        )
+        self._listener = reactor.listenTCP(
+            0, UsersEngine(self.script), interface=LOOPBACK
+        )
+        self.link = FaultProxy(self._listener.getHost().port)
+        self.begin()
+
+    @property
+    def name(self):
+        return self.script.name
+
+    def begin(self):
+        """Begin a life: the same address, another incarnation."""
+        self.life += 1
+        self.script.name = f"{self._base}-{self.life}"
+        self.script.faults.clear()
+
+    def entry(self, state="ready"):
+        """Return the target's entry in the store."""
+        return {
+            "service": self.service,
+            "address": f"{LOOPBACK}:{self.link.port}",
+            "zone": "a",
+            "state": state,
+            "slots": SLOTS,
+        }
+
+    def _arrived(self, arrival):
+        name = arrival.headers.get(names.REQUEST_ID.lower(), b"").decode()
+        if not name:
+            return
+        peers = [t for t in self._peers if t.service == self.service]
+        mean = sum(t.script.running for t in peers) / len(peers)
+        load = self.script.running
+        now = reactor.seconds()
+        self._history.ran.append(
+            Ran(name, self.name, self.service, now, arrival.has_run, load, mean)
+        )
+
+    def close(self):
+        self.link.close()
+        self._listener.stopListening()
+
+
+class Operator:
+    """Writes versions: a route of its own each, and keys that come and go."""
+
+    def __init__(self, store, history):
+        self._store = store
+        self._history = history
+        self.number = 0
+        self._keys = ["k0", "k1", "k2"]
+
+    def write(self, rng, *, withdraws=False):
+        """Write the next version."""
+        self.number += 1
+        if withdraws:
+            self._keys = [*self._keys[1:], f"k{self.number + 2}"]
+        self._store.write("config", "main", self._content())
+        version = Version(self.number, reactor.seconds(), tuple(self._keys))
+        self._history.versions.append(version)
+
+    def key(self, rng):
+        """Return a key that a caller uses: mostly one that holds."""
+        held = self._history.versions
+        if rng.random() < 0.1 and len(held) > 1:
+            return rng.choice(held[-2].keys)
+        return rng.choice(self._keys)
+
+    def probed(self, rng):
+        """Return a version whose route a caller asks for."""
+        return rng.randint(max(1, self.number - KEPT_VERSIONS), self.number)
+
+    def _content(self):
+        kept = range(max(1, self.number - KEPT_VERSIONS + 1), self.number + 1)
+        return {
+            "version": self.number,
+            "routes": [
+                _route("plain", "safe", "portal"),
+                _route("once", "unsafe", "portal", max_attempts=1),
+                _route("story", "streaming", "model", resume_streams=True),
+                _route("draft", "streaming", "model", max_attempts=1),
+                *(_route(f"v{number}", "safe", "portal") for number in kept),
+            ],
+            "services": [{"name": "portal"}, {"name": "model"}],
+            "tenants": [{"name": "bakery", "api_keys": list(self._keys)}],
+            "limits": {"idle_timeout_ms": 4000},
+        }
+
+
+def _route(name, kind, service, **fields):
+    is_stream = kind == "streaming"
+    return {
+        "name": name,
+        "host": "desk.example",
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 6000 if is_stream else 1500,
+        "target_latency_ms": 400,
+        "gap_aim_ms": 400,
+        "priority": 1,
+        "service": service,
+        "sticky": is_stream,
+        "max_attempts": 2,
+        **fields,
+    }
+
+
+class Backends:
+    """The store with its entries, and all targets."""
+
+    def __init__(self, portals, models, history, rng):
+        self.store = UsersStore(reactor)
+        self._site = Site(self.store)
+        self._site.noisy = False
+        self._listener = reactor.listenTCP(0, self._site, interface=LOOPBACK)
+        self.store_port = self._listener.getHost().port
+        self.targets = []
+        self.operator = Operator(self.store, history)
+        for service, count in (("portal", portals), ("model", models)):
+            for n in range(count):
+                name = f"{service}{n}"
+                self.targets.append(Target(name, service, history, self.targets, rng))
+        for target in self.targets:
+            self.list(target)
+
+    def list(self, target, state="ready"):
+        """Write a target's entry."""
+        self.store.write("servers", target.name, target.entry(state))
+
+    def delist(self, target):
+        """Remove a target's entry."""
+        self.store.remove("servers", target.name)
+
+    def close(self):
+        for target in self.targets:
+            target.close()
+        self._listener.stopListening()
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,173 @@
+"""Callers that keep their connections open until the router is gone."""
+
+from __future__ import annotations
+
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.endpoints import connectProtocol
+from twisted.internet.protocol import Protocol
+from twisted.internet.task import deferLater
+from twisted.web._newclient import HTTP11ClientProtocol
+from twisted.web._newclient import Request
+from twisted.web._newclient import ResponseDone
+from twisted.web.http_headers import Headers
+
+from primrosescale.platform import http_codec as names
+from primrosescale.process.transport.http_bodies import body_producer
+from soak.history import ANSWERED
+from soak.history import CUT
+from soak.history import LEFT
+from soak.history import Asked
+
+LOOPBACK = "127.0.0.1"
+CONNECT_TIMEOUT = 1
+# Seconds that a caller waits beyond its deadline before it leaves.
+PATIENCE = 1.0
+# Share of requests whose caller leaves early.
+LEAVES_EARLY = 0.04
+# What is asked for, how often, with which time limit in seconds.
+KINDS = {
+    "plain": ("GET", "portal", 30, 1.5),
+    "once": ("POST", "portal", 25, 1.5),
+    "story": ("POST", "model", 25, 6.0),
+    "draft": ("POST", "model", 12, 6.0),
+    "probe": ("GET", "portal", 8, 1.5),
+}
+
+
+class _Body(Protocol):
+    """Collects a body and tells how it ended."""
+
+    def __init__(self):
+        self.data = b""
+        self.ended = Deferred()
+
+    def dataReceived(self, data):
+        self.data += data
+
+    def connectionLost(self, reason=None):
+        self.ended.callback(bool(reason.check(ResponseDone)))
+
+
+class Caller:
+    """Sends one request after the other, each to a router that is ready."""
+
+    def __init__(self, number, rng, fleet, history, operator):
+        self._number = number
+        self._rng = rng
+        self._fleet = fleet
+        self._history = history
+        self._operator = operator
+        self._channel = None
+        self._router = None
+        self._life = 0
+        self._count = 0
+        self._is_stopped = False
+
+    def stop(self):
+        """Send no more."""
+        self._is_stopped = True
+        if self._channel is not None:
+            self._channel.transport.abortConnection()
+
+    @inlineCallbacks
+    def run(self, pause):
+        """Send requests until stopped, with pauses of about this length."""
+        while not self._is_stopped:
+            yield deferLater(reactor, pause * self._rng.uniform(0.3, 1.7), lambda: None)
+            if not self._is_stopped:
+                yield self._ask()
+
+    @inlineCallbacks
+    def _connect(self):
+        router = self._fleet.choose(self._rng)
+        way = TCP4ClientEndpoint(reactor, LOOPBACK, router.port, CONNECT_TIMEOUT)
+        protocol = HTTP11ClientProtocol(lambda _: None)
+        channel = yield connectProtocol(way, protocol)
+        self._channel, self._router, self._life = channel, router, router.life
+
+    def _draw(self):
+        kinds = list(KINDS)
+        kind = self._rng.choices(kinds, [KINDS[k][2] for k in kinds])[0]
+        method, service, _, limit = KINDS[kind]
+        version = self._operator.probed(self._rng) if kind == "probe" else 0
+        prefix = f"v{version}" if version else "plain" if kind == "probe" else kind
+        self._count += 1
+        name = f"c{self._number}-{self._count}"
+        asked = Asked(
+            name=name,
+            kind=kind,
+            path=f"/{prefix}/x",
+            service=service,
+            key=self._operator.key(self._rng),
+            router=self._router.name,
+            life=self._life,
+            sent_at=reactor.seconds(),
+            deadline=limit,
+            version=version,
+        )
+        self._history.asked[name] = asked
+        return asked, method
+
+    @inlineCallbacks
+    def _ask(self):
+        if self._channel is None or self._channel.state != "QUIESCENT":
+            try:
+                yield self._connect()
+            except Exception:  # noqa: BLE001 - a caller tries again elsewhere
+                return
+        asked, method = self._draw()
+        limit = asked.deadline + PATIENCE
+        if self._rng.random() < LEAVES_EARLY:
+            limit = self._rng.uniform(0.02, 0.3)
+        channel = self._channel
+        leaving = reactor.callLater(limit, self._leave, asked, channel)
+        try:
+            yield self._exchange(asked, method, channel)
+        except Exception:  # noqa: BLE001 - any failure is a cut exchange
+            asked.outcome = asked.outcome or CUT
+        finally:
+            if leaving.active():
+                leaving.cancel()
+        asked.ended_at = reactor.seconds()
+        if asked.outcome != ANSWERED:
+            channel.transport.abortConnection()
+            self._channel = None
+
+    @inlineCallbacks
+    def _exchange(self, asked, method, channel):
+        body = b"b" * 300 if method == "POST" else None
+        headers = {
+            b"Host": b"desk.example",
+            names.REQUEST_ID: asked.name.encode(),
+            names.TIME_LEFT: b"%d" % (asked.deadline * 1000),
+            names.AUTHORIZATION: b"Bearer " + asked.key.encode(),
+        }
+        if asked.service == "model":
+            chat = self._rng.randrange(12)
+            parts = b"aa:200,b%d:1500,d%d:40" % (chat, self._count)
+            headers[names.PROMPT_PARTS] = parts
+            headers[names.TOKENS] = b"1740,60"
+        request = Request._construct(
+            method.encode(),
+            asked.path.encode(),
+            Headers({name: [value] for name, value in headers.items()}),
+            body_producer(body),
+            persistent=True,
+        )
+        response = yield channel.request(request)
+        asked.status = response.code
+        asked.echoed = (response.headers.getRawHeaders(names.REQUEST_ID) or [b""])[
+            0
+        ].decode()
+        collected = _Body()
+        response.deliverBody(collected)
+        is_whole = yield collected.ended
+        asked.body = collected.data
+        asked.outcome = asked.outcome or (ANSWERED if is_whole else CUT)
+
+    def _leave(self, asked, channel):
+        asked.outcome = LEFT
+        channel.transport.abortConnection()
--- /dev/null
+++ b/tests/soak/fault_proxy.py
@@ -0,0 +1,139 @@
+"""A loopback proxy whose links are delayed, held back, cut or reset.
+
+Bytes that are held back come later, as a network that is cut and mended brings
+them; nothing is dropped from the middle of a connection.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from enum import Enum
+
+from twisted.internet import reactor
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.endpoints import connectProtocol
+from twisted.internet.protocol import Factory
+from twisted.internet.protocol import Protocol
+
+LOOPBACK = "127.0.0.1"
+CONNECT_TIMEOUT = 5
+
+
+class LinkFault(Enum):
+    """What the link does."""
+
+    NONE = "none"
+    DELAY = "delay"
+    SILENT = "silent"
+    ONE_WAY = "one way"
+    RESET = "reset"
+
+
+class _Way:
+    """Bytes in one direction of one connection."""
+
+    def __init__(self, proxy, is_answer):
+        self._proxy = proxy
+        self._is_answer = is_answer
+        self._waiting = deque()
+        self.other = None
+
+    def pass_on(self, data):
+        if self._proxy.fault is LinkFault.DELAY:
+            self._waiting.append(data)
+            reactor.callLater(self._proxy.delay, self.flush_one)
+        elif self._proxy.holds(self._is_answer) or self._waiting or not self.other:
+            self._waiting.append(data)
+        else:
+            self._send(data)
+
+    def flush_one(self):
+        if self._waiting and not self._proxy.holds(self._is_answer) and self.other:
+            self._send(self._waiting.popleft())
+
+    def flush(self):
+        while self._waiting and self.other:
+            self._send(self._waiting.popleft())
+
+    def _send(self, data):
+        if data is None:
+            self.other.transport.loseConnection()
+        else:
+            self.other.transport.write(data)
+
+
+class _Side(Protocol):
+    """One end of a proxied connection."""
+
+    def __init__(self, proxy, way):
+        self._proxy = proxy
+        self._way = way
+
+    def dataReceived(self, data):
+        self._way.pass_on(data)
+
+    def connectionLost(self, reason=None):
+        self._way.pass_on(None)
+        self._proxy.sides.discard(self)
+
+
+class FaultProxy(Factory):
+    """Stands before one port; all its connections share one state."""
+
+    noisy = False
+
+    def __init__(self, port):
+        self._target = TCP4ClientEndpoint(reactor, LOOPBACK, port, CONNECT_TIMEOUT)
+        self._ways = []
+        self.sides = set()
+        self.fault = LinkFault.NONE
+        self.delay = 0.0
+        self._listener = reactor.listenTCP(0, self, interface=LOOPBACK)
+        self.port = self._listener.getHost().port
+
+    def holds(self, is_answer):
+        return self.fault is LinkFault.SILENT or (
+            self.fault is LinkFault.ONE_WAY and is_answer
+        )
+
+    def buildProtocol(self, addr):
+        there, back = _Way(self, is_answer=False), _Way(self, is_answer=True)
+        self._ways += [there, back]
+        caller = _Side(self, there)
+        target = _Side(self, back)
+        back.other = caller
+        self.sides.add(caller)
+        opening = connectProtocol(self._target, target)
+
+        def opened(_):
+            self.sides.add(target)
+            if self.fault is LinkFault.RESET:
+                target.transport.abortConnection()
+            there.other = target
+            if not self.holds(is_answer=False):
+                there.flush()
+
+        def failed(_):
+            caller.transport.abortConnection()
+
+        opening.addCallbacks(opened, failed)
+        return caller
+
+    def set(self, fault, delay=0.0):
+        """Change what the links do from now on."""
+        self.fault, self.delay = fault, delay
+        if fault is LinkFault.RESET:
+            self.reset()
+        elif fault is LinkFault.NONE:
+            for way in self._ways:
+                way.flush()
+            self._ways = [way for way in self._ways if way.other in self.sides]
+
+    def reset(self):
+        """Reset the connections that are open."""
+        for side in list(self.sides):
+            side.transport.abortConnection()
+
+    def close(self):
+        self.reset()
+        return self._listener.stopListening()
--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,189 @@
+"""The programs under test, as processes, and how they are started and ended."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+from twisted.internet import reactor
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.endpoints import connectProtocol
+from twisted.internet.protocol import Protocol
+from twisted.internet.task import LoopingCall
+
+from soak.fault_proxy import FaultProxy
+
+LOOPBACK = "127.0.0.1"
+# The balancer asks this often, and two misses take a router out.
+ASK_EVERY = 0.5
+MISSES = 2
+RESTART_AFTER = 0.4
+BOUNDS = {
+    "drain_ms": 2000,
+    "grace_s": 8,
+    "revoke_ms": 5000,
+    "retry_budget_ratio": 0.2,
+    "budget_window_s": 10,
+    "budget_extra": 30,
+    "cap_x": 2,
+}
+
+
+def free_port(kind=socket.SOCK_STREAM):
+    """Return a port that nothing uses now."""
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((LOOPBACK, 0))
+        return probe.getsockname()[1]
+
+
+class _Ready(Protocol):
+    """Asks one router whether it is ready."""
+
+    def __init__(self, answered):
+        self._answered = answered
+        self._data = b""
+
+    def connectionMade(self):
+        self.transport.write(b"GET /api/ready HTTP/1.1\r\nHost: r\r\n\r\n")
+        reactor.callLater(ASK_EVERY, self.transport.abortConnection)
+
+    def dataReceived(self, data):
+        self._data += data
+        self._answered(self._data.startswith(b"HTTP/1.1 200"))
+        self.transport.loseConnection()
+
+
+class RouterProcess:
+    """One router, its settings file, its log and its link to the store."""
+
+    def __init__(self, name, folder, store_port, history):
+        self.name = name
+        self.port = free_port()
+        self.life = 0
+        self.misses = 0
+        self.is_paused = False
+        self.is_stopping = False
+        self.store = FaultProxy(store_port)
+        self._ready_port = free_port()
+        self._links_port = free_port(socket.SOCK_DGRAM)
+        self._boot = folder / f"{name}.json"
+        self._log = (folder / f"{name}.log").open("ab")
+        self._history = history
+        self._child = None
+        self._wanted = False
+        self._is_first = True
+        self.write_settings()
+
+    @property
+    def is_running(self):
+        return self._child is not None and self._child.poll() is None
+
+    def write_settings(self, memory=300):
+        """Write the settings file as the platform does."""
+        fields = {
+            "node_name": self.name,
+            "ip": LOOPBACK,
+            "zone": "a",
+            "region": "r",
+            "listen": {
+                "front": f"{LOOPBACK}:{self.port}",
+                "ready": f"{LOOPBACK}:{self._ready_port}",
+            },
+            "internal_ports": [self._links_port, self._links_port + 15],
+            "bootstrap": self._is_first,
+            "limits": {"memory_mb": memory},
+            "bounds": BOUNDS,
+            "platform": {"address": f"{LOOPBACK}:{self.store.port}"},
+        }
+        self._boot.write_text(json.dumps(fields))
+
+    def start(self):
+        """Start the program; it is started again whenever it ends."""
+        self._wanted = True
+        self.is_stopping = self.is_paused = False
+        self.life += 1
+        self.misses = 0
+        self._child = subprocess.Popen(
+            [sys.executable, "-OO", "-m", "primrosescale.platform"],
+            env={**os.environ, "PRIMROSESCALE_BOOT": str(self._boot)},
+            stdout=self._log,
+            stderr=self._log,
+        )
+        self._is_first = False
+
+    def look_after(self):
+        """Start it again once it has ended; note an end of its own."""
+        if not self._wanted or self._child is None or self._child.poll() is None:
+            return
+        status = self._child.returncode
+        expected = {-signal.SIGKILL} | ({0} if self.is_stopping else set())
+        if status not in expected:
+            self._history.own_ends.append(f"{self.name} ended with status {status}")
+        self._child = None
+        self.write_settings()
+        reactor.callLater(RESTART_AFTER, self._start_again)
+
+    def _start_again(self):
+        if self._wanted and self._child is None:
+            self.start()
+
+    def signal(self, number):
+        """Send a signal to the process that was started, if it lives."""
+        if self.is_running:
+            self._child.send_signal(number)
+
+    def end(self):
+        """End it for good."""
+        self._wanted = False
+        if self.is_running:
+            self._child.send_signal(signal.SIGKILL)
+            self._child.wait()
+        self._log.close()
+        return self.store.close()
+
+    def ask_ready(self):
+        """Count a miss unless the router says that it is ready."""
+        self.misses += 1
+        way = TCP4ClientEndpoint(reactor, LOOPBACK, self._ready_port, ASK_EVERY)
+        connectProtocol(way, _Ready(self._told)).addErrback(lambda _: None)
+
+    def _told(self, is_ready):
+        if is_ready:
+            self.misses = 0
+
+
+class Fleet:
+    """All routers, and the balancer before them."""
+
+    def __init__(self, count, folder, store_port, history):
+        self.routers = [
+            RouterProcess(f"r{n}", Path(folder), store_port, history)
+            for n in range(count)
+        ]
+        self._loops = []
+
+    def start(self):
+        """Start all routers and look after them."""
+        for router in self.routers:
+            router.start()
+            for act, every in ((router.look_after, 0.1), (router.ask_ready, ASK_EVERY)):
+                loop = LoopingCall(act)
+                loop.start(every)
+                self._loops.append(loop)
+
+    def choose(self, rng):
+        """Return a router for a new connection."""
+        ready = [r for r in self.routers if r.misses < MISSES]
+        return rng.choice(ready or self.routers)
+
+    def stop(self):
+        """End all processes that were started."""
+        for loop in self._loops:
+            loop.stop()
+        for router in self.routers:
+            router.end()
--- /dev/null
+++ b/tests/soak/history.py
@@ -0,0 +1,101 @@
+"""What happened in a soak, as callers, targets and the operator saw it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+ANSWERED = "answered"
+CUT = "cut"
+LEFT = "left"
+# Time without trouble after which a router counts as calm, in seconds.
+CALM_AFTER = 3.0
+
+
+@dataclass
+class Asked:
+    """One attempt of a caller, with a name of its own."""
+
+    name: str
+    kind: str
+    path: str
+    service: str
+    key: str
+    router: str
+    life: int
+    sent_at: float
+    deadline: float
+    version: int = 0
+    ended_at: float | None = None
+    outcome: str = ""
+    status: int = 0
+    body: bytes = b""
+    echoed: str = ""
+
+    @property
+    def may_repeat(self):
+        return self.kind in {"plain", "story", "probe"}
+
+
+@dataclass
+class Ran:
+    """An arrival at a target; `has_run` tells whether it began to work."""
+
+    name: str
+    target: str
+    service: str
+    at: float
+    has_run: bool
+    load: int = 0
+    mean: float = 0.0
+
+
+@dataclass
+class Trouble:
+    """A fault or planned work, and whom it touches."""
+
+    kind: str
+    scope: str
+    began: float
+    ended: float | None = None
+    is_planned: bool = False
+
+
+@dataclass
+class Version:
+    """A version of the configuration that the store has acknowledged."""
+
+    number: int
+    acked_at: float
+    keys: tuple[str, ...]
+
+
+@dataclass
+class History:
+    """Everything the checks need."""
+
+    asked: dict[str, Asked] = field(default_factory=dict)
+    ran: list[Ran] = field(default_factory=list)
+    troubles: list[Trouble] = field(default_factory=list)
+    versions: list[Version] = field(default_factory=list)
+    draining: dict[str, float] = field(default_factory=dict)
+    own_ends: list[str] = field(default_factory=list)
+    stops: list[tuple[str, int, float]] = field(default_factory=list)
+    quiet_from: float | None = None
+
+    def is_calm(self, began, ended, scopes):
+        """Tell whether no trouble touched any of the scopes, or just before."""
+        return not any(
+            trouble.scope in scopes
+            and trouble.began <= ended
+            and (trouble.ended is None or trouble.ended + CALM_AFTER >= began)
+            for trouble in self.troubles
+        )
+
+    def runs_of(self):
+        """Return the runs of each request, by its name."""
+        found = {}
+        for run in self.ran:
+            if run.has_run:
+                found.setdefault(run.name, []).append(run)
+        return found
--- /dev/null
+++ b/tests/soak/promises.py
@@ -0,0 +1,237 @@
+"""What must always hold, checked on what callers and targets saw.
+
+Each check takes a history and returns what breaks the promise, as lines.
+"""
+
+from __future__ import annotations
+
+import re
+
+from soak.history import ANSWERED
+from soak.history import CUT
+
+OK = 200
+REFUSALS = {408, 421, 429, 503}
+DENIALS = {401, 403, 404}
+STREAMS = {"story", "draft"}
+EVENT = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
+# Bounds as the soak's settings file states them, in seconds.
+DRAIN = 2.0
+REVOKE = 5.0
+IN_FORCE = 2.0
+NEVER_BACK = 0.25
+STOP_GRACE = 8.0
+# What the callers' own clock may be off by: both ends are one process.
+SLACK = 0.1
+BUDGET_RATIO = 0.2
+BUDGET_WINDOW = 10.0
+BUDGET_EXTRA = 30.0
+LOAD_MULTIPLE = 2.0
+LOAD_MARGIN = 3.0
+LOAD_SHARE = 0.03
+LOAD_LEAST = 20
+RECOVERED_AFTER = 6.0
+RECOVERED_SHARE = 0.9
+ANSWER_SLACK = 0.5
+
+
+def at_most_once(history):
+    """Nothing that may run once runs twice."""
+    for name, runs in history.runs_of().items():
+        asked = history.asked.get(name)
+        if asked is None:
+            yield f"{name} ran though nobody sent it"
+        elif not asked.may_repeat and len(runs) > 1:
+            yield f"{name} ({asked.kind}) ran {len(runs)} times"
+
+
+def not_run_is_true(history):
+    """A refusal that says "not run" is never contradicted by a target."""
+    runs = history.runs_of()
+    for asked in history.asked.values():
+        refused = asked.outcome == ANSWERED and asked.status in REFUSALS
+        if refused and asked.name in runs:
+            yield f"{asked.name} was refused with {asked.status} and has run"
+
+
+def answers_are_whole(history, events):
+    """A success is the whole answer to the caller's own request."""
+    for asked in history.asked.values():
+        if asked.outcome != ANSWERED or asked.status != OK:
+            continue
+        if asked.echoed != asked.name:
+            yield f"{asked.name} got the answer to {asked.echoed or 'nobody'}"
+        elif asked.kind in STREAMS:
+            found = EVENT.findall(asked.body)
+            wanted = [(b"%d" % n, asked.name.encode()) for n in range(1, events + 1)]
+            if found != wanted:
+                yield f"{asked.name} got events {[int(n) for n, _ in found]} as whole"
+        elif asked.body != b"done for %b" % asked.name.encode():
+            yield f"{asked.name} got another body: {asked.body[:60]!r}"
+
+
+def withdrawn_keys_end(history):
+    """A key is not accepted longer than the bound after its withdrawal."""
+    last_held = {}
+    for version in history.versions:
+        for key in version.keys:
+            last_held[key] = version.number
+    gone_at = {}
+    for key, number in last_held.items():
+        later = [v.acked_at for v in history.versions if v.number > number]
+        if later:
+            gone_at[key] = min(later)
+    for name in history.runs_of():
+        asked = history.asked.get(name)
+        if asked is None or asked.key not in gone_at:
+            continue
+        late = asked.sent_at - gone_at[asked.key]
+        if late > REVOKE + SLACK:
+            yield f"{name} ran with a key withdrawn {late:.2f} s before"
+
+
+def leaving_targets_get_no_work(history):
+    """A target that said it leaves gets nothing new after the bound."""
+    for run in history.ran:
+        told_at = history.draining.get(run.target)
+        asked = history.asked.get(run.name)
+        if told_at is None or asked is None:
+            continue
+        late = run.at - told_at
+        scopes = {asked.router, "store", f"store of {asked.router}"}
+        if late > DRAIN + SLACK and history.is_calm(told_at, run.at, scopes):
+            yield f"{run.name} reached {run.target} {late:.2f} s after its notice"
+
+
+def planned_stops_cut_nothing(history):
+    """A router that is asked to stop finishes what it has."""
+    for router, life, told_at in history.stops:
+        for asked in history.asked.values():
+            if (asked.router, asked.life) != (router, life) or asked.outcome != CUT:
+                continue
+            ended = asked.ended_at or asked.sent_at
+            if not told_at - STOP_GRACE <= asked.sent_at <= told_at + 2.0:
+                continue
+            if ended < told_at or ended - told_at > STOP_GRACE - 1.0:
+                continue
+            everything = {t.scope for t in history.troubles if not t.is_planned}
+            if history.is_calm(asked.sent_at, ended, everything):
+                yield f"{asked.name} was cut by the planned stop of {router}"
+
+
+def versions_come_and_stay(history):
+    """A version is in force in time and is never left for an older one."""
+    acked = {version.number: version for version in history.versions}
+    seen = {}
+    probes = [a for a in history.asked.values() if a.version and a.outcome == ANSWERED]
+    for asked in sorted(probes, key=lambda a: a.ended_at):
+        life = (asked.router, asked.life)
+        if asked.status == OK and asked.version > seen.get(life, (0, 0.0))[0]:
+            seen[life] = (asked.version, asked.ended_at)
+    for asked in probes:
+        life = (asked.router, asked.life)
+        newest, since = seen.get(life, (0, 0.0))
+        version = acked[asked.version]
+        since_then = [v for v in history.versions if v.number >= asked.version]
+        is_held = all(asked.key in v.keys for v in since_then)
+        is_dropped = since_then[-1].number > asked.version + 1
+        scopes = {asked.router, "store", f"store of {asked.router}"}
+        after = asked.sent_at - version.acked_at
+        if asked.status in DENIALS and is_held and not is_dropped:
+            is_calm = history.is_calm(version.acked_at, asked.ended_at, scopes)
+            if after > IN_FORCE + SLACK and is_calm:
+                yield f"{asked.name} on version {asked.version} got {asked.status}"
+            if newest >= asked.version and asked.sent_at > since + NEVER_BACK:
+                yield f"{asked.name}: {asked.router} went back before {newest}"
+        if asked.status == OK and newest > asked.version + 1:
+            if asked.sent_at > since + NEVER_BACK:
+                yield f"{asked.name}: {asked.router} went back from {newest}"
+
+
+def repeats_are_bounded(history):
+    """Retries of all routers together stay within their budget."""
+    seen = set()
+    arrivals = {}
+    for run in sorted(history.ran, key=lambda r: r.at):
+        if run.name in seen:
+            arrivals.setdefault(run.service, []).append(run.at)
+        seen.add(run.name)
+    for service, times in arrivals.items():
+        sent = [a.sent_at for a in history.asked.values() if a.service == service]
+        for end in times:
+            repeats = sum(1 for at in times if end - BUDGET_WINDOW < at <= end)
+            asked = max(
+                sum(1 for at in sent if end - back - BUDGET_WINDOW < at <= end - back)
+                for back in (0.0, BUDGET_WINDOW / 2, BUDGET_WINDOW)
+            )
+            if repeats > BUDGET_RATIO * asked + BUDGET_EXTRA:
+                yield f"{service} got {repeats} repeats for {asked} requests"
+                break
+
+
+def load_is_even(history):
+    """No target holds more than a multiple of its service's mean in calm times."""
+    calm = [
+        run
+        for run in history.ran
+        if history.is_calm(
+            run.at - 2.0,
+            run.at,
+            {t.scope for t in history.troubles if not t.is_planned},
+        )
+    ]
+    over = [r for r in calm if r.load > LOAD_MULTIPLE * r.mean + LOAD_MARGIN]
+    if len(over) >= LOAD_LEAST and len(over) > LOAD_SHARE * len(calm):
+        yield f"{len(over)} of {len(calm)} requests reached a target over the bound"
+
+
+def answers_come_in_time(history):
+    """A calm router leaves no caller without an answer at the deadline."""
+    for asked in history.asked.values():
+        ended = asked.ended_at
+        if ended is None:
+            continue
+        late = ended - asked.sent_at - asked.deadline
+        if late > ANSWER_SLACK and history.is_calm(
+            asked.sent_at, ended, {asked.router, "store", f"store of {asked.router}"}
+        ):
+            yield f"{asked.name} had no answer {late:.2f} s after its deadline"
+
+
+def processes_stay(history):
+    """No router ends by itself."""
+    yield from history.own_ends
+
+
+def service_recovers(history):
+    """Callers are served again soon after the last trouble."""
+    if history.quiet_from is None:
+        return
+    since = history.quiet_from + RECOVERED_AFTER
+    late = [a for a in history.asked.values() if a.sent_at > since and a.ended_at]
+    late = [a for a in late if a.key in history.versions[-1].keys and not a.version]
+    good = [a for a in late if a.outcome == ANSWERED and a.status == OK]
+    if not late:
+        yield "nobody asked after the last trouble"
+    elif len(good) < RECOVERED_SHARE * len(late):
+        yield f"{len(good)} of {len(late)} requests were served after the last trouble"
+
+
+def broken(history, events):
+    """Return all that breaks a promise, by promise."""
+    checks = {
+        "at most once": at_most_once(history),
+        "not run is true": not_run_is_true(history),
+        "whole answers": answers_are_whole(history, events),
+        "withdrawn keys": withdrawn_keys_end(history),
+        "leaving targets": leaving_targets_get_no_work(history),
+        "planned stops": planned_stops_cut_nothing(history),
+        "versions": versions_come_and_stay(history),
+        "repeats": repeats_are_bounded(history),
+        "load": load_is_even(history),
+        "in time": answers_come_in_time(history),
+        "processes": processes_stay(history),
+        "recovery": service_recovers(history),
+    }
+    found = {name: list(lines) for name, lines in checks.items()}
+    return {name: lines for name, lines in found.items() if lines}
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,318 @@
+"""Runs routers as processes among faults and checks what they promise.
+
+    python tests/soak/soak.py --seed 7 --seconds 40 --routers 4
+
+The routers' programs are the real ones, the store and the targets stand-ins in
+this process. Faults come from outside: signals, links through a loopback proxy,
+a store and targets that fail. Clocks are not stepped: the routers use one that
+nothing but a suspended host moves, which a paused process comes near to.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+if __name__ == "__main__":
+    sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+
+from twisted.internet import reactor
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import deferLater
+
+from primrosescale.standin.users_engine import EngineFault
+from primrosescale.standin.users_store import StoreFault
+from soak import promises
+from soak import schedule
+from soak.backends import EVENTS
+from soak.backends import Backends
+from soak.callers import Caller
+from soak.fault_proxy import LinkFault
+from soak.fleet import Fleet
+from soak.history import History
+from soak.history import Trouble
+
+START_PATIENCE = 30.0
+LINK_FAULTS = [fault for fault in LinkFault if fault is not LinkFault.NONE]
+LINK_DELAY = 0.3
+# Seconds until a crashed target is back, and until its entry goes.
+BACK_AFTER = 1.5
+LAPSE_AFTER = 2.0
+# A planned stop takes this long at the most.
+STOP_SECONDS = 9.0
+QUIET_SECONDS = 12.0
+# A leaving target goes on serving for the time in which it may get work.
+LEAVES_AFTER = 2.4
+BURST = 12
+
+
+class Soak:
+    """One run."""
+
+    def __init__(self, seed, routers, callers, folder, portals=4, models=4):
+        self._rng = random.Random(seed)
+        self.history = History()
+        self._backends = Backends(portals, models, self.history, self._rng)
+        self._fleet = Fleet(routers, folder, self._backends.store_port, self.history)
+        self._operator = self._backends.operator
+        self._callers = [
+            Caller(
+                n,
+                random.Random(seed * 1000 + n),
+                self._fleet,
+                self.history,
+                self._operator,
+            )
+            for n in range(callers)
+        ]
+        self._ending = []
+
+    @inlineCallbacks
+    def run(self, seconds, pause):
+        """Run for so long; return what broke."""
+        self._operator.write(self._rng)
+        self._fleet.start()
+        yield self._until_ready()
+        for caller in self._callers:
+            caller.run(pause)
+        began = reactor.seconds()
+        for step in schedule.draw(self._rng, seconds):
+            yield self._wait(began + step.at - reactor.seconds())
+            getattr(self, f"_{step.kind}")(step)
+        yield self._wait(max(self._ending, default=0.0) - reactor.seconds())
+        self.history.quiet_from = reactor.seconds()
+        yield self._wait(QUIET_SECONDS)
+        for caller in self._callers:
+            caller.stop()
+        yield self._wait(0.1)
+        return promises.broken(self.history, EVENTS)
+
+    def stop(self):
+        """End all that was started."""
+        self._fleet.stop()
+        self._backends.close()
+
+    @inlineCallbacks
+    def _until_ready(self):
+        until = reactor.seconds() + START_PATIENCE
+        while any(r.misses for r in self._fleet.routers):
+            if reactor.seconds() > until:
+                raise TimeoutError("the routers did not become ready")
+            yield self._wait(0.1)
+
+    def _wait(self, seconds):
+        return deferLater(reactor, max(0.0, seconds), lambda: None)
+
+    # What may happen
+
+    def _begin(self, kind, scope, lasts, undo=None, *, is_planned=False):
+        now = reactor.seconds()
+        trouble = Trouble(kind, scope, now, is_planned=is_planned)
+        self.history.troubles.append(trouble)
+        self._ending.append(now + lasts)
+
+        def end():
+            trouble.ended = reactor.seconds()
+            if undo is not None:
+                undo()
+
+        reactor.callLater(lasts, end)
+
+    def _router(self, step):
+        routers = self._fleet.routers
+        return routers[int(step.pick * len(routers))]
+
+    def _target(self, step):
+        targets = self._backends.targets
+        return targets[int(step.pick * len(targets))]
+
+    def _kill_one(self, router):
+        self._begin("kill", router.name, 3.0)
+        router.signal(signal.SIGCONT)
+        router.signal(signal.SIGKILL)
+
+    def _kill(self, step):
+        self._kill_one(self._router(step))
+
+    def _kill_all(self, step):
+        for router in self._fleet.routers:
+            self._kill_one(router)
+
+    def _pause(self, step):
+        router = self._router(step)
+        if router.is_paused:
+            return
+        router.is_paused = True
+        life = router.life
+
+        def resume():
+            router.is_paused = False
+            if router.life == life:
+                router.signal(signal.SIGCONT)
+
+        router.signal(signal.SIGSTOP)
+        self._begin("pause", router.name, step.lasts, resume)
+
+    def _term(self, step):
+        router = self._router(step)
+        if router.is_stopping or not router.is_running:
+            return
+        router.is_stopping = True
+        life = router.life
+        now = reactor.seconds()
+        self.history.stops.append((router.name, life, now))
+        router.signal(signal.SIGTERM)
+
+        def kill_late():
+            if router.life == life and router.is_running:
+                router.signal(signal.SIGCONT)
+                router.signal(signal.SIGKILL)
+
+        self._begin("term", router.name, STOP_SECONDS, kill_late, is_planned=True)
+
+    def _term_two(self, step):
+        self._term(step)
+        later = (step.pick + step.how) % 1.0
+        self._term(schedule.Step(step.at, step.kind, step.lasts, later, step.how))
+
+    def _hup(self, step):
+        router = self._router(step)
+        router.write_settings(memory=200 + int(step.how * 200))
+        router.signal(signal.SIGHUP)
+
+    def _change(self, step):
+        self._operator.write(self._rng)
+
+    def _withdraw(self, step):
+        self._operator.write(self._rng, withdraws=True)
+
+    def _router_store(self, step):
+        router = self._router(step)
+        fault = LINK_FAULTS[int(step.how * len(LINK_FAULTS))]
+        router.store.set(fault, LINK_DELAY)
+        self._begin(
+            f"store {fault.value}",
+            f"store of {router.name}",
+            step.lasts,
+            lambda: router.store.set(LinkFault.NONE),
+        )
+
+    def _store(self, step):
+        faults = self._backends.store.faults
+        found = list(StoreFault)[int(step.how * len(StoreFault))]
+        faults.all_calls = found
+
+        def mend():
+            faults.all_calls = None
+
+        self._begin(f"store {found.name}", "store", step.lasts, mend)
+
+    def _store_forgets(self, step):
+        self._backends.store.forget_history()
+        self._begin("store forgets", "store", 1.0)
+
+    def _target_link(self, step):
+        target = self._target(step)
+        fault = LINK_FAULTS[int(step.how * len(LINK_FAULTS))]
+        target.link.set(fault, LINK_DELAY)
+        self._begin(
+            f"link {fault.value}",
+            target.name,
+            step.lasts,
+            lambda: target.link.set(LinkFault.NONE),
+        )
+
+    def _target_faults(self, step):
+        target = self._target(step)
+        fault = list(EngineFault)[int(step.how * len(EngineFault))]
+        target.script.faults += [fault] * (1 + int(step.lasts / 5 * BURST))
+        self._begin(
+            f"faults {fault.name}", target.name, step.lasts, target.script.faults.clear
+        )
+
+    def _target_crash(self, step):
+        target = self._target(step)
+        name = target.name
+        store = self._backends.store
+        target.link.reset()
+        target.begin()
+        reactor.callLater(LAPSE_AFTER, store.remove, "servers", name)
+        self._begin("crash", name, BACK_AFTER, lambda: self._backends.list(target))
+
+    def _drain(self, step):
+        """Have a target leave as planned, and another take its address."""
+        target = self._target(step)
+        name = target.name
+        if name in self.history.draining:
+            return
+        self._backends.list(target, "draining")
+        self.history.draining[name] = reactor.seconds()
+
+        def leave():
+            if target.name == name:
+                self._backends.delist(target)
+                target.begin()
+                self._backends.list(target)
+
+        self._begin("drain", name, LEAVES_AFTER, leave, is_planned=True)
+
+
+def summary(history):
+    """Return what a run was made of."""
+    outcomes = {}
+    for asked in history.asked.values():
+        key = f"{asked.outcome or 'open'} {asked.status or ''}".strip()
+        outcomes[key] = outcomes.get(key, 0) + 1
+    kinds = {}
+    for trouble in history.troubles:
+        kinds[trouble.kind] = kinds.get(trouble.kind, 0) + 1
+    return {"requests": outcomes, "runs": len(history.ran), "troubles": kinds}
+
+
+def main():
+    """Run one soak and exit with 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, required=True)
+    parser.add_argument("--seconds", type=float, default=40.0)
+    parser.add_argument("--routers", type=int, default=4)
+    parser.add_argument("--callers", type=int, default=30)
+    parser.add_argument("--pause", type=float, default=0.3)
+    parser.add_argument("--keep", default="", help="folder for logs")
+    arguments = parser.parse_args()
+    folder = Path(arguments.keep or tempfile.mkdtemp(prefix="soak-"))
+    folder.mkdir(parents=True, exist_ok=True)
+    status = []
+
+    @inlineCallbacks
+    def play():
+        soak = Soak(arguments.seed, arguments.routers, arguments.callers, folder)
+        try:
+            found = yield soak.run(arguments.seconds, arguments.pause)
+        finally:
+            soak.stop()
+        sys.stdout.write(
+            f"seed {arguments.seed}: {json.dumps(summary(soak.history))}\n"
+        )
+        for promise, lines in found.items():
+            for line in lines[:10]:
+                sys.stdout.write(f"seed {arguments.seed}: BROKEN {promise}: {line}\n")
+        status.append(1 if found else 0)
+
+    def failed(failure):
+        sys.stdout.write(f"seed {arguments.seed}: did not finish\n{failure}\n")
+        status.append(2)
+
+    reactor.callWhenRunning(
+        lambda: play().addErrback(failed).addBoth(lambda _: reactor.stop())
+    )
+    reactor.run()
+    return status[0]
+
+
+if __name__ == "__main__":
+    sys.exit(main())
