--- a/src/primrosescale/platform/entry.py
+++ b/src/primrosescale/platform/entry.py
@@ -61,10 +61,12 @@
 # times over in buffers, and as much again in reserve.
 BYTES_PER_REQUEST = 600_000
 # Changes come in bursts: versions 0.1-0.3 s apart in a storm, targets of a
-# release together, all routers at a start. Each rest is a small part of the
-# time in which the change must be known: 2 s, 2 s, and none.
+# release together, all routers at a start. Each rest is a part of the time in
+# which the change must be known: 0.15 s of 2 s for a version; for targets, a
+# share of the time in which one that leaves may still get work; for routers
+# nothing is promised.
 CONFIGURATION_REST = 0.15
-TARGETS_REST = 0.25
+TARGETS_REST_SHARE = 0.3
 ROUTERS_REST = 2.0
 # Routers come and go seldom, and nothing is promised about them.
 ROUTERS_WAIT = 20.0
@@ -142,7 +144,9 @@
             rest=CONFIGURATION_REST,
             reads_after_failure=True,
         ),
-        targets=WatchedPrefix(records.TARGETS, TARGETS_WAIT, rest=TARGETS_REST),
+        targets=WatchedPrefix(
+            records.TARGETS, TARGETS_WAIT, rest=TARGETS_REST_SHARE * settings.drain
+        ),
         routers=WatchedPrefix(records.ROUTERS, ROUTERS_WAIT, rest=ROUTERS_REST),
     )
     return EntryRouter(settings, watches, parts)
--- a/src/primrosescale/process/entry/knowledge.py
+++ b/src/primrosescale/process/entry/knowledge.py
@@ -162,6 +162,7 @@
         ]
         self._configuration = connections[0]
         self._watched = watches.configuration
+        self._targets_rest = watches.targets.rest
         self._handler = _ConfigurationHandler(self, connections[0])
         self._asks_often = asks_often
         self._asking_since: float | None = None
@@ -419,7 +420,8 @@
             )
 
     def _remove(self, name: str, now: float) -> None:
-        if self.targets.remove(name, now):
+        # It may have happened while the watch rested.
+        if self.targets.remove(name, now - self._targets_rest):
             self._log.emit(Event.TARGET_DELISTED, target=name)
 
     def _decoded(self, stored: StoredObject) -> ServingTarget | None:
--- a/src/primrosescale/process/entry/target_list.py
+++ b/src/primrosescale/process/entry/target_list.py
@@ -125,15 +125,15 @@
         known.relist(target)
         return is_new
 
-    def remove(self, name: str, now: float) -> bool:
+    def remove(self, name: str, gone_at: float) -> bool:
         """Take in that an entry is gone.
 
         Parameters
         ----------
         name : str
             The target.
-        now : float
-            Present time in seconds.
+        gone_at : float
+            When it may have gone at the earliest, in seconds.
 
         Returns
         -------
@@ -143,7 +143,7 @@
         known = self._known.get(name)
         if known is None or name in self._vanished:
             return False
-        held_until = now
+        held_until = gone_at
         if not known.target.is_draining:
             held_until += self._drain * HOLD_SHARE
         self._vanished[name] = held_until
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -444,6 +444,17 @@
         self.router._news.take(message, 1, reactor.seconds())
         yield self.eventually(lambda: self.router._version() == 2)
 
+    @inlineCallbacks
+    def test_targets_that_went_while_the_watch_rested_are_held_for_less(self):
+        yield self.start()
+        handler = self.router._knowledge
+        handler._targets_rest = 0.6
+        names = [state.target.name for state in handler.targets.states]
+        now = reactor.seconds()
+        handler.replace_targets(())
+        self.assertEqual([], handler.forget_gone(now + 0.9))
+        self.assertEqual(names, handler.forget_gone(now + 1.1))
+
     @inlineCallbacks
     def test_a_version_that_cannot_be_read_changes_nothing(self):
         yield self.start()
