--- a/src/primrosescale/platform/http_codec.py
+++ b/src/primrosescale/platform/http_codec.py
@@ -36,6 +36,8 @@
 AUTHORIZATION = b"Authorization"
 SCHEME = "bearer "
 RETRY_AFTER = b"Retry-After"
+# A header of the field, not of the platform: each hop replaces it.
+TRACE_CONTEXT = b"traceparent"
 
 OTHER_INCARNATION = 421
 
@@ -91,6 +93,7 @@
             prompt=_prompt(headers),
             last_event=int(last) if last.isdigit() else None,
             headers=_handed_on(headers),
+            traceparent=_first(headers, TRACE_CONTEXT),
         )
 
     def target_headers(self, sending: Sending) -> Headers:
@@ -108,6 +111,8 @@
             headers.setRawHeaders(PRIORITY, [b"%d" % request.priority])
         if sending.resume_after is not None:
             headers.setRawHeaders(LAST_EVENT, [b"%d" % sending.resume_after])
+        if sending.traceparent:
+            headers.setRawHeaders(TRACE_CONTEXT, [sending.traceparent.encode()])
         if sending.fetch_from is not None:
             source = str(sending.fetch_from.endpoint)
             headers.setRawHeaders(FETCH_FROM, [source.encode()])
--- a/src/primrosescale/process/daemons/agent.py
+++ b/src/primrosescale/process/daemons/agent.py
@@ -44,11 +44,11 @@
     from primrosescale.process.daemons.engine_orders import EngineWish
     from primrosescale.process.settings import AgentSettings
     from primrosescale.process.settings import Settings
-    from primrosescale.process.tracing import Hop
     from primrosescale.process.transport.engine_port import EnginePort
     from primrosescale.process.transport.platform import Platform
     from primrosescale.request.agent_call import AgentCall
     from primrosescale.request.call_names import CallName
+    from primrosescale.request.hop import Hop
     from primrosescale.request.load_bound import MeanView
     from primrosescale.version.exceptions import HeadError
     from primrosescale.version.head import VersionHead
--- a/src/primrosescale/process/daemons/router.py
+++ b/src/primrosescale/process/daemons/router.py
@@ -56,12 +56,12 @@
     from primrosescale.connection.codec import Message
     from primrosescale.connection.link import Link
     from primrosescale.process.settings import Settings
-    from primrosescale.process.tracing import Hop
     from primrosescale.process.transport.http_sink import HttpSink
     from primrosescale.process.transport.platform import Platform
     from primrosescale.process.transport.problems import ProblemDocument
     from primrosescale.request.call_request import CallRequest
     from primrosescale.request.candidates import Target
+    from primrosescale.request.hop import Hop
     from primrosescale.request.routed_call import CallReport
     from primrosescale.version.exceptions import HeadError
     from primrosescale.version.records import OrganisationRecord
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -35,6 +35,7 @@
 from primrosescale.request.forwarded_call import ForwardedCall
 from primrosescale.request.freshness import Freshness
 from primrosescale.request.gate import Gate
+from primrosescale.request.hop import NO_HOP
 from primrosescale.request.part_directory import PartDirectory
 from primrosescale.request.part_directory import PartUse
 from primrosescale.request.repeat_budget import RepeatBudget
@@ -50,7 +51,9 @@
     from primrosescale.process.entry.entry_parts import EntryParts
     from primrosescale.process.entry.entry_settings import EntrySettings
     from primrosescale.process.entry.entry_settings import EntryWatches
+    from primrosescale.process.tracing import Tracing
     from primrosescale.request.gate import CallerHead
+    from primrosescale.request.hop import Hop
     from primrosescale.request.incoming import PromptPart
     from primrosescale.request.serving_target import ServingTarget
     from primrosescale.version.routing_table import CallerLimits
@@ -141,7 +144,9 @@
             budget_of=self._budget_of,
             routers=self._routers,
             parts_changed=self._exchange.tell_soon,
+            start_hop=self._start_hop,
         )
+        self._tracing: Tracing | None = None
         self._factory = EntryFactory(self, parts.reactor)
         self._calls: set[ForwardedCall] = set()
         self._ports: dict[Endpoint, Any] = {}
@@ -356,6 +361,16 @@
             ],
         )
 
+    def _start_hop(self, name: str, traceparent: str) -> Hop:
+        """Start a hop; the library for it is loaded for the first traced one."""
+        if not traceparent:
+            return NO_HOP
+        if self._tracing is None:
+            from primrosescale.process.tracing import Tracing  # noqa: PLC0415
+
+            self._tracing = Tracing(self._log, 0.0, self._parts.rng)
+        return self._tracing.start(name, traceparent, may_begin=False)
+
     def _budget_of(self, service: str) -> RepeatBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/src/primrosescale/process/tracing.py
+++ b/src/primrosescale/process/tracing.py
@@ -14,6 +14,9 @@
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
 from primrosescale.process.events import Event
+from primrosescale.request.hop import NO_HOP
+from primrosescale.request.hop import Hop
+from primrosescale.request.hop import UntracedHop
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -73,42 +76,32 @@
         return SpanExportResult.SUCCESS
 
 
-class Hop:
-    """One hop of a traced request.
+class SpanHop(Hop):
+    """A hop that is recorded as a span.
 
     Parameters
     ----------
-    span : Span | None
-        Its span; None when the request is not traced.
+    span : Span
+        Its span.
     traceparent : str
         What the next hop is given.
     """
 
     __slots__ = ("_span", "_traceparent")
 
-    def __init__(self, span: Span | None, traceparent: str) -> None:
+    def __init__(self, span: Span, traceparent: str) -> None:
         self._span = span
         self._traceparent = traceparent
 
     @property
     def traceparent(self) -> str:
-        """Return the trace context for the next hop."""
+        """Return the trace context for the next hop; see `Hop.traceparent`."""
         return self._traceparent
 
     def end(self, **attributes: Any) -> None:
-        """End the hop.
-
-        Parameters
-        ----------
-        **attributes : Any
-            What became of it.
-        """
-        if self._span is not None:
-            self._span.set_attributes(attributes)
-            self._span.end()
-
-
-NO_HOP = Hop(None, "")
+        """End the span; see `Hop.end`."""
+        self._span.set_attributes(attributes)
+        self._span.end()
 
 
 class Tracing:
@@ -151,14 +144,14 @@
         """
         if traceparent:
             if not _is_sampled(traceparent):
-                return Hop(None, traceparent)
+                return UntracedHop(traceparent)
         elif not may_begin or self._rng.random() >= self._share:
             return NO_HOP
         context = self._propagator.extract({HEADER: traceparent})
         span = self._tracer.start_span(name, context=context)
         carrier: dict[str, str] = {}
         self._propagator.inject(carrier, set_span_in_context(span))
-        return Hop(span, carrier.get(HEADER, ""))
+        return SpanHop(span, carrier.get(HEADER, ""))
 
 
 def _is_sampled(traceparent: str) -> bool:
--- a/src/primrosescale/request/direct_port.py
+++ b/src/primrosescale/request/direct_port.py
@@ -32,6 +32,8 @@
         Target whose cache holds more of the prompt.
     needs_new_connection : bool
         Whether it must not be sent on a connection used before.
+    traceparent : str
+        Trace context for the target; empty for none.
     """
 
     request: IncomingRequest
@@ -40,6 +42,7 @@
     resume_after: int | None
     fetch_from: ServingTarget | None
     needs_new_connection: bool
+    traceparent: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/primrosescale/request/forward_tools.py
+++ b/src/primrosescale/request/forward_tools.py
@@ -8,6 +8,7 @@
 from primrosescale.ini.options import COUNT
 from primrosescale.ini.options import SECONDS
 from primrosescale.ini.options import option
+from primrosescale.request.hop import UntracedHop
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -15,6 +16,7 @@
 
     from primrosescale.clock import Clock
     from primrosescale.request.direct_port import TargetCaller
+    from primrosescale.request.hop import Hop
     from primrosescale.request.part_directory import PartDirectory
     from primrosescale.request.repeat_budget import RepeatBudget
     from primrosescale.request.target_choice import TargetChooser
@@ -80,6 +82,10 @@
     )
 
 
+def _untraced(_: str, traceparent: str) -> Hop:
+    return UntracedHop(traceparent)
+
+
 @dataclass(slots=True)
 class ForwardTools:
     """What all calls of a router share.
@@ -106,6 +112,9 @@
         How many routers share the budgets.
     parts_changed : Callable[[], None]
         Told that a part went to a target that was not known to have it.
+    start_hop : Callable[[str, str], Hop]
+        Starts a hop of a name after the hop before; costs nothing for a
+        request without a trace context.
     """
 
     settings: ForwardSettings
@@ -118,6 +127,7 @@
     budget_of: Callable[[str], RepeatBudget]
     routers: Callable[[], int]
     parts_changed: Callable[[], None]
+    start_hop: Callable[[str, str], Hop] = _untraced
 
 
 @dataclass(slots=True)
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -17,6 +17,7 @@
 from primrosescale.request.direct_port import Sending
 from primrosescale.request.event_stream import EventSplitter
 from primrosescale.request.forward_tools import Attempt
+from primrosescale.request.hop import NO_HOP
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,6 +27,7 @@
     from primrosescale.request.direct_port import CallerSink
     from primrosescale.request.direct_port import Run
     from primrosescale.request.forward_tools import ForwardTools
+    from primrosescale.request.hop import Hop
     from primrosescale.request.incoming import IncomingRequest
     from primrosescale.request.target_choice import Choice
     from primrosescale.request.target_state import TargetState
@@ -83,6 +85,8 @@
         self._timer: Timer | None = None
         self._stall: Timer | None = None
         self._waits_since = request.received_at
+        self._hop = tools.start_hop("router", request.traceparent)
+        self._target_hop: Hop = NO_HOP
 
     @property
     def request(self) -> IncomingRequest:
@@ -280,6 +284,7 @@
         self._held_back = []
         self._held_bytes = 0
         self._splitter = EventSplitter()
+        self._target_hop = self._tools.start_hop("target", self._hop.traceparent)
         sending = Sending(
             request=request,
             target=target,
@@ -287,6 +292,7 @@
             resume_after=self._last_event,
             fetch_from=source.target if source is not None else None,
             needs_new_connection=self._needs_new_connection(choice.state, now),
+            traceparent=self._target_hop.traceparent,
         )
         attempt = self._attempts[-1]
         run = self._tools.caller.send(sending, self)
@@ -488,6 +494,7 @@
         self._is_at_target = False
         if self._attempts and self._attempts[-1].outcome == "running":
             self._attempts[-1].outcome = outcome
+            self._target_hop.end(target=self._attempts[-1].target, outcome=outcome)
         if state is not None:
             state.ended()
         if run is not None and not is_whole:
@@ -505,6 +512,7 @@
         self._is_over = True
         cancel_timer(self._timer)
         self._timer = None
+        self._hop.end(request=self._request.request_id, outcome=outcome)
         self._on_end(self, outcome)
 
     def _now(self) -> float:
--- a/src/primrosescale/request/gate.py
+++ b/src/primrosescale/request/gate.py
@@ -48,6 +48,8 @@
         Event after which a stream is to go on.
     headers : tuple[tuple[bytes, bytes], ...]
         Headers to hand on.
+    traceparent : str
+        Trace context; empty for none.
     """
 
     method: bytes
@@ -59,6 +61,7 @@
     prompt: Prompt | None
     last_event: int | None
     headers: tuple[tuple[bytes, bytes], ...]
+    traceparent: str = ""
 
 
 class Gate:
@@ -137,6 +140,7 @@
             received_at=now,
             deadline=now + wait,
             version=table.version,
+            traceparent=head.traceparent,
         )
 
     def _if_certain(self, refusal: Refusal, now: float) -> Refusal:
--- a/src/primrosescale/request/incoming.py
+++ b/src/primrosescale/request/incoming.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -88,6 +87,8 @@
         When the caller stops waiting, in seconds.
     version : int
         Version of the configuration it was accepted under.
+    traceparent : str
+        Trace context of the caller; empty for none.
     """
 
     request_id: str
@@ -104,7 +105,7 @@
     received_at: float
     deadline: float
     version: int
-    traceparent: str = field(default="")
+    traceparent: str = ""
 
     @property
     def give_up_at(self) -> float:
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -16,6 +16,7 @@
 
 from primrosescale.connection.early_listener import open_listener
 from primrosescale.connection.endpoint import Endpoint
+from primrosescale.platform import http_codec as names
 from primrosescale.platform import records
 from primrosescale.platform.engine_calls import EngineCaches
 from primrosescale.platform.entry import PlatformRecords
@@ -277,6 +278,41 @@
             for script in self.scripts.values():
                 script.arrivals.clear()
 
+    @inlineCallbacks
+    def test_a_traced_request_leaves_a_span_for_each_hop(self):
+        yield self.start()
+        trace, caller_span = b"ab" * 16, b"cd" * 8
+        for name in ("p1", "p2"):
+            self.scripts[name].faults = [EngineFault.FAIL]
+        context = b"00-%b-%b-01" % (trace, caller_span)
+        yield self.ask(text(headers=b"traceparent: %b\r\n" % context))
+        arrivals = self.arrivals("p1", "p2")
+        sent = [a.headers[b"traceparent"].decode().split("-") for a in arrivals]
+        spans = [said for event, said in self.events if event == "SPAN"]
+        self.assertEqual({trace.decode()}, {s["trace"] for s in spans})
+        self.assertEqual({trace.decode()}, {parts[1] for parts in sent})
+        [router] = [s for s in spans if s["name"] == "router"]
+        targets = [s for s in spans if s["name"] == "target"]
+        self.assertEqual(caller_span.decode(), router["parent"])
+        self.assertEqual({router["span"]}, {s["parent"] for s in targets})
+        self.assertEqual({s["span"] for s in targets}, {parts[2] for parts in sent})
+        self.assertEqual("r1", router["attributes"]["request"])
+        self.assertIn("status 500", {s["attributes"]["outcome"] for s in targets})
+
+    @inlineCallbacks
+    def test_a_request_that_is_not_traced_hands_its_context_on(self):
+        yield self.start()
+        context = b"00-%b-%b-00" % (b"ab" * 16, b"cd" * 8)
+        yield self.ask(text(headers=b"traceparent: %b\r\n" % context))
+        yield self.ask(text(rid=b"r2"))
+        first, second = self.arrivals("p1", "p2")
+        found = {
+            a.headers[names.REQUEST_ID.lower()]: a.headers.get(b"traceparent")
+            for a in (first, second)
+        }
+        self.assertEqual({b"r1": context, b"r2": None}, found)
+        self.assertNotIn("SPAN", [event for event, _ in self.events])
+
     def said(self, arrival):
         return arrival.method, arrival.path, arrival.body
 
