--- a/src/primrosescale/platform/host_settings.py
+++ b/src/primrosescale/platform/host_settings.py
@@ -69,16 +69,12 @@
         IP number of the host.
     domain : str
         Failure domain of the host.
-    region : str
-        Region of the host.
     callers : Endpoint | None
         Where callers connect.
     readiness : Endpoint | None
         Where the balancer asks whether to send callers.
     first_internal_port : int
         First of the ports for links between routers.
-    last_internal_port : int
-        Last of these ports.
     store : Endpoint
         The platform's object store.
     is_first_start : bool
@@ -92,11 +88,9 @@
     name: str
     address: str
     domain: str
-    region: str
     callers: Endpoint | None
     readiness: Endpoint | None
     first_internal_port: int
-    last_internal_port: int
     store: Endpoint
     is_first_start: bool
     memory_limit: int
@@ -166,11 +160,9 @@
         name=str(fields["node_name"]),
         address=str(fields["ip"]),
         domain=str(fields["zone"]),
-        region=str(fields.get("region", "")),
         callers=_optional_endpoint(listen.get("front")),
         readiness=_optional_endpoint(listen.get("ready")),
         first_internal_port=int(ports[0]),
-        last_internal_port=int(ports[1]),
         store=parse_endpoint(fields["platform"]["address"]),
         is_first_start=bool(fields.get("bootstrap", False)),
         memory_limit=int(float(limits.get("memory_mb", 300)) * 1024 * 1024),
--- a/src/primrosescale/platform/records.py
+++ b/src/primrosescale/platform/records.py
@@ -166,7 +166,6 @@
     engine = item.get("engine") or {}
     return Service(
         name=str(item["name"]),
-        max_connections=int(item.get("max_connections", 0) or 0),
         slots=int(engine.get("slots", 0) or 0),
         cache_tokens=int(engine.get("kv_cache_tokens", 0) or 0),
     )
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -157,6 +157,8 @@
         self._housekeeping: Timer | None = None
         self._lines_dropped = 0
         self._settings_fault = ""
+        # Version and list of targets by which the directory was last limited.
+        self._limited = (0, 0)
         self._reread_at = self._now() + REREAD_SECONDS
 
     @property
@@ -251,6 +253,8 @@
         if is_changed:
             self._settings = settings
             self._knowledge.configure(settings)
+            self._gate.configure(settings.certain_for)
+            self._tools.configure(settings.forward, settings.choice)
             self._budgets.clear()
         if is_asked or is_changed:
             self._log.emit(Event.SETTINGS_RELOADED, is_changed=is_changed)
@@ -287,7 +291,8 @@
             judged = Refusal.ROUTER_FULL
         sink = self._sink(request, head.request_id)
         if isinstance(judged, Refusal):
-            sink.refuse(judged, self._come_back_after(judged))
+            forward = self._settings.forward
+            sink.refuse(judged, forward.come_back_after(judged, self._parts.rng))
             self._log_refused(judged, head, now)
             return
         call = ForwardedCall(judged, sink, self._tools, self._ended)
@@ -312,11 +317,6 @@
 
         return CallerConnection(request, self, headers)
 
-    def _come_back_after(self, refusal: Refusal) -> float | None:
-        if not refusal.is_not_run:
-            return None
-        return self._settings.forward.retry_after * self._parts.rng.uniform(0.5, 1.5)
-
     def _log_refused(self, refusal: Refusal, head: CallerHead, now: float) -> None:
         self._metrics.refused(refusal.name.lower())
         table = self._knowledge.table
@@ -397,8 +397,7 @@
         if now >= self._reread_at:
             self._reread_at = now + REREAD_SECONDS
             self.reload(is_asked=False)
-        for state in self._knowledge.targets.states:
-            self._limit_cache(state.target)
+        self._limit_caches()
         self._registry.forget_silent(now)
         self._knowledge.look_after(self._news.newest_version(now), now)
         for name in self._knowledge.forget_gone(now):
@@ -424,12 +423,17 @@
         read.addCallback(lambda _: self._serve_early())
         self._reactor.callLater(CACHE_PATIENCE, self._serve_early)
 
-    def _limit_cache(self, target: ServingTarget) -> None:
-        """Take in how much a target holds, once its service is known."""
+    def _limit_caches(self) -> None:
+        """Take in how much each target holds, whenever that may have changed."""
         table = self._knowledge.table
-        service = table.service(target.service) if table is not None else None
-        if service is not None:
-            self._directory.limit(target.name, service.cache_tokens)
+        seen = (self._version(), self._knowledge.targets.generation)
+        if table is None or seen == self._limited:
+            return
+        self._limited = seen
+        for state in self._knowledge.targets.states:
+            service = table.service(state.target.service)
+            if service is not None:
+                self._directory.limit(state.target.name, service.cache_tokens)
 
     def _read_cache(self, target: ServingTarget) -> Deferred[None]:
         """Learn what a model engine holds from before this process's start."""
--- a/src/primrosescale/request/forward_tools.py
+++ b/src/primrosescale/request/forward_tools.py
@@ -15,14 +15,20 @@
     from random import Random
 
     from primrosescale.clock import Clock
+    from primrosescale.request.direct_port import Refusal
     from primrosescale.request.direct_port import TargetCaller
     from primrosescale.request.hop import Hop
     from primrosescale.request.part_directory import PartDirectory
     from primrosescale.request.repeat_budget import RepeatBudget
+    from primrosescale.request.target_choice import ChoiceSettings
     from primrosescale.request.target_choice import TargetChooser
     from primrosescale.request.target_state import TargetState
 
 
+# A caller is told to come back after a time between these parts of the setting.
+RETURN_SPREAD = (0.5, 1.5)
+
+
 @dataclass(frozen=True, slots=True)
 class ForwardSettings:
     """Timing of requests that the router sends to targets itself."""
@@ -81,6 +87,25 @@
         0.4,
     )
 
+    def come_back_after(self, refusal: Refusal, rng: Random) -> float | None:
+        """Return when a refused caller is told to come back.
+
+        Parameters
+        ----------
+        refusal : Refusal
+            Why it was refused.
+        rng : Random
+            Source of chance, so that callers do not return together.
+
+        Returns
+        -------
+        float | None
+            Seconds; None when the request may have run.
+        """
+        if not refusal.is_not_run:
+            return None
+        return self.retry_after * rng.uniform(*RETURN_SPREAD)
+
 
 def _untraced(_: str, traceparent: str) -> Hop:
     return UntracedHop(traceparent)
@@ -129,6 +154,19 @@
     parts_changed: Callable[[], None]
     start_hop: Callable[[str, str], Hop] = _untraced
 
+    def configure(self, settings: ForwardSettings, choice: ChoiceSettings) -> None:
+        """Take in changed settings, for the calls under way too.
+
+        Parameters
+        ----------
+        settings : ForwardSettings
+            Timing.
+        choice : ChoiceSettings
+            Weights of the choice of targets.
+        """
+        self.settings = settings
+        self.chooser.configure(choice)
+
 
 @dataclass(slots=True)
 class Attempt:
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -361,15 +361,11 @@
         self._refuse(refusal)
 
     def _refuse(self, refusal: Refusal) -> None:
-        self._sink.refuse(refusal, self._retry_after(refusal))
+        tools = self._tools
+        come_back = tools.settings.come_back_after(refusal, tools.rng)
+        self._sink.refuse(refusal, come_back)
         self._end(f"refused: {refusal.name.lower()}")
 
-    def _retry_after(self, refusal: Refusal) -> float | None:
-        if not refusal.is_not_run:
-            return None
-        base = self._tools.settings.retry_after
-        return base * self._tools.rng.uniform(0.5, 1.5)
-
     # Passing on
 
     def _begin_stream(self, head: AnswerHead, now: float) -> None:
--- a/src/primrosescale/request/gate.py
+++ b/src/primrosescale/request/gate.py
@@ -82,6 +82,16 @@
         self._certain_for = certain_for
         self._rng = rng
 
+    def configure(self, certain_for: float) -> None:
+        """Take in a changed setting.
+
+        Parameters
+        ----------
+        certain_for : float
+            Seconds for which "there is no such route or key" may be said.
+        """
+        self._certain_for = certain_for
+
     def judge(
         self,
         head: CallerHead,
--- a/src/primrosescale/request/target_choice.py
+++ b/src/primrosescale/request/target_choice.py
@@ -121,6 +121,16 @@
         self._parts = parts
         self._rng = rng
 
+    def configure(self, settings: ChoiceSettings) -> None:
+        """Take in changed weights.
+
+        Parameters
+        ----------
+        settings : ChoiceSettings
+            Weights.
+        """
+        self._settings = settings
+
     def choose(
         self,
         states: Sequence[TargetState],
--- a/src/primrosescale/request/target_health.py
+++ b/src/primrosescale/request/target_health.py
@@ -11,6 +11,7 @@
 from primrosescale.ini.options import COUNT
 from primrosescale.ini.options import SECONDS
 from primrosescale.ini.options import option
+from primrosescale.request.decaying_outcomes import DecayingOutcomes
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,9 +56,7 @@
 
     def __init__(self, settings: HealthSettings) -> None:
         self._settings = settings
-        self._good = 0.0
-        self._bad = 0.0
-        self._seen_at = 0.0
+        self._outcomes = DecayingOutcomes(settings.memory, 0.0)
         self._closed_until: float | None = None
         self._pause = settings.first_pause
         self._probe_until = 0.0
@@ -70,8 +69,7 @@
     @property
     def failure_share(self) -> float:
         """Return the share of failures among recent answers."""
-        total = self._good + self._bad
-        return self._bad / total if total else 0.0
+        return self._outcomes.failure_share
 
     def admits(self, now: float) -> bool:
         """Tell whether a call may be taken; a probe is counted as taken.
@@ -116,11 +114,10 @@
         now : float
             Present time in seconds.
         """
-        self._fade(now)
-        self._good += 1.0
+        self._outcomes.add_good(now)
         if self._closed_until is not None:
             self._closed_until = None
-            self._bad = 0.0
+            self._outcomes.forgive()
             self._pause = self._settings.first_pause
 
     def failed(self, now: float) -> None:
@@ -131,8 +128,7 @@
         now : float
             Present time in seconds.
         """
-        self._fade(now)
-        self._bad += 1.0
+        self._outcomes.add_bad(now)
         if self._closed_until is not None:
             if not self._probe_until:
                 # A call from before the target was closed, not the probe.
@@ -140,17 +136,10 @@
             self._pause = min(self._settings.longest_pause, self._pause * 2)
             self._close(now)
             return
-        enough = self._good + self._bad >= self._settings.minimum_samples * 0.9
+        enough = self._outcomes.total >= self._settings.minimum_samples * 0.9
         if enough and self.failure_share > self._settings.failure_share:
             self._close(now)
 
     def _close(self, now: float) -> None:
         self._closed_until = now + self._pause
         self._probe_until = 0.0
-
-    def _fade(self, now: float) -> None:
-        passed = max(0.0, now - self._seen_at)
-        kept = 0.5 ** (passed / self._settings.memory)
-        self._good *= kept
-        self._bad *= kept
-        self._seen_at = now
--- a/src/primrosescale/request/target_state.py
+++ b/src/primrosescale/request/target_state.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from primrosescale.request.decaying_outcomes import DecayingOutcomes
+
 if TYPE_CHECKING:
     from primrosescale.request.serving_target import ServingTarget
 
@@ -68,18 +70,16 @@
     """
 
     __slots__ = (
-        "_bad",
         "_busy_since",
         "_failures",
-        "_good",
         "_heard_at",
         "_news",
+        "_outcomes",
         "_own",
         "_own_at_report",
         "_paused_until",
         "_report",
         "_report_at",
-        "_seen_at",
         "_since",
         "_target",
         "_told_outcomes",
@@ -94,9 +94,7 @@
         self._own_at_report = 0
         self._news: dict[str, tuple[int, float]] = {}
         self._told_outcomes: dict[str, tuple[float, float, float]] = {}
-        self._good = 0.0
-        self._bad = 0.0
-        self._seen_at = now
+        self._outcomes = DecayingOutcomes(OUTCOME_HALF_LIFE, now)
         self._failures = 0
         self._paused_until = 0.0
         self._heard_at = now
@@ -268,8 +266,7 @@
         tuple[float, float]
             Good and bad ones, fading.
         """
-        self._fade(now)
-        return self._good, self._bad
+        return self._outcomes.counts(now)
 
     def has_outcomes(self, now: float) -> bool:
         """Tell whether there are outcomes worth telling others.
@@ -295,8 +292,7 @@
         now : float
             Present time in seconds.
         """
-        self._fade(now)
-        self._good += 1.0
+        self._outcomes.add_good(now)
         self._failures = 0
         self._paused_until = 0.0
         self._heard_at = now
@@ -309,8 +305,7 @@
         now : float
             Present time in seconds.
         """
-        self._fade(now)
-        self._bad += 1.0
+        self._outcomes.add_bad(now)
 
     def unreachable(self, now: float) -> None:
         """Take in that no connection could be opened, or that it went silent.
@@ -337,8 +332,7 @@
         now : float
             Present time in seconds.
         """
-        self._fade(now)
-        self._bad += LATE_WEIGHT
+        self._outcomes.add_bad(now, LATE_WEIGHT)
 
     def silence(self, now: float) -> float:
         """Return how long nothing has come though requests of ours are there.
@@ -386,9 +380,3 @@
             True while it gets no requests.
         """
         return now < self._paused_until
-
-    def _fade(self, now: float) -> None:
-        kept = 0.5 ** (max(0.0, now - self._seen_at) / OUTCOME_HALF_LIFE)
-        self._good *= kept
-        self._bad *= kept
-        self._seen_at = now
--- a/src/primrosescale/version/routing_table.py
+++ b/src/primrosescale/version/routing_table.py
@@ -108,8 +108,6 @@
     ----------
     name : str
         Unique name.
-    max_connections : int
-        Connections that one of its targets accepts from all callers.
     slots : int
         Requests that one target runs at once; 0 when not told.
     cache_tokens : int
@@ -117,7 +115,6 @@
     """
 
     name: str
-    max_connections: int
     slots: int
     cache_tokens: int
 
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -4,6 +4,7 @@
 
 import json
 import random
+import re
 from dataclasses import replace
 
 from twisted.internet import reactor
@@ -480,6 +481,23 @@
         self.router._news.take(message, 1, reactor.seconds())
         yield self.eventually(lambda: self.router._version() == 2)
 
+    @inlineCallbacks
+    def test_reloaded_settings_are_in_force_for_the_next_request(self):
+        yield self.start()
+        caller = yield self.ask(text(b"/none/x"), b"")
+        self.assertTrue(caller.data.startswith(b"HTTP/1.1 404"))
+        changed = replace(self.settings, certain_for=-1.0)
+        forward = replace(changed.forward, retry_after=90.0)
+        choice = replace(changed.choice, load_multiple=7.0)
+        self.settings = replace(changed, forward=forward, choice=choice)
+        self.router.reload()
+        caller = yield self.ask(text(b"/none/x"), b"")
+        self.assertTrue(caller.data.startswith(b"HTTP/1.1 503"))
+        [wait] = re.findall(rb"Retry-After: (\d+)", caller.data)
+        self.assertTrue(45 <= int(wait) <= 135)
+        self.assertIs(choice, self.router._tools.chooser._settings)
+        self.assertIs(forward, self.router._tools.settings)
+
     @inlineCallbacks
     def test_targets_that_went_while_the_watch_rested_are_held_for_less(self):
         yield self.start()
