--- a/tools/play_days.py
+++ b/tools/play_days.py
@@ -5,6 +5,7 @@
 row: broken rules, worth, share served, worst windows, largest prices.
 
     python tools/play_days.py --bench PATH --site SITE.toml --why "..." [NAME ...]
+    python tools/play_days.py ... --pairs 40 --seed 7    (two days over each other)
 """
 
 from __future__ import annotations
@@ -12,7 +13,9 @@
 import argparse
 import concurrent.futures
 import configparser
+import itertools
 import pathlib
+import random
 import re
 import subprocess
 import sys
@@ -46,6 +49,16 @@
     }
 
 
+def draw_pairs(
+    days: dict[str, list[str]], count: int, seed: int
+) -> dict[str, list[str]]:
+    """Return days that each lay the troubles of two others over each other."""
+    rng = random.Random(seed)
+    names = [name for name, troubles in days.items() if troubles]
+    pairs = rng.sample(list(itertools.combinations(names, 2)), count)
+    return {f"{one}+{other}": days[one] + days[other] for one, other in pairs}
+
+
 def day_text(name: str, troubles: list[str], seed: int) -> str:
     """Return a day as the bench wants it."""
     lists: dict[str, list[str]] = {"plan": [], "faults": []}
@@ -106,9 +119,14 @@
     parser.add_argument("--seed", type=int, default=4242)
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--keep", default="")
+    parser.add_argument(
+        "--pairs", type=int, default=0, help="play so many pairs of days instead"
+    )
     parser.add_argument("names", nargs="*")
     arguments = parser.parse_args()
     days = read_days(arguments.names)
+    if arguments.pairs:
+        days = draw_pairs(days, arguments.pairs, arguments.seed)
     sys.stdout.write(
         "| day | rules broken | worth | served | worst windows | prices |\n"
     )
