--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -16,12 +16,12 @@
 
 from primrosescale.platform import http_codec as names
 from primrosescale.process.transport.http_bodies import body_producer
+from soak.fleet import CALLERS_PORT
 from soak.history import ANSWERED
 from soak.history import CUT
 from soak.history import LEFT
 from soak.history import Asked
 
-LOOPBACK = "127.0.0.1"
 CONNECT_TIMEOUT = 1
 # Seconds that a caller waits beyond its deadline before it leaves.
 PATIENCE = 1.0
@@ -83,7 +83,7 @@
     @inlineCallbacks
     def _connect(self):
         router = self._fleet.choose(self._rng)
-        way = TCP4ClientEndpoint(reactor, LOOPBACK, router.port, CONNECT_TIMEOUT)
+        way = TCP4ClientEndpoint(reactor, router.address, CALLERS_PORT, CONNECT_TIMEOUT)
         protocol = HTTP11ClientProtocol(lambda _: None)
         channel = yield connectProtocol(way, protocol)
         self._channel, self._router, self._life = channel, router, router.life
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -18,7 +18,9 @@
 
 from soak.fault_proxy import FaultProxy
 
-LOOPBACK = "127.0.0.1"
+CALLERS_PORT = 8227
+READY_PORT = 8220
+LINKS_PORT = 7340
 # The balancer asks this often, and two misses take a router out.
 ASK_EVERY = 0.5
 MISSES = 2
@@ -34,11 +36,13 @@
 }
 
 
-def free_port(kind=socket.SOCK_STREAM):
-    """Return a port that nothing uses now."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((LOOPBACK, 0))
-        return probe.getsockname()[1]
+def own_address(number):
+    """Return a loopback address that no other run uses, for one router.
+
+    Ports that the system chooses may be taken while a router is restarted.
+    """
+    run = os.getpid()
+    return f"127.{10 + (run >> 8) % 200}.{run % 256}.{number + 1}"
 
 
 class _Ready(Protocol):
@@ -61,17 +65,15 @@
 class RouterProcess:
     """One router, its settings file, its log and its link to the store."""
 
-    def __init__(self, name, folder, store_port, history):
-        self.name = name
-        self.port = free_port()
+    def __init__(self, number, folder, store_port, history):
+        self.name = name = f"r{number}"
+        self.address = own_address(number)
         self.life = 0
         self.misses = 0
         self.is_paused = False
         self.is_stopping = False
         self._was_open = False
         self.store = FaultProxy(store_port)
-        self._ready_port = free_port()
-        self._links_port = free_port(socket.SOCK_DGRAM)
         self._boot = folder / f"{name}.json"
         self._log = (folder / f"{name}.log").open("ab")
         self._history = history
@@ -88,18 +90,18 @@
         """Write the settings file as the platform does."""
         fields = {
             "node_name": self.name,
-            "ip": LOOPBACK,
+            "ip": self.address,
             "zone": "a",
             "region": "r",
             "listen": {
-                "front": f"{LOOPBACK}:{self.port}",
-                "ready": f"{LOOPBACK}:{self._ready_port}",
+                "front": f"{self.address}:{CALLERS_PORT}",
+                "ready": f"{self.address}:{READY_PORT}",
             },
-            "internal_ports": [self._links_port, self._links_port + 15],
+            "internal_ports": [LINKS_PORT, LINKS_PORT + 15],
             "bootstrap": self._is_first,
             "limits": {"memory_mb": memory},
             "bounds": BOUNDS,
-            "platform": {"address": f"{LOOPBACK}:{self.store.port}"},
+            "platform": {"address": f"127.0.0.1:{self.store.port}"},
         }
         self._boot.write_text(json.dumps(fields))
 
@@ -142,7 +144,7 @@
         """Send SIGTERM as the platform does before planned work."""
         self.is_stopping = True
         with socket.socket() as probe:
-            self._was_open = probe.connect_ex((LOOPBACK, self.port)) == 0
+            self._was_open = probe.connect_ex((self.address, CALLERS_PORT)) == 0
         self.signal(signal.SIGTERM)
 
     def signal(self, number):
@@ -162,7 +164,7 @@
     def ask_ready(self):
         """Count a miss unless the router says that it is ready."""
         self.misses += 1
-        way = TCP4ClientEndpoint(reactor, LOOPBACK, self._ready_port, ASK_EVERY)
+        way = TCP4ClientEndpoint(reactor, self.address, READY_PORT, ASK_EVERY)
         connectProtocol(way, _Ready(self._told)).addErrback(lambda _: None)
 
     def _told(self, is_ready):
@@ -175,8 +177,7 @@
 
     def __init__(self, count, folder, store_port, history):
         self.routers = [
-            RouterProcess(f"r{n}", Path(folder), store_port, history)
-            for n in range(count)
+            RouterProcess(n, Path(folder), store_port, history) for n in range(count)
         ]
         self._loops = []
 
