A router that was cut off silently asks anew for the list of targets

The store was silent towards the router until 3.5 s before; its question about targets, asked meanwhile with a wait of up to 8 s, was never answered, while the one about the configuration was back at once. Ruled out: the rest between reads (0.6 s), holding vanished targets. Change: when a question about the configuration is answered after one failed, all waiting questions are asked anew; routers also tell each other the newest change of the list, and one that has not heard of it 0.9 s later asks anew. Two tests fail without it.

--- a/src/primrosescale/connection/wire.thrift
+++ b/src/primrosescale/connection/wire.thrift
@@ -170,7 +170,7 @@
   1: required string origin, 2: required i64 incarnation, 3: required i64 sequence,
   4: required i64 heard, 5: required i64 version, 6: required i32 knowledge_age_ms,
   7: required list<TargetNews> targets, 8: required list<PartNews> parts,
-  9: required bool store_lost
+  9: required bool store_lost, 10: optional i64 targets_revision
 }
 
 struct SectionRequest { 1: required string digest }
--- a/src/primrosescale/connection/wire/ttypes.py
+++ b/src/primrosescale/connection/wire/ttypes.py
@@ -4194,6 +4194,7 @@
      - targets
      - parts
      - store_lost
+     - targets_revision
 
     """
 
@@ -4207,10 +4208,11 @@
         'targets',
         'parts',
         'store_lost',
+        'targets_revision',
     )
 
 
-    def __init__(self, origin=None, incarnation=None, sequence=None, heard=None, version=None, knowledge_age_ms=None, targets=None, parts=None, store_lost=None,):
+    def __init__(self, origin=None, incarnation=None, sequence=None, heard=None, version=None, knowledge_age_ms=None, targets=None, parts=None, store_lost=None, targets_revision=None,):
         self.origin = origin
         self.incarnation = incarnation
         self.sequence = sequence
@@ -4220,6 +4222,7 @@
         self.targets = targets
         self.parts = parts
         self.store_lost = store_lost
+        self.targets_revision = targets_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4287,6 +4290,11 @@
                     self.store_lost = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.targets_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4339,6 +4347,10 @@
             oprot.writeFieldBegin('store_lost', TType.BOOL, 9)
             oprot.writeBool(self.store_lost)
             oprot.writeFieldEnd()
+        if self.targets_revision is not None:
+            oprot.writeFieldBegin('targets_revision', TType.I64, 10)
+            oprot.writeI64(self.targets_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5562,6 +5574,7 @@
     (7, TType.LIST, 'targets', (TType.STRUCT, [TargetNews, None], False), None, ),  # 7
     (8, TType.LIST, 'parts', (TType.STRUCT, [PartNews, None], False), None, ),  # 8
     (9, TType.BOOL, 'store_lost', None, None, ),  # 9
+    (10, TType.I64, 'targets_revision', None, None, ),  # 10
 )
 all_structs.append(SectionRequest)
 SectionRequest.thrift_spec = (
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -120,7 +120,11 @@
         )
         self._registry = RouterRegistry(settings, incarnation, self._news, parts)
         self._exchange = NewsExchange(
-            self._news, self._version, self._is_store_lost, parts
+            self._news,
+            self._version,
+            self._is_store_lost,
+            lambda: self._knowledge.list_revision,
+            parts,
         )
         self._knowledge = Knowledge(
             settings,
@@ -400,7 +404,9 @@
             self.reload(is_asked=False)
         self._limit_caches()
         self._registry.forget_silent(now)
-        self._knowledge.look_after(self._news.newest_version(now), now)
+        self._knowledge.look_after(
+            self._news.newest_version(now), self._news.newest_list(), now
+        )
         for name in self._knowledge.forget_gone(now):
             self._directory.forget_target(name)
             self._caller.forget(name)
--- a/src/primrosescale/process/entry/knowledge.py
+++ b/src/primrosescale/process/entry/knowledge.py
@@ -32,6 +32,9 @@
 # more.
 ASK_AT_AGE = 3.4
 ASK_AGAIN_SECONDS = 0.7
+# A change of the list of targets that others tell of is normally known here by
+# then: an answer of the store takes 4 ms, and 0.25 s while it is slow.
+LIST_PATIENCE = 0.3
 
 
 class _Connection:
@@ -56,12 +59,14 @@
             self._lost_at = self._now()
             self._log.emit(Event.STORE_LOST, watch=self._name, detail=str(error))
 
-    def regained(self) -> None:
-        """Take in an answered question."""
-        if self._lost_at is not None:
-            lost_for = round(self._now() - self._lost_at, 2)
-            self._lost_at = None
-            self._log.emit(Event.STORE_REGAINED, watch=self._name, lost_for=lost_for)
+    def regained(self) -> bool:
+        """Take in an answered question; tell whether the one before failed."""
+        if self._lost_at is None:
+            return False
+        lost_for = round(self._now() - self._lost_at, 2)
+        self._lost_at = None
+        self._log.emit(Event.STORE_REGAINED, watch=self._name, lost_for=lost_for)
+        return True
 
 
 class _ConfigurationHandler(WatchHandler):
@@ -84,7 +89,8 @@
         self._connection.lost(error)
 
     def _take(self, objects: tuple[StoredObject, ...], asked_at: float) -> None:
-        self._connection.regained()
+        if self._connection.regained():
+            self._knowledge.renew_watches()
         for stored in objects:
             if not stored.is_deleted:
                 self._knowledge.adopt(stored, asked_at)
@@ -109,6 +115,7 @@
         self._connection.regained()
         for stored in objects:
             self._knowledge.change_target(stored)
+        self._knowledge.note_list_revision(max((o.version for o in objects), default=0))
 
     def failed(self, error: PlatformError) -> None:
         """Note that the store could not be asked."""
@@ -166,6 +173,8 @@
         self._handler = _ConfigurationHandler(self, connections[0])
         self._asks_often = asks_often
         self._asking_since: float | None = None
+        self._list_revision = 0
+        self._list_old_since: float | None = None
         self._watches = [
             StoreWatch(parts.platform, watched, handler, parts.reactor, parts.rng, wait)
             for watched, handler, wait in (
@@ -174,6 +183,7 @@
                 (watches.routers, routers, None),
             )
         ]
+        self._targets_watch = self._watches[1]
 
     @property
     def table(self) -> RoutingTable | None:
@@ -194,6 +204,11 @@
         """Tell whether routes and targets are known."""
         return self._table is not None and self._has_list
 
+    @property
+    def list_revision(self) -> int:
+        """Return the store's revision of the newest known change of the list."""
+        return self._list_revision
+
     @property
     def store_calls(self) -> int:
         """Return how many calls to the store were made."""
@@ -223,16 +238,20 @@
             running = watch.run()
             running.addErrback(self._broken)
 
-    def look_after(self, newest_version: int, now: float) -> None:
-        """Ask about the configuration when others' questions do not suffice.
+    def look_after(self, newest_version: int, newest_list: int, now: float) -> None:
+        """Ask the store when others know more, or their questions are too old.
 
         Parameters
         ----------
         newest_version : int
             Newest version that another router tells of.
+        newest_list : int
+            Newest change of the list of targets that another router tells of,
+            as the store's revision.
         now : float
             Present time in seconds.
         """
+        self._look_after_list(newest_list, now)
         own = 0 if self._table is None else self._table.version
         age = self.freshness.age(now)
         is_old = age is None or age > ASK_AT_AGE
@@ -242,6 +261,41 @@
             self._asking_since = now
             self._ask(now)
 
+    def renew_watches(self) -> None:
+        """Ask anew what waits for an answer.
+
+        A store that went silent towards this router may never answer what it
+        was asked before; changes would go unnoticed until the wait is over.
+        """
+        for watch in self._watches:
+            watch.renew()
+
+    def note_list_revision(self, revision: int) -> None:
+        """Take in a change of the list of targets.
+
+        Parameters
+        ----------
+        revision : int
+            The store's revision of it.
+        """
+        self._list_revision = max(self._list_revision, revision)
+
+    def _look_after_list(self, newest: int, now: float) -> None:
+        """Renew the watch of targets when another router heard a change first."""
+        if newest <= self._targets_watch.revision or not self._has_list:
+            self._list_old_since = None
+        elif self._list_old_since is None:
+            self._list_old_since = now
+        elif now - self._list_old_since > self._targets_rest + LIST_PATIENCE:
+            self._list_old_since = None
+            self._log.emit(
+                Event.WATCH_RENEWED,
+                watch="targets",
+                known=self._targets_watch.revision,
+                told=newest,
+            )
+            self._targets_watch.renew()
+
     def _ask(self, asked_at: float) -> None:
         reading = self._platform.watch(self._watched.prefix, 0, 0.0)
 
--- a/src/primrosescale/process/entry/router_exchange.py
+++ b/src/primrosescale/process/entry/router_exchange.py
@@ -48,6 +48,8 @@
         Returns the version in force here; 0 for none.
     is_store_lost : Callable[[], bool]
         Returns whether the store did not answer the last question.
+    list_revision : Callable[[], int]
+        Returns the newest change of the target list that is known here.
     parts : EntryParts
         What the router is built with.
     """
@@ -57,11 +59,13 @@
         news: RouterNews,
         version: Callable[[], int],
         is_store_lost: Callable[[], bool],
+        list_revision: Callable[[], int],
         parts: EntryParts,
     ) -> None:
         self._news = news
         self._version = version
         self._is_store_lost = is_store_lost
+        self._list_revision = list_revision
         self._reactor = parts.reactor
         self._log = parts.log
         self._timer: Timer | None = None
@@ -121,7 +125,10 @@
         transport: Any = self.transport
         now = self._reactor.seconds()
         messages = self._news.compose(
-            self._version(), now, is_store_lost=self._is_store_lost()
+            self._version(),
+            now,
+            is_store_lost=self._is_store_lost(),
+            list_revision=self._list_revision(),
         )
         for router, message in messages:
             frame = encode(message)
--- a/src/primrosescale/process/entry/router_news.py
+++ b/src/primrosescale/process/entry/router_news.py
@@ -80,6 +80,7 @@
         "heard_at",
         "incarnation",
         "is_store_lost",
+        "list_revision",
         "listed_at",
         "router",
         "sent_at",
@@ -94,6 +95,7 @@
         self.heard_at: float | None = None
         self.is_store_lost = False
         self.version = 0
+        self.list_revision = 0
         self.sent_at: OrderedDict[int, float] = OrderedDict()
 
 
@@ -207,6 +209,16 @@
             default=0,
         )
 
+    def newest_list(self) -> int:
+        """Return the newest change of the target list that others told of.
+
+        Returns
+        -------
+        int
+            The store's revision of it; 0 for none.
+        """
+        return max((peer.list_revision for peer in self._peers.values()), default=0)
+
     def asks_often(self, now: float) -> bool:
         """Tell whether this router is one of the few that ask the store often.
 
@@ -284,7 +296,12 @@
         self._peers.pop(name, None)
 
     def compose(
-        self, version: int, now: float, *, is_store_lost: bool = False
+        self,
+        version: int,
+        now: float,
+        *,
+        is_store_lost: bool = False,
+        list_revision: int = 0,
     ) -> list[tuple[OtherRouter, wire.RouterNews]]:
         """Return what to tell each other router now.
 
@@ -296,6 +313,9 @@
             Present time in seconds.
         is_store_lost : bool
             Whether the store did not answer this router's last question.
+        list_revision : int
+            The store's revision of the newest change of the target list that
+            is known here.
 
         Returns
         -------
@@ -334,6 +354,7 @@
                 told,
                 parts,
                 is_store_lost,
+                list_revision,
             )
             messages.append((peer.router, message))
         return messages
@@ -369,6 +390,7 @@
         peer.heard_at = now
         peer.is_store_lost = message.store_lost
         peer.version = message.version
+        peer.list_revision = message.targets_revision or 0
         self._take_freshness(peer, message, version)
         self._take_targets(message, now)
         self._take_parts(message, now)
--- a/src/primrosescale/process/entry/store_watch.py
+++ b/src/primrosescale/process/entry/store_watch.py
@@ -8,6 +8,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from twisted.internet.defer import CancelledError
+from twisted.internet.defer import Deferred
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
@@ -21,6 +23,7 @@
 
     from primrosescale.process.transport.platform import Platform
     from primrosescale.process.transport.platform import StoredObject
+    from primrosescale.process.transport.platform import WatchResult
 
 # Pause after a failed call, growing by half to the most. An outage is asked
 # through two or three times a second, which finds its end soon enough for a
@@ -135,41 +138,73 @@
         self._reactor = reactor
         self._rng = rng
         self._is_stopped = False
+        self._since = 0
+        self._asked: Deferred[WatchResult] | None = None
+        self._is_renewed = False
+
+    @property
+    def revision(self) -> int:
+        """Return up to which revision of the store all changes are known."""
+        return self._since
 
     def stop(self) -> None:
         """Follow no more."""
         self._is_stopped = True
 
+    def renew(self) -> None:
+        """Ask again at once: the question that waits may never be answered."""
+        asked, self._asked = self._asked, None
+        if asked is not None:
+            self._is_renewed = True
+            asked.cancel()
+
     @inlineCallbacks
     def run(self) -> Generator[Any, Any, None]:
         """Follow changes until stopped."""
-        since = 0
         pause = FIRST_PAUSE
         while not self._is_stopped:
             asked_at = self._reactor.seconds()
             try:
                 wait = self._wait() if self._wait is not None else self._watched.wait
                 wait *= self._rng.uniform(LEAST_WAIT_SHARE, 1.0)
-                found = yield self._platform.watch(self._watched.prefix, since, wait)
+                found = yield self._ask(wait)
             except PlatformHistoryGoneError as error:
                 self._handler.failed(error)
-                since = 0
+                self._since = 0
+                continue
+            except CancelledError:
+                # Renewed; a platform may also tell that as a failure.
+                self._is_renewed = False
                 continue
             except PlatformError as error:
+                if self._is_renewed:
+                    self._is_renewed = False
+                    continue
                 self._handler.failed(error)
                 if self._watched.reads_after_failure:
-                    since = 0
+                    self._since = 0
                 yield self._sleep(pause)
                 pause = min(LONGEST_PAUSE, pause * GROWTH)
                 continue
             pause = FIRST_PAUSE
-            tell = self._handler.changed if since else self._handler.replaced
+            is_change = bool(self._since)
+            self._since = found.revision
+            tell = self._handler.changed if is_change else self._handler.replaced
             tell(found.changes, asked_at)
-            is_news = bool(since and found.changes)
-            since = found.revision
+            is_news = is_change and bool(found.changes)
             if is_news and self._watched.rest:
                 yield deferLater(self._reactor, self._watched.rest, lambda: None)
 
+    @inlineCallbacks
+    def _ask(self, wait: float) -> Generator[Any, Any, WatchResult]:
+        asked = self._platform.watch(self._watched.prefix, self._since, wait)
+        self._asked = asked
+        try:
+            found: WatchResult = yield asked
+        finally:
+            self._asked = None
+        return found
+
     def _sleep(self, seconds: float) -> Any:
         drawn = seconds * self._rng.uniform(0.5, 1.0)
         return deferLater(self._reactor, drawn, lambda: None)
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -160,7 +160,7 @@
         self.store.write("servers", name, entry)
 
     @inlineCallbacks
-    def start(self, *, early=None, caches=None, **fields):
+    def start(self, *, early=None, caches=None, targets_wait=0.3, **fields):
         endpoint = self.serve(self.store)
         values = {
             "name": "r1",
@@ -199,7 +199,7 @@
             configuration=WatchedPrefix(
                 records.CONFIGURATION, 0.3, reads_after_failure=True
             ),
-            targets=WatchedPrefix(records.TARGETS, 0.3),
+            targets=WatchedPrefix(records.TARGETS, targets_wait),
             routers=WatchedPrefix(records.ROUTERS, 0.3),
         )
         self.router = EntryRouter(self.settings, watches, self.parts)
@@ -509,6 +509,39 @@
         self.assertEqual([], handler.forget_gone(now + 0.9))
         self.assertEqual(names, handler.forget_gone(now + 1.1))
 
+    def drain_unheard(self, name):
+        """Have a target leave without the watches hearing of it."""
+        self.store.faults.is_deaf = True
+        entry = {"service": "model", "address": f"{LOOPBACK}:1", "state": "draining"}
+        revision = self.store.write("servers", name, entry)
+        self.store.faults.is_deaf = False
+        return revision
+
+    def knows_leaving(self, name):
+        return self.router._knowledge.targets.state(name).target.is_draining
+
+    @inlineCallbacks
+    def test_a_watch_that_went_unanswered_in_an_outage_is_asked_anew_after_it(self):
+        yield self.start(targets_wait=60.0)
+        self.store.faults.all_calls = StoreFault.BUSY
+        yield self.eventually(lambda: "STORE_LOST" in [n for n, _ in self.events])
+        self.drain_unheard("m1")
+        self.store.faults.all_calls = None
+        yield self.eventually(lambda: self.knows_leaving("m1"))
+
+    @inlineCallbacks
+    def test_a_change_of_the_list_that_another_router_tells_of_is_asked_for(self):
+        yield self.start(targets_wait=60.0)
+        other = RouterNews("r2", 1, TargetList(2.0), PartDirectory(), Freshness(5.0))
+        other.put(OtherRouter("r1", Endpoint("127.0.0.1", 1)), 0.0)
+        now = reactor.seconds()
+        self.router._news.put(OtherRouter("r2", Endpoint("127.0.0.1", 1)), now)
+        revision = self.drain_unheard("m1")
+        [(_, message)] = other.compose(1, reactor.seconds(), list_revision=revision)
+        self.router._news.take(message, 1, reactor.seconds())
+        yield self.eventually(lambda: self.knows_leaving("m1"))
+        self.assertIn("WATCH_RENEWED", [name for name, _ in self.events])
+
     @inlineCallbacks
     def test_a_version_that_cannot_be_read_changes_nothing(self):
         yield self.start()
