--- a/tests/adapter/test_object_platform.py
+++ b/tests/adapter/test_object_platform.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import io
 import json
 
 from twisted.internet import reactor
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
+from twisted.web.server import NOT_DONE_YET
 
 from primrosescale.connection.wire import ttypes as wire
 from primrosescale.platform.object_platform import ObjectPlatform
@@ -22,10 +24,32 @@
 TIMEOUT = 0.3
 
 
+class LateStore(UsersStore):
+    """A store that does some writes only after their answer was given up."""
+
+    def __init__(self):
+        super().__init__()
+        self.late = None
+
+    def render(self, request):
+        if self.late is None or request.method == b"GET":
+            return super().render(request)
+        late, self.late = self.late, None
+        body = request.content.read()
+
+        def act():
+            # The connection, and with it the request's content, is gone by then.
+            request.content = io.BytesIO(body)
+            self._act(request, "x", "a")
+
+        reactor.callLater(late, act)
+        return NOT_DONE_YET
+
+
 class ObjectPlatformTest(LiveTest):
     def setUp(self):
         super().setUp()
-        self.store = UsersStore()
+        self.store = LateStore()
         endpoint = self.serve(self.store)
         self.platform = ObjectPlatform(reactor, endpoint, TIMEOUT)
         self.addCleanup(self.platform.close)
@@ -106,6 +130,40 @@
         refused = yield self.platform.get("x/BUSY")
         self.assertIsNone(refused)
 
+    @inlineCallbacks
+    def test_a_write_that_is_done_late_yields_to_one_done_before_it(self):
+        self.store.late = TIMEOUT + 0.2
+        yield self.assert_fails(
+            PlatformAnswerLostError, self.platform.put("x/a", b"late", 0)
+        )
+        found = yield self.platform.get("x/a")
+        self.assertIsNone(found)
+        yield self.platform.put("x/a", b"sooner", 0)
+        yield deferLater(reactor, 0.3, lambda: None)
+        found = yield self.platform.get("x/a")
+        self.assertEqual(b"sooner", found.value)
+
+    @inlineCallbacks
+    def test_a_write_that_is_done_late_is_found_by_the_next_one(self):
+        self.store.late = TIMEOUT + 0.1
+        yield self.assert_fails(
+            PlatformAnswerLostError, self.platform.put("x/a", b"late", 0)
+        )
+        yield deferLater(reactor, 0.2, lambda: None)
+        error = yield self.assert_fails(
+            PlatformConflictError, self.platform.put("x/a", b"again", 0)
+        )
+        found = yield self.platform.get("x/a")
+        self.assertEqual((b"late", error.current), (found.value, found.version))
+
+    @inlineCallbacks
+    def test_no_read_accepts_stale_data(self):
+        yield self.platform.get("x/a")
+        yield self.platform.list("x/", "", 5)
+        yield self.platform.watch("x/", 0, 0.0)
+        yield self.platform.watch("x/", 1, 0.0)
+        self.assertEqual([], [call for call in self.store.calls if "stale" in call])
+
     @inlineCallbacks
     def test_a_long_list_is_read_page_by_page(self):
         self.store.faults.page = 2
