A large answer of the store is waited for as long as bytes come; a newer version is not asked for twice

On a host with a link of 10 Mbit/s the grown configuration did not arrive within 0.5 s and was given up midway and asked for again, besides a second question each 0.7 s since others told of the newer version; the link was full for 4 s, the version 4 s old, requests and news of leaving targets 0.4-0.9 s late. Change: an answer is given up when no byte came for the timeout; others' newer version is asked for after 0.8 s, and not beside a question under way. Two tests fail without it.

--- a/src/primrosescale/process/entry/knowledge.py
+++ b/src/primrosescale/process/entry/knowledge.py
@@ -32,6 +32,12 @@
 # more.
 ASK_AT_AGE = 3.4
 ASK_AGAIN_SECONDS = 0.7
+# The same while the last question is still under way: on a thin link its answer
+# may be on its way, and a second one would only slow it down.
+ASK_BESIDE_SECONDS = 2.0
+# A newer version that others tell of is normally on its way here, 0.5 s for 600
+# kB over the thinnest link of today (10 Mbit/s); it has to be in force in 2 s.
+VERSION_PATIENCE = 0.8
 # A change of the list of targets that others tell of is normally known here by
 # then: an answer of the store takes 4 ms, and 0.25 s while it is slow.
 LIST_PATIENCE = 0.3
@@ -173,6 +179,8 @@
         self._handler = _ConfigurationHandler(self, connections[0])
         self._asks_often = asks_often
         self._asking_since: float | None = None
+        self._is_asking = False
+        self._outdated_since: float | None = None
         self._list_revision = 0
         self._list_old_since: float | None = None
         self._watches = [
@@ -252,12 +260,10 @@
             Present time in seconds.
         """
         self._look_after_list(newest_list, now)
-        own = 0 if self._table is None else self._table.version
-        age = self.freshness.age(now)
-        is_old = age is None or age > ASK_AT_AGE
-        if not is_old and newest_version <= own:
+        if not self._is_old(now) and not self._is_outdated(newest_version, now):
             return
-        if self._asking_since is None or now - self._asking_since > ASK_AGAIN_SECONDS:
+        pause = ASK_BESIDE_SECONDS if self._is_asking else ASK_AGAIN_SECONDS
+        if self._asking_since is None or now - self._asking_since > pause:
             self._asking_since = now
             self._ask(now)
 
@@ -280,6 +286,20 @@
         """
         self._list_revision = max(self._list_revision, revision)
 
+    def _is_old(self, now: float) -> bool:
+        age = self.freshness.age(now)
+        return age is None or age > ASK_AT_AGE
+
+    def _is_outdated(self, newest_version: int, now: float) -> bool:
+        """Tell whether others have had a newer version for some time."""
+        own = 0 if self._table is None else self._table.version
+        if newest_version <= own:
+            self._outdated_since = None
+            return False
+        if self._outdated_since is None:
+            self._outdated_since = now
+        return now - self._outdated_since >= VERSION_PATIENCE
+
     def _look_after_list(self, newest: int, now: float) -> None:
         """Renew the watch of targets when another router heard a change first."""
         if newest <= self._targets_watch.revision or not self._has_list:
@@ -297,13 +317,16 @@
             self._targets_watch.renew()
 
     def _ask(self, asked_at: float) -> None:
+        self._is_asking = True
         reading = self._platform.watch(self._watched.prefix, 0, 0.0)
 
         def answered(found: WatchResult) -> None:
+            self._is_asking = False
             self._asking_since = None
             self._handler.replaced(found.changes, asked_at)
 
         def failed(failure: Failure) -> None:
+            self._is_asking = False
             error = failure.value
             if not isinstance(error, PlatformError):
                 self._broken(failure)
--- a/src/primrosescale/process/transport/http_call.py
+++ b/src/primrosescale/process/transport/http_call.py
@@ -15,6 +15,7 @@
 from twisted.web._newclient import ResponseDone
 from twisted.web.http_headers import Headers
 
+from primrosescale.clock import cancel_timer
 from primrosescale.connection.failure_text import failure_text
 from primrosescale.connection.target_channel import ChannelPool
 from primrosescale.process.exceptions import PlatformAnswerLostError
@@ -35,6 +36,9 @@
 # silent; each answer shortens the wait again.
 GROWTH = 2.0
 MOST_PATIENCE = 4.0
+# Seconds after which an answer is given up though bytes keep coming: an object
+# of 1 MB takes 0.8 s over the thinnest link of today.
+LONGEST_ANSWER = 8.0
 
 
 class Reply:
@@ -59,18 +63,39 @@
 
 
 class _WholeAnswer(Protocol):
-    """Collects the body of an answer."""
+    """Collects the body of an answer, as long as bytes keep coming.
 
-    def __init__(self) -> None:
+    A large answer takes longer than a small one over a thin link; giving it up
+    midway and asking again would fill the link with halves.
+
+    Parameters
+    ----------
+    clock : Any
+        Source of timers.
+    patience : float
+        Seconds without a byte after which it is given up.
+    """
+
+    def __init__(self, clock: Any, patience: float) -> None:
         self._chunks: list[bytes] = []
+        self._patience = patience
+        self._stall = clock.callLater(patience, self._stalled)
         self.collected: Deferred[bytes] = Deferred()
 
     def dataReceived(self, data: bytes) -> None:
         """Take in bytes."""
         self._chunks.append(data)
+        if self._stall.active():
+            self._stall.reset(self._patience)
+
+    def _stalled(self) -> None:
+        if not self.collected.called:
+            detail = f"no byte for {self._patience:.1f} s inside the answer"
+            self.collected.errback(TimeoutError(detail))
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Tell the whole body, or that it was cut."""
+        cancel_timer(self._stall)
         if self.collected.called:
             return
         if reason.check(ResponseDone):
@@ -162,9 +187,9 @@
             )
             asked.addTimeout(self._patience + extra, self._reactor)
             response = yield asked
-            answer = _WholeAnswer()
+            answer = _WholeAnswer(self._reactor, self._patience)
             response.deliverBody(answer)
-            answer.collected.addTimeout(self._patience, self._reactor)
+            answer.collected.addTimeout(LONGEST_ANSWER, self._reactor)
             content = yield answer.collected
         except (Exception, CancelledError) as error:
             self._patience = min(self._patience * GROWTH, MOST_PATIENCE * self._timeout)
--- a/tests/adapter/test_object_platform.py
+++ b/tests/adapter/test_object_platform.py
@@ -30,8 +30,13 @@
     def __init__(self):
         super().__init__()
         self.late = None
+        self.gaps = []
 
     def render(self, request):
+        if self.gaps:
+            gaps, self.gaps = self.gaps, []
+            self.send_slowly(request, b'{"items": [], "truncated": false', gaps)
+            return NOT_DONE_YET
         if self.late is None or request.method == b"GET":
             return super().render(request)
         late, self.late = self.late, None
@@ -45,6 +50,17 @@
         reactor.callLater(late, act)
         return NOT_DONE_YET
 
+    def send_slowly(self, request, text, gaps):
+        """Send a byte after each gap, the rest of the list after the last."""
+        if request._disconnected:
+            return
+        if gaps:
+            request.write(text[:1])
+            reactor.callLater(gaps[0], self.send_slowly, request, text[1:], gaps[1:])
+            return
+        request.write(text + b', "current_rev": 7}')
+        request.finish()
+
 
 class ObjectPlatformTest(LiveTest):
     def setUp(self):
@@ -156,6 +172,21 @@
         found = yield self.platform.get("x/a")
         self.assertEqual((b"late", error.current), (found.value, found.version))
 
+    @inlineCallbacks
+    def test_an_answer_may_take_long_as_long_as_bytes_come(self):
+        self.store.gaps = [TIMEOUT * 0.5] * 5
+        found = yield self.platform.watch("x/", 0, 0.0)
+        self.assertEqual(7, found.revision)
+
+    @inlineCallbacks
+    def test_an_answer_that_stops_midway_is_given_up(self):
+        self.store.gaps = [0.01, 0.01, TIMEOUT * 2]
+        error = yield self.assert_fails(
+            PlatformUnavailableError, self.platform.watch("x/", 0, 0.0)
+        )
+        self.assertIn("no byte", str(error))
+        yield deferLater(reactor, TIMEOUT * 2, lambda: None)
+
     @inlineCallbacks
     def test_no_read_accepts_stale_data(self):
         yield self.platform.get("x/a")
