--- a/src/primrosescale/process/entry/knowledge.py
+++ b/src/primrosescale/process/entry/knowledge.py
@@ -180,6 +180,7 @@
         self._asks_often = asks_often
         self._asking_since: float | None = None
         self._is_asking = False
+        self._told_version = 0
         self._outdated_since: float | None = None
         self._list_revision = 0
         self._list_old_since: float | None = None
@@ -293,7 +294,9 @@
     def _is_outdated(self, newest_version: int, now: float) -> bool:
         """Tell whether others have had a newer version for some time."""
         own = 0 if self._table is None else self._table.version
-        if newest_version <= own:
+        # Versions only go up: what was told once holds when the teller is gone.
+        self._told_version = max(self._told_version, newest_version)
+        if self._told_version <= own:
             self._outdated_since = None
             return False
         if self._outdated_since is None:
