What most targets lose is no reason to leave one

Answers of 23 of 27 targets were lost in part; a target that had just been listed had no failures, so routers sent to it at once: 17 requests there at a mean of 3.4, all with copies of parts, each router knowing of 0-2. Ruled out: old news alone (0.4 s), hot parts. Change: failures count only beyond the median of the service's targets.

--- a/src/primrosescale/request/target_choice.py
+++ b/src/primrosescale/request/target_choice.py
@@ -204,6 +204,7 @@
         most = held[richest.target.name]
         group = _group(prompt)
         home = max(bounded, key=lambda state: _rank(group, state.target.name))
+        usual = _usual_failures(states, now)
         settings = self._settings
 
         def cost(state: TargetState) -> float:
@@ -212,7 +213,8 @@
             read = prompt.prompt_tokens - max(most, held[name])
             total = read + fetched * settings.fetch_weight
             total += loads[name] * settings.tokens_per_request
-            total += state.failure_share(now) ** 2 * settings.failure_weight
+            failing = max(0.0, state.failure_share(now) - usual)
+            total += failing**2 * settings.failure_weight
             if state is home and not most:
                 total -= settings.home_bonus
             return total
@@ -223,6 +225,16 @@
         return Choice(best, held[name], source, loads[name], mean)
 
 
+def _usual_failures(states: Sequence[TargetState], now: float) -> float:
+    """Return the median share of failures, which is no reason to leave a target.
+
+    When answers of most targets are lost, one that has just been listed would
+    otherwise look so much better that all routers send to it at once.
+    """
+    shares = sorted(state.failure_share(now) for state in states)
+    return shares[(len(shares) - 1) // 2]
+
+
 def _group(prompt: Prompt) -> str:
     """Return what names the prompts that share all but their last part."""
     shared = prompt.shared or prompt.parts
--- a/tests/entry/test_target_choice.py
+++ b/tests/entry/test_target_choice.py
@@ -135,6 +135,16 @@
         choice = self.choose(prompt(("tariffs", 2000), ("chat", 90)))
         self.assertNotEqual("m4", choice.state.target.name)
 
+    def test_a_new_target_does_not_draw_all_while_most_lose_some_answers(self):
+        wanted = prompt(("tariffs", 3000), ("chat", 900))
+        self.parts.note(PartUse("tariffs", "m4", 3000, START))
+        for state in self.states:
+            for _ in range(3):
+                state.succeeded(START)
+            state.failed(START)
+        self.states.append(TargetState(target("m6"), START))
+        self.assertEqual("m4", self.choose(wanted).state.target.name)
+
     def test_all_paused_is_better_than_none(self):
         for state in self.states:
             state.unreachable(START)
