Close and drop connections that are still being opened

Cause: the pool closed a link whose dial had not finished, so that it had no transport. The same held for dropping one, which heartbeats do when they are not answered. Ruled out: the order in which the deployment stops its parts; a dial can begin at any time before. Now such a link ends at once, its dial is cancelled, those who wait for it are refused, and a connection that opens all the same is closed. An old dial that fails no longer refuses those who asked for a newer one.

--- a/src/primrosescale/connection/dialer.py
+++ b/src/primrosescale/connection/dialer.py
@@ -41,7 +41,7 @@
         -------
         Deferred[Link]
             The link when its transport is connected; fails with
-            `DialError` when nothing could be sent.
+            `DialError` when nothing could be sent. It can be cancelled.
         """
 
 
--- a/src/primrosescale/connection/link.py
+++ b/src/primrosescale/connection/link.py
@@ -158,6 +158,10 @@
 
     def connectionMade(self) -> None:
         """Introduce this process and wait for the peer's introduction."""
+        if self._lost:
+            # Given up while it was being opened.
+            self._transport.loseConnection()
+            return
         set_no_delay = getattr(self.transport, "setTcpNoDelay", None)
         if set_no_delay is not None:
             set_no_delay(True)
@@ -204,16 +208,19 @@
         if self._lost:
             return
         self._detail = detail
-        abort = getattr(self.transport, "abortConnection", None)
-        if abort is None:
-            self._transport.loseConnection()
-        else:
-            abort()
+        if self.transport is not None:
+            abort = getattr(self.transport, "abortConnection", None)
+            if abort is None:
+                self._transport.loseConnection()
+            else:
+                abort()
         self._end(detail)
 
     def close(self) -> None:
         """Close the connection after what was sent has gone out."""
-        if not self._lost:
+        if self.transport is None:
+            self._end("closed before it was open")
+        elif not self._lost:
             self._transport.loseConnection()
 
     def stringReceived(self, string: bytes) -> None:
--- a/src/primrosescale/connection/pool.py
+++ b/src/primrosescale/connection/pool.py
@@ -56,6 +56,7 @@
         self._idle_after = idle_after
         self._links: dict[Endpoint, Link] = {}
         self._endpoints: dict[Link, Endpoint] = {}
+        self._dials: dict[Link, Deferred[Link]] = {}
         self._used_at: dict[Endpoint, float] = {}
         self._waiters: dict[Endpoint, list[Deferred[Link]]] = {}
 
@@ -154,7 +155,7 @@
         return closed
 
     def close(self) -> None:
-        """Close all connections."""
+        """Close all connections, also those that are being opened."""
         for link in self.links():
             link.close()
 
@@ -183,16 +184,24 @@
         link = Link(self._own, self, self._clock, self._settings)
         self._links[endpoint] = link
         self._endpoints[link] = endpoint
-        opened = self._dialer.dial(endpoint, link)
-        opened.addErrback(self._dial_failed, endpoint, link)
+        dial = self._dialer.dial(endpoint, link)
+        self._dials[link] = dial
+        dial.addCallbacks(self._dialled, self._dial_failed, errbackArgs=(link,))
 
-    def _dial_failed(self, failure: Failure, endpoint: Endpoint, link: Link) -> None:
-        self._forget(link)
-        for waiter in self._waiters.pop(endpoint, []):
-            waiter.errback(failure)
+    def _dialled(self, link: Link) -> None:
+        self._dials.pop(link, None)
+
+    def _dial_failed(self, failure: Failure, link: Link) -> None:
+        endpoint = self._forget(link)
+        if endpoint is not None:
+            for waiter in self._waiters.pop(endpoint, []):
+                waiter.errback(failure)
 
     def _forget(self, link: Link) -> Endpoint | None:
         endpoint = self._endpoints.pop(link, None)
+        dial = self._dials.pop(link, None)
+        if dial is not None:
+            dial.cancel()
         if endpoint is not None and self._links.get(endpoint) is link:
             del self._links[endpoint]
             self._used_at.pop(endpoint, None)
