Ask with pauses, read the settings once, one branch for a renewed question

A version that others tell of and the store does not give was asked for four times a second: an answer took the pause away. What others have known for too long is one small class for versions and the list.

--- a/src/primrosescale/platform/__main__.py
+++ b/src/primrosescale/platform/__main__.py
@@ -17,12 +17,10 @@
 from primrosescale.connection.early_listener import open_listener
 from primrosescale.connection.steady_reactor import install_steady_reactor
 from primrosescale.exceptions import PrimrosescaleError
-from primrosescale.platform.exceptions import BootFileError
-from primrosescale.platform.host_settings import BOOT_VARIABLE
-from primrosescale.platform.host_settings import read_host_settings
+from primrosescale.platform.host_settings import own_host_settings
 
 if TYPE_CHECKING:
-    import socket
+    from primrosescale.platform.host_settings import HostSettings
 
 # Objects that a start leaves behind are never looked at again; collecting
 # young ones seldom keeps pauses under a millisecond.
@@ -46,7 +44,19 @@
     # the time to start.
     gc.disable()
     try:
-        early = _listen_early()
+        return _start(own_host_settings(), pending)
+    except PrimrosescaleError as error:
+        sys.stderr.write(f"primrosescale: {error}\n")
+        return os.EX_CONFIG
+
+
+def _start(host: HostSettings, pending: list[int]) -> int:
+    """Let callers connect, then load the rest, which takes 0.4 s, and run it.
+
+    `pending` holds the signals that came before it could run.
+    """
+    try:
+        early = None if host.callers is None else open_listener(host.callers)
     except OSError as error:
         sys.stderr.write(f"primrosescale: cannot start: {error}\n")
         return 1
@@ -64,34 +74,14 @@
     reactor = install_steady_reactor()
     from primrosescale.platform.entry import build_entry_router  # noqa: PLC0415
 
-    try:
-        router = build_entry_router(
-            reactor,
-            int(values["metrics_port"].value or 0),
-            random.SystemRandom(),
-            early,
-        )
-    except PrimrosescaleError as error:
-        sys.stderr.write(f"primrosescale: {error}\n")
-        return os.EX_CONFIG
+    metrics_port = int(values["metrics_port"].value or 0)
+    rng = random.SystemRandom()
+    router = build_entry_router(reactor, host, metrics_port, rng, early)
     return _run(reactor, router, pending)
 
 
-def _listen_early() -> socket.socket | None:
-    """Let callers connect while the rest is loaded, which takes 0.4 s."""
-    try:
-        host = read_host_settings(os.environ.get(BOOT_VARIABLE, ""))
-    except BootFileError:
-        # Building the router meets the same error and reports it.
-        return None
-    return None if host.callers is None else open_listener(host.callers)
-
-
 def _run(reactor: Any, router: Any, pending: list[int]) -> int:
-    """Run the reactor until the router has stopped.
-
-    `pending` holds the signals that came before it could run.
-    """
+    """Run the reactor until the router has stopped; see `_start`."""
     from twisted.internet.error import CannotListenError  # noqa: PLC0415
 
     status = [0]
--- a/src/primrosescale/platform/entry.py
+++ b/src/primrosescale/platform/entry.py
@@ -12,7 +12,7 @@
 from primrosescale.platform.exceptions import BootFileError
 from primrosescale.platform.host_settings import BOOT_VARIABLE
 from primrosescale.platform.host_settings import HostSettings
-from primrosescale.platform.host_settings import read_host_settings
+from primrosescale.platform.host_settings import own_host_settings
 from primrosescale.platform.http_codec import PlatformCodec
 from primrosescale.platform.object_platform import ObjectPlatform
 from primrosescale.process.entry.codec import RecordDecoder
@@ -90,6 +90,7 @@
 
 def build_entry_router(
     reactor: Any,
+    host: HostSettings,
     metrics_port: int,
     rng: Random,
     early: socket.socket | None = None,
@@ -100,6 +101,8 @@
     ----------
     reactor : Any
         Twisted's reactor.
+    host : HostSettings
+        Settings of this process.
     metrics_port : int
         Port of the metrics; 0 for none.
     rng : Random
@@ -115,9 +118,8 @@
     Raises
     ------
     BootFileError
-        When the settings file cannot be used.
+        When the host is not one that callers reach.
     """
-    host = _read()
     settings = entry_settings(host, metrics_port)
     writer = LogWriter(reactor)
     writer.install()
@@ -132,7 +134,7 @@
         writer=writer,
         metrics=EntryMetrics(),
         rng=rng,
-        reread=lambda: _reread(metrics_port),
+        reread=lambda: entry_settings(own_host_settings(), metrics_port),
         caches=EngineCaches(reactor),
         early=early,
     )
@@ -152,14 +154,6 @@
     return EntryRouter(settings, watches, parts)
 
 
-def _read() -> HostSettings:
-    return read_host_settings(os.environ.get(BOOT_VARIABLE, ""))
-
-
-def _reread(metrics_port: int) -> EntrySettings:
-    return entry_settings(_read(), metrics_port)
-
-
 def entry_settings(host: HostSettings, metrics_port: int) -> EntrySettings:
     """Return the settings of an entry router on a host.
 
--- a/src/primrosescale/platform/host_settings.py
+++ b/src/primrosescale/platform/host_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -97,6 +98,22 @@
     bounds: Bounds
 
 
+def own_host_settings() -> HostSettings:
+    """Return the settings of this process.
+
+    Returns
+    -------
+    HostSettings
+        What the platform wrote last.
+
+    Raises
+    ------
+    BootFileError
+        When the settings file cannot be used.
+    """
+    return read_host_settings(os.environ.get(BOOT_VARIABLE, ""))
+
+
 def read_host_settings(path: str) -> HostSettings:
     """Read and check the settings file.
 
--- a/src/primrosescale/process/entry/knowledge.py
+++ b/src/primrosescale/process/entry/knowledge.py
@@ -75,6 +75,35 @@
         return True
 
 
+class _Lag:
+    """Whether others have known more for longer than it takes to arrive here.
+
+    Parameters
+    ----------
+    patience : float
+        Seconds that it may take.
+    """
+
+    __slots__ = ("_patience", "_since")
+
+    def __init__(self, patience: float) -> None:
+        self._patience = patience
+        self._since: float | None = None
+
+    def is_over(self, now: float, *, is_behind: bool) -> bool:
+        """Take in whether others know more; tell whether for too long."""
+        if not is_behind:
+            self._since = None
+            return False
+        if self._since is None:
+            self._since = now
+        return now - self._since >= self._patience
+
+    def restart(self) -> None:
+        """Wait anew: something was done about it."""
+        self._since = None
+
+
 class _ConfigurationHandler(WatchHandler):
     """Keeps the newest version that can be read."""
 
@@ -178,12 +207,12 @@
         self._targets_rest = watches.targets.rest
         self._handler = _ConfigurationHandler(self, connections[0])
         self._asks_often = asks_often
-        self._asking_since: float | None = None
+        self._asked_at: float | None = None
         self._is_asking = False
         self._told_version = 0
-        self._outdated_since: float | None = None
+        self._version_lag = _Lag(VERSION_PATIENCE)
         self._list_revision = 0
-        self._list_old_since: float | None = None
+        self._list_lag = _Lag(self._targets_rest + LIST_PATIENCE)
         self._watches = [
             StoreWatch(parts.platform, watched, handler, parts.reactor, parts.rng, wait)
             for watched, handler, wait in (
@@ -264,8 +293,8 @@
         if not self._is_old(now) and not self._is_outdated(newest_version, now):
             return
         pause = ASK_BESIDE_SECONDS if self._is_asking else ASK_AGAIN_SECONDS
-        if self._asking_since is None or now - self._asking_since > pause:
-            self._asking_since = now
+        if self._asked_at is None or now - self._asked_at > pause:
+            self._asked_at = now
             self._ask(now)
 
     def renew_watches(self) -> None:
@@ -296,28 +325,21 @@
         own = 0 if self._table is None else self._table.version
         # Versions only go up: what was told once holds when the teller is gone.
         self._told_version = max(self._told_version, newest_version)
-        if self._told_version <= own:
-            self._outdated_since = None
-            return False
-        if self._outdated_since is None:
-            self._outdated_since = now
-        return now - self._outdated_since >= VERSION_PATIENCE
+        return self._version_lag.is_over(now, is_behind=self._told_version > own)
 
     def _look_after_list(self, newest: int, now: float) -> None:
         """Renew the watch of targets when another router heard a change first."""
-        if newest <= self._targets_watch.revision or not self._has_list:
-            self._list_old_since = None
-        elif self._list_old_since is None:
-            self._list_old_since = now
-        elif now - self._list_old_since > self._targets_rest + LIST_PATIENCE:
-            self._list_old_since = None
+        watch = self._targets_watch
+        is_behind = self._has_list and newest > watch.revision
+        if self._list_lag.is_over(now, is_behind=is_behind):
+            self._list_lag.restart()
             self._log.emit(
                 Event.WATCH_RENEWED,
                 watch="targets",
-                known=self._targets_watch.revision,
+                known=watch.revision,
                 told=newest,
             )
-            self._targets_watch.renew()
+            watch.renew()
 
     def _ask(self, asked_at: float) -> None:
         self._is_asking = True
@@ -325,7 +347,6 @@
 
         def answered(found: WatchResult) -> None:
             self._is_asking = False
-            self._asking_since = None
             self._handler.replaced(found.changes, asked_at)
 
         def failed(failure: Failure) -> None:
--- a/src/primrosescale/process/entry/store_watch.py
+++ b/src/primrosescale/process/entry/store_watch.py
@@ -140,7 +140,6 @@
         self._is_stopped = False
         self._since = 0
         self._asked: Deferred[WatchResult] | None = None
-        self._is_renewed = False
 
     @property
     def revision(self) -> int:
@@ -155,7 +154,6 @@
         """Ask again at once: the question that waits may never be answered."""
         asked, self._asked = self._asked, None
         if asked is not None:
-            self._is_renewed = True
             asked.cancel()
 
     @inlineCallbacks
@@ -172,20 +170,15 @@
                 self._handler.failed(error)
                 self._since = 0
                 continue
-            except CancelledError:
-                # Renewed; a platform may also tell that as a failure.
-                self._is_renewed = False
-                continue
             except PlatformError as error:
-                if self._is_renewed:
-                    self._is_renewed = False
-                    continue
                 self._handler.failed(error)
                 if self._watched.reads_after_failure:
                     self._since = 0
                 yield self._sleep(pause)
                 pause = min(LONGEST_PAUSE, pause * GROWTH)
                 continue
+            if found is None:
+                continue
             pause = FIRST_PAUSE
             is_change = bool(self._since)
             self._since = found.revision
@@ -196,13 +189,20 @@
                 yield deferLater(self._reactor, self._watched.rest, lambda: None)
 
     @inlineCallbacks
-    def _ask(self, wait: float) -> Generator[Any, Any, WatchResult]:
+    def _ask(self, wait: float) -> Generator[Any, Any, WatchResult | None]:
+        """Return what the store answers; None when the question was renewed."""
         asked = self._platform.watch(self._watched.prefix, self._since, wait)
         self._asked = asked
         try:
             found: WatchResult = yield asked
+        except (CancelledError, PlatformError):
+            # A store may tell a cancelled question as a failure of its own.
+            if self._asked is asked:
+                raise
+            return None
         finally:
-            self._asked = None
+            if self._asked is asked:
+                self._asked = None
         return found
 
     def _sleep(self, seconds: float) -> Any:
--- a/src/primrosescale/standin/users_store.py
+++ b/src/primrosescale/standin/users_store.py
@@ -222,6 +222,21 @@
         self.write(kind, name, body["spec"])
         return (CREATED if method == b"POST" else OK), self._objects[kind][name]
 
+    def waiting(self, kind: str) -> int:
+        """Return how many watches of a kind wait for a change.
+
+        Parameters
+        ----------
+        kind : str
+            The kind.
+
+        Returns
+        -------
+        int
+            Watches.
+        """
+        return sum(1 for watcher in self._watchers if watcher.kind == kind)
+
     def _list(self, request: Any, kind: str) -> dict[str, Any]:
         after = request.args.get(b"after", [b""])[0].decode()
         names = sorted(n for n in self._objects.get(kind, {}) if n > after)
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -523,8 +523,14 @@
         self.assertEqual([], handler.forget_gone(now + 0.9))
         self.assertEqual(names, handler.forget_gone(now + 1.1))
 
+    @inlineCallbacks
+    def start_with_waiting_watch(self):
+        """Start a router whose question about targets is at the store."""
+        yield self.start(targets_wait=60.0)
+        yield self.eventually(lambda: self.store.waiting("servers"))
+
     def drain_unheard(self, name):
-        """Have a target leave without the watches hearing of it."""
+        """Have a target leave without the watch that waits hearing of it."""
         self.store.faults.is_deaf = True
         entry = {"service": "model", "address": f"{LOOPBACK}:1", "state": "draining"}
         revision = self.store.write("servers", name, entry)
@@ -536,7 +542,7 @@
 
     @inlineCallbacks
     def test_a_watch_that_went_unanswered_in_an_outage_is_asked_anew_after_it(self):
-        yield self.start(targets_wait=60.0)
+        yield self.start_with_waiting_watch()
         self.store.faults.all_calls = StoreFault.BUSY
         yield self.eventually(lambda: "STORE_LOST" in [n for n, _ in self.events])
         self.drain_unheard("m1")
@@ -545,7 +551,7 @@
 
     @inlineCallbacks
     def test_a_change_of_the_list_that_another_router_tells_of_is_asked_for(self):
-        yield self.start(targets_wait=60.0)
+        yield self.start_with_waiting_watch()
         other = RouterNews("r2", 1, TargetList(2.0), PartDirectory(), Freshness(5.0))
         other.put(OtherRouter("r1", Endpoint("127.0.0.1", 1)), 0.0)
         now = reactor.seconds()
