--- a/src/primrosescale/platform/object_platform.py
+++ b/src/primrosescale/platform/object_platform.py
@@ -19,21 +19,18 @@
 from primrosescale.process.exceptions import PlatformHistoryGoneError
 from primrosescale.process.exceptions import PlatformLimitError
 from primrosescale.process.exceptions import PlatformUnavailableError
-from primrosescale.process.transport.http_call import HttpCaller
-from primrosescale.process.transport.http_call import Reply
+from primrosescale.process.transport.called_platform import CalledPlatform
 from primrosescale.process.transport.platform import MAX_VALUE
 from primrosescale.process.transport.platform import MUST_NOT_EXIST
 from primrosescale.process.transport.platform import HostList
-from primrosescale.process.transport.platform import Platform
 from primrosescale.process.transport.platform import StoredObject
 from primrosescale.process.transport.platform import WatchResult
 
 if TYPE_CHECKING:
     from collections.abc import Generator
 
-    from twisted.internet.defer import Deferred
+    from primrosescale.process.transport.http_call import Reply
 
-    from primrosescale.connection.endpoint import Endpoint
 
 OK = 200
 CREATED = 201
@@ -49,39 +46,12 @@
 MOST_PAGES = 1000
 
 
-class ObjectPlatform(Platform):
+class ObjectPlatform(CalledPlatform):
     """The users' object store.
 
     Keys are ``kind/name``. Values are JSON texts; other bytes are wrapped.
-
-    Parameters
-    ----------
-    reactor : Any
-        Twisted's reactor.
-    endpoint : Endpoint
-        Where the store listens.
-    timeout : float
-        Seconds an answer may take.
     """
 
-    def __init__(self, reactor: Any, endpoint: Endpoint, timeout: float) -> None:
-        self._caller = HttpCaller(reactor, endpoint, timeout)
-
-    @property
-    def calls(self) -> int:
-        """Return how many calls were made."""
-        return self._caller.calls
-
-    def close(self) -> Deferred[None]:
-        """Close idle connections.
-
-        Returns
-        -------
-        Deferred[None]
-            When they are closed.
-        """
-        return self._caller.close()
-
     @inlineCallbacks
     def get(self, key: str) -> Generator[Any, Any, StoredObject | None]:
         """Read an object; see `Platform.get`."""
--- a/src/primrosescale/process/transport/http_platform.py
+++ b/src/primrosescale/process/transport/http_platform.py
@@ -16,12 +16,10 @@
 from primrosescale.process.exceptions import PlatformConflictError
 from primrosescale.process.exceptions import PlatformLimitError
 from primrosescale.process.exceptions import PlatformUnavailableError
-from primrosescale.process.transport.http_call import HttpCaller
-from primrosescale.process.transport.http_call import Reply
+from primrosescale.process.transport.called_platform import CalledPlatform
 from primrosescale.process.transport.platform import MAX_VALUE
 from primrosescale.process.transport.platform import MUST_NOT_EXIST
 from primrosescale.process.transport.platform import HostList
-from primrosescale.process.transport.platform import Platform
 from primrosescale.process.transport.platform import StoredObject
 from primrosescale.process.transport.platform import WatchResult
 
@@ -30,7 +28,8 @@
 
     from twisted.internet.defer import Deferred
 
-    from primrosescale.connection.endpoint import Endpoint
+    from primrosescale.process.transport.http_call import Reply
+
 
 OK = 200
 NO_CONTENT = 204
@@ -40,36 +39,8 @@
 HOST_FIELDS = HostEntry.__slots__  # type: ignore[attr-defined]
 
 
-class HttpPlatform(Platform):
-    """The platform's service over HTTP.
-
-    Parameters
-    ----------
-    reactor : Any
-        Twisted's reactor.
-    endpoint : Endpoint
-        Where the service listens.
-    timeout : float
-        Seconds an answer may take.
-    """
-
-    def __init__(self, reactor: Any, endpoint: Endpoint, timeout: float) -> None:
-        self._caller = HttpCaller(reactor, endpoint, timeout)
-
-    @property
-    def calls(self) -> int:
-        """Return how many calls were made."""
-        return self._caller.calls
-
-    def close(self) -> Deferred[None]:
-        """Close idle connections.
-
-        Returns
-        -------
-        Deferred[None]
-            When they are closed.
-        """
-        return self._caller.close()
+class HttpPlatform(CalledPlatform):
+    """The platform's service over HTTP."""
 
     @inlineCallbacks
     def get(self, key: str) -> Generator[Any, Any, StoredObject | None]:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -50,6 +50,7 @@
 # A leaving target goes on serving for the time in which it may get work.
 LEAVES_AFTER = 2.4
 BURST = 12
+UNFINISHED = 2
 
 
 class Soak:
@@ -291,10 +292,9 @@
     @inlineCallbacks
     def play():
         soak = Soak(arguments.seed, arguments.routers, arguments.callers, folder)
-        try:
-            found = yield soak.run(arguments.seconds, arguments.pause)
-        finally:
-            soak.stop()
+        # Also when the run is terminated.
+        reactor.addSystemEventTrigger("before", "shutdown", soak.stop)
+        found = yield soak.run(arguments.seconds, arguments.pause)
         sys.stdout.write(
             f"seed {arguments.seed}: {json.dumps(summary(soak.history))}\n"
         )
@@ -305,13 +305,13 @@
 
     def failed(failure):
         sys.stdout.write(f"seed {arguments.seed}: did not finish\n{failure}\n")
-        status.append(2)
+        status.append(UNFINISHED)
 
     reactor.callWhenRunning(
         lambda: play().addErrback(failed).addBoth(lambda _: reactor.stop())
     )
     reactor.run()
-    return status[0]
+    return status[0] if status else UNFINISHED
 
 
 if __name__ == "__main__":
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,12 +4,14 @@
 
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 from testtools import TestCase
 
 PROGRAM = Path(__file__).resolve().parent / "soak.py"
 PATIENCE = 180
+ENDS_WITHIN = 10
 # Seeds that failed once, with the seconds they ran and the cause.
 FAILED_ONCE = {
     1: (25, "SIGTERM in the 0.4 s in which a router is loaded killed it"),
@@ -19,11 +21,23 @@
 class SoakTest(TestCase):
     def start(self, seed, seconds):
         words = [f"--seed={seed}", f"--seconds={seconds}", "--routers=3"]
-        return subprocess.Popen(
+        process = subprocess.Popen(
             [sys.executable, str(PROGRAM), *words, "--callers=15"],
             stdout=subprocess.PIPE,
             text=True,
         )
+        self.addCleanup(self.end, process)
+        return process
+
+    def end(self, process):
+        """End a run that a failed test left."""
+        if process.poll() is None:
+            process.terminate()
+            process.communicate(timeout=ENDS_WITHIN)
+
+    def children(self, process):
+        found = Path(f"/proc/{process.pid}/task/{process.pid}/children").read_text()
+        return [int(number) for number in found.split()]
 
     def test_seeds_break_no_promise(self):
         wanted = {20261202: 10, **{s: t for s, (t, _) in FAILED_ONCE.items()}}
@@ -32,3 +46,16 @@
             said, _ = process.communicate(timeout=PATIENCE)
             self.assertEqual(0, process.returncode, said)
             self.assertIn(f"seed {seed}: ", said)
+
+    def test_a_run_that_is_terminated_leaves_no_router(self):
+        process = self.start(20261203, 60)
+        until = time.monotonic() + PATIENCE
+        while not self.children(process):
+            self.assertLess(time.monotonic(), until)
+            time.sleep(0.05)
+        routers = self.children(process)
+        process.terminate()
+        process.communicate(timeout=ENDS_WITHIN)
+        left = [number for number in routers if Path(f"/proc/{number}").exists()]
+        self.assertEqual([], left)
+        self.assertEqual(2, process.returncode)
