--- a/tools/play_days.py
+++ b/tools/play_days.py
@@ -124,6 +124,8 @@
     )
     parser.add_argument("names", nargs="*")
     arguments = parser.parse_args()
+    if arguments.keep:
+        pathlib.Path(arguments.keep).mkdir(parents=True, exist_ok=True)
     days = read_days(arguments.names)
     if arguments.pairs:
         days = draw_pairs(days, arguments.pairs, arguments.seed)
