--- a/src/primrosescale/connection/target_channel.py
+++ b/src/primrosescale/connection/target_channel.py
@@ -19,6 +19,7 @@
 
     from primrosescale.clock import Clock
     from primrosescale.connection.endpoint import Endpoint
+    from primrosescale.request.rest_limit import RestLimit
 
 # Targets close idle connections after a time that they state in whole
 # seconds; a request must not cross that close.
@@ -49,6 +50,8 @@
         self._is_lost = False
         self._was_reset = False
         self._is_quiet = True
+        self._is_kept = False
+        self._rested: float | None = None
         self.on_connected: Callable[[], None] | None = None
         self._idle_since = clock.seconds() - SETTLING_SECONDS
 
@@ -62,6 +65,29 @@
         """Tell whether it has ended."""
         return self._is_lost
 
+    @property
+    def rested(self) -> float | None:
+        """Return how long it had rested before the last request.
+
+        Seconds; None for the first request on it.
+        """
+        return self._rested
+
+    def rest(self, now: float) -> float:
+        """Return how long it has been idle.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        float
+            Seconds since its last answer.
+        """
+        return now - self._idle_since
+
     def can_be_reused(self, now: float) -> bool:
         """Tell whether another request may be sent on it.
 
@@ -77,8 +103,7 @@
         """
         if self._is_lost or self._is_spoiled or not self._is_quiet:
             return False
-        idle = now - self._idle_since
-        return SETTLING_SECONDS <= idle < self._idle_limit
+        return SETTLING_SECONDS <= self.rest(now) < self._idle_limit
 
     def is_worn(self, now: float) -> bool:
         """Tell whether it will never be reusable again.
@@ -95,7 +120,7 @@
         """
         if self._is_lost or self._is_spoiled or not self._is_quiet:
             return True
-        return now - self._idle_since >= self._idle_limit
+        return self.rest(now) >= self._idle_limit
 
     def begin(self, request: Any) -> Deferred[Any]:
         """Send a request.
@@ -111,6 +136,7 @@
             The answer, once its head has come.
         """
         self._is_quiet = False
+        self._rested = self.rest(self._clock.seconds()) if self._is_kept else None
         answered: Deferred[Any] = self.request(request)
         return answered
 
@@ -166,6 +192,7 @@
             values = parser.connHeaders.getRawHeaders(b"Keep-Alive", [])
             self._idle_limit = _idle_limit(values)
         self._idle_since = self._clock.seconds()
+        self._is_kept = True
         super()._finishResponse(rest)
         if self._is_spoiled:
             self.abort_now()
@@ -217,12 +244,21 @@
         Where the target listens.
     timeout : float
         Seconds a connection may take to open.
+    rest_limit : RestLimit
+        How long idle ones may rest.
     """
 
-    def __init__(self, reactor: Any, endpoint: Endpoint, timeout: float) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        endpoint: Endpoint,
+        timeout: float,
+        rest_limit: RestLimit,
+    ) -> None:
         self._reactor = reactor
         self._endpoint = endpoint
         self._timeout = timeout
+        self._rest_limit = rest_limit
         self._idle: list[TargetChannel] = []
         self._opened = 0
 
@@ -246,7 +282,9 @@
         """
         self.sweep(now)
         for place in range(len(self._idle) - 1, -1, -1):
-            if self._idle[place].can_be_reused(now):
+            channel = self._idle[place]
+            is_trusted = self._rest_limit.allows(channel.rest(now), now)
+            if is_trusted and channel.can_be_reused(now):
                 return self._idle.pop(place)
         return None
 
@@ -281,6 +319,19 @@
         if len(self._idle) > MOST_IDLE:
             self._idle.pop(0).abort_now()
 
+    def lost(self, channel: TargetChannel, now: float) -> None:
+        """Take in that a request on a connection was lost unanswered.
+
+        Parameters
+        ----------
+        channel : TargetChannel
+            The connection.
+        now : float
+            Present time in seconds.
+        """
+        if channel.rested is not None:
+            self._rest_limit.lost(channel.rested, now)
+
     def sweep(self, now: float) -> None:
         """Close idle connections that are too old to be reused.
 
--- a/src/primrosescale/process/entry/target_caller.py
+++ b/src/primrosescale/process/entry/target_caller.py
@@ -17,6 +17,7 @@
 from primrosescale.process.transport.http_bodies import body_producer
 from primrosescale.request.direct_port import Run
 from primrosescale.request.direct_port import TargetCaller
+from primrosescale.request.rest_limit import RestLimit
 
 if TYPE_CHECKING:
     from twisted.internet.defer import Deferred
@@ -179,6 +180,8 @@
         if self._is_over:
             return
         self._is_over = True
+        if self._channel is not None:
+            self._pool.lost(self._channel, self._clock.seconds())
         self._abort()
         self._observer.run_cut(failure_text(failure))
 
@@ -202,13 +205,17 @@
         self._reactor = reactor
         self._codec = codec
         self._pools: dict[str, ChannelPool] = {}
+        # One for all targets: what drops connections is seldom one of them.
+        self._rest_limit = RestLimit()
 
     def send(self, sending: Sending, observer: RunObserver) -> Run:
         """Send a request; see `TargetCaller.send`."""
         target = sending.target
         pool = self._pools.get(target.name)
         if pool is None:
-            pool = ChannelPool(self._reactor, target.endpoint, CONNECT_TIMEOUT)
+            pool = ChannelPool(
+                self._reactor, target.endpoint, CONNECT_TIMEOUT, self._rest_limit
+            )
             self._pools[target.name] = pool
         run = HttpRun(sending, observer, self._codec, pool, self._reactor)
         run.start()
--- a/src/primrosescale/process/transport/http_call.py
+++ b/src/primrosescale/process/transport/http_call.py
@@ -21,6 +21,7 @@
 from primrosescale.process.exceptions import PlatformAnswerLostError
 from primrosescale.process.exceptions import PlatformUnavailableError
 from primrosescale.process.transport.http_bodies import body_producer
+from primrosescale.request.rest_limit import RestLimit
 
 if TYPE_CHECKING:
     from collections.abc import Generator
@@ -122,7 +123,7 @@
         self._host = str(endpoint).encode()
         self._timeout = timeout
         self._patience = timeout
-        self._pool = ChannelPool(reactor, endpoint, timeout)
+        self._pool = ChannelPool(reactor, endpoint, timeout, RestLimit())
         self._calls = 0
 
     @property
--- /dev/null
+++ b/tests/connection/test_rest_limit.py
@@ -0,0 +1,108 @@
+"""Tests of how long kept connections may rest."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+from twisted.internet import reactor
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.protocol import Factory
+from twisted.internet.protocol import Protocol
+from twisted.internet.task import deferLater
+from twisted.web._newclient import Request
+from twisted.web.client import readBody
+from twisted.web.http_headers import Headers
+
+from primrosescale.connection.endpoint import Endpoint
+from primrosescale.connection.target_channel import ChannelPool
+from primrosescale.request.rest_limit import DISTRUST_SECONDS
+from primrosescale.request.rest_limit import RestLimit
+from support.live import DeploymentRunTest
+from support.live import LiveTest
+
+START = 100.0
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=9\r\n\r\nok"
+
+
+class RestLimitTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.limit = RestLimit()
+
+    def test_any_rest_is_allowed_until_one_was_too_long(self):
+        self.assertTrue(self.limit.allows(60.0, START))
+        self.limit.lost(1.0, START)
+        self.assertFalse(self.limit.allows(0.9, START))
+        self.assertTrue(self.limit.allows(0.2, START))
+
+    def test_the_shortest_rest_that_was_too_long_counts(self):
+        self.limit.lost(0.4, START)
+        self.limit.lost(2.0, START)
+        self.assertFalse(self.limit.allows(0.2, START))
+        self.assertTrue(self.limit.allows(0.05, START))
+
+    def test_the_distrust_ends(self):
+        self.limit.lost(0.4, START)
+        later = START + DISTRUST_SECONDS
+        self.assertTrue(self.limit.allows(60.0, later))
+        self.limit.lost(2.0, later)
+        self.assertTrue(self.limit.allows(0.4, later))
+
+
+class Forgetful(Protocol):
+    """Answers the first request of a connection and resets at the next."""
+
+    answered = False
+
+    def dataReceived(self, data):
+        if self.answered:
+            self.transport.abortConnection()
+        else:
+            self.answered = True
+            self.transport.write(ANSWER)
+
+
+class KeptConnectionsTest(LiveTest):
+    run_tests_with = DeploymentRunTest.make_factory(timeout=10.0)
+
+    def setUp(self):
+        super().setUp()
+        port = reactor.listenTCP(0, Factory.forProtocol(Forgetful), 50, "127.0.0.1")
+        self.addCleanup(port.stopListening)
+        endpoint = Endpoint("127.0.0.1", port.getHost().port)
+        self.limit = RestLimit()
+        self.pool = ChannelPool(reactor, endpoint, 1.0, self.limit)
+        self.addCleanup(self.pool.close)
+
+    def ask(self, channel):
+        headers = Headers({"Host": ["target"]})
+        request = Request._construct(b"GET", b"/", headers, None, persistent=True)
+        return channel.begin(request)
+
+    @inlineCallbacks
+    def keep_one(self):
+        channel = yield self.pool.open()
+        response = yield self.ask(channel)
+        yield readBody(response)
+        self.assertIsNone(channel.rested)
+        self.pool.give_back(channel, reactor.seconds())
+
+    @inlineCallbacks
+    def test_after_a_loss_on_a_kept_one_others_that_rested_are_left(self):
+        for _ in range(2):
+            yield self.keep_one()
+        yield deferLater(reactor, 0.1, lambda: None)
+        channel = self.pool.idle(reactor.seconds())
+        lost = []
+        yield self.ask(channel).addErrback(lost.append)
+        self.assertEqual(1, len(lost))
+        self.assertGreaterEqual(channel.rested, 0.1)
+        self.pool.lost(channel, reactor.seconds())
+        self.assertIsNone(self.pool.idle(reactor.seconds()))
+
+    @inlineCallbacks
+    def test_a_loss_on_a_new_one_says_nothing_about_kept_ones(self):
+        yield self.keep_one()
+        new = yield self.pool.open()
+        self.pool.lost(new, reactor.seconds())
+        yield deferLater(reactor, 0.1, lambda: None)
+        self.assertIsNotNone(self.pool.idle(reactor.seconds()))
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -352,6 +352,19 @@
             self.assertIn(b"n%d" % turn, caller.data)
         yield caller.until(lambda c: c.is_closed)
 
+    @inlineCallbacks
+    def test_after_a_request_was_lost_on_a_kept_connection_none_is_trusted(self):
+        yield self.start()
+        for _ in range(4):
+            yield self.ask(text())
+        yield deferLater(reactor, 0.1, lambda: None)
+        limit = self.router._caller._rest_limit
+        self.assertTrue(limit.allows(0.1, reactor.seconds()))
+        for script in self.scripts.values():
+            script.faults.append(EngineFault.RESET)
+        yield self.ask(text())
+        self.assertFalse(limit.allows(0.1, reactor.seconds()))
+
     @inlineCallbacks
     def test_what_is_not_allowed_is_refused_with_its_status(self):
         yield self.start()
