--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -127,7 +127,7 @@
             self._news,
             self._version,
             self._is_store_lost,
-            lambda: self._knowledge.list_revision,
+            lambda: self._knowledge.listed.revision,
             parts,
         )
         self._knowledge = Knowledge(
@@ -416,7 +416,7 @@
         self._knowledge.look_after(
             self._news.newest_version(now), self._news.newest_list(), now
         )
-        for name in self._knowledge.forget_gone(now):
+        for name in self._knowledge.listed.forget_gone(now):
             self._directory.forget_target(name)
             self._caller.forget(name)
         self._note_readiness(now)
--- a/src/primrosescale/process/entry/knowledge.py
+++ b/src/primrosescale/process/entry/knowledge.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 from primrosescale.exceptions import PrimrosescaleError
+from primrosescale.process.entry.listed_targets import ListedTargets
+from primrosescale.process.entry.store_connection import StoreConnection
 from primrosescale.process.entry.store_watch import StoreWatch
 from primrosescale.process.entry.store_watch import WatchHandler
 from primrosescale.process.events import Event
@@ -23,7 +25,6 @@
     from primrosescale.process.transport.platform import StoredObject
     from primrosescale.process.transport.platform import WatchResult
     from primrosescale.request.freshness import Freshness
-    from primrosescale.request.serving_target import ServingTarget
     from primrosescale.version.routing_table import RoutingTable
 
 
@@ -43,38 +44,6 @@
 LIST_PATIENCE = 0.3
 
 
-class _Connection:
-    """Whether a watch gets answers, for the log."""
-
-    __slots__ = ("_log", "_lost_at", "_name", "_now")
-
-    def __init__(self, name: str, log: Any, now: Any) -> None:
-        self._name = name
-        self._log = log
-        self._now = now
-        self._lost_at: float | None = None
-
-    @property
-    def lost_at(self) -> float | None:
-        """Return when questions began to fail; None while they are answered."""
-        return self._lost_at
-
-    def lost(self, error: PlatformError) -> None:
-        """Take in a failed question."""
-        if self._lost_at is None:
-            self._lost_at = self._now()
-            self._log.emit(Event.STORE_LOST, watch=self._name, detail=str(error))
-
-    def regained(self) -> bool:
-        """Take in an answered question; tell whether the one before failed."""
-        if self._lost_at is None:
-            return False
-        lost_for = round(self._now() - self._lost_at, 2)
-        self._lost_at = None
-        self._log.emit(Event.STORE_REGAINED, watch=self._name, lost_for=lost_for)
-        return True
-
-
 class _Lag:
     """Whether others have known more for longer than it takes to arrive here.
 
@@ -107,7 +76,7 @@
 class _ConfigurationHandler(WatchHandler):
     """Keeps the newest version that can be read."""
 
-    def __init__(self, knowledge: Knowledge, connection: _Connection) -> None:
+    def __init__(self, knowledge: Knowledge, connection: StoreConnection) -> None:
         self._knowledge = knowledge
         self._connection = connection
 
@@ -133,30 +102,6 @@
             self._knowledge.freshness.answered(asked_at)
 
 
-class _TargetHandler(WatchHandler):
-    """Keeps the list of targets."""
-
-    def __init__(self, knowledge: Knowledge, connection: _Connection) -> None:
-        self._knowledge = knowledge
-        self._connection = connection
-
-    def replaced(self, objects: tuple[StoredObject, ...], asked_at: float) -> None:
-        """Take in the whole list."""
-        self._connection.regained()
-        self._knowledge.replace_targets(objects)
-
-    def changed(self, objects: tuple[StoredObject, ...], asked_at: float) -> None:
-        """Take in changed entries."""
-        self._connection.regained()
-        for stored in objects:
-            self._knowledge.change_target(stored)
-        self._knowledge.note_list_revision(max((o.version for o in objects), default=0))
-
-    def failed(self, error: PlatformError) -> None:
-        """Note that the store could not be asked."""
-        self._connection.lost(error)
-
-
 class Knowledge:
     """The newest version of the configuration and the list of targets.
 
@@ -193,31 +138,32 @@
         self._decoder = parts.decoder
         self._platform = parts.platform
         self._table: RoutingTable | None = None
-        self._has_list = False
         self._is_behind = False
         self._on_complete: Callable[[], None] | None = None
         self.freshness = freshness
         self.targets = targets
-        connections = [
-            _Connection(name, parts.log, self._now)
-            for name in ("configuration", "targets")
-        ]
-        self._configuration = connections[0]
+        self.listed = ListedTargets(
+            targets,
+            watches.targets.rest,
+            parts.decoder,
+            parts.log,
+            self._now,
+            self._look_complete,
+        )
+        self._connection = StoreConnection("configuration", parts.log, self._now)
         self._watched = watches.configuration
-        self._targets_rest = watches.targets.rest
-        self._handler = _ConfigurationHandler(self, connections[0])
+        self._handler = _ConfigurationHandler(self, self._connection)
         self._asks_often = asks_often
         self._asked_at: float | None = None
         self._is_asking = False
         self._told_version = 0
         self._version_lag = _Lag(VERSION_PATIENCE)
-        self._list_revision = 0
-        self._list_lag = _Lag(self._targets_rest + LIST_PATIENCE)
+        self._list_lag = _Lag(watches.targets.rest + LIST_PATIENCE)
         self._watches = [
             StoreWatch(parts.platform, watched, handler, parts.reactor, parts.rng, wait)
             for watched, handler, wait in (
                 (watches.configuration, self._handler, self._configuration_wait),
-                (watches.targets, _TargetHandler(self, connections[1]), None),
+                (watches.targets, self.listed, None),
                 (watches.routers, routers, None),
             )
         ]
@@ -240,12 +186,7 @@
     @property
     def is_complete(self) -> bool:
         """Tell whether routes and targets are known."""
-        return self._table is not None and self._has_list
-
-    @property
-    def list_revision(self) -> int:
-        """Return the store's revision of the newest known change of the list."""
-        return self._list_revision
+        return self._table is not None and self.listed.is_complete
 
     @property
     def store_calls(self) -> int:
@@ -306,16 +247,6 @@
         for watch in self._watches:
             watch.renew()
 
-    def note_list_revision(self, revision: int) -> None:
-        """Take in a change of the list of targets.
-
-        Parameters
-        ----------
-        revision : int
-            The store's revision of it.
-        """
-        self._list_revision = max(self._list_revision, revision)
-
     def _is_old(self, now: float) -> bool:
         age = self.freshness.age(now)
         return age is None or age > ASK_AT_AGE
@@ -330,7 +261,7 @@
     def _look_after_list(self, newest: int, now: float) -> None:
         """Renew the watch of targets when another router heard a change first."""
         watch = self._targets_watch
-        is_behind = self._has_list and newest > watch.revision
+        is_behind = self.listed.is_complete and newest > watch.revision
         if self._list_lag.is_over(now, is_behind=is_behind):
             self._list_lag.restart()
             self._log.emit(
@@ -383,7 +314,7 @@
         float
             Seconds; 0 while it answers.
         """
-        lost_at = self._configuration.lost_at
+        lost_at = self._connection.lost_at
         return 0.0 if lost_at is None else now - lost_at
 
     def missing(self, now: float) -> str:
@@ -401,7 +332,7 @@
         """
         if self._table is None:
             return "no configuration"
-        if not self._has_list:
+        if not self.listed.is_complete:
             return "no list of targets"
         if self._table.has_keys and not self.freshness.allows_keys(now):
             return "configuration too old"
@@ -451,87 +382,11 @@
         age = round(self._now() - asked_at, 3)
         self._log.emit(Event.TABLE_ADOPTED, version=table.version, asked_before=age)
 
-    def replace_targets(self, objects: tuple[StoredObject, ...]) -> None:
-        """Take in the whole list of targets.
-
-        Parameters
-        ----------
-        objects : tuple[StoredObject, ...]
-            All entries.
-        """
-        now = self._now()
-        listed = [self._decoded(item) for item in objects if not item.is_deleted]
-        found = [target for target in listed if target is not None]
-        for target in found:
-            self._put(target, now)
-        names = {target.name for target in found}
-        for state in list(self.targets.states):
-            if state.target.name not in names:
-                self._remove(state.target.name, now)
-        self._has_list = True
-        self._look_complete()
-
-    def change_target(self, stored: StoredObject) -> None:
-        """Take in a changed entry of the list.
-
-        Parameters
-        ----------
-        stored : StoredObject
-            The entry.
-        """
-        now = self._now()
-        if stored.is_deleted:
-            self._remove(stored.key.split("/", 1)[1], now)
-            return
-        target = self._decoded(stored)
-        if target is not None:
-            self._put(target, now)
-
-    def forget_gone(self, now: float) -> list[str]:
-        """Forget targets whose entry stayed gone.
-
-        Parameters
-        ----------
-        now : float
-            Present time in seconds.
-
-        Returns
-        -------
-        list[str]
-            Their names.
-        """
-        gone = self.targets.forget_gone(now)
-        for name in gone:
-            self._log.emit(Event.TARGET_FORGOTTEN, target=name)
-        return gone
-
     def _look_complete(self) -> None:
         if self.is_complete and self._on_complete is not None:
             on_complete, self._on_complete = self._on_complete, None
             on_complete()
 
-    def _put(self, target: ServingTarget, now: float) -> None:
-        if self.targets.put(target, now):
-            self._log.emit(
-                Event.TARGET_LISTED,
-                target=target.name,
-                service=target.service,
-                endpoint=str(target.endpoint),
-                is_draining=target.is_draining,
-            )
-
-    def _remove(self, name: str, now: float) -> None:
-        # It may have happened while the watch rested.
-        if self.targets.remove(name, now - self._targets_rest):
-            self._log.emit(Event.TARGET_DELISTED, target=name)
-
-    def _decoded(self, stored: StoredObject) -> ServingTarget | None:
-        try:
-            return self._decoder.target(stored)
-        except PrimrosescaleError as error:
-            self._log.emit(Event.TARGET_REFUSED, detail=str(error))
-            return None
-
     def _broken(self, failure: Any) -> None:
         self._log.emit(Event.LOOP_FAILED, detail=failure.getTraceback())
 
--- /dev/null
+++ b/src/primrosescale/process/entry/listed_targets.py
@@ -0,0 +1,141 @@
+"""Keeps the list of targets in step with the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from primrosescale.exceptions import PrimrosescaleError
+from primrosescale.process.entry.store_connection import StoreConnection
+from primrosescale.process.entry.store_watch import WatchHandler
+from primrosescale.process.events import Event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from primrosescale.process.entry.codec import RecordDecoder
+    from primrosescale.process.entry.target_list import TargetList
+    from primrosescale.process.exceptions import PlatformError
+    from primrosescale.process.transport.platform import StoredObject
+    from primrosescale.request.serving_target import ServingTarget
+
+
+class ListedTargets(WatchHandler):
+    """Takes entries of the store's list of targets into a `TargetList`.
+
+    Parameters
+    ----------
+    targets : TargetList
+        Targets and their states.
+    rest : float
+        Seconds that the watch rests after a change.
+    decoder : RecordDecoder
+        Reads entries.
+    log : Any
+        Where events are told.
+    now : Callable[[], float]
+        Returns the present time in seconds.
+    on_list : Callable[[], None]
+        Called when the whole list has come.
+    """
+
+    def __init__(
+        self,
+        targets: TargetList,
+        rest: float,
+        decoder: RecordDecoder,
+        log: Any,
+        now: Callable[[], float],
+        on_list: Callable[[], None],
+    ) -> None:
+        self._targets = targets
+        self._rest = rest
+        self._decoder = decoder
+        self._log = log
+        self._now = now
+        self._on_list = on_list
+        self._connection = StoreConnection("targets", log, now)
+        self._is_complete = False
+        self._revision = 0
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether the whole list has come once."""
+        return self._is_complete
+
+    @property
+    def revision(self) -> int:
+        """Return the store's revision of the newest known change of the list."""
+        return self._revision
+
+    def replaced(self, objects: tuple[StoredObject, ...], asked_at: float) -> None:
+        """Take in the whole list; see `WatchHandler.replaced`."""
+        self._connection.regained()
+        now = self._now()
+        listed = [self._decoded(item) for item in objects if not item.is_deleted]
+        found = [target for target in listed if target is not None]
+        for target in found:
+            self._put(target, now)
+        names = {target.name for target in found}
+        for state in list(self._targets.states):
+            if state.target.name not in names:
+                self._remove(state.target.name, now)
+        self._is_complete = True
+        self._on_list()
+
+    def changed(self, objects: tuple[StoredObject, ...], asked_at: float) -> None:
+        """Take in changed entries; see `WatchHandler.changed`."""
+        self._connection.regained()
+        now = self._now()
+        for stored in objects:
+            self._revision = max(self._revision, stored.version)
+            if stored.is_deleted:
+                self._remove(stored.key.split("/", 1)[1], now)
+                continue
+            target = self._decoded(stored)
+            if target is not None:
+                self._put(target, now)
+
+    def failed(self, error: PlatformError) -> None:
+        """Note that the store could not be asked; see `WatchHandler.failed`."""
+        self._connection.lost(error)
+
+    def forget_gone(self, now: float) -> list[str]:
+        """Forget targets whose entry stayed gone.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        list[str]
+            Their names.
+        """
+        gone = self._targets.forget_gone(now)
+        for name in gone:
+            self._log.emit(Event.TARGET_FORGOTTEN, target=name)
+        return gone
+
+    def _put(self, target: ServingTarget, now: float) -> None:
+        if self._targets.put(target, now):
+            self._log.emit(
+                Event.TARGET_LISTED,
+                target=target.name,
+                service=target.service,
+                endpoint=str(target.endpoint),
+                is_draining=target.is_draining,
+            )
+
+    def _remove(self, name: str, now: float) -> None:
+        # It may have happened while the watch rested.
+        if self._targets.remove(name, now - self._rest):
+            self._log.emit(Event.TARGET_DELISTED, target=name)
+
+    def _decoded(self, stored: StoredObject) -> ServingTarget | None:
+        try:
+            return self._decoder.target(stored)
+        except PrimrosescaleError as error:
+            self._log.emit(Event.TARGET_REFUSED, detail=str(error))
+            return None
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -528,11 +528,11 @@
     @inlineCallbacks
     def test_targets_that_went_while_the_watch_rested_are_held_for_less(self):
         yield self.start()
-        handler = self.router._knowledge
-        handler._targets_rest = 0.6
-        names = [state.target.name for state in handler.targets.states]
+        handler = self.router._knowledge.listed
+        handler._rest = 0.6
+        names = [state.target.name for state in handler._targets.states]
         now = reactor.seconds()
-        handler.replace_targets(())
+        handler.replaced((), now)
         self.assertEqual([], handler.forget_gone(now + 0.9))
         self.assertEqual(names, handler.forget_gone(now + 1.1))
 
