--- a/src/primrosescale/process/entry/knowledge.py
+++ b/src/primrosescale/process/entry/knowledge.py
@@ -140,9 +140,9 @@
         self._table: RoutingTable | None = None
         self._is_behind = False
         self._on_complete: Callable[[], None] | None = None
-        self.freshness = freshness
-        self.targets = targets
-        self.listed = ListedTargets(
+        self._freshness = freshness
+        self._targets = targets
+        self._listed = ListedTargets(
             targets,
             watches.targets.rest,
             parts.decoder,
@@ -163,12 +163,27 @@
             StoreWatch(parts.platform, watched, handler, parts.reactor, parts.rng, wait)
             for watched, handler, wait in (
                 (watches.configuration, self._handler, self._configuration_wait),
-                (watches.targets, self.listed, None),
+                (watches.targets, self._listed, None),
                 (watches.routers, routers, None),
             )
         ]
         self._targets_watch = self._watches[1]
 
+    @property
+    def freshness(self) -> Freshness:
+        """Return how old the knowledge of the configuration is."""
+        return self._freshness
+
+    @property
+    def targets(self) -> TargetList:
+        """Return the targets and their states."""
+        return self._targets
+
+    @property
+    def listed(self) -> ListedTargets:
+        """Return what keeps the targets in step with the store."""
+        return self._listed
+
     @property
     def table(self) -> RoutingTable | None:
         """Return the newest version, if one is known."""
@@ -186,7 +201,7 @@
     @property
     def is_complete(self) -> bool:
         """Tell whether routes and targets are known."""
-        return self._table is not None and self.listed.is_complete
+        return self._table is not None and self._listed.is_complete
 
     @property
     def store_calls(self) -> int:
@@ -201,8 +216,8 @@
         settings : EntrySettings
             Settings of the router.
         """
-        self.freshness.configure(settings.revoke)
-        self.targets.configure(settings.drain)
+        self._freshness.configure(settings.revoke)
+        self._targets.configure(settings.drain)
 
     def start(self, on_complete: Callable[[], None]) -> None:
         """Follow the store.
@@ -248,7 +263,7 @@
             watch.renew()
 
     def _is_old(self, now: float) -> bool:
-        age = self.freshness.age(now)
+        age = self._freshness.age(now)
         return age is None or age > ASK_AT_AGE
 
     def _is_outdated(self, newest_version: int, now: float) -> bool:
@@ -261,7 +276,7 @@
     def _look_after_list(self, newest: int, now: float) -> None:
         """Renew the watch of targets when another router heard a change first."""
         watch = self._targets_watch
-        is_behind = self.listed.is_complete and newest > watch.revision
+        is_behind = self._listed.is_complete and newest > watch.revision
         if self._list_lag.is_over(now, is_behind=is_behind):
             self._list_lag.restart()
             self._log.emit(
@@ -332,9 +347,9 @@
         """
         if self._table is None:
             return "no configuration"
-        if not self.listed.is_complete:
+        if not self._listed.is_complete:
             return "no list of targets"
-        if self._table.has_keys and not self.freshness.allows_keys(now):
+        if self._table.has_keys and not self._freshness.allows_keys(now):
             return "configuration too old"
         return ""
 
@@ -351,7 +366,7 @@
         float | None
             Seconds; None before the first answer.
         """
-        age = self.freshness.age(now)
+        age = self._freshness.age(now)
         return None if age is None else round(age, 2)
 
     def adopt(self, stored: StoredObject, asked_at: float) -> None:
