The line of a request holds the status that was passed on; names read again

Where all targets are over the bound and news is old, the least loaded is taken of a draw too. RestLimit stands with connections, whose life it follows.

--- a/src/primrosescale/connection/target_channel.py
+++ b/src/primrosescale/connection/target_channel.py
@@ -19,7 +19,7 @@
 
     from primrosescale.clock import Clock
     from primrosescale.connection.endpoint import Endpoint
-    from primrosescale.request.rest_limit import RestLimit
+    from primrosescale.connection.rest_limit import RestLimit
 
 # Targets close idle connections after a time that they state in whole
 # seconds; a request must not cross that close.
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -359,6 +359,7 @@
             version=request.version,
             knowledge_age=self._knowledge.rounded_age(now),
             outcome=outcome,
+            status=call.status,
             prompt_tokens=0 if request.prompt is None else request.prompt.prompt_tokens,
             took=round(now - request.received_at, 3),
             first_byte=None if first is None else round(first - request.received_at, 3),
--- a/src/primrosescale/process/entry/target_caller.py
+++ b/src/primrosescale/process/entry/target_caller.py
@@ -13,11 +13,11 @@
 from twisted.web.iweb import UNKNOWN_LENGTH
 
 from primrosescale.connection.failure_text import failure_text
+from primrosescale.connection.rest_limit import RestLimit
 from primrosescale.connection.target_channel import ChannelPool
 from primrosescale.process.transport.http_bodies import body_producer
 from primrosescale.request.direct_port import Run
 from primrosescale.request.direct_port import TargetCaller
-from primrosescale.request.rest_limit import RestLimit
 
 if TYPE_CHECKING:
     from twisted.internet.defer import Deferred
--- a/src/primrosescale/process/transport/http_call.py
+++ b/src/primrosescale/process/transport/http_call.py
@@ -17,11 +17,11 @@
 
 from primrosescale.clock import cancel_timer
 from primrosescale.connection.failure_text import failure_text
+from primrosescale.connection.rest_limit import RestLimit
 from primrosescale.connection.target_channel import ChannelPool
 from primrosescale.process.exceptions import PlatformAnswerLostError
 from primrosescale.process.exceptions import PlatformUnavailableError
 from primrosescale.process.transport.http_bodies import body_producer
-from primrosescale.request.rest_limit import RestLimit
 
 if TYPE_CHECKING:
     from collections.abc import Generator
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -98,6 +98,11 @@
         """Return the attempts so far."""
         return self._attempts
 
+    @property
+    def status(self) -> int | None:
+        """Return the status of the target's answer that is passed on, if any."""
+        return None if self._head is None else self._head.status
+
     @property
     def first_byte_at(self) -> float | None:
         """Return when the caller got the first byte, in seconds."""
--- a/src/primrosescale/request/target_choice.py
+++ b/src/primrosescale/request/target_choice.py
@@ -143,6 +143,10 @@
         self._rng = rng
         self._news_interval = news_interval
 
+    @property
+    def _has_old_news(self) -> bool:
+        return self._news_interval is not None and self._news_interval() > OLD_NEWS
+
     def configure(self, settings: ChoiceSettings) -> None:
         """Take in changed weights.
 
@@ -192,9 +196,11 @@
         # The request itself counts into the mean.
         cap = settings.load_multiple * (mean + 1 / len(serving)) + settings.load_margin
         bounded = [state for state in usable if loads[state.target.name] + 1 <= cap]
-        bounded = bounded or [min(usable, key=lambda s: loads[s.target.name])]
+        if not bounded:
+            few = self._draw(usable) if self._has_old_news else usable
+            bounded = [min(few, key=lambda s: loads[s.target.name])]
         if prompt is None:
-            bounded = self._lot(bounded) if self._has_old_news else bounded
+            bounded = self._draw(bounded) if self._has_old_news else bounded
             best = min(bounded, key=lambda s: self._plain_cost(s, loads, now))
             return Choice(best, 0, None, loads[best.target.name], mean)
         held = {
@@ -203,33 +209,29 @@
         }
         if self._has_old_news:
             low = LEAST_DRAWN_LOAD * mean
-            drawn = low + (cap - low) * self._rng.random()
-            bounded = self._few(bounded, prompt, held, loads, drawn)
+            limit = low + (cap - low) * self._rng.random()
+            bounded = self._drawn_candidates(bounded, prompt, held, loads, limit)
         return self._by_prompt(bounded, states, prompt, held, loads, mean, now)
 
-    @property
-    def _has_old_news(self) -> bool:
-        return self._news_interval is not None and self._news_interval() > OLD_NEWS
-
-    def _lot(self, states: Sequence[TargetState]) -> list[TargetState]:
+    def _draw(self, states: Sequence[TargetState]) -> list[TargetState]:
         return self._rng.sample(states, min(DRAWN_TARGETS, len(states)))
 
-    def _few(
+    def _drawn_candidates(
         self,
         bounded: Sequence[TargetState],
         prompt: Prompt,
         held: dict[str, int],
         loads: dict[str, float],
-        drawn: float,
+        limit: float,
     ) -> list[TargetState]:
-        """Return some by lot, and some that hold the prompt below a drawn load."""
+        """Return some by lot, and some that hold the prompt below a load."""
         most = max(held[state.target.name] for state in bounded)
         if most:
             warm = [state for state in bounded if held[state.target.name] == most]
         else:
             warm = [_home(prompt, bounded)]
-        warm = [state for state in warm if loads[state.target.name] + 1 <= drawn]
-        return self._lot(bounded) + self._lot(warm)
+        warm = [state for state in warm if loads[state.target.name] + 1 <= limit]
+        return self._draw(bounded) + self._draw(warm)
 
     def _plain_cost(
         self,
--- a/tests/connection/test_rest_limit.py
+++ b/tests/connection/test_rest_limit.py
@@ -13,9 +13,9 @@
 from twisted.web.http_headers import Headers
 
 from primrosescale.connection.endpoint import Endpoint
+from primrosescale.connection.rest_limit import DISTRUST_SECONDS
+from primrosescale.connection.rest_limit import RestLimit
 from primrosescale.connection.target_channel import ChannelPool
-from primrosescale.request.rest_limit import DISTRUST_SECONDS
-from primrosescale.request.rest_limit import RestLimit
 from support.live import DeploymentRunTest
 from support.live import LiveTest
 
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -365,6 +365,17 @@
         yield self.ask(text())
         self.assertFalse(limit.allows(0.1, reactor.seconds()))
 
+    @inlineCallbacks
+    def test_the_line_of_a_request_holds_the_status_that_was_passed_on(self):
+        yield self.start()
+        yield self.ask(text())
+        for script in self.scripts.values():
+            script.faults += [EngineFault.FAIL] * 2
+        yield self.ask(text(), b"")
+        yield self.ask(text(b"/none/x"), b"")
+        said = [values for name, values in self.events if name == "REQUEST_ENDED"]
+        self.assertEqual([200, 500, None], [item.get("status") for item in said])
+
     @inlineCallbacks
     def test_what_is_not_allowed_is_refused_with_its_status(self):
         yield self.start()
