--- a/src/primrosescale/process/entry/store_watch.py
+++ b/src/primrosescale/process/entry/store_watch.py
@@ -147,8 +147,9 @@
         return self._since
 
     def stop(self) -> None:
-        """Follow no more."""
+        """Follow no more; the question that waits is withdrawn, not lost."""
         self._is_stopped = True
+        self.renew()
 
     def renew(self) -> None:
         """Ask again at once: the question that waits may never be answered."""
--- a/tests/entry/test_knowledge.py
+++ b/tests/entry/test_knowledge.py
@@ -17,6 +17,7 @@
 from primrosescale.process.entry.knowledge import Knowledge
 from primrosescale.process.entry.store_watch import WatchedPrefix
 from primrosescale.process.entry.target_list import TargetList
+from primrosescale.process.exceptions import PlatformUnavailableError
 from primrosescale.process.transport.platform import WatchResult
 from primrosescale.request.freshness import Freshness
 
@@ -101,6 +102,14 @@
         after = [prefix for prefix, _ in self.store.watches].count("targets/")
         self.assertEqual((1, 2), (before, after))
 
+    def test_what_ends_after_the_stop_is_no_failure(self):
+        self.knowledge.stop()
+        for _, asked in self.store.watches:
+            asked.errback(PlatformUnavailableError("connection lost"))
+        self.clock.advance(60.0)
+        self.assertEqual([], self.told)
+        self.assertEqual(3, len(self.store.watches))
+
     def test_a_renewed_question_is_no_failure(self):
         self.knowledge.renew_watches()
         self.assertEqual([], self.told)
