Sight: each judgement on a silent target has a line, a count and its grounds

Line 203 and a metric say how long a target had been silent, how many others the router would have sent to, and what it decided; attempts in line 202 say when they ended. At most one line a pause of a stream. No decision is changed.

--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from primrosescale.request.forwarded_call import ForwardedCall
+    from primrosescale.request.silence import Silence
 
 # Objectives of today lie between 0.3 s and 1 s.
 BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.0, 1.5, 2.5, 5.0, 10.0)
@@ -34,6 +35,12 @@
             ["target"],
             registry=self._registry,
         )
+        self._silences = Counter(
+            "primrosescale_silences",
+            "Judgements on targets that sent nothing",
+            ["verdict"],
+            registry=self._registry,
+        )
         self._first_byte = Histogram(
             "primrosescale_first_byte_seconds",
             "Time from the request to the first byte of its answer",
@@ -97,6 +104,16 @@
         for attempt in call.attempts:
             self._attempts.labels(attempt.target).inc()
 
+    def silence_judged(self, silence: Silence) -> None:
+        """Count a judgement on a silent target.
+
+        Parameters
+        ----------
+        silence : Silence
+            The judgement.
+        """
+        self._silences.labels(silence.verdict.name.lower()).inc()
+
     def gauge(self, name: str, value: float) -> None:
         """Tell a present value.
 
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -53,8 +53,10 @@
     from primrosescale.process.tracing import Tracing
     from primrosescale.request.gate import CallerHead
     from primrosescale.request.hop import Hop
+    from primrosescale.request.incoming import IncomingRequest
     from primrosescale.request.incoming import PromptPart
     from primrosescale.request.serving_target import ServingTarget
+    from primrosescale.request.silence import Silence
     from primrosescale.version.routing_table import CallerLimits
 
 OK = 200
@@ -158,6 +160,7 @@
             routers=self._routers,
             parts_changed=self._exchange.tell_soon,
             start_hop=self._start_hop,
+            silence_judged=self._silence_judged,
         )
         self._tracing: Tracing | None = None
         self._factory = EntryFactory(self, parts.reactor)
@@ -367,6 +370,7 @@
                 {
                     "target": item.target,
                     "after": round(item.began_at - request.received_at, 3),
+                    "until": round((item.ended_at or now) - request.received_at, 3),
                     "load": item.load,
                     "cached_tokens": item.held,
                     "fetched_from": item.fetched_from,
@@ -376,6 +380,18 @@
             ],
         )
 
+    def _silence_judged(self, request: IncomingRequest, silence: Silence) -> None:
+        self._metrics.silence_judged(silence)
+        self._log.emit(
+            Event.SILENCE_JUDGED,
+            request=request.request_id,
+            target=silence.target,
+            silent_for=round(silence.silent_for, 3),
+            waited=round(silence.waited, 3),
+            others=silence.others,
+            verdict=silence.verdict.value,
+        )
+
     def _start_hop(self, name: str, traceparent: str) -> Hop:
         """Start a hop; the library for it is loaded for the first traced one."""
         if not traceparent:
--- a/src/primrosescale/request/forward_tools.py
+++ b/src/primrosescale/request/forward_tools.py
@@ -18,8 +18,10 @@
     from primrosescale.request.direct_port import Refusal
     from primrosescale.request.direct_port import TargetCaller
     from primrosescale.request.hop import Hop
+    from primrosescale.request.incoming import IncomingRequest
     from primrosescale.request.part_directory import PartDirectory
     from primrosescale.request.repeat_budget import RepeatBudget
+    from primrosescale.request.silence import Silence
     from primrosescale.request.target_choice import ChoiceSettings
     from primrosescale.request.target_choice import TargetChooser
     from primrosescale.request.target_state import TargetState
@@ -107,6 +109,10 @@
         return self.retry_after * rng.uniform(*RETURN_SPREAD)
 
 
+def _unlogged(_: IncomingRequest, __: Silence) -> None:
+    pass
+
+
 def _untraced(_: str, traceparent: str) -> Hop:
     return UntracedHop(traceparent)
 
@@ -140,6 +146,8 @@
     start_hop : Callable[[str, str], Hop]
         Starts a hop of a name after the hop before; costs nothing for a
         request without a trace context.
+    silence_judged : Callable[[IncomingRequest, Silence], None]
+        Told of each judgement on a silent target.
     """
 
     settings: ForwardSettings
@@ -153,6 +161,7 @@
     routers: Callable[[], int]
     parts_changed: Callable[[], None]
     start_hop: Callable[[str, str], Hop] = _untraced
+    silence_judged: Callable[[IncomingRequest, Silence], None] = _unlogged
 
     def configure(self, settings: ForwardSettings, choice: ChoiceSettings) -> None:
         """Take in changed settings, for the calls under way too.
@@ -186,6 +195,8 @@
         Target whose cache was to be copied; empty for none.
     outcome : str
         How it ended.
+    ended_at : float | None
+        Seconds; None while it runs.
     """
 
     target: str
@@ -194,3 +205,4 @@
     held: int
     fetched_from: str
     outcome: str = "running"
+    ended_at: float | None = None
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -18,6 +18,8 @@
 from primrosescale.request.event_stream import EventSplitter
 from primrosescale.request.forward_tools import Attempt
 from primrosescale.request.hop import NO_HOP
+from primrosescale.request.silence import Silence
+from primrosescale.request.silence import SilenceVerdict
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -461,9 +463,12 @@
         if not self._request.route.may_repeat:
             # It stays where it is; what it shows is for the requests to come.
             state.failed(now)
+            self._tell_silence(SilenceVerdict.MAY_NOT_REPEAT, waited, now)
             return
         if not self._can_repeat(now):
+            self._tell_silence(SilenceVerdict.NOT_REPEATED, waited, now)
             return
+        self._tell_silence(SilenceVerdict.LEFT, waited, now)
         if is_target_silent:
             state.unreachable(now)
         else:
@@ -472,6 +477,19 @@
         self._leave_target("silent")
         self._try_next(now)
 
+    def _tell_silence(self, verdict: SilenceVerdict, waited: float, now: float) -> None:
+        tools = self._tools
+        state = self._known_state()
+        others = tools.chooser.count_open(
+            tools.states_of(self._request.service),
+            {*self._sent_to, *self._avoid},
+            now,
+        )
+        silence = Silence(
+            state.target.name, state.silence(now), waited, others, verdict
+        )
+        tools.silence_judged(self._request, silence)
+
     def _give_up(self) -> None:
         """Answer at the time at which the caller or the route gives up."""
         self._timer = None
@@ -495,6 +513,7 @@
         self._is_at_target = False
         if self._attempts and self._attempts[-1].outcome == "running":
             self._attempts[-1].outcome = outcome
+            self._attempts[-1].ended_at = self._now()
             self._target_hop.end(target=self._attempts[-1].target, outcome=outcome)
         if state is not None:
             state.ended()
--- a/src/primrosescale/request/target_choice.py
+++ b/src/primrosescale/request/target_choice.py
@@ -157,6 +157,35 @@
         """
         self._settings = settings
 
+    def count_open(
+        self,
+        states: Sequence[TargetState],
+        tried: Collection[str],
+        now: float,
+    ) -> int:
+        """Return how many targets could take a request without a doubt.
+
+        Parameters
+        ----------
+        states : Sequence[TargetState]
+            Targets of the service.
+        tried : Collection[str]
+            Names of targets that this request was sent to.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        int
+            Targets that neither leave nor are avoided.
+        """
+        return sum(
+            not state.target.is_draining
+            and state.target.name not in tried
+            and not state.is_avoided(now)
+            for state in states
+        )
+
     def choose(
         self,
         states: Sequence[TargetState],
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -210,6 +210,7 @@
         self.budget = RepeatBudget(RepeatBounds(0.2, 10.0, extra))
         self.parts_told = 0
         self.ended = []
+        self.silences = []
         self.tools = ForwardTools(
             settings=ForwardSettings(),
             clock=self.clock,
@@ -223,6 +224,7 @@
             budget_of=lambda _: self.budget,
             routers=lambda: 1,
             parts_changed=self._parts_changed,
+            silence_judged=lambda _, silence: self.silences.append(silence),
         )
 
     def _parts_changed(self):
--- a/tests/entry/test_forwarded_call.py
+++ b/tests/entry/test_forwarded_call.py
@@ -14,6 +14,7 @@
 from entry.fakes import request
 from entry.fakes import target
 from primrosescale.request.direct_port import Refusal
+from primrosescale.request.silence import SilenceVerdict
 
 PORTAL = [target("p1", "portal"), target("p2", "portal"), target("p3", "portal")]
 MODEL = [target("m1"), target("m2"), target("m3")]
@@ -280,6 +281,20 @@
         self.assertNotEqual(first.name, desk.caller.last.name)
         self.assertTrue(desk.state(first.name).is_paused(desk.clock.seconds()))
 
+    def test_each_judgement_on_silence_is_told_with_its_grounds(self):
+        desk = Desk(MODEL)
+        desk.call(request(STREAM, deadline=1012.0))
+        left = desk.caller.last
+        desk.pass_time(0.5)
+        desk.call(request(FRAGILE_STREAM, deadline=1012.0))
+        kept = desk.caller.last
+        desk.pass_time(1.3)
+        told = {silence.target: silence for silence in desk.silences}
+        self.assertEqual(SilenceVerdict.LEFT, told[left.name].verdict)
+        self.assertEqual(2, told[left.name].others)
+        self.assertAlmostEqual(0.45, told[left.name].silent_for, delta=0.02)
+        self.assertEqual(SilenceVerdict.MAY_NOT_REPEAT, told[kept.name].verdict)
+
     def test_one_that_only_hangs_here_is_waited_for_longer(self):
         desk = Desk(MODEL[:1])
         desk.call(request(STREAM, deadline=1012.0))
