A silent target is left when another has taken the request up, never before

Cause: after 0.45 s without a byte a request gave up its answer and only then looked for another target. With one target left, or none that took it, the caller's stream was broken off though the target sent again 0.05 s later. Class: giving up what is under way before its replacement is sure.

Ruled out: the change of the configuration beside it (no request ends by one), the target (its record has the run cut from outside).

Change: the request is sent to another target as well, if there is one that nothing speaks against and the budget allows. The one that goes on first has the caller; the silent one is left with the other's head, or after 0.3 s without a refusal of it, since a stream must not run at two targets for 0.4 s. Each run has an observer of its own (TargetAttempt), what the caller got is in AnswerRelay. The same cause elsewhere: a target's own failure was given up for a 502 when no other target was there; budget was spent without another attempt; a 404 in place of the rest of a stream could end it as whole.

Three older tests held the old order (left, then asked) and are replaced by ones that bound how long two targets may have a stream (under 0.35 s), and have the first left at the first word of the next.

--- a/src/primrosescale/request/forward_tools.py
+++ b/src/primrosescale/request/forward_tools.py
@@ -60,10 +60,18 @@
     )
     silence_patience: float = option(
         SECONDS,
-        "seconds after which a request leaves a target that sends nothing to "
-        "anyone, so that a stream goes on within the pause that is allowed",
+        "seconds after which a request at a target that sends nothing to anyone is "
+        "sent to another too, so that a stream goes on within the pause that is "
+        "allowed",
         0.45,
     )
+    trial: float = option(
+        SECONDS,
+        "seconds for which a silent target is kept beside another that was asked; "
+        "a target that declines does so within some milliseconds, and a stream must "
+        "not run at two targets for 0.4 s",
+        0.3,
+    )
     heard_lately: float = option(
         SECONDS,
         "seconds since a target was last heard for which a kept connection is "
@@ -175,34 +183,3 @@
         """
         self.settings = settings
         self.chooser.configure(choice)
-
-
-@dataclass(slots=True)
-class Attempt:
-    """What became of a request at one target, for the log.
-
-    Parameters
-    ----------
-    target : str
-        The target.
-    began_at : float
-        Seconds.
-    load : float
-        Requests there by the best knowledge.
-    held : int
-        Leading tokens that it was taken to have cached.
-    fetched_from : str
-        Target whose cache was to be copied; empty for none.
-    outcome : str
-        How it ended.
-    ended_at : float | None
-        Seconds; None while it runs.
-    """
-
-    target: str
-    began_at: float
-    load: float
-    held: int
-    fetched_from: str
-    outcome: str = "running"
-    ended_at: float | None = None
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -5,6 +5,11 @@
 run it. Others go to another target after a failure, within the route's number
 of targets and the shared budget. A stream that may be resumed goes on at
 another target after the last whole event that the caller got.
+
+A target that is only silent may be about to answer: one that read a long prompt
+sent again 0.05 s after two streams had been ended there for want of another. It
+is left when another has taken the request up, never before, so that silence
+costs nobody the answer that was under way.
 """
 
 from __future__ import annotations
@@ -12,14 +17,15 @@
 from typing import TYPE_CHECKING
 
 from primrosescale.clock import cancel_timer
+from primrosescale.request.answer_relay import AnswerRelay
 from primrosescale.request.direct_port import Refusal
-from primrosescale.request.direct_port import RunObserver
 from primrosescale.request.direct_port import Sending
-from primrosescale.request.event_stream import EventSplitter
-from primrosescale.request.forward_tools import Attempt
-from primrosescale.request.hop import NO_HOP
 from primrosescale.request.silence import Silence
 from primrosescale.request.silence import SilenceVerdict
+from primrosescale.request.silence import patience
+from primrosescale.request.target_attempt import AttemptListener
+from primrosescale.request.target_attempt import AttemptRecord
+from primrosescale.request.target_attempt import TargetAttempt
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,9 +33,7 @@
     from primrosescale.clock import Timer
     from primrosescale.request.direct_port import AnswerHead
     from primrosescale.request.direct_port import CallerSink
-    from primrosescale.request.direct_port import Run
     from primrosescale.request.forward_tools import ForwardTools
-    from primrosescale.request.hop import Hop
     from primrosescale.request.incoming import IncomingRequest
     from primrosescale.request.target_choice import Choice
     from primrosescale.request.target_state import TargetState
@@ -41,7 +45,7 @@
 TIMER_SLACK = 0.001
 
 
-class ForwardedCall(RunObserver):
+class ForwardedCall(AttemptListener):
     """One request, from its acceptance to its end.
 
     Parameters
@@ -64,31 +68,25 @@
         on_end: Callable[[ForwardedCall, str], None],
     ) -> None:
         self._request = request
-        self._sink = sink
+        self._relay = AnswerRelay(sink, request.last_event)
         self._tools = tools
         self._on_end = on_end
-        self._attempts: list[Attempt] = []
-        self._state: TargetState | None = None
-        self._run: Run | None = None
+        self._attempts: list[AttemptRecord] = []
+        # The attempt whose answer the caller gets, and one that may replace it.
+        self._serving: TargetAttempt | None = None
+        self._successor: TargetAttempt | None = None
         self._sent_to: list[str] = []
         self._avoid: set[str] = set()
         self._unreached = 0
         self._may_have_run = False
-        self._is_at_target = False
-        self._head: AnswerHead | None = None
-        self._first_head: AnswerHead | None = None
-        self._held_back: list[bytes] = []
-        self._held_bytes = 0
-        self._is_passing = False
-        self._splitter = EventSplitter()
-        self._last_event = request.last_event
-        self._first_byte_at: float | None = None
+        self._status: int | None = None
         self._is_over = False
         self._timer: Timer | None = None
         self._stall: Timer | None = None
+        self._trial: Timer | None = None
         self._waits_since = request.received_at
+        self._verdict: SilenceVerdict | None = None
         self._hop = tools.start_hop("router", request.traceparent)
-        self._target_hop: Hop = NO_HOP
 
     @property
     def request(self) -> IncomingRequest:
@@ -96,19 +94,19 @@
         return self._request
 
     @property
-    def attempts(self) -> list[Attempt]:
+    def attempts(self) -> list[AttemptRecord]:
         """Return the attempts so far."""
         return self._attempts
 
     @property
     def status(self) -> int | None:
         """Return the status of the target's answer that is passed on, if any."""
-        return None if self._head is None else self._head.status
+        return self._status
 
     @property
     def first_byte_at(self) -> float | None:
         """Return when the caller got the first byte, in seconds."""
-        return self._first_byte_at
+        return self._relay.first_byte_at
 
     @property
     def is_over(self) -> bool:
@@ -129,183 +127,193 @@
             return
         self._timer = self._tools.clock.callLater(left, self._give_up)
         self._tools.budget_of(self._request.service).requested(now)
-        self._try_next(now)
+        self._serve_from_any(now)
 
     def caller_gone(self) -> None:
         """Take in that the caller has closed its connection."""
         if self._is_over:
             return
-        self._leave_target("caller left")
+        self._leave_all("caller left")
         self._end("caller_gone")
 
     def pause(self) -> None:
         """Take no more bytes from the target for a while."""
-        if self._run is not None:
-            self._run.pause()
+        if self._serving is not None:
+            self._serving.pause()
 
     def resume(self) -> None:
         """Take bytes from the target again."""
-        if self._run is not None:
-            self._run.resume()
+        if self._serving is not None:
+            self._serving.resume()
 
     # What a target says
 
-    def run_sent(self) -> None:
-        """Handle that the request goes out; see `RunObserver.run_sent`."""
+    def attempt_sent(self, attempt: TargetAttempt) -> None:
+        """Note where it went; see `AttemptListener.attempt_sent`."""
         now = self._now()
-        state = self._known_state()
-        self._is_at_target = True
-        self._sent_to.append(state.target.name)
-        if self._request.prompt is not None:
-            name = state.target.name
-            if self._tools.parts.note_own(name, self._request.prompt.parts, now):
+        self._sent_to.append(attempt.name)
+        prompt = self._request.prompt
+        if prompt is not None:
+            if self._tools.parts.note_own(attempt.name, prompt.parts, now):
                 self._tools.parts_changed()
-        self._watch_silence(now)
+        if attempt is self._successor:
+            trial = self._tools.settings.trial
+            self._trial = self._tools.clock.callLater(trial, self._trial_over)
+        else:
+            self._watch_silence(now)
 
-    def run_not_sent(self, detail: str) -> None:
-        """Try another target; see `RunObserver.run_not_sent`."""
-        if self._is_over:
-            return
+    def attempt_not_sent(self, attempt: TargetAttempt, detail: str) -> None:
+        """Try another target; see `AttemptListener.attempt_not_sent`."""
         now = self._now()
-        state = self._known_state()
-        state.unreachable(now)
-        self._leave_target(f"not sent: {detail}")
-        self._avoid.add(state.target.name)
+        attempt.state.unreachable(now)
+        attempt.leave(f"not sent: {detail}", now)
+        self._avoid.add(attempt.name)
         self._unreached += 1
-        if self._unreached >= self._tools.settings.unreached_most:
+        is_last = self._unreached >= self._tools.settings.unreached_most
+        is_successor = attempt is self._successor
+        if self._goes_on_without(attempt, now):
+            choice = None if is_last or not is_successor else self._choose_sure(now)
+            if choice is not None:
+                self._ask_successor(choice, now)
+            return
+        if is_last:
             self._fail(Refusal.NO_TARGET)
             return
-        self._try_next(now)
+        self._serve_from_any(now)
 
-    def run_head(self, head: AnswerHead) -> None:
-        """Look at the head of an answer; see `RunObserver.run_head`."""
-        if self._is_over:
-            return
+    def attempt_head(self, attempt: TargetAttempt, head: AnswerHead) -> None:
+        """Look at the head of an answer; see `AttemptListener.attempt_head`."""
         now = self._now()
-        state = self._known_state()
-        state.heard(now)
+        attempt.state.heard(now)
         if head.load is not None:
-            state.reported(head.load, now)
+            attempt.state.reported(head.load, now)
         if head.is_not_run or head.is_other_incarnation:
-            self._declined(head, now)
+            self._declined(attempt, head, now)
             return
         self._may_have_run = True
-        if head.request_id != self._request.request_id:
-            self._lost("answer of another request", now)
-            return
-        is_success = FIRST_SUCCESS <= head.status < FIRST_REDIRECT
-        if is_success and not head.is_receipted:
-            self._lost("no receipt", now)
+        fault = self._fault_of(head)
+        if fault:
+            self._lost(attempt, fault, now)
             return
         if head.status >= FIRST_SERVER_ERROR:
-            state.failed(now)
-            if self._can_repeat(now):
-                self._leave_target(f"status {head.status}")
-                self._try_next(now)
+            attempt.state.failed(now)
+            if self._passes_over(attempt, head, now):
                 return
-            if self._first_head is not None:
-                self._leave_target(f"status {head.status}")
-                self._fail(Refusal.CUT)
+        attempt.head = head
+        is_stream = self._request.route.is_stream and _is_success(head)
+        if attempt is self._successor:
+            if not is_stream:
+                # A plain answer counts when it is whole.
                 return
-        self._head = head
-        if self._request.route.is_stream and is_success:
-            self._begin_stream(head, now)
-
-    def run_data(self, data: bytes) -> None:
-        """Hand bytes on, or hold them back; see `RunObserver.run_data`."""
-        if self._is_over:
-            return
+            self._take_over(now)
+        self._status = head.status
+        if is_stream:
+            self._relay.begin_stream(head)
+            self._watch_silence(now)
+
+    def attempt_data(self, attempt: TargetAttempt, data: bytes) -> None:
+        """Hand bytes on, or hold them back; see `AttemptListener.attempt_data`."""
         now = self._now()
-        self._known_state().heard(now)
-        if self._first_head is not None:
-            self._pass_events(data, now)
+        attempt.state.heard(now)
+        if self._relay.is_stream:
+            self._drop_successor("not needed: the target before went on", now)
+            self._pass_events(attempt, data, now)
             return
-        if self._is_passing:
-            self._sink.write(data)
+        if self._relay.has_begun:
+            self._relay.write(data)
             return
-        self._held_back.append(data)
-        self._held_bytes += len(data)
-        if self._held_bytes > self._tools.settings.buffer_limit:
-            self._pass_on(now)
+        attempt.hold(data)
+        if attempt.held_bytes > self._tools.settings.buffer_limit:
+            self._pass_on(attempt, now)
 
-    def run_done(self) -> None:
-        """End the answer; see `RunObserver.run_done`."""
-        if self._is_over:
-            return
+    def attempt_done(self, attempt: TargetAttempt) -> None:
+        """End the answer; see `AttemptListener.attempt_done`."""
         now = self._now()
-        if self._first_head is not None and self._splitter.rest:
-            self._lost("stream ended inside an event", now)
+        if self._relay.is_stream and attempt.is_inside_event:
+            self._lost(attempt, "stream ended inside an event", now)
             return
-        head = self._head
+        head = attempt.head
         if head is not None and head.status < FIRST_SERVER_ERROR:
-            self._known_state().succeeded(now)
-        if self._first_head is None and not self._is_passing:
-            self._pass_on(now)
-        self._leave_target("answered", is_whole=True)
-        self._sink.finish()
+            attempt.state.succeeded(now)
+        if not self._relay.has_begun:
+            self._pass_on(attempt, now)
+        attempt.leave("answered", now, is_whole=True)
+        self._relay.finish()
         self._end("answered")
 
-    def run_cut(self, detail: str) -> None:
-        """Go on elsewhere if that is allowed; see `RunObserver.run_cut`."""
-        if self._is_over:
-            return
+    def attempt_cut(self, attempt: TargetAttempt, detail: str) -> None:
+        """Go on elsewhere if allowed; see `AttemptListener.attempt_cut`."""
         self._may_have_run = True
-        self._lost(detail, self._now())
+        self._lost(attempt, detail, self._now())
+
+    def _fault_of(self, head: AnswerHead) -> str:
+        """Return why an answer cannot be this request's; empty if it can."""
+        if head.request_id != self._request.request_id:
+            return "answer of another request"
+        if _is_success(head):
+            return "" if head.is_receipted else "no receipt"
+        if self._relay.is_stream:
+            return f"status {head.status} in place of the rest"
+        return ""
 
-    # Decisions
+    # Where it goes
 
-    def _try_next(self, now: float) -> None:
-        request = self._request
-        tools = self._tools
-        left = request.give_up_at - now
-        if left < tools.settings.shortest_time:
+    def _serve_from_any(self, now: float) -> None:
+        """Send it to a target, even a doubtful one; refuse it if there is none."""
+        left = self._request.give_up_at - now
+        if left < self._tools.settings.shortest_time:
             self._fail(Refusal.TIMED_OUT_UNSENT)
             return
-        choice = tools.chooser.choose(
-            tools.states_of(request.service),
-            {*self._sent_to, *self._avoid},
-            request.prompt,
-            now,
-        )
+        choice = self._choose(now)
         if choice is None:
             self._fail(Refusal.NO_TARGET)
             return
-        self._send(choice, left, now)
+        self._serve_from(choice, now)
+
+    def _serve_from(self, choice: Choice, now: float) -> None:
+        attempt = self._new_attempt(choice, now)
+        self._serving = attempt
+        attempt.begin(self._tools.caller, self._sending(attempt, choice, now), now)
+
+    def _choose(self, now: float) -> Choice | None:
+        return self._tools.chooser.choose(
+            self._tools.states_of(self._request.service),
+            {*self._sent_to, *self._avoid},
+            self._request.prompt,
+            now,
+        )
+
+    def _choose_sure(self, now: float) -> Choice | None:
+        """Return a target that nothing speaks against."""
+        choice = self._choose(now)
+        if choice is None or choice.state.is_avoided(now):
+            return None
+        return choice
 
-    def _send(self, choice: Choice, left: float, now: float) -> None:
-        request = self._request
+    def _new_attempt(self, choice: Choice, now: float) -> TargetAttempt:
         source = choice.fetch_from
-        target = choice.state.target
-        self._state = choice.state
-        choice.state.sent(now)
-        self._attempts.append(
-            Attempt(
-                target.name,
-                now,
-                round(choice.load, 1),
-                choice.held,
-                source.target.name if source is not None else "",
-            ),
+        record = AttemptRecord(
+            choice.state.target.name,
+            now,
+            round(choice.load, 1),
+            choice.held,
+            source.target.name if source is not None else "",
         )
-        self._head = None
-        self._held_back = []
-        self._held_bytes = 0
-        self._splitter = EventSplitter()
-        self._target_hop = self._tools.start_hop("target", self._hop.traceparent)
-        sending = Sending(
-            request=request,
-            target=target,
-            time_left=left,
-            resume_after=self._last_event,
+        self._attempts.append(record)
+        hop = self._tools.start_hop("target", self._hop.traceparent)
+        return TargetAttempt(self, choice.state, record, hop)
+
+    def _sending(self, attempt: TargetAttempt, choice: Choice, now: float) -> Sending:
+        source = choice.fetch_from
+        return Sending(
+            request=self._request,
+            target=choice.state.target,
+            time_left=self._request.give_up_at - now,
+            resume_after=self._relay.last_event,
             fetch_from=source.target if source is not None else None,
             needs_new_connection=self._needs_new_connection(choice.state, now),
-            traceparent=self._target_hop.traceparent,
+            traceparent=attempt.traceparent,
         )
-        attempt = self._attempts[-1]
-        run = self._tools.caller.send(sending, self)
-        if self._attempts[-1] is attempt and not self._is_over:
-            # Otherwise sending failed at once and another attempt goes on.
-            self._run = run
 
     def _needs_new_connection(self, state: TargetState, now: float) -> bool:
         """Tell whether a kept connection could cost the only attempt.
@@ -320,35 +328,22 @@
             return True
         return now - state.heard_at > self._tools.settings.heard_lately
 
-    def _declined(self, head: AnswerHead, now: float) -> None:
-        """Take in that the target did not run the request."""
-        state = self._known_state()
-        if head.is_other_incarnation:
-            state.unreachable(now)
-        else:
-            state.failed(now)
-        self._leave_target(f"declined with status {head.status}")
-        if self._has_targets_left() and self._spend(now):
-            self._try_next(now)
-            return
-        self._fail(Refusal.TARGETS_FULL)
-
-    def _lost(self, detail: str, now: float) -> None:
-        """Take in that the request may have run and its answer is lost."""
-        self._known_state().failed(now)
-        self._leave_target(f"lost: {detail}")
-        if self._can_repeat(now):
-            self._try_next(now)
-            return
-        self._fail(Refusal.CUT)
+    # After a failure
 
-    def _can_repeat(self, now: float) -> bool:
-        if not self._request.route.may_repeat or self._is_passing:
-            return False
-        if not self._has_targets_left():
-            return False
+    def _next_choice(self, now: float, *, is_sure: bool = False) -> Choice | None:
+        """Return another target, paid for; None when the request may not go on."""
         left = self._request.give_up_at - now
-        return left >= self._tools.settings.shortest_time and self._spend(now)
+        if left < self._tools.settings.shortest_time or not self._has_targets_left():
+            return None
+        choice = self._choose_sure(now) if is_sure else self._choose(now)
+        if choice is None or not self._spend(now):
+            return None
+        return choice
+
+    def _may_repeat(self) -> bool:
+        """Tell whether it may be sent again though it may have run."""
+        is_held_back = self._relay.is_stream or not self._relay.has_begun
+        return self._request.route.may_repeat and is_held_back
 
     def _has_targets_left(self) -> bool:
         return len(set(self._sent_to)) < self._request.route.max_targets
@@ -357,10 +352,65 @@
         budget = self._tools.budget_of(self._request.service)
         return budget.spend(self._tools.routers(), now)
 
+    def _declined(self, attempt: TargetAttempt, head: AnswerHead, now: float) -> None:
+        """Take in that the target did not run the request."""
+        if head.is_other_incarnation:
+            attempt.state.unreachable(now)
+        else:
+            attempt.state.failed(now)
+        attempt.leave(f"declined with status {head.status}", now)
+        if self._goes_on_without(attempt, now):
+            return
+        choice = self._next_choice(now)
+        if choice is None:
+            self._fail(Refusal.TARGETS_FULL)
+            return
+        self._serve_from(choice, now)
+
+    def _lost(self, attempt: TargetAttempt, detail: str, now: float) -> None:
+        """Take in that the request may have run and its answer is lost."""
+        attempt.state.failed(now)
+        attempt.leave(f"lost: {detail}", now)
+        if self._goes_on_without(attempt, now):
+            return
+        choice = self._next_choice(now) if self._may_repeat() else None
+        if choice is None:
+            self._fail(Refusal.CUT)
+            return
+        self._serve_from(choice, now)
+
+    def _passes_over(
+        self, attempt: TargetAttempt, head: AnswerHead, now: float
+    ) -> bool:
+        """Ask another target after a failure; False passes the failure on."""
+        outcome = f"status {head.status}"
+        if self._successor is not None:
+            attempt.leave(outcome, now)
+            return self._goes_on_without(attempt, now)
+        # The failure is an answer that is there: not given up for a doubtful one.
+        choice = self._next_choice(now, is_sure=True) if self._may_repeat() else None
+        if choice is None:
+            return False
+        attempt.leave(outcome, now)
+        self._serve_from(choice, now)
+        return True
+
+    def _goes_on_without(self, attempt: TargetAttempt, now: float) -> bool:
+        """Tell whether the other of two attempts goes on after one was left."""
+        if attempt is self._successor:
+            self._forget_successor()
+            self._watch_further(now)
+            return True
+        if self._successor is not None:
+            self._take_over(now)
+            return True
+        self._serving = None
+        return False
+
     def _fail(self, refusal: Refusal) -> None:
         """End without an answer, and say "not run" only when that is so."""
-        if self._first_head is not None or self._is_passing:
-            self._sink.break_off()
+        if self._relay.has_begun:
+            self._relay.break_off()
             self._end(f"broken_off: {refusal.name.lower()}")
             return
         if self._may_have_run and refusal.is_not_run:
@@ -370,170 +420,202 @@
     def _refuse(self, refusal: Refusal) -> None:
         tools = self._tools
         come_back = tools.settings.come_back_after(refusal, tools.rng)
-        self._sink.refuse(refusal, come_back)
+        self._relay.refuse(refusal, come_back)
         self._end(f"refused: {refusal.name.lower()}")
 
     # Passing on
 
-    def _begin_stream(self, head: AnswerHead, now: float) -> None:
-        if self._first_head is None:
-            self._first_head = head
-            self._sink.begin(head)
-        self._watch_silence(now)
-
-    def _pass_events(self, data: bytes, now: float) -> None:
+    def _pass_events(self, attempt: TargetAttempt, data: bytes, now: float) -> None:
         try:
-            events = self._splitter.feed(data)
+            events = attempt.split(data)
         except ValueError as error:
-            self._lost(str(error), now)
+            self._lost(attempt, str(error), now)
             return
-        passed = []
-        for event in events:
-            if event.number is not None:
-                if self._last_event is not None and event.number <= self._last_event:
-                    continue
-                self._last_event = event.number
-            passed.append(event.data)
-        if not passed:
+        is_first = self._relay.first_byte_at is None
+        if not self._relay.pass_events(events, now):
             return
-        self._note_first_byte(now)
-        self._sink.write(b"".join(passed))
+        if is_first:
+            self._note_lateness(attempt, now)
         self._watch_silence(now)
 
-    def _pass_on(self, now: float) -> None:
+    def _pass_on(self, attempt: TargetAttempt, now: float) -> None:
         """Send what was held back of a plain answer."""
-        head = self._head
+        head = attempt.head
         if head is None:
             return
-        self._is_passing = True
-        self._note_first_byte(now)
-        self._sink.begin(head)
-        held, self._held_back = self._held_back, []
-        if held:
-            self._sink.write(b"".join(held))
-
-    def _note_first_byte(self, now: float) -> None:
-        if self._first_byte_at is not None:
-            return
-        self._first_byte_at = now
-        began_at = self._attempts[-1].began_at
-        if now - began_at > self._request.route.latency_objective:
-            self._known_state().late(now)
+        if attempt is self._successor:
+            self._take_over(now)
+        else:
+            self._drop_successor("not needed: the target before answered", now)
+        self._status = head.status
+        self._note_lateness(attempt, now)
+        self._relay.begin(head, attempt.take_held(), now)
+
+    def _note_lateness(self, attempt: TargetAttempt, now: float) -> None:
+        if now - attempt.began_at > self._request.route.latency_objective:
+            attempt.state.late(now)
 
     # Silence and time
 
     def _watch_silence(self, now: float) -> None:
-        """Have a silent target left for another, where that is allowed."""
+        """Ask another target once this one has been silent, where allowed."""
+        self._waits_since = now
+        self._verdict = None
         cancel_timer(self._stall)
         self._stall = None
-        self._waits_since = now
-        if not self._request.route.may_repeat and self._first_byte_at is not None:
-            return
-        self._watch_again(now)
+        route = self._request.route
+        if route.may_repeat or self._relay.first_byte_at is None:
+            self._watch_again(now)
 
     def _watch_again(self, now: float) -> None:
-        waited = now - self._waits_since
-        left = self._patience(now) - waited
-        pause = min(left, self._tools.settings.silence_patience)
+        left = self._patience() - (now - self._waits_since)
+        self._watch_in(min(left, self._tools.settings.silence_patience), now)
+
+    def _watch_further(self, now: float) -> None:
+        self._watch_in(self._tools.settings.silence_patience, now)
+
+    def _watch_in(self, pause: float, now: float) -> None:
+        cancel_timer(self._stall)
+        self._stall = None
         if now + pause < self._request.give_up_at:
             self._stall = self._tools.clock.callLater(max(0.0, pause), self._silent)
 
-    def _patience(self, now: float) -> float:
-        settings = self._tools.settings
-        route = self._request.route
-        if not route.is_stream:
-            left = self._request.give_up_at - self._request.received_at
-            return settings.plain_patience * left
-        if self._first_byte_at is None:
-            return settings.first_event_patience * route.latency_objective
-        return settings.gap_patience * (route.gap_objective or route.latency_objective)
+    def _patience(self) -> float:
+        has_begun = self._relay.first_byte_at is not None
+        return patience(self._tools.settings, self._request, has_begun=has_begun)
 
     def _silent(self) -> None:
         self._stall = None
-        if self._is_over or self._run is None:
+        attempt = self._serving
+        if self._is_over or attempt is None:
             return
         now = self._now()
-        state = self._known_state()
-        settings = self._tools.settings
-        is_target_silent = state.silence(now) >= settings.silence_patience - TIMER_SLACK
+        state = attempt.state
+        least = self._tools.settings.silence_patience - TIMER_SLACK
+        is_target_silent = state.silence(now) >= least
         waited = now - self._waits_since
-        if not is_target_silent and waited < self._patience(now) - TIMER_SLACK:
+        if not is_target_silent and waited < self._patience() - TIMER_SLACK:
             self._watch_again(now)
             return
         if not self._request.route.may_repeat:
             # It stays where it is; what it shows is for the requests to come.
+            self._tell_silence(attempt, SilenceVerdict.MAY_NOT_REPEAT, now)
             state.failed(now)
-            self._tell_silence(SilenceVerdict.MAY_NOT_REPEAT, waited, now)
             return
-        if not self._can_repeat(now):
-            self._tell_silence(SilenceVerdict.NOT_REPEATED, waited, now)
+        self._watch_further(now)
+        if self._successor is not None:
             return
-        self._tell_silence(SilenceVerdict.LEFT, waited, now)
+        choice = self._next_choice(now, is_sure=True) if self._may_repeat() else None
+        if choice is None:
+            self._tell_silence(attempt, SilenceVerdict.KEPT, now)
+            return
+        self._tell_silence(attempt, SilenceVerdict.ANOTHER_ASKED, now)
         if is_target_silent:
             state.unreachable(now)
         else:
             state.failed(now)
         self._may_have_run = True
-        self._leave_target("silent")
-        self._try_next(now)
+        self._ask_successor(choice, now)
 
-    def _tell_silence(self, verdict: SilenceVerdict, waited: float, now: float) -> None:
+    def _tell_silence(
+        self, attempt: TargetAttempt, verdict: SilenceVerdict, now: float
+    ) -> None:
+        """Have a judgement logged, once while it stays the same."""
+        if verdict is self._verdict:
+            return
+        self._verdict = verdict
         tools = self._tools
-        state = self._known_state()
         others = tools.chooser.count_open(
             tools.states_of(self._request.service),
             {*self._sent_to, *self._avoid},
             now,
         )
         silence = Silence(
-            state.target.name, state.silence(now), waited, others, verdict
+            target=attempt.name,
+            silent_for=attempt.state.silence(now),
+            waited=now - self._waits_since,
+            others=others,
+            verdict=verdict,
         )
         tools.silence_judged(self._request, silence)
 
+    # A successor on trial
+
+    def _ask_successor(self, choice: Choice, now: float) -> None:
+        """Send it to another target as well, to see which goes on first."""
+        attempt = self._new_attempt(choice, now)
+        self._successor = attempt
+        attempt.begin(self._tools.caller, self._sending(attempt, choice, now), now)
+
+    def _trial_over(self) -> None:
+        """Leave the silent target: another has not declined for long enough."""
+        self._trial = None
+        serving, successor = self._serving, self._successor
+        if serving is None or successor is None:
+            return
+        now = self._now()
+        if successor.state.is_avoided(now):
+            self._drop_successor("silent too", now)
+            self._watch_further(now)
+        elif serving.head is None or self._relay.is_stream:
+            self._take_over(now)
+
+    def _take_over(self, now: float) -> None:
+        """Have the successor's answer passed on."""
+        left, self._serving = self._serving, self._successor
+        self._forget_successor()
+        if left is not None:
+            left.leave("silent", now)
+        self._watch_silence(now)
+
+    def _drop_successor(self, outcome: str, now: float) -> None:
+        if self._successor is not None:
+            self._successor.leave(outcome, now)
+            self._forget_successor()
+
+    def _forget_successor(self) -> None:
+        self._successor = None
+        cancel_timer(self._trial)
+        self._trial = None
+
+    # The end
+
     def _give_up(self) -> None:
         """Answer at the time at which the caller or the route gives up."""
         self._timer = None
         if self._is_over:
             return
-        if self._is_at_target:
-            self._known_state().failed(self._now())
-            self._may_have_run = True
-        self._leave_target("timed out")
+        now = self._now()
+        for attempt in (self._serving, self._successor):
+            if attempt is not None and attempt.is_at_target:
+                attempt.state.failed(now)
+                self._may_have_run = True
+        self._leave_all("timed out")
         sent = self._may_have_run
         self._fail(Refusal.TIMED_OUT if sent else Refusal.TIMED_OUT_UNSENT)
 
-    # Bookkeeping
-
-    def _leave_target(self, outcome: str, *, is_whole: bool = False) -> None:
-        """End what goes on at the target, if anything."""
-        cancel_timer(self._stall)
-        self._stall = None
-        run, self._run = self._run, None
-        state, self._state = self._state, None
-        self._is_at_target = False
-        if self._attempts and self._attempts[-1].outcome == "running":
-            self._attempts[-1].outcome = outcome
-            self._attempts[-1].ended_at = self._now()
-            self._target_hop.end(target=self._attempts[-1].target, outcome=outcome)
-        if state is not None:
-            state.ended()
-        if run is not None and not is_whole:
-            run.cancel()
-
-    def _known_state(self) -> TargetState:
-        state = self._state
-        if state is None:
-            raise RuntimeError("no target is being called")
-        return state
+    def _leave_all(self, outcome: str) -> None:
+        now = self._now()
+        self._drop_successor(outcome, now)
+        if self._serving is not None:
+            self._serving.leave(outcome, now)
+            self._serving = None
 
     def _end(self, outcome: str) -> None:
         if self._is_over:
             return
         self._is_over = True
-        cancel_timer(self._timer)
+        self._leave_all("not needed: the request ended")
+        for timer in (self._timer, self._stall):
+            cancel_timer(timer)
         self._timer = None
+        self._stall = None
         self._hop.end(request=self._request.request_id, outcome=outcome)
         self._on_end(self, outcome)
 
     def _now(self) -> float:
         return self._tools.clock.seconds()
+
+
+def _is_success(head: AnswerHead) -> bool:
+    return FIRST_SUCCESS <= head.status < FIRST_REDIRECT
--- a/src/primrosescale/request/silence.py
+++ b/src/primrosescale/request/silence.py
@@ -4,14 +4,19 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from primrosescale.request.forward_tools import ForwardSettings
+    from primrosescale.request.incoming import IncomingRequest
 
 
 class SilenceVerdict(Enum):
     """What becomes of a request whose target is silent."""
 
-    LEFT = "left"
+    ANOTHER_ASKED = "another target is asked"
+    KEPT = "kept: no other target, time, budget or number of targets left"
     MAY_NOT_REPEAT = "kept: it may run once"
-    NOT_REPEATED = "kept: no time, budget or number of targets left"
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,3 +43,30 @@
     waited: float
     others: int
     verdict: SilenceVerdict
+
+
+def patience(
+    settings: ForwardSettings, request: IncomingRequest, *, has_begun: bool
+) -> float:
+    """Return how long a request waits for a target that others hear from.
+
+    Parameters
+    ----------
+    settings : ForwardSettings
+        Timing.
+    request : IncomingRequest
+        The request.
+    has_begun : bool
+        Whether the caller has got the first byte.
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    route = request.route
+    if not route.is_stream:
+        return settings.plain_patience * (request.give_up_at - request.received_at)
+    if not has_begun:
+        return settings.first_event_patience * route.latency_objective
+    return settings.gap_patience * (route.gap_objective or route.latency_objective)
--- /dev/null
+++ b/src/primrosescale/request/target_attempt.py
@@ -0,0 +1,328 @@
+"""One request at one target: what comes of it, and what was not passed on yet."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from primrosescale.request.direct_port import RunObserver
+from primrosescale.request.event_stream import EventSplitter
+
+if TYPE_CHECKING:
+    from primrosescale.request.direct_port import AnswerHead
+    from primrosescale.request.direct_port import Run
+    from primrosescale.request.direct_port import Sending
+    from primrosescale.request.direct_port import TargetCaller
+    from primrosescale.request.event_stream import StreamEvent
+    from primrosescale.request.hop import Hop
+    from primrosescale.request.target_state import TargetState
+
+RUNNING = "running"
+
+
+@dataclass(slots=True)
+class AttemptRecord:
+    """What became of a request at one target, for the log.
+
+    Parameters
+    ----------
+    target : str
+        The target.
+    began_at : float
+        Seconds.
+    load : float
+        Requests there by the best knowledge.
+    held : int
+        Leading tokens that it was taken to have cached.
+    fetched_from : str
+        Target whose cache was to be copied; empty for none.
+    outcome : str
+        How it ended.
+    ended_at : float | None
+        Seconds; None while it runs.
+    """
+
+    target: str
+    began_at: float
+    load: float
+    held: int
+    fetched_from: str
+    outcome: str = RUNNING
+    ended_at: float | None = None
+
+
+class AttemptListener(ABC):
+    """Decides about a request by what its attempts tell."""
+
+    @abstractmethod
+    def attempt_sent(self, attempt: TargetAttempt) -> None:
+        """Handle that the request goes out: from here on it may run.
+
+        Parameters
+        ----------
+        attempt : TargetAttempt
+            The attempt.
+        """
+
+    @abstractmethod
+    def attempt_not_sent(self, attempt: TargetAttempt, detail: str) -> None:
+        """Handle that nothing was sent.
+
+        Parameters
+        ----------
+        attempt : TargetAttempt
+            The attempt.
+        detail : str
+            Why.
+        """
+
+    @abstractmethod
+    def attempt_head(self, attempt: TargetAttempt, head: AnswerHead) -> None:
+        """Handle the head of an answer.
+
+        Parameters
+        ----------
+        attempt : TargetAttempt
+            The attempt.
+        head : AnswerHead
+            The head.
+        """
+
+    @abstractmethod
+    def attempt_data(self, attempt: TargetAttempt, data: bytes) -> None:
+        """Handle bytes of an answer's body.
+
+        Parameters
+        ----------
+        attempt : TargetAttempt
+            The attempt.
+        data : bytes
+            The bytes.
+        """
+
+    @abstractmethod
+    def attempt_done(self, attempt: TargetAttempt) -> None:
+        """Handle that an answer is whole.
+
+        Parameters
+        ----------
+        attempt : TargetAttempt
+            The attempt.
+        """
+
+    @abstractmethod
+    def attempt_cut(self, attempt: TargetAttempt, detail: str) -> None:
+        """Handle that an answer ended early or never came.
+
+        Parameters
+        ----------
+        attempt : TargetAttempt
+            The attempt.
+        detail : str
+            Why.
+        """
+
+
+class TargetAttempt(RunObserver):
+    """One request at one target.
+
+    Parameters
+    ----------
+    listener : AttemptListener
+        Told of what becomes of it, until it is left.
+    state : TargetState
+        What is known of the target.
+    record : AttemptRecord
+        Its entry for the log.
+    hop : Hop
+        Its span.
+    """
+
+    __slots__ = (
+        "_held",
+        "_held_bytes",
+        "_hop",
+        "_is_at_target",
+        "_is_over",
+        "_listener",
+        "_record",
+        "_run",
+        "_splitter",
+        "_state",
+        "head",
+    )
+
+    def __init__(
+        self,
+        listener: AttemptListener,
+        state: TargetState,
+        record: AttemptRecord,
+        hop: Hop,
+    ) -> None:
+        self._listener = listener
+        self._state = state
+        self._record = record
+        self._hop = hop
+        self._run: Run | None = None
+        self._is_at_target = False
+        self._is_over = False
+        self._held: list[bytes] = []
+        self._held_bytes = 0
+        self._splitter = EventSplitter()
+        self.head: AnswerHead | None = None
+
+    @property
+    def name(self) -> str:
+        """Return the target's name."""
+        return self._record.target
+
+    @property
+    def state(self) -> TargetState:
+        """Return what is known of the target."""
+        return self._state
+
+    @property
+    def began_at(self) -> float:
+        """Return when it began, in seconds."""
+        return self._record.began_at
+
+    @property
+    def traceparent(self) -> str:
+        """Return the trace context for the target; empty for none."""
+        return self._hop.traceparent
+
+    @property
+    def is_at_target(self) -> bool:
+        """Tell whether the request was sent and may run."""
+        return self._is_at_target
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Tell whether the last event that came has not ended."""
+        return bool(self._splitter.rest)
+
+    @property
+    def held_bytes(self) -> int:
+        """Return how much of the body is held back."""
+        return self._held_bytes
+
+    def begin(self, caller: TargetCaller, sending: Sending, now: float) -> None:
+        """Send the request.
+
+        Parameters
+        ----------
+        caller : TargetCaller
+            Sends requests to targets.
+        sending : Sending
+            The request.
+        now : float
+            Present time in seconds.
+        """
+        self._state.sent(now)
+        run = caller.send(sending, self)
+        if self._is_over:
+            run.cancel()
+        else:
+            self._run = run
+
+    def leave(self, outcome: str, now: float, *, is_whole: bool = False) -> None:
+        """End what goes on at the target; nothing more is told of it.
+
+        Parameters
+        ----------
+        outcome : str
+            How it ended.
+        now : float
+            Present time in seconds.
+        is_whole : bool
+            Whether its answer is whole, so that the connection can be kept.
+        """
+        if self._is_over:
+            return
+        self._is_over = True
+        self._record.outcome = outcome
+        self._record.ended_at = now
+        self._hop.end(target=self.name, outcome=outcome)
+        self._state.ended()
+        if self._run is not None and not is_whole:
+            self._run.cancel()
+
+    def pause(self) -> None:
+        """Take no more bytes for a while."""
+        if self._run is not None:
+            self._run.pause()
+
+    def resume(self) -> None:
+        """Take bytes again."""
+        if self._run is not None:
+            self._run.resume()
+
+    def hold(self, data: bytes) -> None:
+        """Hold bytes of the body back.
+
+        Parameters
+        ----------
+        data : bytes
+            The bytes.
+        """
+        self._held.append(data)
+        self._held_bytes += len(data)
+
+    def take_held(self) -> list[bytes]:
+        """Return what was held back, once."""
+        held, self._held = self._held, []
+        self._held_bytes = 0
+        return held
+
+    def split(self, data: bytes) -> list[StreamEvent]:
+        """Return the events of a stream that are whole now.
+
+        Parameters
+        ----------
+        data : bytes
+            The next bytes of the stream.
+
+        Returns
+        -------
+        list[StreamEvent]
+            The events, in order.
+
+        Raises
+        ------
+        ValueError
+            When an event is longer than any that is expected.
+        """
+        return self._splitter.feed(data)
+
+    def run_sent(self) -> None:
+        """Tell that it goes out; see `RunObserver.run_sent`."""
+        self._is_at_target = True
+        if not self._is_over:
+            self._listener.attempt_sent(self)
+
+    def run_not_sent(self, detail: str) -> None:
+        """Tell that nothing was sent; see `RunObserver.run_not_sent`."""
+        if not self._is_over:
+            self._listener.attempt_not_sent(self, detail)
+
+    def run_head(self, head: AnswerHead) -> None:
+        """Tell of the head; see `RunObserver.run_head`."""
+        if not self._is_over:
+            self._listener.attempt_head(self, head)
+
+    def run_data(self, data: bytes) -> None:
+        """Tell of bytes; see `RunObserver.run_data`."""
+        if not self._is_over:
+            self._listener.attempt_data(self, data)
+
+    def run_done(self) -> None:
+        """Tell that the answer is whole; see `RunObserver.run_done`."""
+        if not self._is_over:
+            self._listener.attempt_done(self)
+
+    def run_cut(self, detail: str) -> None:
+        """Tell that the answer ended early; see `RunObserver.run_cut`."""
+        if not self._is_over:
+            self._listener.attempt_cut(self, detail)
--- a/src/primrosescale/request/target_state.py
+++ b/src/primrosescale/request/target_state.py
@@ -29,8 +29,9 @@
 FIRST_PAUSE = 0.5
 LONGEST_PAUSE = 4.0
 # A target of today that works sends something every 50 ms to each stream, and
-# answers nine in ten plain requests within 0.2 s; the longest prompts keep it
-# silent for 0.2 s.
+# answers nine in ten plain requests within 0.2 s. A prompt of 30,000 tokens has
+# kept one silent for 0.46 s, so silence is a reason to ask others, no proof that
+# a target is lost.
 SILENT_SECONDS = 0.45
 # A late answer is worth half of one in time.
 LATE_WEIGHT = 0.5
--- a/tests/entry/test_forwarded_call.py
+++ b/tests/entry/test_forwarded_call.py
@@ -57,7 +57,7 @@
             fail(first)
             second = desk.caller.last
             self.assertNotEqual(first.name, second.name)
-            self.assertTrue(first.is_cancelled or first.observer is second.observer)
+            self.assertTrue(first.is_cancelled)
             second.answer(200, b"ok")
             self.assertEqual(b"ok", sink.body)
 
@@ -75,12 +75,15 @@
         self.desk.caller.last.answer(500, b"broken")
         self.assertEqual((500, b"broken"), (sink.head.status, sink.body))
 
-    def test_a_silent_target_is_left_for_another(self):
+    def test_a_silent_target_is_left_for_another_that_answers(self):
         _, sink = self.desk.call(request())
         first = self.desk.caller.last
         self.desk.pass_time(0.45)
+        second = self.desk.caller.last
+        self.assertNotEqual(first.name, second.name)
+        self.assertFalse(first.is_cancelled)
+        second.answer(200, b"ok")
         self.assertTrue(first.is_cancelled)
-        self.desk.caller.last.answer(200, b"ok")
         self.assertEqual(b"ok", sink.body)
 
     def test_without_budget_nothing_is_sent_again(self):
@@ -230,12 +233,21 @@
         self.assertFalse(self.sink.is_finished)
         self.assertEqual(1, self.desk.caller.last.sending.resume_after)
 
-    def test_the_target_before_is_left_before_the_next_is_asked(self):
+    def test_two_targets_have_a_stream_for_less_than_four_tenths_of_a_second(self):
         self.run1.observer.run_head(head())
         self.run1.observer.run_data(event(1))
-        self.desk.pass_time(1.3)
-        self.assertTrue(self.run1.is_cancelled)
+        asked_at = self.until(lambda: len(self.desk.caller.runs) == 2)
         self.assertEqual(1, self.desk.caller.last.sending.resume_after)
+        left_at = self.until(lambda: self.run1.is_cancelled)
+        self.assertTrue(0 < left_at - asked_at < 0.35)
+
+    def test_the_target_before_is_left_with_the_first_word_of_the_next(self):
+        self.run1.observer.run_head(head())
+        self.run1.observer.run_data(event(1))
+        self.until(lambda: len(self.desk.caller.runs) == 2)
+        self.assertFalse(self.run1.is_cancelled)
+        self.desk.caller.last.observer.run_head(head())
+        self.assertTrue(self.run1.is_cancelled)
 
     def test_a_stream_that_cannot_go_on_is_broken_off(self):
         self.run1.observer.run_head(head())
@@ -266,6 +278,15 @@
     def parts(self):
         return self.call.request.prompt.parts
 
+    def until(self, is_so):
+        """Return the time at which something is so, within 2 s."""
+        for _ in range(200):
+            if is_so():
+                break
+            self.desk.clock.advance(0.01)
+        self.assertTrue(is_so())
+        return self.desk.clock.seconds()
+
 
 class SilenceTest(TestCase):
     """Targets that are dark, hang or are slow."""
@@ -277,23 +298,26 @@
         first.observer.run_head(head())
         first.observer.run_data(event(1))
         desk.pass_time(0.5)
+        second = desk.caller.last
+        self.assertNotEqual(first.name, second.name)
+        second.observer.run_head(head())
         self.assertTrue(first.is_cancelled)
-        self.assertNotEqual(first.name, desk.caller.last.name)
         self.assertTrue(desk.state(first.name).is_paused(desk.clock.seconds()))
 
     def test_each_judgement_on_silence_is_told_with_its_grounds(self):
-        desk = Desk(MODEL)
-        desk.call(request(STREAM, deadline=1012.0))
-        left = desk.caller.last
-        desk.pass_time(0.5)
-        desk.call(request(FRAGILE_STREAM, deadline=1012.0))
-        kept = desk.caller.last
-        desk.pass_time(1.3)
-        told = {silence.target: silence for silence in desk.silences}
-        self.assertEqual(SilenceVerdict.LEFT, told[left.name].verdict)
-        self.assertEqual(2, told[left.name].others)
-        self.assertAlmostEqual(0.45, told[left.name].silent_for, delta=0.02)
-        self.assertEqual(SilenceVerdict.MAY_NOT_REPEAT, told[kept.name].verdict)
+        for route, verdict, after in (
+            (STREAM, SilenceVerdict.ANOTHER_ASKED, 0.45),
+            (FRAGILE_STREAM, SilenceVerdict.MAY_NOT_REPEAT, 0.45),
+        ):
+            desk = Desk(MODEL)
+            desk.call(request(route, deadline=1012.0))
+            desk.pass_time(0.5)
+            (told,) = desk.silences
+            self.assertEqual(verdict, told.verdict)
+            self.assertEqual(desk.caller.runs[0].name, told.target)
+            self.assertEqual(2, told.others)
+            self.assertAlmostEqual(after, told.silent_for, delta=0.02)
+            self.assertAlmostEqual(after, told.waited, delta=0.02)
 
     def test_one_that_only_hangs_here_is_waited_for_longer(self):
         desk = Desk(MODEL[:1])
