A target that waits for a slow caller is not taken for a silent one

Cause: while a caller takes no bytes nothing is read from its target; that counted as the target's silence, sent the stream to a second target every time and had new requests avoid the first.

Change: a request that is held up by its caller does not count as waited for; silence counts from the moment at which bytes are read again. A target that takes over is paced too. Three tests fail without it.

--- a/src/primrosescale/process/entry/target_caller.py
+++ b/src/primrosescale/process/entry/target_caller.py
@@ -81,6 +81,7 @@
         self._opening: Deferred[TargetChannel] | None = None
         self._channel: TargetChannel | None = None
         self._is_over = False
+        self._is_paused = False
 
     def start(self) -> None:
         """Send on an idle connection or open one."""
@@ -105,12 +106,14 @@
 
     def pause(self) -> None:
         """Take no more bytes; see `Run.pause`."""
+        self._is_paused = True
         if self._channel is not None and not self._is_over:
             transport: Any = self._channel.transport
             transport.pauseProducing()
 
     def resume(self) -> None:
         """Take bytes again; see `Run.resume`."""
+        self._is_paused = False
         if self._channel is not None and not self._is_over:
             transport: Any = self._channel.transport
             transport.resumeProducing()
@@ -175,6 +178,9 @@
         self._observer.run_head(head)
         if not self._is_over:
             response.deliverBody(_Body(self))
+        if self._is_paused:
+            # Twisted reads on when the body is asked for.
+            self.pause()
 
     def _failed(self, failure: Failure) -> None:
         if self._is_over:
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -80,6 +80,7 @@
         self._unreached = 0
         self._may_have_run = False
         self._status: int | None = None
+        self._is_held_up = False
         self._is_over = False
         self._timer: Timer | None = None
         self._stall: Timer | None = None
@@ -138,13 +139,18 @@
 
     def pause(self) -> None:
         """Take no more bytes from the target for a while."""
+        self._is_held_up = True
         if self._serving is not None:
             self._serving.pause()
 
     def resume(self) -> None:
         """Take bytes from the target again."""
+        self._is_held_up = False
         if self._serving is not None:
-            self._serving.resume()
+            now = self._now()
+            self._serving.resume(now)
+            if self._serving.is_at_target:
+                self._watch_silence(now)
 
     # What a target says
 
@@ -274,6 +280,8 @@
         attempt = self._new_attempt(choice, now)
         self._serving = attempt
         attempt.begin(self._tools.caller, self._sending(attempt, choice, now), now)
+        if self._is_held_up:
+            attempt.pause()
 
     def _choose(self, now: float) -> Choice | None:
         return self._tools.chooser.choose(
@@ -490,6 +498,10 @@
         if self._is_over or attempt is None:
             return
         now = self._now()
+        if self._is_held_up:
+            # Nothing of it is read, since its caller takes nothing.
+            self._watch_further(now)
+            return
         state = attempt.state
         least = self._tools.settings.silence_patience - TIMER_SLACK
         is_target_silent = state.silence(now) >= least
@@ -566,6 +578,8 @@
         self._forget_successor()
         if left is not None:
             left.leave("silent", now)
+        if self._is_held_up and self._serving is not None:
+            self._serving.pause()
         self._watch_silence(now)
 
     def _drop_successor(self, outcome: str, now: float) -> None:
--- a/src/primrosescale/request/target_attempt.py
+++ b/src/primrosescale/request/target_attempt.py
@@ -145,6 +145,7 @@
         "_held_bytes",
         "_hop",
         "_is_at_target",
+        "_is_held_up",
         "_is_over",
         "_listener",
         "_record",
@@ -167,6 +168,7 @@
         self._hop = hop
         self._run: Run | None = None
         self._is_at_target = False
+        self._is_held_up = False
         self._is_over = False
         self._held: list[bytes] = []
         self._held_bytes = 0
@@ -245,17 +247,33 @@
         self._record.outcome = outcome
         self._record.ended_at = now
         self._hop.end(target=self.name, outcome=outcome)
+        if self._is_held_up:
+            self._state.read_again(now)
         self._state.ended()
         if self._run is not None and not is_whole:
             self._run.cancel()
 
     def pause(self) -> None:
-        """Take no more bytes for a while."""
+        """Take no more bytes for a while, since the caller takes none."""
+        if self._is_over or self._is_held_up:
+            return
+        self._is_held_up = True
+        self._state.held_up()
         if self._run is not None:
             self._run.pause()
 
-    def resume(self) -> None:
-        """Take bytes again."""
+    def resume(self, now: float) -> None:
+        """Take bytes again.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+        """
+        if self._is_over or not self._is_held_up:
+            return
+        self._is_held_up = False
+        self._state.read_again(now)
         if self._run is not None:
             self._run.resume()
 
--- a/src/primrosescale/request/target_state.py
+++ b/src/primrosescale/request/target_state.py
@@ -72,9 +72,9 @@
     """
 
     __slots__ = (
-        "_busy_since",
         "_failures",
         "_heard_at",
+        "_held_up",
         "_news",
         "_outcomes",
         "_own",
@@ -87,12 +87,14 @@
         "_told",
         "_told_outcomes",
         "_told_until",
+        "_waited_for_since",
     )
 
     def __init__(self, target: ServingTarget, now: float) -> None:
         self._target = target
         self._since = now
         self._own = 0
+        self._held_up = 0
         self._report = LoadReport(0, 0, target.slots)
         self._report_at = now - 60.0
         self._own_at_report = 0
@@ -106,7 +108,7 @@
         self._failures = 0
         self._paused_until = 0.0
         self._heard_at = now
-        self._busy_since = now
+        self._waited_for_since = now
 
     @property
     def target(self) -> ServingTarget:
@@ -151,14 +153,36 @@
         now : float
             Present time in seconds.
         """
-        if not self._own:
-            self._busy_since = now
+        self._wait_from(now)
         self._own += 1
 
     def ended(self) -> None:
         """Count a request that is no longer there."""
         self._own = max(0, self._own - 1)
 
+    def held_up(self) -> None:
+        """Take in that no bytes of a request there are read: its caller is slow.
+
+        A target whose bytes nobody reads must not be taken for a silent one.
+        """
+        self._held_up += 1
+
+    def read_again(self, now: float) -> None:
+        """Take in that bytes of a request that was held up are read again.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+        """
+        self._wait_from(now)
+        self._held_up = max(0, self._held_up - 1)
+
+    def _wait_from(self, now: float) -> None:
+        """Count silence from now on, unless it counts already."""
+        if self._own <= self._held_up:
+            self._waited_for_since = now
+
     def heard(self, now: float) -> None:
         """Take in that bytes came from it.
 
@@ -354,7 +378,7 @@
         self._outcomes.add_bad(now, LATE_WEIGHT)
 
     def silence(self, now: float) -> float:
-        """Return how long nothing has come though requests of ours are there.
+        """Return how long nothing has come though bytes of requests are waited for.
 
         Parameters
         ----------
@@ -364,11 +388,11 @@
         Returns
         -------
         float
-            Seconds; 0 while there are no requests of ours.
+            Seconds; 0 while there are no such requests of this router.
         """
-        if not self._own:
+        if self._own <= self._held_up:
             return 0.0
-        return max(0.0, now - max(self._heard_at, self._busy_since))
+        return max(0.0, now - max(self._heard_at, self._waited_for_since))
 
     def is_avoided(self, now: float) -> bool:
         """Tell whether it is left out: unreachable lately, or silent now.
--- a/tests/entry/test_silent_target.py
+++ b/tests/entry/test_silent_target.py
@@ -210,6 +210,49 @@
         self.assertEqual(0, desk.silences[0].others)
 
 
+class SlowCallerTest(TestCase):
+    """A caller that takes no bytes keeps its target from being heard."""
+
+    def test_a_target_that_waits_for_the_caller_is_not_silent(self):
+        desk = Desk(MODEL)
+        call, sink = desk.call(request(STREAM, deadline=1012.0))
+        run = desk.caller.last
+        run.observer.run_head(head())
+        run.observer.run_data(event(1))
+        call.pause()
+        desk.pass_time(3.0)
+        self.assertEqual(1, len(desk.caller.runs))
+        self.assertFalse(desk.state(run.name).is_avoided(desk.clock.seconds()))
+        call.resume()
+        run.observer.run_data(event(2))
+        run.observer.run_done()
+        self.assertEqual(event(1) + event(2), sink.body)
+
+    def test_after_the_pause_silence_counts_from_its_end(self):
+        desk = Desk(MODEL)
+        call, _ = desk.call(request(STREAM, deadline=1012.0))
+        run = desk.caller.last
+        run.observer.run_head(head())
+        run.observer.run_data(event(1))
+        call.pause()
+        desk.pass_time(1.0)
+        call.resume()
+        desk.pass_time(0.4)
+        self.assertEqual(1, len(desk.caller.runs))
+        desk.pass_time(0.1)
+        self.assertEqual(2, len(desk.caller.runs))
+
+    def test_a_slow_caller_paces_the_one_that_takes_over(self):
+        desk = Desk(MODEL)
+        call, _ = desk.call(request(STREAM, deadline=1012.0))
+        desk.caller.last.observer.run_head(head())
+        desk.caller.last.observer.run_data(event(1))
+        desk.pass_time(0.46)
+        call.pause()
+        desk.caller.last.observer.run_head(head())
+        self.assertTrue(desk.caller.last.is_paused)
+
+
 class ReadyAnswerTest(TestCase):
     """An answer that is there is not given up for nothing."""
 
@@ -254,6 +297,8 @@
         engines = {}
         while not call.is_over:
             desk.pass_time(rng.choice((0.01, 0.05, 0.2, 0.5, 1.0)))
+            if rng.random() < 0.2:
+                rng.choice((call.pause, call.resume))()
             for run in list(desk.caller.runs):
                 if not run.is_cancelled and run.name not in desk.caller.unreachable:
                     engine = engines.setdefault(id(run), FakeEngine(run, rng))
