--- a/src/primrosescale/platform/records.py
+++ b/src/primrosescale/platform/records.py
@@ -102,6 +102,7 @@
             is_draining=fields.get("state", "ready") != "ready",
             # Time for which a target that has just started is still slow.
             warming_for=float(fields.get("cold_remaining_ms") or 0) * MILLISECOND,
+            started_at=fields.get("born"),
         )
     except MALFORMED as error:
         raise RecordError(stored.key, f"{type(error).__name__}: {error}") from error
--- a/src/primrosescale/request/serving_target.py
+++ b/src/primrosescale/request/serving_target.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from primrosescale.request.target_incarnation import TargetIncarnation
+
 if TYPE_CHECKING:
     from primrosescale.connection.endpoint import Endpoint
 
@@ -16,7 +18,7 @@
     Parameters
     ----------
     name : str
-        Names the incarnation; a restart gives a new one.
+        Names the target; it may start again under the same name.
     endpoint : Endpoint
         Where it listens; another target may have the address later.
     service : str
@@ -29,6 +31,8 @@
         Whether it is leaving and must get no new work.
     warming_for : float
         Seconds for which it is still slow after its start.
+    started_at : int | None
+        Its start, in Unix milliseconds of its own clock; None when not told.
     """
 
     name: str
@@ -38,3 +42,9 @@
     slots: int
     is_draining: bool = False
     warming_for: float = 0.0
+    started_at: int | None = None
+
+    @property
+    def incarnation(self) -> TargetIncarnation:
+        """Return which life of the target this is."""
+        return TargetIncarnation(self.name, self.started_at)
