What was learned of resting is kept by where it was lost

Cause: one limit holds for all targets, and what one target taught of it could not be taken back. A target that has started again is another one, so its former life's losses must not shorten the rest of connections. Ruled out: a limit for each target; what drops connections is seldom one target, so that a loss has to warn all. Change: losses are kept by source, with the time of each; the shortest allowed rest and the last loss count, as before. A source can be forgotten. A closed pool no longer keeps connections that are given back after it (they stayed open until the target closed them); a pool and a connection tell where they lead and since when. Tests: a loss goes with its source, its time too; a closed pool keeps nothing.

--- a/src/primrosescale/connection/rest_limit.py
+++ b/src/primrosescale/connection/rest_limit.py
@@ -9,6 +9,10 @@
 from __future__ import annotations
 
 import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable
 
 # Part of the rest that was too long which is still allowed. The limit that was
 # crossed lies anywhere below that rest; with a quarter, one or two losses find
@@ -25,13 +29,20 @@
 class RestLimit:
     """The rest that kept connections are allowed, from what was lost lately."""
 
-    __slots__ = ("_allowed", "_until")
+    __slots__ = ("_allowed", "_lessons", "_until")
 
     def __init__(self) -> None:
+        # Of each source the rest that it allows and when it was last lost at.
+        self._lessons: dict[Hashable, tuple[float, float]] = {}
         self._allowed = math.inf
         self._until = 0.0
 
-    def lost(self, rested: float, now: float) -> None:
+    @property
+    def sources(self) -> list[Hashable]:
+        """Return where connections were lost lately."""
+        return list(self._lessons)
+
+    def lost(self, rested: float, now: float, source: Hashable = None) -> None:
         """Take in that a request on a kept connection was lost unanswered.
 
         Parameters
@@ -40,12 +51,33 @@
             Seconds the connection had rested before.
         now : float
             Present time in seconds.
+        source : Hashable
+            Whom it was lost at.
         """
         if rested < LEAST_REST:
             return
-        known = self._allowed if now < self._until else math.inf
-        self._allowed = min(known, ALLOWED_SHARE * rested)
-        self._until = now + DISTRUST_SECONDS
+        if now >= self._until:
+            self._lessons.clear()
+        known, _ = self._lessons.get(source, (math.inf, now))
+        self._lessons[source] = (min(known, ALLOWED_SHARE * rested), now)
+        self._sum_up()
+
+    def forget(self, source: Hashable) -> None:
+        """Forget what was lost at one source.
+
+        Parameters
+        ----------
+        source : Hashable
+            Whom it was lost at.
+        """
+        if self._lessons.pop(source, None) is not None:
+            self._sum_up()
+
+    def _sum_up(self) -> None:
+        lessons = self._lessons.values()
+        self._allowed = min((allowed for allowed, _ in lessons), default=math.inf)
+        last = max((lost_at for _, lost_at in lessons), default=-math.inf)
+        self._until = last + DISTRUST_SECONDS
 
     def allows(self, rested: float, now: float) -> bool:
         """Tell whether a connection that rested so long may be used.
--- a/src/primrosescale/connection/target_channel.py
+++ b/src/primrosescale/connection/target_channel.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -14,6 +15,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Hashable
 
     from twisted.python.failure import Failure
 
@@ -53,6 +55,7 @@
         self._is_kept = False
         self._rested: float | None = None
         self.on_connected: Callable[[], None] | None = None
+        self._opened_at = math.inf
         self._idle_since = clock.seconds() - SETTLING_SECONDS
 
     @property
@@ -65,6 +68,11 @@
         """Tell whether it has ended."""
         return self._is_lost
 
+    @property
+    def opened_at(self) -> float:
+        """Return when it was opened, in seconds; infinite before."""
+        return self._opened_at
+
     @property
     def rested(self) -> float | None:
         """Return how long it had rested before the last request.
@@ -158,6 +166,7 @@
         """Set the socket's options."""
         super().connectionMade()
         watch_over(self.transport)
+        self._opened_at = self._clock.seconds()
         if self.on_connected is not None:
             self.on_connected()
 
@@ -234,7 +243,7 @@
 
 
 class ChannelPool:
-    """Opens connections to one target and keeps idle ones.
+    """Opens connections to one life of a target and keeps idle ones.
 
     Parameters
     ----------
@@ -246,6 +255,8 @@
         Seconds a connection may take to open.
     rest_limit : RestLimit
         How long idle ones may rest.
+    source : Hashable
+        What names the target in what is learned of that.
     """
 
     def __init__(
@@ -254,14 +265,27 @@
         endpoint: Endpoint,
         timeout: float,
         rest_limit: RestLimit,
+        source: Hashable = None,
     ) -> None:
         self._reactor = reactor
         self._endpoint = endpoint
         self._timeout = timeout
         self._rest_limit = rest_limit
+        self._source = source
+        self._is_closed = False
         self._idle: list[TargetChannel] = []
         self._opened = 0
 
+    @property
+    def endpoint(self) -> Endpoint:
+        """Return where its connections lead."""
+        return self._endpoint
+
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether it keeps no more connections."""
+        return self._is_closed
+
     @property
     def opened(self) -> int:
         """Return how many connections were opened."""
@@ -315,6 +339,9 @@
         """
         if channel.is_worn(now):
             return
+        if self._is_closed:
+            channel.abort_now()
+            return
         self._idle.append(channel)
         if len(self._idle) > MOST_IDLE:
             self._idle.pop(0).abort_now()
@@ -330,7 +357,7 @@
             Present time in seconds.
         """
         if channel.rested is not None:
-            self._rest_limit.lost(channel.rested, now)
+            self._rest_limit.lost(channel.rested, now, self._source)
 
     def sweep(self, now: float) -> None:
         """Close idle connections that are too old to be reused.
@@ -346,7 +373,8 @@
             channel.abort_now()
 
     def close(self) -> None:
-        """Close all idle connections."""
+        """Close all idle connections, and keep none from now on."""
+        self._is_closed = True
         idle, self._idle = self._idle, []
         for channel in idle:
             channel.abort_now()
--- a/tests/connection/test_rest_limit.py
+++ b/tests/connection/test_rest_limit.py
@@ -52,6 +52,26 @@
         self.assertTrue(self.limit.allows(0.4, later))
 
 
+class RestLimitSourcesTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.limit = RestLimit()
+        self.limit.lost(0.4, 100.0, "p1")
+        self.limit.lost(2.0, 105.0, "p2")
+
+    def test_what_one_taught_goes_and_what_others_taught_stays(self):
+        self.limit.forget("p1")
+        self.assertTrue(self.limit.allows(0.4, 106.0))
+        self.assertFalse(self.limit.allows(0.6, 106.0))
+        self.limit.forget("p2")
+        self.assertTrue(self.limit.allows(60.0, 106.0))
+
+    def test_the_time_for_which_it_counts_goes_with_who_taught_it(self):
+        self.limit.forget("p2")
+        self.assertFalse(self.limit.allows(0.4, 100.0 + DISTRUST_SECONDS - 0.1))
+        self.assertTrue(self.limit.allows(0.4, 100.0 + DISTRUST_SECONDS))
+
+
 class Forgetful(Protocol):
     """Answers the first request of a connection and resets at the next."""
 
@@ -103,6 +123,16 @@
         self.pool.lost(channel, reactor.seconds())
         self.assertIsNone(self.pool.idle(reactor.seconds()))
 
+    @inlineCallbacks
+    def test_a_closed_pool_keeps_nothing_that_is_given_back(self):
+        channel = yield self.pool.open()
+        response = yield self.ask(channel)
+        yield readBody(response)
+        self.pool.close()
+        self.pool.give_back(channel, reactor.seconds())
+        yield deferLater(reactor, 0.02, lambda: None)
+        self.assertTrue(channel.is_lost)
+
     @inlineCallbacks
     def test_a_loss_on_a_new_one_says_nothing_about_kept_ones(self):
         yield self.keep_one()
