A later start of a target replaces all that was known of it

Cause: a target may start again under its name, and the list went on with the state of the former life: its load, outcomes, pause, silence, drain; and the parts that it was taken to hold, by this router and by others' news. A request that had been sent there never went to the new life. Ruled out: a list of what is reset at a new start (a new belief is forgotten in silence); name and start as the target's name everywhere (homes of prompts would differ between routers that learn at different times). Change: `TargetList.put` puts a new `TargetState` in place of the former for a later start, passes over an earlier one, and keeps a known start where none is told. Cached parts, their sizes and news are kept by `TargetIncarnation`; a call notes lives, not names, of where it was sent and what it avoids. The 32-bit key of a target in news folds the start in, so that news of another life match nothing. A target that is gone is told by its life. `TargetIncarnation` is a named tuple: it is hashed some 30-60 times a choice. Tests that named targets by text where a life is asked for now name the life; what they check is the same.

--- /dev/null
+++ b/benchmarks/entry_news.py
@@ -0,0 +1,136 @@
+"""Bytes of an entry router's news and microseconds of its choice of a target."""
+
+from __future__ import annotations
+
+import random
+import time
+from dataclasses import replace
+
+from primrosescale.connection.codec import encode
+from primrosescale.connection.endpoint import Endpoint
+from primrosescale.process.entry.router_news import OtherRouter
+from primrosescale.process.entry.router_news import RouterNews
+from primrosescale.process.entry.target_list import TargetList
+from primrosescale.request.freshness import Freshness
+from primrosescale.request.incoming import Prompt
+from primrosescale.request.incoming import PromptPart
+from primrosescale.request.part_directory import PartDirectory
+from primrosescale.request.serving_target import ServingTarget
+from primrosescale.request.target_choice import ChoiceSettings
+from primrosescale.request.target_choice import TargetChooser
+from primrosescale.request.target_state import LoadReport
+from support import save
+
+START = 1000.0
+TARGETS = 27
+ROUTERS = (23, 68)
+RESTARTS = 5
+ROUNDS = 40
+FIRST_START = 1_790_000_000_000
+CHOICES = 1500
+
+
+def listed(number, started_at):
+    return ServingTarget(
+        name=f"i-{number:010x}",
+        endpoint=Endpoint("127.0.0.1", 9000 + number),
+        service="model",
+        domain="a",
+        slots=8,
+        started_at=started_at,
+    )
+
+
+def life(state):
+    return state.incarnation
+
+
+def draw_parts(rng):
+    shared = [PromptPart(f"{rng.randrange(400):08x}", 300) for _ in range(2)]
+    return (*shared, PromptPart(f"{rng.getrandbits(32):08x}", 20))
+
+
+class Router:
+    """A router with requests at all targets."""
+
+    def __init__(self, routers):
+        self.rng = random.Random(5)
+        self.targets = TargetList(2.0)
+        self.parts = PartDirectory()
+        self.news = RouterNews("r0", 1, self.targets, self.parts, Freshness(5.0))
+        for number in range(TARGETS):
+            self.targets.put(listed(number, FIRST_START + number), START)
+        for number in range(1, routers):
+            endpoint = Endpoint("127.0.0.1", 7000 + number)
+            self.news.put(OtherRouter(f"r{number}", endpoint), START)
+
+    def work(self, now):
+        for state in self.targets.states:
+            for _ in range(self.rng.randrange(3)):
+                state.sent(now)
+            state.succeeded(now)
+            if self.rng.random() < 0.1:
+                state.failed(now)
+        for state in self.rng.sample(list(self.targets.states), 6):
+            self.parts.note_own(life(state), draw_parts(self.rng), now)
+
+    def rest(self):
+        for state in self.targets.states:
+            while state.own_running:
+                state.ended()
+
+    def restart(self, count, now):
+        for state in self.rng.sample(list(self.targets.states), count):
+            begun = replace(state.target, started_at=state.target.started_at + 5000)
+            self.parts.forget_target(life(state))
+            self.targets.put(begun, now)
+
+
+def bytes_a_round(routers, restarts):
+    router = Router(routers)
+    total = 0
+    for number in range(ROUNDS):
+        now = START + number * router.news.interval
+        router.work(now)
+        if number == ROUNDS // 2:
+            router.restart(restarts, now)
+        total += sum(len(encode(said)) for _, said in router.news.compose(1, now))
+        router.rest()
+    return total / ROUNDS
+
+
+def choice_cost(is_prompt):
+    router = Router(1)
+    rng = router.rng
+    states = list(router.targets.states)
+    for state in states:
+        for _ in range(200):
+            router.parts.note_own(life(state), draw_parts(rng), START)
+        state.reported(LoadReport(3, 0, 8), START)
+    chooser = TargetChooser(ChoiceSettings(), router.parts, rng, lambda: 0.25)
+    prompts = [Prompt(draw_parts(rng), 620, 100, "m") for _ in range(300)]
+    best = float("inf")
+    for _ in range(5):
+        began = time.process_time()
+        for number in range(CHOICES):
+            wanted = prompts[number % 300] if is_prompt else None
+            chooser.choose(states, {life(states[3])}, wanted, START + 0.1)
+        best = min(best, time.process_time() - began)
+    return 1e6 * best / CHOICES
+
+
+def main():
+    figures = {
+        f"round_bytes_{routers}_routers_{restarts}_restarts": bytes_a_round(
+            routers, restarts
+        )
+        for routers in ROUTERS
+        for restarts in (0, RESTARTS)
+    }
+    figures["choose_plain_us"] = choice_cost(is_prompt=False)
+    figures["choose_prompt_us"] = choice_cost(is_prompt=True)
+    save("entry_news", figures)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -433,9 +433,9 @@
         self._knowledge.look_after(
             self._news.newest_version(now), self._news.newest_list(), now
         )
-        for name in self._knowledge.listed.forget_gone(now):
-            self._directory.forget_target(name)
-            self._caller.forget(name)
+        for incarnation in self._knowledge.listed.forget_gone(now):
+            self._directory.forget_target(incarnation)
+            self._caller.forget(incarnation.name)
         self._note_readiness(now)
         dropped = self._parts.writer.take_dropped() if self._parts.writer else 0
         if dropped:
@@ -470,7 +470,7 @@
         for state in self._knowledge.targets.states:
             service = table.service(state.target.service)
             if service is not None:
-                self._directory.limit(state.target.name, service.cache_tokens)
+                self._directory.limit(state.incarnation, service.cache_tokens)
 
     def _has_cache(self, target: ServingTarget) -> bool:
         table = self._knowledge.table
@@ -484,7 +484,8 @@
         def learned(parts: list[PromptPart]) -> None:
             now = self._now()
             for part in parts:
-                self._directory.note(PartUse(part.name, target.name, part.tokens, now))
+                use = PartUse(part.name, target.incarnation, part.tokens, now)
+                self._directory.note(use)
             self._log.emit(Event.CACHE_READ, target=target.name, parts=len(parts))
 
         def failed(failure: Failure) -> None:
--- a/src/primrosescale/process/entry/listed_targets.py
+++ b/src/primrosescale/process/entry/listed_targets.py
@@ -18,6 +18,7 @@
     from primrosescale.process.exceptions import PlatformError
     from primrosescale.process.transport.platform import StoredObject
     from primrosescale.request.serving_target import ServingTarget
+    from primrosescale.request.target_incarnation import TargetIncarnation
 
 
 class ListedTargets(WatchHandler):
@@ -100,7 +101,7 @@
         """Note that the store could not be asked; see `WatchHandler.failed`."""
         self._connection.lost(error)
 
-    def forget_gone(self, now: float) -> list[str]:
+    def forget_gone(self, now: float) -> list[TargetIncarnation]:
         """Forget targets whose entry stayed gone.
 
         Parameters
@@ -110,12 +111,12 @@
 
         Returns
         -------
-        list[str]
-            Their names.
+        list[TargetIncarnation]
+            Their last known lives.
         """
         gone = self._targets.forget_gone(now)
-        for name in gone:
-            self._log.emit(Event.TARGET_FORGOTTEN, target=name)
+        for incarnation in gone:
+            self._log.emit(Event.TARGET_FORGOTTEN, target=incarnation.name)
         return gone
 
     def _put(self, target: ServingTarget, now: float) -> None:
--- a/src/primrosescale/process/entry/router_news.py
+++ b/src/primrosescale/process/entry/router_news.py
@@ -333,7 +333,7 @@
         parts = [
             wire.PartNews(
                 use.part,
-                target_key(use.target),
+                target_key(*use.target),
                 use.tokens,
                 _milliseconds(now - use.used_at),
             )
@@ -439,26 +439,31 @@
             state = states.get(item.target)
             if state is not None:
                 used_at = now - item.age_ms / MILLISECONDS
-                name = state.target.name
-                self._parts.note(PartUse(item.part, name, item.tokens, used_at))
+                use = PartUse(item.part, state.incarnation, item.tokens, used_at)
+                self._parts.note(use)
 
     def _states_by_key(self) -> dict[int, TargetState]:
         if self._generation != self._targets.generation:
             self._generation = self._targets.generation
             self._by_key = {
-                target_key(state.target.name): state for state in self._targets.states
+                target_key(*state.incarnation): state for state in self._targets.states
             }
         return self._by_key
 
 
 @lru_cache(maxsize=MOST_KEYS)
-def target_key(name: str) -> int:
-    """Return the short name of a target in news.
+def target_key(name: str, started_at: int | None = None) -> int:
+    """Return the short name of a life of a target in news.
+
+    News of a life that a router does not know as the present one match nothing
+    there, whether it is a former one or one that it has yet to hear of.
 
     Parameters
     ----------
     name : str
         The target.
+    started_at : int | None
+        Its start in its own Unix milliseconds; None where nothing tells it.
 
     Returns
     -------
@@ -466,14 +471,15 @@
         32 bits. Two of 11,000 targets share one in about one fleet of seventy;
         then a load is counted for the wrong one of them.
     """
-    return int(xxh32_intdigest(name.encode())) - 2**31
+    text = name if started_at is None else f"{name}\0{started_at}"
+    return int(xxh32_intdigest(text.encode())) - 2**31
 
 
 def _target_news(state: TargetState, now: float) -> wire.TargetNews:
     good, bad = state.outcomes(now)
     is_worth_telling = bad > LEAST_TOLD
     return wire.TargetNews(
-        target_key(state.target.name),
+        target_key(*state.incarnation),
         state.own_running,
         round(good * PERCENT) if is_worth_telling else None,
         round(bad * PERCENT) if is_worth_telling else None,
--- a/src/primrosescale/process/entry/target_list.py
+++ b/src/primrosescale/process/entry/target_list.py
@@ -4,22 +4,52 @@
 entries of targets that live. Such entries return within two seconds, so a
 target whose entry is gone without notice is avoided at once, but forgotten
 only after most of the time in which a leaving target may get work.
+
+And one that starts again under its name: all that was known of its former life
+is in one state, which is replaced whole. Which of two lives came later follows
+from the starts that the target told, so that an entry that comes late, or a
+store that goes back, brings no former life back.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from primrosescale.request.target_state import TargetState
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from primrosescale.request.serving_target import ServingTarget
+    from primrosescale.request.target_incarnation import TargetIncarnation
 
 # Part of the time in which a leaving target may still get work that is used
 # for one whose entry is gone.
 HOLD_SHARE = 0.8
+# Who tells of a target.
+STORE = "store"
+TARGET = "target"
+
+
+@dataclass(frozen=True, slots=True)
+class BegunLife:
+    """That a life of a target became known.
+
+    Parameters
+    ----------
+    present : TargetIncarnation
+        The life.
+    former : TargetIncarnation | None
+        The life that it replaces; None when the target was not known.
+    told_by : str
+        Who told of it.
+    """
+
+    present: TargetIncarnation
+    former: TargetIncarnation | None
+    told_by: str
 
 
 class TargetList:
@@ -29,12 +59,17 @@
     ----------
     drain : float
         Seconds after which a leaving target must get no new work.
+    on_life : Callable[[BegunLife], None] | None
+        Told when a life of a target became known.
     """
 
-    __slots__ = ("_drain", "_generation", "_known", "_vanished")
+    __slots__ = ("_drain", "_generation", "_known", "_on_life", "_vanished")
 
-    def __init__(self, drain: float) -> None:
+    def __init__(
+        self, drain: float, on_life: Callable[[BegunLife], None] | None = None
+    ) -> None:
         self._drain = drain
+        self._on_life = on_life
         self._generation = 0
         self._known: dict[str, TargetState] = {}
         self._vanished: dict[str, float] = {}
@@ -100,8 +135,11 @@
             return listed
         return found
 
-    def put(self, target: ServingTarget, now: float) -> bool:
-        """Take in an entry of the list.
+    def put(self, target: ServingTarget, now: float, told_by: str = STORE) -> bool:
+        """Take in what was told of a target.
+
+        A later start than the known one begins a new state; an earlier one is
+        old news and changes nothing.
 
         Parameters
         ----------
@@ -109,21 +147,39 @@
             The target.
         now : float
             Present time in seconds.
+        told_by : str
+            Who told of it.
 
         Returns
         -------
         bool
             Whether something changed.
         """
-        self._vanished.pop(target.name, None)
         known = self._known.get(target.name)
-        if known is None:
-            self._known[target.name] = TargetState(target, now)
-            self._generation += 1
+        told = target.incarnation
+        if known is not None and told.started_at is not None:
+            if told.is_followed_by(known.incarnation):
+                return False
+        self._vanished.pop(target.name, None)
+        if known is None or known.incarnation.is_followed_by(told):
+            self._begin(target, known, now, told_by)
             return True
-        is_new = known.target != target
+        before = known.target
         known.relist(target)
-        return is_new
+        return known.target != before
+
+    def _begin(
+        self,
+        target: ServingTarget,
+        former: TargetState | None,
+        now: float,
+        told_by: str,
+    ) -> None:
+        self._known[target.name] = TargetState(target, now)
+        self._generation += 1
+        if self._on_life is not None:
+            before = None if former is None else former.incarnation
+            self._on_life(BegunLife(target.incarnation, before, told_by))
 
     def remove(self, name: str, gone_at: float) -> bool:
         """Take in that an entry is gone.
@@ -149,7 +205,7 @@
         self._vanished[name] = held_until
         return True
 
-    def forget_gone(self, now: float) -> list[str]:
+    def forget_gone(self, now: float) -> list[TargetIncarnation]:
         """Forget targets whose entry has been gone for long enough.
 
         Parameters
@@ -159,12 +215,11 @@
 
         Returns
         -------
-        list[str]
-            Names of the forgotten.
+        list[TargetIncarnation]
+            The lives of the forgotten.
         """
         gone = [name for name, until in self._vanished.items() if now >= until]
         for name in gone:
             del self._vanished[name]
             self._generation += 1
-            self._known.pop(name, None)
-        return gone
+        return [self._known.pop(name).incarnation for name in gone]
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -36,6 +36,7 @@
     from primrosescale.request.forward_tools import ForwardTools
     from primrosescale.request.incoming import IncomingRequest
     from primrosescale.request.target_choice import Choice
+    from primrosescale.request.target_incarnation import TargetIncarnation
     from primrosescale.request.target_state import TargetState
 
 FIRST_SUCCESS = 200
@@ -75,8 +76,8 @@
         # The attempt whose answer the caller gets, and one that may replace it.
         self._serving: TargetAttempt | None = None
         self._successor: TargetAttempt | None = None
-        self._sent_to: list[str] = []
-        self._avoid: set[str] = set()
+        self._sent_to: list[TargetIncarnation] = []
+        self._avoid: set[TargetIncarnation] = set()
         self._unreached = 0
         self._may_have_run = False
         self._status: int | None = None
@@ -157,10 +158,10 @@
     def attempt_sent(self, attempt: TargetAttempt) -> None:
         """Note where it went; see `AttemptListener.attempt_sent`."""
         now = self._now()
-        self._sent_to.append(attempt.name)
+        self._sent_to.append(attempt.incarnation)
         prompt = self._request.prompt
         if prompt is not None:
-            if self._tools.parts.note_own(attempt.name, prompt.parts, now):
+            if self._tools.parts.note_own(attempt.incarnation, prompt.parts, now):
                 self._tools.parts_changed()
         if attempt is self._successor:
             trial = self._tools.settings.trial
@@ -173,7 +174,7 @@
         now = self._now()
         attempt.state.unreachable(now)
         attempt.leave(f"not sent: {detail}", now)
-        self._avoid.add(attempt.name)
+        self._avoid.add(attempt.incarnation)
         self._unreached += 1
         is_last = self._unreached >= self._tools.settings.unreached_most
         is_successor = attempt is self._successor
--- a/src/primrosescale/request/part_directory.py
+++ b/src/primrosescale/request/part_directory.py
@@ -4,6 +4,7 @@
 not read again there, so the directory remembers where parts went, from this
 router's own requests and from what other routers tell. Targets forget the
 least recently used parts when their memory is full, and so does the directory.
+What is known is about one life of a target: one that starts again holds nothing.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
     from collections.abc import Sequence
 
     from primrosescale.request.incoming import PromptPart
+    from primrosescale.request.target_incarnation import TargetIncarnation
 
 # What was used longer ago is not relied on, whatever the memory: other
 # routers' use of it may have gone unheard.
@@ -36,8 +38,8 @@
     ----------
     part : str
         The part.
-    target : str
-        The target.
+    target : TargetIncarnation
+        The life of the target.
     tokens : int
         Its length.
     used_at : float
@@ -45,13 +47,13 @@
     """
 
     part: str
-    target: str
+    target: TargetIncarnation
     tokens: int
     used_at: float
 
 
 class _Holder:
-    """What one target is taken to hold, least recently used first."""
+    """What one life of a target is taken to hold, least recently used first."""
 
     __slots__ = ("parts", "tokens")
 
@@ -81,16 +83,16 @@
     __slots__ = ("_again", "_capacity", "_holders", "_news")
 
     def __init__(self) -> None:
-        self._again: dict[tuple[str, str], PartUse] = {}
-        self._holders: dict[str, _Holder] = {}
-        self._capacity: dict[str, int] = {}
-        self._news: dict[tuple[str, str], PartUse] = {}
+        self._again: dict[tuple[str, TargetIncarnation], PartUse] = {}
+        self._holders: dict[TargetIncarnation, _Holder] = {}
+        self._capacity: dict[TargetIncarnation, int] = {}
+        self._news: dict[tuple[str, TargetIncarnation], PartUse] = {}
 
     def __len__(self) -> int:
         """Return how many parts are known, counted for each target."""
         return sum(len(holder.parts) for holder in self._holders.values())
 
-    def limit(self, target: str, tokens: int) -> None:
+    def limit(self, target: TargetIncarnation, tokens: int) -> None:
         """Take in the size of a target's memory.
 
         Parameters
@@ -121,7 +123,9 @@
         capacity = self._capacity.get(use.target, 0)
         return holder.note(use.part, use.tokens, use.used_at, capacity)
 
-    def note_own(self, target: str, parts: Sequence[PromptPart], now: float) -> bool:
+    def note_own(
+        self, target: TargetIncarnation, parts: Sequence[PromptPart], now: float
+    ) -> bool:
         """Take in that a request of this router went to a target.
 
         The last part belongs to the request or its chat alone and is no news
@@ -166,8 +170,8 @@
         self._again = news
         return list(told.values())
 
-    def forget_target(self, target: str) -> None:
-        """Take in that a target is gone with all it held.
+    def forget_target(self, target: TargetIncarnation) -> None:
+        """Take in that a life of a target has ended with all it held.
 
         Parameters
         ----------
@@ -176,8 +180,13 @@
         """
         self._holders.pop(target, None)
         self._capacity.pop(target, None)
+        for told in (self._news, self._again):
+            for key in [key for key in told if key[1] == target]:
+                del told[key]
 
-    def held(self, target: str, parts: Iterable[PromptPart], now: float) -> int:
+    def held(
+        self, target: TargetIncarnation, parts: Iterable[PromptPart], now: float
+    ) -> int:
         """Return how many leading tokens a target need not read.
 
         Parameters
--- a/src/primrosescale/request/target_attempt.py
+++ b/src/primrosescale/request/target_attempt.py
@@ -17,6 +17,7 @@
     from primrosescale.request.direct_port import TargetCaller
     from primrosescale.request.event_stream import StreamEvent
     from primrosescale.request.hop import Hop
+    from primrosescale.request.target_incarnation import TargetIncarnation
     from primrosescale.request.target_state import TargetState
 
 RUNNING = "running"
@@ -180,6 +181,11 @@
         """Return the target's name."""
         return self._record.target
 
+    @property
+    def incarnation(self) -> TargetIncarnation:
+        """Return the life of the target that it was sent to."""
+        return self._state.incarnation
+
     @property
     def state(self) -> TargetState:
         """Return what is known of the target."""
--- a/src/primrosescale/request/target_choice.py
+++ b/src/primrosescale/request/target_choice.py
@@ -28,6 +28,7 @@
 
     from primrosescale.request.incoming import Prompt
     from primrosescale.request.part_directory import PartDirectory
+    from primrosescale.request.target_incarnation import TargetIncarnation
     from primrosescale.request.target_state import TargetState
 
 # A target that fails two requests in five must look busier than one with all
@@ -160,7 +161,7 @@
     def count_open(
         self,
         states: Sequence[TargetState],
-        tried: Collection[str],
+        tried: Collection[TargetIncarnation],
         now: float,
     ) -> int:
         """Return how many targets could take a request without a doubt.
@@ -169,8 +170,8 @@
         ----------
         states : Sequence[TargetState]
             Targets of the service.
-        tried : Collection[str]
-            Names of targets that this request was sent to.
+        tried : Collection[TargetIncarnation]
+            Lives of targets that this request was sent to.
         now : float
             Present time in seconds.
 
@@ -181,7 +182,7 @@
         """
         return sum(
             not state.target.is_draining
-            and state.target.name not in tried
+            and state.incarnation not in tried
             and not state.is_avoided(now)
             for state in states
         )
@@ -189,7 +190,7 @@
     def choose(
         self,
         states: Sequence[TargetState],
-        tried: Collection[str],
+        tried: Collection[TargetIncarnation],
         prompt: Prompt | None,
         now: float,
     ) -> Choice | None:
@@ -199,8 +200,8 @@
         ----------
         states : Sequence[TargetState]
             Targets of the service.
-        tried : Collection[str]
-            Names of targets that this request was sent to.
+        tried : Collection[TargetIncarnation]
+            Lives of targets that this request was sent to.
         prompt : Prompt | None
             The prompt, for model engines.
         now : float
@@ -216,7 +217,7 @@
             return None
         loads = {state.target.name: state.load(now) for state in serving}
         mean = sum(loads.values()) / len(serving)
-        open_ones = [state for state in serving if state.target.name not in tried]
+        open_ones = [state for state in serving if state.incarnation not in tried]
         usable = [state for state in open_ones if not state.is_avoided(now)]
         usable = usable or open_ones
         if not usable:
@@ -233,7 +234,7 @@
             best = min(bounded, key=lambda s: self._plain_cost(s, loads, now))
             return Choice(best, 0, None, loads[best.target.name], mean)
         held = {
-            state.target.name: self._parts.held(state.target.name, prompt.parts, now)
+            state.target.name: self._parts.held(state.incarnation, prompt.parts, now)
             for state in states
         }
         if self._has_old_news:
--- a/src/primrosescale/request/target_incarnation.py
+++ b/src/primrosescale/request/target_incarnation.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from typing import NamedTuple
 
 
-@dataclass(frozen=True, slots=True)
-class TargetIncarnation:
+class TargetIncarnation(NamedTuple):
     """One life of a target, from a start to its end.
 
     A target may start again under its name; it then holds and knows nothing of
     before. The start that it tells of itself is compared with others that it
-    told, never with a clock of this host.
+    told, never with a clock of this host. A named tuple, since each decision
+    looks one up for each target of a service.
 
     Parameters
     ----------
--- a/src/primrosescale/request/target_state.py
+++ b/src/primrosescale/request/target_state.py
@@ -10,12 +10,14 @@
 
 import math
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from primrosescale.request.decaying_outcomes import DecayingOutcomes
 
 if TYPE_CHECKING:
     from primrosescale.request.serving_target import ServingTarget
+    from primrosescale.request.target_incarnation import TargetIncarnation
 
 # A report of load tells of the moment at which the answer began. After this
 # time most plain requests that it counted have ended (their mean is 0.1 s),
@@ -61,7 +63,10 @@
 
 
 class TargetState:
-    """What this router knows of one target.
+    """What this router knows of one life of a target.
+
+    It is replaced whole when the target has started again, so that nothing
+    that was true of the former life is left.
 
     Parameters
     ----------
@@ -75,6 +80,7 @@
         "_failures",
         "_heard_at",
         "_held_up",
+        "_incarnation",
         "_news",
         "_outcomes",
         "_own",
@@ -92,6 +98,7 @@
 
     def __init__(self, target: ServingTarget, now: float) -> None:
         self._target = target
+        self._incarnation = target.incarnation
         self._since = now
         self._own = 0
         self._held_up = 0
@@ -115,6 +122,11 @@
         """Return the target as listed."""
         return self._target
 
+    @property
+    def incarnation(self) -> TargetIncarnation:
+        """Return which life of the target this is about."""
+        return self._incarnation
+
     @property
     def own_running(self) -> int:
         """Return how many requests of this router are there."""
@@ -141,8 +153,11 @@
         Parameters
         ----------
         target : ServingTarget
-            The target as listed now.
+            The same life of the target as listed now; its start stays known
+            where the entry does not tell it.
         """
+        if target.started_at is None:
+            target = replace(target, started_at=self._incarnation.started_at)
         self._target = target
 
     def sent(self, now: float) -> None:
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -24,6 +24,7 @@
 from primrosescale.request.serving_target import ServingTarget
 from primrosescale.request.target_choice import ChoiceSettings
 from primrosescale.request.target_choice import TargetChooser
+from primrosescale.request.target_incarnation import TargetIncarnation
 from primrosescale.request.target_state import TargetState
 from primrosescale.version.routing_table import Repeatability
 from primrosescale.version.routing_table import Route
@@ -68,6 +69,10 @@
 FRAGILE_STREAM = replace(STREAM, name="drafts", is_resumable=False, max_targets=1)
 
 
+def life(name, started_at=None):
+    return TargetIncarnation(name, started_at)
+
+
 def target(name, service="model", **fields):
     number = int("".join(filter(str.isdigit, name)) or 1)
     values = {
@@ -129,6 +134,7 @@
         self.observer = observer
         self.is_cancelled = False
         self.is_paused = False
+        self.is_opening = False
 
     @property
     def name(self):
@@ -151,21 +157,39 @@
 
 
 class FakeCaller(TargetCaller):
-    """Records what is sent; targets named in `unreachable` refuse at once."""
+    """Records what is sent.
+
+    Targets named in `unreachable` refuse at once; to those in `opening` a
+    connection stays in the opening.
+    """
 
     def __init__(self):
         self.runs = []
         self.unreachable = set()
+        self.opening = set()
 
     def send(self, sending, observer):
         run = FakeRun(sending, observer)
         self.runs.append(run)
         if sending.target.name in self.unreachable:
             observer.run_not_sent("refused")
+        elif sending.target.name in self.opening:
+            run.is_opening = True
         else:
             observer.run_sent()
         return run
 
+    def end_former(self, present):
+        """End runs as the transport does, told in the same words."""
+        for run in list(self.runs):
+            former = run.sending.target.incarnation
+            if former.name != present.name or not former.is_followed_by(present):
+                continue
+            if run.is_opening:
+                run.observer.run_not_sent("target started again")
+            else:
+                run.observer.run_cut("target started again")
+
     @property
     def last(self):
         return self.runs[-1]
@@ -233,6 +257,15 @@
     def state(self, name):
         return next(s for s in self.states if s.target.name == name)
 
+    def restart(self, name, started_at, **fields):
+        """Learn of a target's restart, as the router does."""
+        place = self.states.index(self.state(name))
+        former = self.states[place].target
+        begun = replace(former, started_at=started_at, is_draining=False, **fields)
+        self.states[place] = TargetState(begun, self.clock.seconds())
+        self.parts.forget_target(former.incarnation)
+        self.caller.end_former(begun.incarnation)
+
     def call(self, incoming):
         sink = FakeSink()
         call = ForwardedCall(
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -545,7 +545,8 @@
         now = reactor.seconds()
         handler.replaced((), now)
         self.assertEqual([], handler.forget_gone(now + 0.9))
-        self.assertEqual(names, handler.forget_gone(now + 1.1))
+        gone = handler.forget_gone(now + 1.1)
+        self.assertEqual(names, [incarnation.name for incarnation in gone])
 
     @inlineCallbacks
     def start_with_waiting_watch(self):
--- a/tests/entry/test_forwarded_call.py
+++ b/tests/entry/test_forwarded_call.py
@@ -266,7 +266,8 @@
         self.assertEqual(event(1), self.sink.body)
 
     def test_where_parts_went_is_noted_and_told(self):
-        self.assertEqual(520, self.desk.parts.held(self.run1.name, self.parts(), 1000))
+        incarnation = self.run1.sending.target.incarnation
+        self.assertEqual(520, self.desk.parts.held(incarnation, self.parts(), 1000))
         self.assertEqual(1, self.desk.parts_told)
 
     def test_a_slow_caller_paces_the_target(self):
--- a/tests/entry/test_old_news.py
+++ b/tests/entry/test_old_news.py
@@ -86,7 +86,7 @@
         state.sent(now)
         self.total[name] += 1
         if wanted is not None:
-            router.parts.note_own(name, wanted.parts, now)
+            router.parts.note_own(state.incarnation, wanted.parts, now)
         self.at(now + ANSWER_AFTER, self.answer, state)
         lasts = self.rng.expovariate(1 / REQUEST_SECONDS)
         self.at(now + lasts, self.end, state)
--- a/tests/entry/test_router_news.py
+++ b/tests/entry/test_router_news.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 
 from entry.fakes import START
+from entry.fakes import life
 from entry.fakes import prompt
 from entry.fakes import target
 from primrosescale.connection.codec import decode
@@ -52,10 +53,10 @@
     def test_loads_and_parts_are_told(self):
         self.a.targets.state("m1").sent(START)
         parts = prompt(("tariffs", 9000), ("chat", 10)).parts
-        self.a.parts.note_own("m3", parts, START)
+        self.a.parts.note_own(life("m3"), parts, START)
         self.assertTrue(self.b.news.take(self.a.message(), 1, START))
         self.assertEqual(1.0, self.b.targets.state("m1").load(START))
-        self.assertEqual(9000, self.b.parts.held("m3", parts, START))
+        self.assertEqual(9000, self.b.parts.held(life("m3"), parts, START))
 
     def test_of_many_targets_the_most_loaded_are_told(self):
         for number in range(1, 81):
@@ -135,7 +136,7 @@
 
     def test_a_datagram_fits_into_one_piece(self):
         many = [(f"{number:016x}", 100) for number in range(200)]
-        self.a.parts.note_own("m1", prompt(*many).parts, START)
+        self.a.parts.note_own(life("m1"), prompt(*many).parts, START)
         for number in range(1, 6):
             self.a.targets.state(f"m{number}").sent(START)
         message = self.a.message()
--- a/tests/entry/test_rules_of_knowledge.py
+++ b/tests/entry/test_rules_of_knowledge.py
@@ -10,6 +10,7 @@
 from entry.fakes import FRAGILE_STREAM
 from entry.fakes import LOOKUP
 from entry.fakes import START
+from entry.fakes import life
 from entry.fakes import target
 from primrosescale.process.entry.target_list import TargetList
 from primrosescale.request.direct_port import Refusal
@@ -160,7 +161,7 @@
         self.targets.remove("m1", START)
         self.assertEqual(["m2"], self.names())
         self.assertEqual([], self.targets.forget_gone(START + 1.5))
-        self.assertEqual(["m1"], self.targets.forget_gone(START + 1.7))
+        self.assertEqual([life("m1")], self.targets.forget_gone(START + 1.7))
 
     def test_when_all_entries_lapse_the_targets_still_serve_for_a_while(self):
         self.targets.remove("m1", START)
@@ -179,7 +180,7 @@
     def test_a_target_that_was_leaving_is_forgotten_at_once(self):
         self.targets.put(target("m1", is_draining=True), START)
         self.targets.remove("m1", START)
-        self.assertEqual(["m1"], self.targets.forget_gone(START))
+        self.assertEqual([life("m1")], self.targets.forget_gone(START))
 
     def test_only_real_changes_count_as_changes(self):
         self.assertFalse(self.targets.put(target("m1"), START))
--- a/tests/entry/test_target_choice.py
+++ b/tests/entry/test_target_choice.py
@@ -7,6 +7,7 @@
 from testtools import TestCase
 
 from entry.fakes import START
+from entry.fakes import life
 from entry.fakes import prompt
 from entry.fakes import target
 from primrosescale.request.part_directory import HELD_SECONDS
@@ -33,7 +34,7 @@
 
     def test_a_returning_chat_goes_where_its_prompt_is_cached(self):
         wanted = prompt(("tariffs", 10000), ("chat", 900))
-        self.parts.note(PartUse("tariffs", "m4", 10000, START))
+        self.parts.note(PartUse("tariffs", life("m4"), 10000, START))
         self.assertEqual("m4", self.choose(wanted).state.target.name)
         self.assertEqual(10000, self.choose(wanted).held)
 
@@ -45,18 +46,18 @@
 
     def test_a_part_without_those_before_it_saves_nothing(self):
         wanted = prompt(("terms", 500), ("tariffs", 10000), ("chat", 900))
-        self.parts.note(PartUse("tariffs", "m4", 10000, START))
-        self.assertEqual(0, self.parts.held("m4", wanted.parts, START))
+        self.parts.note(PartUse("tariffs", life("m4"), 10000, START))
+        self.assertEqual(0, self.parts.held(life("m4"), wanted.parts, START))
 
     def test_what_was_read_long_ago_is_not_relied_on(self):
-        self.parts.note(PartUse("tariffs", "m4", 10000, START))
+        self.parts.note(PartUse("tariffs", life("m4"), 10000, START))
         wanted = prompt(("tariffs", 10000), ("chat", 900))
         later = START + HELD_SECONDS + 1
-        self.assertEqual(0, self.parts.held("m4", wanted.parts, later))
+        self.assertEqual(0, self.parts.held(life("m4"), wanted.parts, later))
 
     def test_a_hot_part_spreads_with_copies_once_its_target_is_over_the_bound(self):
         wanted = prompt(("tariffs", 10000), ("chat", 900))
-        self.parts.note(PartUse("tariffs", "m4", 10000, START))
+        self.parts.note(PartUse("tariffs", life("m4"), 10000, START))
         for _ in range(20):
             self.state("m4").sent(START)
         choice = self.choose(wanted)
@@ -68,7 +69,7 @@
         for _ in range(200):
             choice = self.choose(wanted)
             choice.state.sent(START)
-            self.parts.note_own(choice.state.target.name, wanted.parts, START)
+            self.parts.note_own(choice.state.incarnation, wanted.parts, START)
             loads = [state.load(START) for state in self.states]
             mean = sum(loads) / len(loads)
             self.assertTrue(max(loads) <= 2 * mean + 3, loads)
@@ -79,7 +80,7 @@
         routers = []
         for number in range(23):
             parts = PartDirectory()
-            parts.note(PartUse("tariffs", "m1", 10000, START))
+            parts.note(PartUse("tariffs", life("m1"), 10000, START))
             chooser = TargetChooser(ChoiceSettings(), parts, random.Random(number))
             states = [TargetState(target(name), START) for name in names]
             routers.append((chooser, states))
@@ -108,7 +109,7 @@
                         mine.hear_router(str(other), told.own_running, now + 99)
 
     def test_a_leaving_target_gets_nothing_but_its_cache_is_copied(self):
-        self.parts.note(PartUse("tariffs", "m4", 10000, START))
+        self.parts.note(PartUse("tariffs", life("m4"), 10000, START))
         leaving = target("m4", is_draining=True)
         self.state("m4").relist(leaving)
         choice = self.choose(prompt(("tariffs", 10000), ("chat", 900)))
@@ -116,7 +117,7 @@
         self.assertEqual("m4", choice.fetch_from.target.name)
 
     def test_an_unreachable_target_is_left_out_for_a_while(self):
-        self.parts.note(PartUse("tariffs", "m4", 10000, START))
+        self.parts.note(PartUse("tariffs", life("m4"), 10000, START))
         self.state("m4").unreachable(START)
         wanted = prompt(("tariffs", 10000), ("chat", 900))
         choice = self.choose(wanted)
@@ -126,7 +127,7 @@
         self.assertEqual("m4", later.state.target.name)
 
     def test_one_that_fails_two_in_five_is_avoided(self):
-        self.parts.note(PartUse("tariffs", "m4", 10000, START))
+        self.parts.note(PartUse("tariffs", life("m4"), 10000, START))
         for turn in range(10):
             if turn % 5 < 2:
                 self.state("m4").failed(START)
@@ -137,7 +138,7 @@
 
     def test_a_new_target_does_not_draw_all_while_most_lose_some_answers(self):
         wanted = prompt(("tariffs", 3000), ("chat", 900))
-        self.parts.note(PartUse("tariffs", "m4", 3000, START))
+        self.parts.note(PartUse("tariffs", life("m4"), 3000, START))
         for state in self.states:
             for _ in range(3):
                 state.succeeded(START)
@@ -151,9 +152,9 @@
         self.assertIsNotNone(self.choose(None))
 
     def test_a_tried_target_is_not_tried_again(self):
-        names = {state.target.name for state in self.states}
-        self.assertIsNone(self.choose(None, tried=names))
-        left = self.choose(None, tried=names - {"m2"})
+        tried = {state.incarnation for state in self.states}
+        self.assertIsNone(self.choose(None, tried=tried))
+        left = self.choose(None, tried=tried - {life("m2")})
         self.assertEqual("m2", left.state.target.name)
 
     def test_plain_requests_go_to_the_least_loaded(self):
@@ -166,28 +167,32 @@
 class PartDirectoryTest(TestCase):
     def test_the_least_recently_used_part_is_forgotten_when_memory_is_full(self):
         parts = PartDirectory()
-        parts.limit("m1", 6000)
+        parts.limit(life("m1"), 6000)
         for turn, name in enumerate(("a", "b", "a", "c")):
-            parts.note(PartUse(name, "m1", 2500, START + turn))
+            parts.note(PartUse(name, life("m1"), 2500, START + turn))
         held = [
             name
             for name in ("a", "b", "c")
-            if parts.held("m1", prompt((name, 2500)).parts, START + 4)
+            if parts.held(life("m1"), prompt((name, 2500)).parts, START + 4)
         ]
         self.assertEqual(["a", "c"], held)
 
     def test_a_gone_target_holds_nothing(self):
         parts = PartDirectory()
-        parts.note(PartUse("a", "m1", 100, START))
-        parts.forget_target("m1")
-        self.assertEqual(0, parts.held("m1", prompt(("a", 100)).parts, START))
+        parts.note(PartUse("a", life("m1"), 100, START))
+        parts.forget_target(life("m1"))
+        self.assertEqual(0, parts.held(life("m1"), prompt(("a", 100)).parts, START))
 
     def test_what_only_one_chat_has_is_no_news(self):
         parts = PartDirectory()
-        self.assertTrue(parts.note_own("m1", prompt(("a", 9), ("own", 1)).parts, START))
+        self.assertTrue(
+            parts.note_own(life("m1"), prompt(("a", 9), ("own", 1)).parts, START)
+        )
         for told in (["a"], ["a"], []):
             self.assertEqual(told, [use.part for use in parts.take_news()])
-        self.assertFalse(parts.note_own("m1", prompt(("a", 9), ("x", 1)).parts, START))
+        self.assertFalse(
+            parts.note_own(life("m1"), prompt(("a", 9), ("x", 1)).parts, START)
+        )
 
 
 class StateTest(TestCase):
