What is under way at a former life of a target ends when a later one is known

Cause: requests, kept connections and what was learned of resting stayed with the name of a target. One that was sent to a life that had ended (behind a cut, without a word) waited for silence or its route's time; a kept connection or a moved address led to what was there before. Ruled out: to end nothing (it is known that nobody will answer), and to end all: a router learns of a restart later than it happened, by seconds while the target cannot reach the store, and has sent to the new life meanwhile. Change: the transport has one record a life (connections, requests). When a later life is known, former ones are closed: what waits for a connection was not sent; what was sent is cut, so it may have run; what was sent on a connection opened after the former life was seen to fail is left alone, once. Kept connections serve their own life and the listed address only. All of a list is replaced first, then requests end. A target that was forgotten meanwhile is covered too.

--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -41,6 +41,11 @@
             ["verdict"],
             registry=self._registry,
         )
+        self._restarts = Counter(
+            "primrosescale_target_restarts",
+            "Targets that started again under their names",
+            registry=self._registry,
+        )
         self._first_byte = Histogram(
             "primrosescale_first_byte_seconds",
             "Time from the request to the first byte of its answer",
@@ -114,6 +119,10 @@
         """
         self._silences.labels(silence.verdict.name.lower()).inc()
 
+    def target_restarted(self) -> None:
+        """Count a target that has started again."""
+        self._restarts.inc()
+
     def gauge(self, name: str, value: float) -> None:
         """Tell a present value.
 
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -25,6 +25,7 @@
 from primrosescale.process.entry.router_news import RouterNews
 from primrosescale.process.entry.target_caller import HttpTargetCaller
 from primrosescale.process.entry.target_list import TargetList
+from primrosescale.process.entry.target_restarts import TargetRestarts
 from primrosescale.process.entry.text_site import Text
 from primrosescale.process.entry.text_site import TextSite
 from primrosescale.process.events import Event
@@ -118,9 +119,10 @@
         self._metrics = parts.metrics
         incarnation = new_incarnation()
         freshness = Freshness(settings.revoke)
-        targets = TargetList(settings.drain)
         self._caller = HttpTargetCaller(parts.reactor, parts.codec)
         self._directory = PartDirectory()
+        restarts = TargetRestarts(self._caller, self._directory, parts)
+        targets = TargetList(settings.drain, restarts.began)
         self._news = RouterNews(
             settings.name, incarnation, targets, self._directory, freshness
         )
--- a/src/primrosescale/process/entry/listed_targets.py
+++ b/src/primrosescale/process/entry/listed_targets.py
@@ -127,6 +127,7 @@
                 service=target.service,
                 endpoint=str(target.endpoint),
                 is_draining=target.is_draining,
+                started_at=target.started_at,
             )
 
     def _remove(self, name: str, now: float) -> None:
--- a/src/primrosescale/process/entry/target_caller.py
+++ b/src/primrosescale/process/entry/target_caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -18,6 +19,7 @@
 from primrosescale.process.transport.http_bodies import body_producer
 from primrosescale.request.direct_port import Run
 from primrosescale.request.direct_port import TargetCaller
+from primrosescale.request.target_incarnation import TargetIncarnation
 
 if TYPE_CHECKING:
     from twisted.internet.defer import Deferred
@@ -27,10 +29,12 @@
     from primrosescale.process.entry.codec import EntryCodec
     from primrosescale.request.direct_port import RunObserver
     from primrosescale.request.direct_port import Sending
+    from primrosescale.request.serving_target import ServingTarget
 
 # A connection inside a region opens in some milliseconds; a lost opening
 # packet is sent again by the kernel after 1 s, which is too late to wait for.
 CONNECT_TIMEOUT = 0.4
+STARTED_AGAIN = "target started again"
 
 
 class _Body(Protocol):
@@ -59,8 +63,8 @@
         Told of what becomes of it.
     codec : EntryCodec
         Translates headers.
-    pool : ChannelPool
-        Connections to the target.
+    life : _Life
+        The life of the target that it goes to.
     clock : Any
         Source of time.
     """
@@ -70,13 +74,14 @@
         sending: Sending,
         observer: RunObserver,
         codec: EntryCodec,
-        pool: ChannelPool,
+        life: _Life,
         clock: Any,
     ) -> None:
         self._sending = sending
         self._observer = observer
         self._codec = codec
-        self._pool = pool
+        self._life = life
+        self._pool = life.pool
         self._clock = clock
         self._opening: Deferred[TargetChannel] | None = None
         self._channel: TargetChannel | None = None
@@ -85,6 +90,7 @@
 
     def start(self) -> None:
         """Send on an idle connection or open one."""
+        self._life.runs.add(self)
         channel = None
         if not self._sending.needs_new_connection:
             channel = self._pool.idle(self._clock.seconds())
@@ -98,12 +104,32 @@
         """End it at once; see `Run.cancel`."""
         if self._is_over:
             return
-        self._is_over = True
+        self._end()
         if self._channel is not None:
             self._channel.abort_now()
         elif self._opening is not None:
             self._opening.cancel()
 
+    def target_ended(self, failed_at: float) -> None:
+        """Take in that the life of the target that it goes to has ended.
+
+        Parameters
+        ----------
+        failed_at : float
+            When that life was seen to fail, in seconds. A connection that was
+            opened later leads to the life after it, as far as can be told.
+        """
+        if self._is_over:
+            return
+        if self._channel is not None and self._channel.opened_at > failed_at:
+            return
+        is_sent = self._channel is not None
+        self.cancel()
+        if is_sent:
+            self._observer.run_cut(STARTED_AGAIN)
+        else:
+            self._observer.run_not_sent(STARTED_AGAIN)
+
     def pause(self) -> None:
         """Take no more bytes; see `Run.pause`."""
         self._is_paused = True
@@ -127,13 +153,14 @@
         """Take in the end of the body."""
         if self._is_over:
             return
-        self._is_over = True
+        self._end()
         channel = self._channel
         is_whole = bool(reason.check(ResponseDone))
         if reason.check(PotentialDataLoss) and channel is not None:
             # The body ends with the connection: whole only by orderly close.
             is_whole = not channel.was_reset
         if not is_whole:
+            self._life.failed_at = self._clock.seconds()
             self._abort()
             self._observer.run_cut(failure_text(reason))
             return
@@ -151,7 +178,8 @@
     def _not_opened(self, failure: Failure) -> None:
         self._opening = None
         if not self._is_over:
-            self._is_over = True
+            self._life.failed_at = self._clock.seconds()
+            self._end()
             self._observer.run_not_sent(failure_text(failure))
 
     def _send(self, channel: TargetChannel) -> None:
@@ -185,19 +213,45 @@
     def _failed(self, failure: Failure) -> None:
         if self._is_over:
             return
-        self._is_over = True
+        self._life.failed_at = self._clock.seconds()
+        self._end()
         if self._channel is not None:
             self._pool.lost(self._channel, self._clock.seconds())
         self._abort()
         self._observer.run_cut(failure_text(failure))
 
+    def _end(self) -> None:
+        self._is_over = True
+        self._life.runs.discard(self)
+
     def _abort(self) -> None:
         if self._channel is not None:
             self._channel.abort_now()
 
 
+class _Life:
+    """Connections to one life of a target, and the requests there.
+
+    Parameters
+    ----------
+    incarnation : TargetIncarnation
+        The life.
+    pool : ChannelPool
+        Connections to it.
+    """
+
+    __slots__ = ("failed_at", "incarnation", "pool", "runs")
+
+    def __init__(self, incarnation: TargetIncarnation, pool: ChannelPool) -> None:
+        self.incarnation = incarnation
+        self.pool = pool
+        self.runs: set[HttpRun] = set()
+        # When a connection last failed or broke, in seconds; infinite for never.
+        self.failed_at = math.inf
+
+
 class HttpTargetCaller(TargetCaller):
-    """Sends requests to targets over HTTP, with a pool for each.
+    """Sends requests to targets over HTTP, with a pool for each life of one.
 
     Parameters
     ----------
@@ -210,23 +264,36 @@
     def __init__(self, reactor: Any, codec: EntryCodec) -> None:
         self._reactor = reactor
         self._codec = codec
-        self._pools: dict[str, ChannelPool] = {}
+        # By name of the target, the newest last. Former ones are kept while
+        # requests are under way there.
+        self._lives: dict[str, list[_Life]] = {}
         # One for all targets: what drops connections is seldom one of them.
         self._rest_limit = RestLimit()
 
     def send(self, sending: Sending, observer: RunObserver) -> Run:
         """Send a request; see `TargetCaller.send`."""
-        target = sending.target
-        pool = self._pools.get(target.name)
-        if pool is None:
-            pool = ChannelPool(
-                self._reactor, target.endpoint, CONNECT_TIMEOUT, self._rest_limit
-            )
-            self._pools[target.name] = pool
-        run = HttpRun(sending, observer, self._codec, pool, self._reactor)
+        life = self._life(sending.target)
+        run = HttpRun(sending, observer, self._codec, life, self._reactor)
         run.start()
         return run
 
+    def end_former(self, present: TargetIncarnation) -> None:
+        """End what is under way at former lives; see `TargetCaller.end_former`."""
+        former = [
+            life
+            for life in self._lives.get(present.name, ())
+            if life.incarnation.is_followed_by(present)
+        ]
+        for life in former:
+            life.pool.close()
+        self._unlearn_former(present)
+        for life in former:
+            # What is spared now is at the present life and ends with it.
+            failed_at, life.failed_at = life.failed_at, math.inf
+            for run in list(life.runs):
+                run.target_ended(failed_at)
+        self._drop_ended(present.name)
+
     def sweep(self, now: float) -> None:
         """Close idle connections that are too old.
 
@@ -235,8 +302,11 @@
         now : float
             Present time in seconds.
         """
-        for pool in self._pools.values():
-            pool.sweep(now)
+        for target, lives in list(self._lives.items()):
+            for life in lives:
+                life.pool.sweep(now)
+            if lives[0].pool.is_closed:
+                self._drop_ended(target)
 
     def forget(self, target: str) -> None:
         """Close the idle connections of a target that is gone.
@@ -246,6 +316,43 @@
         target : str
             Its name.
         """
-        pool = self._pools.pop(target, None)
-        if pool is not None:
-            pool.close()
+        for life in self._lives.get(target, ()):
+            life.pool.close()
+        self._drop_ended(target)
+
+    def _life(self, target: ServingTarget) -> _Life:
+        lives = self._lives.setdefault(target.name, [])
+        if lives:
+            last = lives[-1]
+            is_same = last.incarnation == target.incarnation
+            if is_same and last.pool.endpoint == target.endpoint:
+                if not last.pool.is_closed:
+                    return last
+            last.pool.close()
+            self._drop_ended(target.name)
+        pool = ChannelPool(
+            self._reactor,
+            target.endpoint,
+            CONNECT_TIMEOUT,
+            self._rest_limit,
+            target.incarnation,
+        )
+        life = _Life(target.incarnation, pool)
+        self._lives.setdefault(target.name, []).append(life)
+        return life
+
+    def _unlearn_former(self, present: TargetIncarnation) -> None:
+        """Forget what connections to former lives taught of resting."""
+        for source in self._rest_limit.sources:
+            if isinstance(source, TargetIncarnation) and source.name == present.name:
+                if source.is_followed_by(present):
+                    self._rest_limit.forget(source)
+
+    def _drop_ended(self, target: str) -> None:
+        """Forget closed lives at which nothing is under way."""
+        lives = self._lives.get(target, ())
+        left = [life for life in lives if life.runs or not life.pool.is_closed]
+        if left:
+            self._lives[target] = left
+        else:
+            self._lives.pop(target, None)
--- /dev/null
+++ b/src/primrosescale/process/entry/target_restarts.py
@@ -0,0 +1,72 @@
+"""What follows when a target has started again under its name."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from primrosescale.process.events import Event
+
+if TYPE_CHECKING:
+    from primrosescale.process.entry.entry_parts import EntryParts
+    from primrosescale.process.entry.target_list import BegunLife
+    from primrosescale.request.direct_port import TargetCaller
+    from primrosescale.request.part_directory import PartDirectory
+
+
+class TargetRestarts:
+    """Ends what is under way at former lives of targets, and says so.
+
+    What is known of a life is found under that life alone, so nothing here
+    has to be reset for a new one to begin with nothing.
+
+    Parameters
+    ----------
+    caller : TargetCaller
+        Has the requests that are under way.
+    directory : PartDirectory
+        Where parts of prompts are cached.
+    parts : EntryParts
+        What the router is built with.
+    """
+
+    def __init__(
+        self, caller: TargetCaller, directory: PartDirectory, parts: EntryParts
+    ) -> None:
+        self._caller = caller
+        self._directory = directory
+        self._reactor: Any = parts.reactor
+        self._log = parts.log
+        self._metrics = parts.metrics
+        self._begun: list[BegunLife] = []
+
+    def began(self, life: BegunLife) -> None:
+        """Take in that a life of a target became known.
+
+        Parameters
+        ----------
+        life : BegunLife
+            The life, and the one that it replaces.
+        """
+        if life.former is not None:
+            self._metrics.target_restarted()
+            self._log.emit(
+                Event.TARGET_RESTARTED,
+                target=life.present.name,
+                started_at=life.present.started_at,
+                former=life.former.started_at,
+                told_by=life.told_by,
+            )
+        if not self._begun:
+            # Once the whole list is known, so that what ends at one target
+            # does not go to another that has ended too.
+            self._reactor.callLater(0, self._end_former)
+        self._begun.append(life)
+
+    def _end_former(self) -> None:
+        begun, self._begun = self._begun, []
+        for life in begun:
+            # A target that was forgotten meanwhile may have requests too.
+            self._caller.end_former(life.present)
+            if life.former is not None:
+                self._directory.forget_target(life.former)
--- a/src/primrosescale/request/direct_port.py
+++ b/src/primrosescale/request/direct_port.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from primrosescale.request.incoming import IncomingRequest
     from primrosescale.request.serving_target import ServingTarget
+    from primrosescale.request.target_incarnation import TargetIncarnation
     from primrosescale.request.target_state import LoadReport
 
 
@@ -168,6 +169,18 @@
             The request at the target.
         """
 
+    @abstractmethod
+    def end_former(self, present: TargetIncarnation) -> None:
+        """End what is under way at lives of a target that came before another.
+
+        What was sent may have run; what was not sent yet may go anywhere.
+
+        Parameters
+        ----------
+        present : TargetIncarnation
+            The life that is known now.
+        """
+
 
 class Refusal(Enum):
     """Why a caller gets no answer of a target; the value is the HTTP status."""
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -48,6 +48,8 @@
 from support.live import LiveTest
 
 LOOPBACK = "127.0.0.1"
+# Starts as targets tell them.
+FIRST, SECOND = 1_790_000_000_123, 1_790_000_000_124
 
 
 class Caller(Protocol):
@@ -148,17 +150,32 @@
         self.store = UsersStore()
         self.store.write("config", "main", configuration())
         self.scripts = {}
+        self.addresses = {}
         for number in (1, 2):
             self.engine(f"p{number}", "portal")
             self.engine(f"m{number}", "model", events=4)
 
-    def engine(self, name, service, **fields):
-        script = self.scripts[name] = EngineScript(name=name, **fields)
+    def listen(self, name, **fields):
+        script = EngineScript(name=name, **fields)
         port = reactor.listenTCP(0, UsersEngine(script), interface=LOOPBACK)
         self.addCleanup(port.stopListening)
-        address = f"{LOOPBACK}:{port.getHost().port}"
-        entry = {"service": service, "address": address, "state": "ready", "slots": 8}
-        self.store.write("servers", name, entry)
+        self.addresses[id(script)] = f"{LOOPBACK}:{port.getHost().port}"
+        return script
+
+    def engine(self, name, service, **fields):
+        script = self.scripts[name] = self.listen(name, **fields)
+        self.put_entry(name, service, script, FIRST)
+
+    def put_entry(self, name, service, script, born, **fields):
+        """Write a target's entry; return its revision."""
+        entry = {
+            "service": service,
+            "address": self.addresses[id(script)],
+            "state": "ready",
+            "slots": 8,
+            "born": born,
+        }
+        return self.store.write("servers", name, {**entry, **fields})
 
     @inlineCallbacks
     def start(self, *, early=None, caches=None, targets_wait=0.3, **fields):
@@ -701,6 +718,94 @@
         caller = yield self.ask(text())
         self.assertTrue(caller.data.startswith(b"HTTP/1.1 200"))
 
+    def restart(self, name, service, *, script=None, born=SECOND, **fields):
+        """Write the entry of a target that has started again; return its revision."""
+        return self.put_entry(
+            name, service, script or self.scripts[name], born, **fields
+        )
+
+    def life(self, name):
+        return self.router._knowledge.targets.state(name).incarnation
+
+    @inlineCallbacks
+    def test_after_a_restart_a_request_that_may_run_once_is_cut_at_once(self):
+        yield self.start()
+        for name in ("p1", "p2"):
+            self.scripts[name].faults = [EngineFault.SILENT]
+        caller = yield self.connect()
+        caller.transport.write(text(b"/once/x", method=b"POST", body=b"b"))
+        yield self.eventually(self.arrivals)
+        [name] = [n for n in ("p1", "p2") if self.arrivals(n)]
+        began = reactor.seconds()
+        self.restart(name, "portal")
+        yield caller.answered(b"")
+        self.assertLess(reactor.seconds() - began, 0.4)
+        self.assertTrue(caller.data.startswith(b"HTTP/1.1 502"), caller.data)
+        self.assertNotIn(b"Retry-After", caller.data)
+        self.assertEqual(1, len(self.arrivals()))
+        yield self.eventually(lambda: self.arrivals()[0].is_left)
+        [said] = [said for event, said in self.events if event == "TARGET_RESTARTED"]
+        expected = {
+            "target": name,
+            "started_at": SECOND,
+            "former": FIRST,
+            "told_by": "store",
+        }
+        self.assertEqual(expected, said)
+        [ended] = [said for event, said in self.events if event == "REQUEST_ENDED"]
+        self.assertEqual("lost: target started again", ended["attempts"][0]["outcome"])
+        self.assertIn(b"target_restarts_total 1.0", self.router._metrics.text())
+
+    @inlineCallbacks
+    def test_after_a_restart_one_that_may_be_repeated_goes_to_the_new_address(self):
+        self.store.remove("servers", "p2")
+        self.scripts["p1"].faults = [EngineFault.SILENT]
+        moved = self.listen("p1")
+        yield self.start()
+        caller = yield self.connect()
+        caller.transport.write(text())
+        yield self.eventually(lambda: self.arrivals("p1"))
+        self.restart("p1", "portal", script=moved)
+        yield caller.answered(b"done")
+        self.assertTrue(caller.data.startswith(b"HTTP/1.1 200"), caller.data)
+        self.assertEqual((1, 1), (len(self.arrivals("p1")), len(moved.arrivals)))
+        # An entry of the former life that comes late brings it back to nobody.
+        self.restart("p1", "portal", born=FIRST)
+        yield deferLater(reactor, 0.1, lambda: None)
+        yield self.ask(text(rid=b"r2"))
+        self.assertEqual((1, 2), (len(self.arrivals("p1")), len(moved.arrivals)))
+
+    @inlineCallbacks
+    def test_after_a_restart_a_stream_goes_on_at_the_new_life(self):
+        self.store.remove("servers", "m2")
+        script = self.scripts["m1"]
+        script.events, script.gap = 12, 0.05
+        yield self.start()
+        caller = yield self.connect()
+        caller.transport.write(text(b"/story/x", method=b"POST", body=b"b"))
+        yield caller.until(lambda c: b"id: 2" in c.data)
+        self.restart("m1", "model")
+        yield caller.answered(b"0\r\n\r\n")
+        numbers = [int(part.split(b"\n")[0]) for part in caller.data.split(b"id: ")[1:]]
+        self.assertEqual(list(range(1, 13)), numbers)
+        first, second = self.arrivals("m1")
+        self.assertTrue(first.is_left)
+        self.assertIn(names.LAST_EVENT.lower(), second.headers)
+
+    @inlineCallbacks
+    def test_a_restart_that_another_router_knows_first_is_asked_for(self):
+        yield self.start_with_waiting_watch()
+        other = RouterNews("r2", 1, TargetList(2.0), PartDirectory(), Freshness(5.0))
+        other.put(OtherRouter("r1", Endpoint("127.0.0.1", 1)), 0.0)
+        now = reactor.seconds()
+        self.router._news.put(OtherRouter("r2", Endpoint("127.0.0.1", 1)), now)
+        self.store.faults.is_deaf = True
+        revision = self.restart("m1", "model")
+        self.store.faults.is_deaf = False
+        [(_, message)] = other.compose(1, reactor.seconds(), list_revision=revision)
+        self.router._news.take(message, 1, reactor.seconds())
+        yield self.eventually(lambda: self.life("m1").started_at == SECOND)
+
     @inlineCallbacks
     def test_metrics_and_log_tell_what_became_of_a_request(self):
         yield self.start()
