What an engine says it holds counts for the life that says it

Cause: at a router's start engines are asked which parts they hold; the answer was taken for the listed life's, though it may be of a former one (the answer is older than the entry) or of a later one (the store lags). Change: the start is read from the answer's top level, strictly, and told with the parts.

--- a/src/primrosescale/platform/engine_calls.py
+++ b/src/primrosescale/platform/engine_calls.py
@@ -10,6 +10,7 @@
 
 from primrosescale.platform.records import MALFORMED
 from primrosescale.process.entry.codec import CacheReader
+from primrosescale.process.entry.codec import HeldParts
 from primrosescale.process.exceptions import TargetError
 from primrosescale.process.transport.http_call import HttpCaller
 from primrosescale.request.incoming import PromptPart
@@ -38,7 +39,7 @@
         self._reactor = reactor
 
     @inlineCallbacks
-    def read(self, target: ServingTarget) -> Generator[Any, Any, list[PromptPart]]:
+    def read(self, target: ServingTarget) -> Generator[Any, Any, HeldParts]:
         """Ask one engine; see `CacheReader.read`."""
         caller = HttpCaller(self._reactor, target.endpoint, TIMEOUT)
         try:
@@ -48,8 +49,21 @@
         if reply.status != OK:
             raise TargetError(f"status {reply.status}")
         try:
+            told = json.loads(reply.body)
             # Each entry is [empty, part, tokens held, model].
-            held = json.loads(reply.body)["held"]
-            return [PromptPart(str(entry[1]), int(entry[2])) for entry in held]
+            parts = tuple(
+                PromptPart(str(entry[1]), int(entry[2])) for entry in told["held"]
+            )
+            return HeldParts(parts, _start(told))
         except MALFORMED as error:
             raise TargetError(f"odd answer: {error}") from error
+
+
+def _start(told: dict[str, Any]) -> int | None:
+    """Return the engine's start; a truth value or a part of one is none."""
+    born = told.get("born")
+    if born is None:
+        return None
+    if type(born) is not int or born < 0:
+        raise ValueError(f"start {born!r} is no whole number of milliseconds")
+    return born
--- a/src/primrosescale/process/entry/codec.py
+++ b/src/primrosescale/process/entry/codec.py
@@ -4,6 +4,7 @@
 
 from abc import ABC
 from abc import abstractmethod
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -156,11 +157,27 @@
         """
 
 
+@dataclass(frozen=True, slots=True)
+class HeldParts:
+    """What a model engine says that it holds.
+
+    Parameters
+    ----------
+    parts : tuple[PromptPart, ...]
+        The parts.
+    started_at : int | None
+        Its start in its own Unix milliseconds; None when not told.
+    """
+
+    parts: tuple[PromptPart, ...]
+    started_at: int | None = None
+
+
 class CacheReader(ABC):
     """Asks model engines which parts of prompts they hold."""
 
     @abstractmethod
-    def read(self, target: ServingTarget) -> Deferred[list[PromptPart]]:
+    def read(self, target: ServingTarget) -> Deferred[HeldParts]:
         """Ask one engine.
 
         Parameters
@@ -170,6 +187,6 @@
 
         Returns
         -------
-        Deferred[list[PromptPart]]
-            The parts; fails with a `PrimrosescaleError`.
+        Deferred[HeldParts]
+            The parts, and whose they are; fails with a `PrimrosescaleError`.
         """
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -24,6 +24,7 @@
 from primrosescale.process.entry.router_exchange import RouterRegistry
 from primrosescale.process.entry.router_news import RouterNews
 from primrosescale.process.entry.target_caller import HttpTargetCaller
+from primrosescale.process.entry.target_list import TARGET
 from primrosescale.process.entry.target_list import TargetList
 from primrosescale.process.entry.target_restarts import TargetRestarts
 from primrosescale.process.entry.text_site import Text
@@ -40,6 +41,7 @@
 from primrosescale.request.part_directory import PartUse
 from primrosescale.request.repeat_budget import RepeatBudget
 from primrosescale.request.target_choice import TargetChooser
+from primrosescale.request.target_incarnation import TargetIncarnation
 
 if TYPE_CHECKING:
     from collections.abc import Generator
@@ -48,6 +50,7 @@
 
     from primrosescale.clock import Timer
     from primrosescale.process.entry.caller_site import EntryRequest
+    from primrosescale.process.entry.codec import HeldParts
     from primrosescale.process.entry.entry_parts import EntryParts
     from primrosescale.process.entry.entry_settings import EntrySettings
     from primrosescale.process.entry.entry_settings import EntryWatches
@@ -55,7 +58,6 @@
     from primrosescale.request.gate import CallerHead
     from primrosescale.request.hop import Hop
     from primrosescale.request.incoming import IncomingRequest
-    from primrosescale.request.incoming import PromptPart
     from primrosescale.request.serving_target import ServingTarget
     from primrosescale.request.silence import Silence
     from primrosescale.version.routing_table import CallerLimits
@@ -483,18 +485,35 @@
         """Learn what a model engine holds from before this process's start."""
         reading = self._parts.caches.read(target)
 
-        def learned(parts: list[PromptPart]) -> None:
-            now = self._now()
-            for part in parts:
-                use = PartUse(part.name, target.incarnation, part.tokens, now)
-                self._directory.note(use)
-            self._log.emit(Event.CACHE_READ, target=target.name, parts=len(parts))
-
         def failed(failure: Failure) -> None:
             detail = failure.getErrorMessage()
             self._log.emit(Event.CACHE_NOT_READ, target=target.name, detail=detail)
 
-        return reading.addCallbacks(learned, failed)
+        return reading.addCallbacks(self._learn_cache, failed, callbackArgs=(target,))
+
+    def _learn_cache(self, held: HeldParts, target: ServingTarget) -> None:
+        """Take in what a target told; it may be of an earlier or a later life."""
+        now = self._now()
+        told = target.incarnation
+        if held.started_at is not None:
+            told = TargetIncarnation(target.name, held.started_at)
+        state = self._knowledge.targets.state(target.name)
+        if state is not None and state.incarnation.is_followed_by(told):
+            # The store's word on a leave or a slow start was of the former.
+            begun = replace(
+                state.target,
+                started_at=told.started_at,
+                is_draining=False,
+                warming_for=0.0,
+            )
+            self._knowledge.targets.put(begun, now, told_by=TARGET)
+        elif state is None or state.incarnation != told:
+            detail = f"not of the life that is known: start {told.started_at}"
+            self._log.emit(Event.CACHE_NOT_READ, target=target.name, detail=detail)
+            return
+        for part in held.parts:
+            self._directory.note(PartUse(part.name, told, part.tokens, now))
+        self._log.emit(Event.CACHE_READ, target=target.name, parts=len(held.parts))
 
     def _is_cut_off(self, now: float) -> bool:
         """Tell whether callers are better served by other routers."""
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -25,6 +25,7 @@
 from primrosescale.platform.http_codec import PlatformCodec
 from primrosescale.platform.object_platform import ObjectPlatform
 from primrosescale.process.entry.codec import CacheReader
+from primrosescale.process.entry.codec import HeldParts
 from primrosescale.process.entry.entry_metrics import EntryMetrics
 from primrosescale.process.entry.entry_parts import EntryParts
 from primrosescale.process.entry.entry_router import MOST_CACHES_READ
@@ -37,6 +38,7 @@
 from primrosescale.process.entry.target_list import TargetList
 from primrosescale.process.events import EventLog
 from primrosescale.request.freshness import Freshness
+from primrosescale.request.incoming import PromptPart
 from primrosescale.request.part_directory import PartDirectory
 from primrosescale.request.repeat_budget import RepeatBounds
 from primrosescale.standin.users_engine import EngineFault
@@ -49,7 +51,7 @@
 
 LOOPBACK = "127.0.0.1"
 # Starts as targets tell them.
-FIRST, SECOND = 1_790_000_000_123, 1_790_000_000_124
+FIRST, SECOND, THIRD = 1_790_000_000_123, 1_790_000_000_124, 1_790_000_003_000
 
 
 class Caller(Protocol):
@@ -90,11 +92,16 @@
 
     def __init__(self):
         self.readings = []
+        self.asked = {}
 
     def read(self, target):
         self.readings.append(Deferred())
+        self.asked[target.name] = self.readings[-1]
         return self.readings[-1]
 
+    def answer(self, name, held):
+        self.asked[name].callback(held)
+
 
 def text(path=b"/plain/x", *, method=b"GET", headers=b"", body=b"", rid=b"r1"):
     length = b"Content-Length: %d\r\n" % len(body) if body else b""
@@ -290,7 +297,7 @@
             self.assertEqual([], self.arrivals())
             if not is_silent:
                 for reading in caches.readings:
-                    reading.callback([])
+                    reading.callback(HeldParts(()))
             yield caller.answered(b"0\r\n\r\n")
             self.assertIn(b"id: 4", caller.data)
             self.router._close()
@@ -806,6 +813,39 @@
         self.router._news.take(message, 1, reactor.seconds())
         yield self.eventually(lambda: self.life("m1").started_at == SECOND)
 
+    @inlineCallbacks
+    def test_what_a_target_says_it_holds_counts_for_the_life_that_says_it(self):
+        config = configuration()
+        config["services"][1]["engine"]["kv_cache_tokens"] = 1000
+        self.store.write("config", "main", config)
+        self.restart("m1", "model")
+        self.restart("m2", "model", born=FIRST, state="draining")
+        caches = SilentCaches()
+        yield self.start(reads_caches=True, caches=caches)
+        yield self.eventually(lambda: len(caches.readings) == 2)
+        self.assertTrue(self.knows_leaving("m2"))
+        parts = (PromptPart("tariffs", 500),)
+        caches.answer("m1", HeldParts(parts, SECOND - 1))
+        caches.answer("m2", HeldParts(parts, THIRD))
+        directory, now = self.router._directory, reactor.seconds()
+        self.assertEqual(0, directory.held(self.life("m1"), parts, now))
+        self.assertEqual(SECOND, self.life("m1").started_at)
+        self.assertEqual(1, len(directory))
+        not_read = [s["target"] for e, s in self.events if e == "CACHE_NOT_READ"]
+        self.assertEqual(["m1"], not_read)
+        self.assertFalse(self.knows_leaving("m2"))
+        self.assertEqual(500, directory.held(self.life("m2"), parts, now))
+        self.assertEqual(THIRD, self.life("m2").started_at)
+        told = [said for event, said in self.events if event == "TARGET_RESTARTED"]
+        self.assertEqual(
+            [("m2", "target")], [(s["target"], s["told_by"]) for s in told]
+        )
+        # The store, which lags, tells of the former life still.
+        self.restart("m2", "model", state="draining")
+        yield deferLater(reactor, 0.1, lambda: None)
+        self.assertEqual(THIRD, self.life("m2").started_at)
+        self.assertFalse(self.knows_leaving("m2"))
+
     @inlineCallbacks
     def test_metrics_and_log_tell_what_became_of_a_request(self):
         yield self.start()
