--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -158,10 +158,10 @@
     def attempt_sent(self, attempt: TargetAttempt) -> None:
         """Note where it went; see `AttemptListener.attempt_sent`."""
         now = self._now()
-        self._tried.sent(attempt.name)
+        self._tried.sent(attempt.incarnation)
         prompt = self._request.prompt
         if prompt is not None:
-            if self._tools.parts.note_own(attempt.name, prompt.parts, now):
+            if self._tools.parts.note_own(attempt.incarnation, prompt.parts, now):
                 self._tools.parts_changed()
         if attempt is self._pair.serving:
             self._watch_silence(now)
@@ -171,7 +171,7 @@
         now = self._now()
         attempt.state.unreachable(now)
         attempt.leave(f"not sent: {detail}", now)
-        self._tried.not_sent(attempt.name)
+        self._tried.not_sent(attempt.incarnation)
         was_serving = attempt is self._pair.serving
         if self._other_goes_on(attempt, now):
             # The repeat is paid for already.
@@ -317,7 +317,7 @@
             source.target.name if source is not None else "",
         )
         self._attempts.append(record)
-        self._tried.engage(record.target)
+        self._tried.engage(choice.state.incarnation)
         hop = self._tools.start_hop("target", self._hop.traceparent)
         return TargetAttempt(self, choice.state, record, hop)
 
@@ -433,7 +433,7 @@
     def _drop_successor(self, outcome: str, now: float) -> None:
         left = self._pair.drop_successor(outcome, now)
         if left is not None:
-            self._tried.spare(left.name)
+            self._tried.spare(left.incarnation)
 
     def _fail(self, refusal: Refusal) -> None:
         """End without an answer, and say "not run" only when that is so."""
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -25,6 +25,7 @@
 from primrosescale.platform.http_codec import PlatformCodec
 from primrosescale.platform.object_platform import ObjectPlatform
 from primrosescale.process.entry.codec import CacheReader
+from primrosescale.process.entry.codec import HeldParts
 from primrosescale.process.entry.entry_metrics import EntryMetrics
 from primrosescale.process.entry.entry_parts import EntryParts
 from primrosescale.process.entry.entry_router import MOST_CACHES_READ
@@ -37,6 +38,7 @@
 from primrosescale.process.entry.target_list import TargetList
 from primrosescale.process.events import EventLog
 from primrosescale.request.freshness import Freshness
+from primrosescale.request.incoming import PromptPart
 from primrosescale.request.part_directory import PartDirectory
 from primrosescale.request.repeat_budget import RepeatBounds
 from primrosescale.standin.users_engine import EngineFault
@@ -48,6 +50,8 @@
 from support.live import LiveTest
 
 LOOPBACK = "127.0.0.1"
+# Starts as targets tell them.
+FIRST, SECOND, THIRD = 1_790_000_000_123, 1_790_000_000_124, 1_790_000_003_000
 
 
 class Caller(Protocol):
@@ -88,11 +92,16 @@
 
     def __init__(self):
         self.readings = []
+        self.asked = {}
 
     def read(self, target):
         self.readings.append(Deferred())
+        self.asked[target.name] = self.readings[-1]
         return self.readings[-1]
 
+    def answer(self, name, held):
+        self.asked[name].callback(held)
+
 
 def text(path=b"/plain/x", *, method=b"GET", headers=b"", body=b"", rid=b"r1"):
     length = b"Content-Length: %d\r\n" % len(body) if body else b""
@@ -148,17 +157,32 @@
         self.store = UsersStore()
         self.store.write("config", "main", configuration())
         self.scripts = {}
+        self.addresses = {}
         for number in (1, 2):
             self.engine(f"p{number}", "portal")
             self.engine(f"m{number}", "model", events=4)
 
-    def engine(self, name, service, **fields):
-        script = self.scripts[name] = EngineScript(name=name, **fields)
+    def listen(self, name, **fields):
+        script = EngineScript(name=name, **fields)
         port = reactor.listenTCP(0, UsersEngine(script), interface=LOOPBACK)
         self.addCleanup(port.stopListening)
-        address = f"{LOOPBACK}:{port.getHost().port}"
-        entry = {"service": service, "address": address, "state": "ready", "slots": 8}
-        self.store.write("servers", name, entry)
+        self.addresses[id(script)] = f"{LOOPBACK}:{port.getHost().port}"
+        return script
+
+    def engine(self, name, service, **fields):
+        script = self.scripts[name] = self.listen(name, **fields)
+        self.put_entry(name, service, script, FIRST)
+
+    def put_entry(self, name, service, script, born, **fields):
+        """Write a target's entry; return its revision."""
+        entry = {
+            "service": service,
+            "address": self.addresses[id(script)],
+            "state": "ready",
+            "slots": 8,
+            "born": born,
+        }
+        return self.store.write("servers", name, {**entry, **fields})
 
     @inlineCallbacks
     def start(self, *, early=None, caches=None, targets_wait=0.3, **fields):
@@ -273,7 +297,7 @@
             self.assertEqual([], self.arrivals())
             if not is_silent:
                 for reading in caches.readings:
-                    reading.callback([])
+                    reading.callback(HeldParts(()))
             yield caller.answered(b"0\r\n\r\n")
             self.assertIn(b"id: 4", caller.data)
             self.router._close()
@@ -545,7 +569,8 @@
         now = reactor.seconds()
         handler.replaced((), now)
         self.assertEqual([], handler.forget_gone(now + 0.9))
-        self.assertEqual(names, handler.forget_gone(now + 1.1))
+        gone = handler.forget_gone(now + 1.1)
+        self.assertEqual(names, [incarnation.name for incarnation in gone])
 
     @inlineCallbacks
     def start_with_waiting_watch(self):
@@ -700,6 +725,127 @@
         caller = yield self.ask(text())
         self.assertTrue(caller.data.startswith(b"HTTP/1.1 200"))
 
+    def restart(self, name, service, *, script=None, born=SECOND, **fields):
+        """Write the entry of a target that has started again; return its revision."""
+        return self.put_entry(
+            name, service, script or self.scripts[name], born, **fields
+        )
+
+    def life(self, name):
+        return self.router._knowledge.targets.state(name).incarnation
+
+    @inlineCallbacks
+    def test_after_a_restart_a_request_that_may_run_once_is_cut_at_once(self):
+        yield self.start()
+        for name in ("p1", "p2"):
+            self.scripts[name].faults = [EngineFault.SILENT]
+        caller = yield self.connect()
+        caller.transport.write(text(b"/once/x", method=b"POST", body=b"b"))
+        yield self.eventually(self.arrivals)
+        [name] = [n for n in ("p1", "p2") if self.arrivals(n)]
+        began = reactor.seconds()
+        self.restart(name, "portal")
+        yield caller.answered(b"")
+        self.assertLess(reactor.seconds() - began, 0.4)
+        self.assertTrue(caller.data.startswith(b"HTTP/1.1 502"), caller.data)
+        self.assertNotIn(b"Retry-After", caller.data)
+        self.assertEqual(1, len(self.arrivals()))
+        yield self.eventually(lambda: self.arrivals()[0].is_left)
+        [said] = [said for event, said in self.events if event == "TARGET_RESTARTED"]
+        expected = {
+            "target": name,
+            "started_at": SECOND,
+            "former": FIRST,
+            "told_by": "store",
+        }
+        self.assertEqual(expected, said)
+        [ended] = [said for event, said in self.events if event == "REQUEST_ENDED"]
+        self.assertEqual("lost: target started again", ended["attempts"][0]["outcome"])
+        self.assertIn(b"target_restarts_total 1.0", self.router._metrics.text())
+
+    @inlineCallbacks
+    def test_after_a_restart_one_that_may_be_repeated_goes_to_the_new_address(self):
+        self.store.remove("servers", "p2")
+        self.scripts["p1"].faults = [EngineFault.SILENT]
+        moved = self.listen("p1")
+        yield self.start()
+        caller = yield self.connect()
+        caller.transport.write(text())
+        yield self.eventually(lambda: self.arrivals("p1"))
+        self.restart("p1", "portal", script=moved)
+        yield caller.answered(b"done")
+        self.assertTrue(caller.data.startswith(b"HTTP/1.1 200"), caller.data)
+        self.assertEqual((1, 1), (len(self.arrivals("p1")), len(moved.arrivals)))
+        # An entry of the former life that comes late brings it back to nobody.
+        self.restart("p1", "portal", born=FIRST)
+        yield deferLater(reactor, 0.1, lambda: None)
+        yield self.ask(text(rid=b"r2"))
+        self.assertEqual((1, 2), (len(self.arrivals("p1")), len(moved.arrivals)))
+
+    @inlineCallbacks
+    def test_after_a_restart_a_stream_goes_on_at_the_new_life(self):
+        self.store.remove("servers", "m2")
+        script = self.scripts["m1"]
+        script.events, script.gap = 12, 0.05
+        yield self.start()
+        caller = yield self.connect()
+        caller.transport.write(text(b"/story/x", method=b"POST", body=b"b"))
+        yield caller.until(lambda c: b"id: 2" in c.data)
+        self.restart("m1", "model")
+        yield caller.answered(b"0\r\n\r\n")
+        numbers = [int(part.split(b"\n")[0]) for part in caller.data.split(b"id: ")[1:]]
+        self.assertEqual(list(range(1, 13)), numbers)
+        first, second = self.arrivals("m1")
+        self.assertTrue(first.is_left)
+        self.assertIn(names.LAST_EVENT.lower(), second.headers)
+
+    @inlineCallbacks
+    def test_a_restart_that_another_router_knows_first_is_asked_for(self):
+        yield self.start_with_waiting_watch()
+        other = RouterNews("r2", 1, TargetList(2.0), PartDirectory(), Freshness(5.0))
+        other.put(OtherRouter("r1", Endpoint("127.0.0.1", 1)), 0.0)
+        now = reactor.seconds()
+        self.router._news.put(OtherRouter("r2", Endpoint("127.0.0.1", 1)), now)
+        self.store.faults.is_deaf = True
+        revision = self.restart("m1", "model")
+        self.store.faults.is_deaf = False
+        [(_, message)] = other.compose(1, reactor.seconds(), list_revision=revision)
+        self.router._news.take(message, 1, reactor.seconds())
+        yield self.eventually(lambda: self.life("m1").started_at == SECOND)
+
+    @inlineCallbacks
+    def test_what_a_target_says_it_holds_counts_for_the_life_that_says_it(self):
+        config = configuration()
+        config["services"][1]["engine"]["kv_cache_tokens"] = 1000
+        self.store.write("config", "main", config)
+        self.restart("m1", "model")
+        self.restart("m2", "model", born=FIRST, state="draining")
+        caches = SilentCaches()
+        yield self.start(reads_caches=True, caches=caches)
+        yield self.eventually(lambda: len(caches.readings) == 2)
+        self.assertTrue(self.knows_leaving("m2"))
+        parts = (PromptPart("tariffs", 500),)
+        caches.answer("m1", HeldParts(parts, SECOND - 1))
+        caches.answer("m2", HeldParts(parts, THIRD))
+        directory, now = self.router._directory, reactor.seconds()
+        self.assertEqual(0, directory.held(self.life("m1"), parts, now))
+        self.assertEqual(SECOND, self.life("m1").started_at)
+        self.assertEqual(1, len(directory))
+        not_read = [s["target"] for e, s in self.events if e == "CACHE_NOT_READ"]
+        self.assertEqual(["m1"], not_read)
+        self.assertFalse(self.knows_leaving("m2"))
+        self.assertEqual(500, directory.held(self.life("m2"), parts, now))
+        self.assertEqual(THIRD, self.life("m2").started_at)
+        told = [said for event, said in self.events if event == "TARGET_RESTARTED"]
+        self.assertEqual(
+            [("m2", "target")], [(s["target"], s["told_by"]) for s in told]
+        )
+        # The store, which lags, tells of the former life still.
+        self.restart("m2", "model", state="draining")
+        yield deferLater(reactor, 0.1, lambda: None)
+        self.assertEqual(THIRD, self.life("m2").started_at)
+        self.assertFalse(self.knows_leaving("m2"))
+
     @inlineCallbacks
     def test_metrics_and_log_tell_what_became_of_a_request(self):
         yield self.start()
