Fields of records in the store are read by strict types

Cause: int(), float(), str() and bool() took what resembled a field for it: "64" and true for a count, "false" for a truth value (a route with skip_auth "false" was open to all), any state but ready for draining, a missing zone for "", an empty key for a key; OverflowError and RecursionError of odd numbers and nesting were no RecordError and ended the watch. An entry with a port of 99,999 of another router would raise in the round of news.

Ruled out: checking in ServingTarget itself (the product's types would know the wire's bounds), a schema library (none is used elsewhere, and it is slower).

Change: one FieldReader for targets, routers and the configuration; RecordError names record, field, reason and remedy. Null stands for a field left out in the configuration alone, and not for its list of keys. Fixtures of entries in tests get the zone that each entry has.

--- a/src/primrosescale/platform/exceptions.py
+++ b/src/primrosescale/platform/exceptions.py
@@ -3,20 +3,15 @@
 from __future__ import annotations
 
 from primrosescale.exceptions import PrimrosescaleError
+from primrosescale.process.exceptions import UnreadableRecordError
 
 
 class AdapterError(PrimrosescaleError):
     """Base of the errors of this package."""
 
 
-class RecordError(AdapterError):
-    """A record of the platform cannot be read."""
-
-    def __init__(self, record: str, detail: str) -> None:
-        super().__init__(
-            f"record {record} cannot be read: {detail}",
-            "mend it in the store; the last good one stays in force",
-        )
+class RecordError(UnreadableRecordError, AdapterError):
+    """A record of the platform cannot be read; see `UnreadableRecordError`."""
 
 
 class BootFileError(AdapterError):
--- a/src/primrosescale/platform/records.py
+++ b/src/primrosescale/platform/records.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING
-from typing import Any
 
 from primrosescale.connection.endpoint import Endpoint
-from primrosescale.platform.exceptions import RecordError
+from primrosescale.platform.field_reader import FieldReader
+from primrosescale.platform.field_reader import record_name
 from primrosescale.platform.host_settings import MILLISECOND
-from primrosescale.platform.host_settings import parse_endpoint
 from primrosescale.process.entry.router_news import OtherRouter
 from primrosescale.request.serving_target import ServingTarget
 from primrosescale.version.routing_table import CallerLimits
@@ -39,12 +37,37 @@
     "header_timeout_ms": 3000,
     "idle_timeout_ms": 15000,
 }
+# States of a target that the platform names; whether it is leaving.
+STATES = {"ready": False, "draining": True}
+# Requests that one target runs at once: each takes a connection, and there are
+# no more ports than these on the caller's side.
+MOST_SLOTS = 65535
+# Milliseconds; nothing that is waited for takes a day.
+LONGEST_TIME = 86_400_000
+# Bytes that a caller may send: those of the longest object of the store, a
+# thousand times over.
+MOST_BYTES = 1_048_576_000
+# Characters of a path or key: what is longer fits in no head of a request.
+LONGEST_IN_HEAD = 16384
+# Targets that one request may be sent to, ranks, and weights of a split; ten
+# thousand times those of today.
+MOST_TARGETS = 10_000
+LOWEST_RANK = 10_000
+MOST_WEIGHT = 1_000_000
+
 MALFORMED = (KeyError, TypeError, ValueError, AttributeError, IndexError)
 
+REMEDY_TABLE = "mend it in the store; the last good version stays in force"
+REMEDY_TARGET = "mend or delete it in the store; until then it names no target"
+REMEDY_ROUTER = "its router writes it again; what it said last holds until then"
+
 
 def decode_routing_table(stored: StoredObject) -> RoutingTable:
     """Return the routing table that the operator wrote.
 
+    One odd field makes the version unreadable as a whole: with a route or a key
+    left out, callers would be told that it does not exist.
+
     Parameters
     ----------
     stored : StoredObject
@@ -60,17 +83,16 @@
     RecordError
         When it cannot be read.
     """
-    try:
-        fields = json.loads(stored.value)
-        return RoutingTable(
-            int(fields["version"]),
-            [_route(item) for item in fields["routes"]],
-            [_service(item) for item in fields["services"]],
-            _keys(fields.get("tenants") or []),
-            _limits(fields.get("limits") or {}),
-        )
-    except MALFORMED as error:
-        raise RecordError(stored.key, f"{type(error).__name__}: {error}") from error
+    reader = FieldReader.of(stored, REMEDY_TABLE, takes_null=True)
+    for field in ("routes", "services"):
+        reader.require(field)
+    return RoutingTable(
+        reader.whole("version"),
+        [_route(item) for item in reader.children("routes")],
+        [_service(item) for item in reader.children("services")],
+        _keys(reader),
+        _limits(reader.child("limits")),
+    )
 
 
 def decode_target(stored: StoredObject) -> ServingTarget:
@@ -79,7 +101,7 @@
     Parameters
     ----------
     stored : StoredObject
-        The entry; its name is the target's incarnation.
+        The entry; its name is the target's.
 
     Returns
     -------
@@ -91,21 +113,25 @@
     RecordError
         When it cannot be read.
     """
-    try:
-        fields = json.loads(stored.value)
-        return ServingTarget(
-            name=stored.key.split("/", 1)[1],
-            endpoint=parse_endpoint(fields["address"]),
-            service=str(fields["service"]),
-            domain=str(fields.get("zone", "")),
-            slots=int(fields.get("slots") or 0),
-            is_draining=fields.get("state", "ready") != "ready",
-            # Time for which a target that has just started is still slow.
-            warming_for=float(fields.get("cold_remaining_ms") or 0) * MILLISECOND,
-            started_at=fields.get("born"),
-        )
-    except MALFORMED as error:
-        raise RecordError(stored.key, f"{type(error).__name__}: {error}") from error
+    reader = FieldReader.of(stored, REMEDY_TARGET)
+    state = reader.text("state")
+    if state not in STATES:
+        reader.refuse("state", "neither of " + ", ".join(STATES))
+    # Not used; of another type they show that another writer made the entry.
+    reader.text_or("version", "")
+    reader.whole_or("sequence", 0)
+    return ServingTarget(
+        name=record_name(stored, REMEDY_TARGET),
+        endpoint=reader.endpoint("address"),
+        service=reader.text("service"),
+        domain=reader.text("zone"),
+        slots=reader.whole_or("slots", 0, MOST_SLOTS),
+        is_draining=STATES[state],
+        # Time for which a target that has just started is still slow.
+        warming_for=reader.number_or("cold_remaining_ms", 0, LONGEST_TIME)
+        * MILLISECOND,
+        started_at=reader.whole("born") if reader.has("born") else None,
+    )
 
 
 def decode_router(stored: StoredObject) -> OtherRouter:
@@ -126,69 +152,82 @@
     RecordError
         When it cannot be read.
     """
-    try:
-        fields = json.loads(stored.value)
-        endpoint = Endpoint(str(fields["address"]), int(fields["port"]))
-        return OtherRouter(stored.key.split("/", 1)[1], endpoint)
-    except MALFORMED as error:
-        raise RecordError(stored.key, f"{type(error).__name__}: {error}") from error
-
-
-def _route(item: dict[str, Any]) -> Route:
-    split = item.get("split")
-    if split:
-        services = tuple(
-            WeightedService(str(part["service"]), float(part["weight"]))
-            for part in split
-        )
-    else:
-        services = (WeightedService(str(item["service"]), 1.0),)
-    timeout = float(item.get("timeout_ms", 60000)) * MILLISECOND
+    reader = FieldReader.of(stored, REMEDY_ROUTER)
+    endpoint = Endpoint(reader.address("address"), reader.port("port"))
+    return OtherRouter(record_name(stored, REMEDY_ROUTER), endpoint)
+
+
+def _route(item: FieldReader) -> Route:
+    timeout = item.number_or("timeout_ms", 60000, LONGEST_TIME) * MILLISECOND
+    objective = item.number_or("target_latency_ms", 0, LONGEST_TIME) * MILLISECOND
+    prefix = item.text("path_prefix", LONGEST_IN_HEAD)
+    if not prefix.startswith("/"):
+        item.refuse("path_prefix", "begins with no slash")
     return Route(
-        name=str(item.get("name", "")),
-        host=str(item["host"]).lower(),
-        path_prefix=str(item["path_prefix"]),
-        services=services,
-        repeatability=REPEATABILITY.get(str(item["kind"]), Repeatability.ONCE),
-        is_resumable=bool(item.get("resume_streams", False)),
+        name=item.text_or("name", ""),
+        host=item.text("host").lower(),
+        path_prefix=prefix,
+        services=_services(item),
+        repeatability=REPEATABILITY.get(item.text("kind"), Repeatability.ONCE),
+        is_resumable=item.flag_or("resume_streams", absent=False),
         # "sticky" only says that requests describe their prompts.
-        has_prompt=bool(item.get("sticky", False)),
+        has_prompt=item.flag_or("sticky", absent=False),
         timeout=timeout,
-        latency_objective=float(item.get("target_latency_ms", 0) or 0) * MILLISECOND
-        or timeout,
-        gap_objective=float(item.get("gap_aim_ms", 0) or 0) * MILLISECOND,
-        max_targets=max(1, int(item.get("max_attempts", 1))),
-        priority=int(item.get("priority", 5)),
-        is_open=bool(item.get("skip_auth", False)),
+        latency_objective=objective or timeout,
+        gap_objective=item.number_or("gap_aim_ms", 0, LONGEST_TIME) * MILLISECOND,
+        max_targets=max(1, item.whole_or("max_attempts", 1, MOST_TARGETS)),
+        priority=item.whole_or("priority", 5, LOWEST_RANK),
+        is_open=item.flag_or("skip_auth", absent=False),
     )
 
 
-def _service(item: dict[str, Any]) -> Service:
-    engine = item.get("engine") or {}
+def _services(route: FieldReader) -> tuple[WeightedService, ...]:
+    """Return where a route leads."""
+    parts = route.children("split")
+    if not parts:
+        return (WeightedService(route.text("service"), 1.0),)
+    services = tuple(
+        WeightedService(part.text("service"), float(part.number("weight", MOST_WEIGHT)))
+        for part in parts
+    )
+    if not any(service.weight for service in services):
+        route.refuse("split", "no weight above 0")
+    return services
+
+
+def _service(item: FieldReader) -> Service:
+    engine = item.child("engine")
     return Service(
-        name=str(item["name"]),
-        slots=int(engine.get("slots", 0) or 0),
-        cache_tokens=int(engine.get("kv_cache_tokens", 0) or 0),
+        name=item.text("name"),
+        slots=engine.whole_or("slots", 0, MOST_SLOTS),
+        cache_tokens=engine.whole_or("kv_cache_tokens", 0),
     )
 
 
-def _keys(organisations: list[dict[str, Any]]) -> dict[str, Organisation]:
+def _keys(table: FieldReader) -> dict[str, Organisation]:
     keys: dict[str, Organisation] = {}
-    for item in organisations:
-        rank = item.get("priority")
-        owner = Organisation(str(item["name"]), None if rank is None else int(rank))
-        for key in item.get("api_keys") or []:
-            keys[str(key)] = owner
+    # Without the list no caller needs a key: only a version that leaves it out
+    # says so.
+    table.refuse_null("tenants")
+    for item in table.children("tenants"):
+        rank = item.whole("priority", LOWEST_RANK) if item.has("priority") else None
+        owner = Organisation(item.text("name"), rank)
+        for key in item.texts("api_keys", LONGEST_IN_HEAD):
+            keys[key] = owner
     return keys
 
 
-def _limits(given: dict[str, Any]) -> CallerLimits:
-    def of(name: str) -> float:
-        return float(given.get(name, DEFAULT_LIMITS[name]))
+def _limits(given: FieldReader) -> CallerLimits:
+    def size(name: str) -> int:
+        return given.whole_or(name, int(DEFAULT_LIMITS[name]), MOST_BYTES)
+
+    def seconds(name: str) -> float:
+        absent = DEFAULT_LIMITS[name]
+        return given.number_or(name, absent, LONGEST_TIME) * MILLISECOND
 
     return CallerLimits(
-        header_bytes=int(of("max_header_bytes")),
-        body_bytes=int(of("max_body_bytes")),
-        header_timeout=of("header_timeout_ms") * MILLISECOND,
-        idle_timeout=of("idle_timeout_ms") * MILLISECOND,
+        header_bytes=size("max_header_bytes"),
+        body_bytes=size("max_body_bytes"),
+        header_timeout=seconds("header_timeout_ms"),
+        idle_timeout=seconds("idle_timeout_ms"),
     )
--- a/src/primrosescale/process/entry/codec.py
+++ b/src/primrosescale/process/entry/codec.py
@@ -122,7 +122,7 @@
         Returns
         -------
         RoutingTable
-            The table; fails with a `PrimrosescaleError`.
+            The table; fails with an `UnreadableRecordError`.
         """
 
     @abstractmethod
@@ -137,7 +137,7 @@
         Returns
         -------
         ServingTarget
-            The target; fails with a `PrimrosescaleError`.
+            The target; fails with an `UnreadableRecordError`.
         """
 
     @abstractmethod
@@ -152,7 +152,7 @@
         Returns
         -------
         OtherRouter
-            The router; fails with a `PrimrosescaleError`.
+            The router; fails with an `UnreadableRecordError`.
         """
 
 
--- a/src/primrosescale/process/exceptions.py
+++ b/src/primrosescale/process/exceptions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from primrosescale.exceptions import PrimrosescaleError
+from primrosescale.process.log_text import log_text
 
 
 class ProcessError(PrimrosescaleError):
@@ -69,6 +70,39 @@
         )
 
 
+class UnreadableRecordError(ProcessError):
+    """A record of the store cannot be read.
+
+    Parameters
+    ----------
+    record : str
+        Its key.
+    field : str
+        The field at fault; empty for the record as a whole.
+    reason : str
+        What is wrong with it, in one clause.
+    remedy : str
+        What the reader can do about it.
+    """
+
+    def __init__(self, record: str, field: str, reason: str, remedy: str) -> None:
+        at = f"field {field}: " if field else ""
+        problem = f"record {log_text(record)} cannot be read: {at}{reason}"
+        super().__init__(problem, remedy)
+        self._field = field
+        self._reason = reason
+
+    @property
+    def field(self) -> str:
+        """Return the field at fault; empty for the record as a whole."""
+        return self._field
+
+    @property
+    def reason(self) -> str:
+        """Return what is wrong with it."""
+        return self._reason
+
+
 class SettingsError(ProcessError):
     """The settings of a process cannot be used."""
 
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -128,7 +128,12 @@
             self.assertIn("config/main", str(error))
 
     def test_a_target_is_decoded(self):
-        fields = {"service": "llm", "address": "10.0.0.1:80", "state": "draining"}
+        fields = {
+            "service": "llm",
+            "address": "10.0.0.1:80",
+            "zone": "a",
+            "state": "draining",
+        }
         found = decode_target(stored(fields, "servers/i-1"))
         self.assertEqual(
             ("i-1", "llm", True), (found.name, found.service, found.is_draining)
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -140,6 +140,17 @@
     }
 
 
+def target_entry(service, address, **fields):
+    """Return a target's entry with all fields that it must have."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "a",
+        "state": "ready",
+        **fields,
+    }
+
+
 class EntryRouterTest(LiveTest):
     run_tests_with = DeploymentRunTest.make_factory(timeout=30.0)
 
@@ -157,7 +168,7 @@
         port = reactor.listenTCP(0, UsersEngine(script), interface=LOOPBACK)
         self.addCleanup(port.stopListening)
         address = f"{LOOPBACK}:{port.getHost().port}"
-        entry = {"service": service, "address": address, "state": "ready", "slots": 8}
+        entry = target_entry(service, address, slots=8)
         self.store.write("servers", name, entry)
 
     @inlineCallbacks
@@ -321,7 +332,7 @@
         config["services"][1]["engine"]["kv_cache_tokens"] = 1000
         self.store.write("config", "main", config)
         for number in range(MOST_CACHES_READ + 30):
-            entry = {"service": "model", "address": f"{LOOPBACK}:1", "state": "ready"}
+            entry = target_entry("model", f"{LOOPBACK}:1")
             self.store.write("servers", f"x{number}", entry)
         caches = SilentCaches()
         yield self.start(reads_caches=True, caches=caches)
@@ -556,7 +567,7 @@
     def drain_unheard(self, name):
         """Have a target leave without the watch that waits hearing of it."""
         self.store.faults.is_deaf = True
-        entry = {"service": "model", "address": f"{LOOPBACK}:1", "state": "draining"}
+        entry = target_entry("model", f"{LOOPBACK}:1", state="draining")
         revision = self.store.write("servers", name, entry)
         self.store.faults.is_deaf = False
         return revision
@@ -623,8 +634,7 @@
     @inlineCallbacks
     def test_a_leaving_target_gets_no_more_requests(self):
         yield self.start()
-        address = f"{LOOPBACK}:1"
-        entry = {"service": "portal", "address": address, "state": "draining"}
+        entry = target_entry("portal", f"{LOOPBACK}:1", state="draining")
         self.store.write("servers", "p1", entry)
         yield deferLater(reactor, 0.1, lambda: None)
         for turn in range(4):
