An odd object in an answer of the store hides none of those beside it

Cause: an answer was parsed and checked as a whole. One object without metadata, name or revision made it an odd answer, so that no router learned of any target while it stood; one that is nested too deep, or a name of half a character at the end of a page, raised what nobody caught and ended the watch.

Ruled out: refusing the whole answer (what stands in a store may stand for hours); another parser (orjson refuses the whole too).

Change: an answer that no parser takes is taken apart by its brackets and each object read by itself; an object that is odd is handed on with a content that nothing can be read from, so that it is refused, told and counted like others. A list whose page ends without a name is none. Revisions are whole numbers of 63 bits: they go into the news to other routers.

--- a/src/primrosescale/platform/engine_calls.py
+++ b/src/primrosescale/platform/engine_calls.py
@@ -8,7 +8,6 @@
 
 from twisted.internet.defer import inlineCallbacks
 
-from primrosescale.platform.records import MALFORMED
 from primrosescale.process.entry.codec import CacheReader
 from primrosescale.process.exceptions import TargetError
 from primrosescale.process.transport.http_call import HttpCaller
@@ -21,6 +20,16 @@
 
 HELD_PARTS = "/api/kv-list"
 OK = 200
+# What an odd answer raises while it is taken apart.
+MALFORMED = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    IndexError,
+    OverflowError,
+    RecursionError,
+)
 # The call waits behind the engine's own work, some steps of a few ms.
 TIMEOUT = 0.6
 
--- a/src/primrosescale/platform/object_platform.py
+++ b/src/primrosescale/platform/object_platform.py
@@ -13,8 +13,12 @@
 from twisted.web.http_headers import Headers
 
 from primrosescale.connection.wire.ttypes import HostEntry
-from primrosescale.platform.records import MALFORMED
 from primrosescale.platform.records import ROUTERS
+from primrosescale.platform.store_answer import BINARY
+from primrosescale.platform.store_answer import answer_fields
+from primrosescale.platform.store_answer import listed
+from primrosescale.platform.store_answer import revision_of
+from primrosescale.platform.store_answer import stored_object
 from primrosescale.process.exceptions import PlatformConflictError
 from primrosescale.process.exceptions import PlatformHistoryGoneError
 from primrosescale.process.exceptions import PlatformLimitError
@@ -23,13 +27,13 @@
 from primrosescale.process.transport.platform import MAX_VALUE
 from primrosescale.process.transport.platform import MUST_NOT_EXIST
 from primrosescale.process.transport.platform import HostList
-from primrosescale.process.transport.platform import StoredObject
 from primrosescale.process.transport.platform import WatchResult
 
 if TYPE_CHECKING:
     from collections.abc import Generator
 
     from primrosescale.process.transport.http_call import Reply
+    from primrosescale.process.transport.platform import StoredObject
 
 
 OK = 200
@@ -41,7 +45,6 @@
 TOO_LARGE = 413
 BASE = "/api/objects/"
 JSON_TYPE = Headers({"Content-Type": ["application/json"]})
-BINARY = "base64"
 # Pages of a list that are read at the most; 500 objects come on one.
 MOST_PAGES = 1000
 
@@ -59,7 +62,7 @@
         if reply.status == NOT_FOUND:
             return None
         _require(reply, OK)
-        return _stored(_kind(key), _fields(reply))
+        return stored_object(_kind(key), answer_fields(reply.body))
 
     @inlineCallbacks
     def put(self, key: str, value: bytes, expected: int) -> Generator[Any, Any, int]:
@@ -118,17 +121,10 @@
         if reply.status == HISTORY_GONE:
             raise PlatformHistoryGoneError(prefix, since)
         _require(reply, OK)
-        fields = _fields(reply)
-        try:
-            changes = tuple(
-                _stored(kind, event["object"], is_deleted=bool(event.get("deleted")))
-                for event in fields["events"]
-            )
-            revision = int(fields["current_rev"])
-        except MALFORMED as error:
-            raise PlatformUnavailableError(f"odd answer: {error}") from error
+        fields = answer_fields(reply.body)
+        changes = [_changed(kind, event) for event in listed(fields, "events")]
         wanted = tuple(item for item in changes if item.key.startswith(prefix))
-        return WatchResult(revision, wanted)
+        return WatchResult(revision_of(fields, "current_rev"), wanted)
 
     @inlineCallbacks
     def hosts(self, since: int) -> Generator[Any, Any, HostList]:
@@ -163,21 +159,18 @@
         found: list[StoredObject] = []
         revision: int | None = None
         for _ in range(MOST_PAGES):
-            query = f"?{urlencode({'after': after})}" if after else ""
+            query = f"?{_query(after=after)}" if after else ""
             reply = yield self._caller.call("GET", f"{BASE}{quote(kind)}{query}")
             _require(reply, OK)
-            fields = _fields(reply)
-            try:
-                page = [_stored(kind, item) for item in fields["items"]]
-                more = bool(fields["truncated"])
-                if revision is None:
-                    revision = int(fields["current_rev"])
-            except MALFORMED as error:
-                raise PlatformUnavailableError(f"odd answer: {error}") from error
+            fields = answer_fields(reply.body)
+            page = [stored_object(kind, item) for item in listed(fields, "items")]
+            if revision is None:
+                revision = revision_of(fields, "current_rev")
             found += [item for item in page if item.key.startswith(prefix)]
-            if not more or not page or (limit is not None and len(found) >= limit):
+            is_enough = limit is not None and len(found) >= limit
+            if not fields.get("truncated") or not page or is_enough:
                 break
-            after = _name(page[-1].key)
+            after = _continued(after, page)
         return tuple(found), revision or 0
 
 
@@ -193,27 +186,35 @@
     return f"{BASE}{quote(_kind(key))}/{quote(_name(key), safe='')}"
 
 
-def _fields(reply: Reply) -> dict[str, Any]:
-    try:
-        fields = json.loads(reply.body)
-    except ValueError as error:
-        raise PlatformUnavailableError(f"odd answer: {error}") from error
-    if not isinstance(fields, dict):
-        raise PlatformUnavailableError("odd answer: not an object")
-    return fields
+def _query(**members: Any) -> str:
+    # A name may hold half of a character.
+    return urlencode(members, errors="surrogatepass")
 
 
-def _revision(reply: Reply) -> int:
-    meta = _fields(reply).get("metadata")
-    return int(meta.get("revision", 0)) if isinstance(meta, dict) else 0
+def _continued(after: str, page: list[StoredObject]) -> str:
+    """Return the name after which the next page begins.
+
+    An object whose name cannot be read is read again on the next page. Where
+    none can, the list cannot be read to its end, and half a list is none.
+    """
+    names = [name for name in (_name(item.key) for item in page) if name]
+    if not names or names[-1] == after:
+        raise PlatformUnavailableError("odd answer: a page whose end has no name")
+    return names[-1]
 
 
-def _stored(kind: str, item: Any, *, is_deleted: bool = False) -> StoredObject:
-    meta = item["metadata"]
-    key = f"{kind}/{meta['name']}"
-    value = _value(item.get("spec"))
-    gone = is_deleted or bool(meta.get("deleting"))
-    return StoredObject(key, int(meta.get("revision", 0) or 0), value, gone)
+def _changed(kind: str, event: Any) -> StoredObject:
+    if not isinstance(event, dict):
+        return stored_object(kind, None)
+    deleted = event.get("deleted", False)
+    return stored_object(kind, event.get("object"), deleted=deleted)
+
+
+def _revision(reply: Reply) -> int:
+    meta = answer_fields(reply.body).get("metadata")
+    if not isinstance(meta, dict):
+        return 0
+    return revision_of({"revision": 0, **meta}, "revision")
 
 
 def _spec(value: bytes) -> Any:
@@ -223,18 +224,12 @@
         return {"encoding": BINARY, "data": base64.b64encode(value).decode()}
 
 
-def _value(spec: Any) -> bytes:
-    if isinstance(spec, dict) and spec.get("encoding") == BINARY:
-        return base64.b64decode(spec["data"])
-    return json.dumps(spec).encode()
-
-
 def _host(item: StoredObject) -> HostEntry:
     try:
         fields = json.loads(item.value) if not item.is_deleted else None
         if fields is not None:
             return HostEntry(**fields)
-    except (ValueError, TypeError) as error:
+    except (ValueError, TypeError, RecursionError) as error:
         raise PlatformUnavailableError(f"odd entry {item.key}: {error}") from error
     name = _name(item.key)
     return HostEntry(
--- a/src/primrosescale/platform/records.py
+++ b/src/primrosescale/platform/records.py
@@ -55,8 +55,6 @@
 LOWEST_RANK = 10_000
 MOST_WEIGHT = 1_000_000
 
-MALFORMED = (KeyError, TypeError, ValueError, AttributeError, IndexError)
-
 REMEDY_TABLE = "mend it in the store; the last good version stays in force"
 REMEDY_TARGET = "mend or delete it in the store; until then it names no target"
 REMEDY_ROUTER = "its router writes it again; what it said last holds until then"
--- /dev/null
+++ b/src/primrosescale/platform/store_answer.py
@@ -0,0 +1,242 @@
+"""Answers of the users' store, of which one odd object spoils no other.
+
+The store hands out what anybody wrote. An object that is nested too deep for
+the parser, holds bytes that are no text, or a number of thousands of digits,
+would make the whole answer unreadable, and with it every object beside it. Such
+an answer is taken apart by its brackets first, and each part is read by itself.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import re
+from typing import TYPE_CHECKING
+from typing import Any
+
+from primrosescale.process.exceptions import PlatformUnavailableError
+from primrosescale.process.transport.platform import StoredObject
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+BINARY = "base64"
+# Revisions are told to other routers as numbers of 64 bits with a sign.
+MOST_REVISION = 2**63 - 1
+# Bytes that no record can be read from.
+UNREADABLE = b""
+# What an odd answer raises while it is taken apart.
+MALFORMED = (KeyError, TypeError, ValueError, AttributeError, RecursionError)
+
+# Members of an answer that list objects, and of an event that holds one.
+_LISTS = ("items", "events")
+_OBJECT = "object"
+# A string, a run of brackets of one side, or a comma.
+_SIGN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[{]+|[\]}]+|,', re.DOTALL)
+
+
+def answer_fields(body: bytes) -> dict[str, Any]:
+    """Return the members of an answer.
+
+    Parameters
+    ----------
+    body : bytes
+        The answer's content.
+
+    Returns
+    -------
+    dict[str, Any]
+        Its members. An object's member that cannot be read stands there as
+        the bytes that came.
+
+    Raises
+    ------
+    PlatformUnavailableError
+        When it is no object.
+    """
+    try:
+        fields = json.loads(body.decode())
+    except (ValueError, RecursionError):
+        fields = _taken_apart(body)
+    if not isinstance(fields, dict):
+        raise PlatformUnavailableError("odd answer: not an object")
+    return fields
+
+
+def stored_object(kind: str, item: Any, *, deleted: Any = False) -> StoredObject:
+    """Return an object of an answer.
+
+    Parameters
+    ----------
+    kind : str
+        Its kind.
+    item : Any
+        What the answer says of it.
+    deleted : Any
+        What the answer says of its end.
+
+    Returns
+    -------
+    StoredObject
+        The object. One whose name cannot be read has none, and one that is
+        odd otherwise has a content that nothing can be read from.
+    """
+    meta = item.get("metadata") if isinstance(item, dict) else None
+    name = meta.get("name") if isinstance(meta, dict) else None
+    if not isinstance(meta, dict) or not isinstance(name, str):
+        return StoredObject(f"{kind}/", 0, UNREADABLE)
+    key = f"{kind}/{name}"
+    revision = meta.get("revision", 0)
+    flags = (deleted, meta.get("deleting", False))
+    if not _is_revision(revision) or not all(isinstance(f, bool) for f in flags):
+        return StoredObject(key, 0, UNREADABLE)
+    return StoredObject(key, revision, _content(item.get("spec")), any(flags))
+
+
+def revision_of(fields: dict[str, Any], name: str) -> int:
+    """Return a revision that an answer tells.
+
+    Parameters
+    ----------
+    fields : dict[str, Any]
+        Members of the answer.
+    name : str
+        The member.
+
+    Returns
+    -------
+    int
+        The revision.
+
+    Raises
+    ------
+    PlatformUnavailableError
+        When it is none.
+    """
+    revision = fields.get(name)
+    if not _is_revision(revision):
+        raise PlatformUnavailableError(f"odd answer: no revision {name}")
+    return int(revision)  # type: ignore[arg-type]
+
+
+def listed(fields: dict[str, Any], name: str) -> list[Any]:
+    """Return a list that an answer holds.
+
+    Parameters
+    ----------
+    fields : dict[str, Any]
+        Members of the answer.
+    name : str
+        The member.
+
+    Returns
+    -------
+    list[Any]
+        The list.
+
+    Raises
+    ------
+    PlatformUnavailableError
+        When it is none.
+    """
+    found = fields.get(name)
+    if not isinstance(found, list):
+        raise PlatformUnavailableError(f"odd answer: no list {name}")
+    return found
+
+
+def _is_revision(value: Any) -> bool:
+    is_whole = isinstance(value, int) and not isinstance(value, bool)
+    return is_whole and 0 <= value <= MOST_REVISION
+
+
+def _content(spec: Any) -> bytes:
+    if isinstance(spec, bytes):
+        return spec
+    try:
+        if isinstance(spec, dict) and spec.get("encoding") == BINARY:
+            return base64.b64decode(spec["data"])
+        return json.dumps(spec).encode()
+    except MALFORMED:
+        return UNREADABLE
+
+
+def _taken_apart(body: bytes) -> Any:
+    """Return the members of an answer that cannot be read as a whole."""
+    try:
+        return {
+            name: (
+                [_object_taken_apart(part) for part in _parts(value)]
+                if name in _LISTS
+                else _read(value)
+            )
+            for name, value in _members(body)
+        }
+    except (ValueError, RecursionError) as error:
+        detail = f"odd answer: {type(error).__name__}"
+        raise PlatformUnavailableError(detail) from error
+
+
+def _object_taken_apart(text: bytes) -> Any:
+    """Return an object or event; members that cannot be read stay bytes."""
+    try:
+        return _read(text)
+    except (ValueError, RecursionError):
+        pass
+    try:
+        members = list(_members(text))
+    except ValueError:
+        return text
+    return {
+        name: _object_taken_apart(value) if name == _OBJECT else _read_or_bytes(value)
+        for name, value in members
+    }
+
+
+def _read(text: bytes) -> Any:
+    return json.loads(text.decode())
+
+
+def _read_or_bytes(text: bytes) -> Any:
+    try:
+        return _read(text)
+    except (ValueError, RecursionError):
+        return text
+
+
+def _members(text: bytes) -> Iterator[tuple[str, bytes]]:
+    """Return names and values of an object's members, the values unread."""
+    for part in _parts(text):
+        sign = _SIGN.match(part)
+        if sign is None:
+            raise ValueError("a member without a name")
+        name = _read(sign.group())
+        rest = part[sign.end() :].lstrip()
+        if not isinstance(name, str) or not rest.startswith(b":"):
+            raise ValueError("a member without a value")
+        yield name, rest[1:].strip()
+
+
+def _parts(text: bytes) -> list[bytes]:
+    """Return what stands between the commas of an object or a list."""
+    text = text.strip()
+    if text[:1] not in {b"[", b"{"}:
+        raise ValueError("neither an object nor a list")
+    parts: list[bytes] = []
+    depth = 0
+    begin = 1
+    for sign in _SIGN.finditer(text):
+        first = text[sign.start()]
+        if first in b"[{":
+            depth += sign.end() - sign.start()
+        elif first in b"]}":
+            depth -= sign.end() - sign.start()
+            if depth <= 0:
+                break
+        elif first in b"," and depth == 1:
+            parts.append(text[begin : sign.start()].strip())
+            begin = sign.end()
+    if depth or sign.end() != len(text):
+        raise ValueError("brackets that don't match")
+    parts.append(text[begin:-1].strip())
+    return [] if parts == [b""] else parts
