A target whose entry becomes unreadable gets no new work at once

Cause: a change to an unreadable entry left the target of before in use, while the whole list sent it the way of a vanished one, which may still be used where there is no other. Each reading logged it anew; nothing counted it. What a handler or the store's client raised beside its typed errors ended the watch for good. An object named config/main-anything was taken for the configuration.

Ruled out: treating it like a vanished entry (it may lead anywhere); forgetting what is known of the target (it writes its entry again with its next heartbeat, and what runs there must count in the bound on its load); leaving out a router with a spoiled entry (the others would take a larger part of the shared budget).

Change: TargetList.drop takes a target out at once and keeps its state aside while a vanished one would be held; RefusedRecords tells (313, 421, 622) and counts a refusal once a change; a watch goes on after whatever is raised; a router writes its own entry again when it was spoiled, with the port that it is bound to; texts of others are escaped and cut in the log, and a line with half a character is written.

Two live tests fail on the sources before (two requests at the target in place of one; the watch never told of another target), the others with their modules.

--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -41,6 +41,18 @@
             ["verdict"],
             registry=self._registry,
         )
+        self._refused_records = Counter(
+            "primrosescale_refused_records",
+            "Records of the store that could not be read, once a change",
+            ["kind"],
+            registry=self._registry,
+        )
+        self._unreadable_records = Gauge(
+            "primrosescale_unreadable_records",
+            "Records of the store that cannot be read now",
+            ["kind"],
+            registry=self._registry,
+        )
         self._first_byte = Histogram(
             "primrosescale_first_byte_seconds",
             "Time from the request to the first byte of its answer",
@@ -114,6 +126,28 @@
         """
         self._silences.labels(silence.verdict.name.lower()).inc()
 
+    def record_refused(self, kind: str) -> None:
+        """Count a record of the store that cannot be read as it now stands.
+
+        Parameters
+        ----------
+        kind : str
+            What it describes.
+        """
+        self._refused_records.labels(kind).inc()
+
+    def unreadable_records(self, kind: str, number: int) -> None:
+        """Tell how many records of a kind cannot be read now.
+
+        Parameters
+        ----------
+        kind : str
+            What they describe.
+        number : int
+            Records.
+        """
+        self._unreadable_records.labels(kind).set(number)
+
     def gauge(self, name: str, value: float) -> None:
         """Tell a present value.
 
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -29,6 +29,7 @@
 from primrosescale.process.entry.text_site import TextSite
 from primrosescale.process.events import Event
 from primrosescale.process.incarnation import new_incarnation
+from primrosescale.process.log_text import LOGGED_CHARACTERS
 from primrosescale.request.direct_port import Refusal
 from primrosescale.request.forward_tools import ForwardTools
 from primrosescale.request.forwarded_call import ForwardedCall
@@ -86,8 +87,6 @@
 LOST_SECONDS = 1.0
 # The settings file may change without a signal; reading its 2 KB takes 0.1 ms.
 REREAD_SECONDS = 2.0
-# Of a name that a caller has chosen.
-LOGGED_CHARACTERS = 80
 # Left before SIGKILL for closing connections.
 STOP_MARGIN_SECONDS = 0.5
 
@@ -212,7 +211,7 @@
         self._ports[links] = self._reactor.listenUDP(
             links.port, self._exchange, links.address
         )
-        self._registry.start()
+        self._registry.start(self.bound[links])
         self._patient_until = self._now() + START_PATIENCE
         self._reactor.callLater(START_PATIENCE, self._serve_early)
         self._knowledge.start(self._learned)
--- a/src/primrosescale/process/entry/knowledge.py
+++ b/src/primrosescale/process/entry/knowledge.py
@@ -5,13 +5,15 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from primrosescale.exceptions import PrimrosescaleError
 from primrosescale.process.entry.listed_targets import ListedTargets
+from primrosescale.process.entry.refused_records import RecordKind
+from primrosescale.process.entry.refused_records import RefusedRecords
 from primrosescale.process.entry.store_connection import StoreConnection
 from primrosescale.process.entry.store_watch import StoreWatch
 from primrosescale.process.entry.store_watch import WatchHandler
 from primrosescale.process.events import Event
 from primrosescale.process.exceptions import PlatformError
+from primrosescale.process.exceptions import UnreadableRecordError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -76,9 +78,15 @@
 class _ConfigurationHandler(WatchHandler):
     """Keeps the newest version that can be read."""
 
-    def __init__(self, knowledge: Knowledge, connection: StoreConnection) -> None:
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        connection: StoreConnection,
+        prefix: str,
+    ) -> None:
         self._knowledge = knowledge
         self._connection = connection
+        self._prefix = prefix
 
     def replaced(self, objects: tuple[StoredObject, ...], asked_at: float) -> None:
         """Take in the newest version."""
@@ -96,7 +104,9 @@
         if self._connection.regained():
             self._knowledge.renew_watches()
         for stored in objects:
-            if not stored.is_deleted:
+            # The store gives all objects whose names begin alike.
+            is_other = not self._prefix.endswith("/") and stored.key != self._prefix
+            if not stored.is_deleted and not is_other:
                 self._knowledge.adopt(stored, asked_at)
         if not self._knowledge.is_behind:
             self._knowledge.freshness.answered(asked_at)
@@ -146,13 +156,19 @@
             targets,
             watches.targets.rest,
             parts.decoder,
+            RefusedRecords(RecordKind.TARGET, parts.log, parts.metrics),
             parts.log,
             self._now,
             self._look_complete,
         )
+        self._refused = RefusedRecords(
+            RecordKind.CONFIGURATION, parts.log, parts.metrics
+        )
         self._connection = StoreConnection("configuration", parts.log, self._now)
         self._watched = watches.configuration
-        self._handler = _ConfigurationHandler(self, self._connection)
+        self._handler = _ConfigurationHandler(
+            self, self._connection, watches.configuration.prefix
+        )
         self._asks_often = asks_often
         self._asked_at: float | None = None
         self._is_asking = False
@@ -160,7 +176,15 @@
         self._version_lag = _Lag(VERSION_PATIENCE)
         self._list_lag = _Lag(watches.targets.rest + LIST_PATIENCE)
         self._watches = [
-            StoreWatch(parts.platform, watched, handler, parts.reactor, parts.rng, wait)
+            StoreWatch(
+                parts.platform,
+                watched,
+                handler,
+                parts.reactor,
+                parts.rng,
+                self._broken,
+                wait,
+            )
             for watched, handler, wait in (
                 (watches.configuration, self._handler, self._configuration_wait),
                 (watches.targets, self._listed, None),
@@ -381,10 +405,11 @@
         """
         try:
             table = self._decoder.table(stored)
-        except PrimrosescaleError as error:
+        except UnreadableRecordError as error:
             self._is_behind = True
-            self._log.emit(Event.TABLE_REFUSED, detail=str(error))
+            self._refused.refuse(stored, error)
             return
+        self._refused.settle(stored.key)
         known = self._table
         self._is_behind = known is not None and table.version < known.version
         if known is not None and table.version <= known.version:
--- a/src/primrosescale/process/entry/listed_targets.py
+++ b/src/primrosescale/process/entry/listed_targets.py
@@ -5,19 +5,19 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from primrosescale.exceptions import PrimrosescaleError
 from primrosescale.process.entry.store_connection import StoreConnection
 from primrosescale.process.entry.store_watch import WatchHandler
 from primrosescale.process.events import Event
+from primrosescale.process.exceptions import UnreadableRecordError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from primrosescale.process.entry.codec import RecordDecoder
+    from primrosescale.process.entry.refused_records import RefusedRecords
     from primrosescale.process.entry.target_list import TargetList
     from primrosescale.process.exceptions import PlatformError
     from primrosescale.process.transport.platform import StoredObject
-    from primrosescale.request.serving_target import ServingTarget
 
 
 class ListedTargets(WatchHandler):
@@ -31,6 +31,8 @@
         Seconds that the watch rests after a change.
     decoder : RecordDecoder
         Reads entries.
+    refused : RefusedRecords
+        Entries that cannot be read.
     log : Any
         Where events are told.
     now : Callable[[], float]
@@ -44,6 +46,7 @@
         targets: TargetList,
         rest: float,
         decoder: RecordDecoder,
+        refused: RefusedRecords,
         log: Any,
         now: Callable[[], float],
         on_list: Callable[[], None],
@@ -51,6 +54,7 @@
         self._targets = targets
         self._rest = rest
         self._decoder = decoder
+        self._refused = refused
         self._log = log
         self._now = now
         self._on_list = on_list
@@ -72,11 +76,11 @@
         """Take in the whole list; see `WatchHandler.replaced`."""
         self._connection.regained()
         now = self._now()
-        listed = [self._decoded(item) for item in objects if not item.is_deleted]
-        found = [target for target in listed if target is not None]
-        for target in found:
-            self._put(target, now)
-        names = {target.name for target in found}
+        listed = [item for item in objects if not item.is_deleted]
+        self._refused.keep(item.key for item in listed)
+        for item in listed:
+            self._take(item, now)
+        names = {_name(item) for item in listed}
         for state in list(self._targets.states):
             if state.target.name not in names:
                 self._remove(state.target.name, now)
@@ -90,11 +94,10 @@
         for stored in objects:
             self._revision = max(self._revision, stored.version)
             if stored.is_deleted:
-                self._remove(stored.key.split("/", 1)[1], now)
-                continue
-            target = self._decoded(stored)
-            if target is not None:
-                self._put(target, now)
+                self._refused.settle(stored.key)
+                self._remove(_name(stored), now)
+            else:
+                self._take(stored, now)
 
     def failed(self, error: PlatformError) -> None:
         """Note that the store could not be asked; see `WatchHandler.failed`."""
@@ -118,8 +121,18 @@
             self._log.emit(Event.TARGET_FORGOTTEN, target=name)
         return gone
 
-    def _put(self, target: ServingTarget, now: float) -> None:
-        if self._targets.put(target, now):
+    def _take(self, stored: StoredObject, now: float) -> None:
+        """Take in an entry; one that cannot be read names no target."""
+        try:
+            target = self._decoder.target(stored)
+        except UnreadableRecordError as error:
+            # Not the way of an entry that is gone, whose target may still be
+            # used when there is no other: this one may lead anywhere.
+            self._targets.drop(_name(stored), now)
+            self._refused.refuse(stored, error)
+            return
+        is_back = self._refused.settle(stored.key)
+        if self._targets.put(target, now) or is_back:
             self._log.emit(
                 Event.TARGET_LISTED,
                 target=target.name,
@@ -133,9 +146,6 @@
         if self._targets.remove(name, now - self._rest):
             self._log.emit(Event.TARGET_DELISTED, target=name)
 
-    def _decoded(self, stored: StoredObject) -> ServingTarget | None:
-        try:
-            return self._decoder.target(stored)
-        except PrimrosescaleError as error:
-            self._log.emit(Event.TARGET_REFUSED, detail=str(error))
-            return None
+
+def _name(stored: StoredObject) -> str:
+    return stored.key.partition("/")[2]
--- a/src/primrosescale/process/entry/log_writer.py
+++ b/src/primrosescale/process/entry/log_writer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 from typing import TYPE_CHECKING
 from typing import Any
@@ -139,7 +140,7 @@
             for name, value in message.items()
             if name not in {"task_uuid", "task_level"}
         }
-        line = orjson.dumps(fields, default=str) + b"\n"
+        line = _json(fields) + b"\n"
         if len(self._buffer) + len(line) > BUFFER_BYTES:
             self._budget.count_dropped()
             return
@@ -162,6 +163,14 @@
             self._timer = self._clock.callLater(RETRY_SECONDS, self._flush)
 
 
+def _json(fields: dict[str, Any]) -> bytes:
+    try:
+        return orjson.dumps(fields, default=str)
+    except TypeError:
+        # A text of others with half a character, or a number of over 64 bits.
+        return json.dumps(fields, default=str).encode()
+
+
 @implementer(ILogObserver)
 class FailureObserver:
     """Takes what twisted itself logs as failed into the log.
--- a/src/primrosescale/process/entry/router_exchange.py
+++ b/src/primrosescale/process/entry/router_exchange.py
@@ -14,10 +14,12 @@
 from primrosescale.connection.codec import encode
 from primrosescale.connection.exceptions import FrameError
 from primrosescale.connection.wire import ttypes as wire
-from primrosescale.exceptions import PrimrosescaleError
+from primrosescale.process.entry.refused_records import RecordKind
+from primrosescale.process.entry.refused_records import RefusedRecords
 from primrosescale.process.entry.store_watch import WatchHandler
 from primrosescale.process.events import Event
 from primrosescale.process.exceptions import PlatformError
+from primrosescale.process.exceptions import UnreadableRecordError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,6 +28,7 @@
     from twisted.python.failure import Failure
 
     from primrosescale.clock import Timer
+    from primrosescale.connection.endpoint import Endpoint
     from primrosescale.process.entry.entry_parts import EntryParts
     from primrosescale.process.entry.entry_settings import EntrySettings
     from primrosescale.process.entry.router_news import RouterNews
@@ -172,14 +175,23 @@
         self._is_announcing = False
         self._is_stopped = False
         self._has_list = False
+        self._links = settings.links
+        self._refused = RefusedRecords(RecordKind.ROUTER, parts.log, parts.metrics)
 
     @property
     def routers(self) -> int | None:
         """Return how many routers are listed; None before the list came."""
         return len(self._news.others) + 1 if self._has_list else None
 
-    def start(self) -> None:
-        """List this router."""
+    def start(self, links: Endpoint) -> None:
+        """List this router.
+
+        Parameters
+        ----------
+        links : Endpoint
+            Where it takes news.
+        """
+        self._links = links
         self._announce()
 
     @inlineCallbacks
@@ -197,9 +209,10 @@
     def replaced(self, objects: tuple[StoredObject, ...], asked_at: float) -> None:
         """Take in the whole list; see `WatchHandler.replaced`."""
         self._has_list = True
-        listed = set()
+        self._refused.keep(stored.key for stored in objects)
         for stored in objects:
-            listed.add(self._take(stored))
+            self._take(stored)
+        listed = {_name(stored) for stored in objects if not stored.is_deleted}
         for router in self._news.others:
             if router.name not in listed:
                 self._news.remove(router.name)
@@ -209,8 +222,8 @@
     def changed(self, objects: tuple[StoredObject, ...], asked_at: float) -> None:
         """Take in changed entries; see `WatchHandler.changed`."""
         for stored in objects:
-            name = self._take(stored)
-            if stored.is_deleted and name == self._settings.name:
+            self._take(stored)
+            if stored.is_deleted and _name(stored) == self._settings.name:
                 self._announce()
 
     def forget_silent(self, now: float) -> None:
@@ -236,17 +249,22 @@
     def failed(self, error: PlatformError) -> None:
         """Do nothing: the watch of the configuration logs outages."""
 
-    def _take(self, stored: StoredObject) -> str:
-        name = stored.key.split("/", 1)[1]
+    def _take(self, stored: StoredObject) -> None:
         if stored.is_deleted:
-            self._news.remove(name)
-            return name
+            self._refused.settle(stored.key)
+            self._news.remove(_name(stored))
+            return
         try:
             router = self._parts.decoder.router(stored)
-            self._news.put(router, self._parts.reactor.seconds())
-        except PrimrosescaleError as error:
-            self._parts.log.emit(Event.TARGET_REFUSED, detail=str(error))
-        return name
+        except UnreadableRecordError as error:
+            # What was known of the router holds, so that its part of shared
+            # budgets is not given away; silence ends that.
+            self._refused.refuse(stored, error)
+            if _name(stored) == self._settings.name:
+                self._announce()
+            return
+        self._refused.settle(stored.key)
+        self._news.put(router, self._parts.reactor.seconds())
 
     @inlineCallbacks
     def _announce(self) -> Generator[Any, Any, None]:
@@ -266,7 +284,7 @@
         self._is_announcing = False
 
     def _entry(self, name: str, *, gone: bool) -> wire.HostEntry:
-        links = self._settings.links
+        links = self._links
         return wire.HostEntry(
             name,
             "router",
@@ -280,3 +298,7 @@
             version=0,
             incarnation=self._incarnation,
         )
+
+
+def _name(stored: StoredObject) -> str:
+    return stored.key.partition("/")[2]
--- a/src/primrosescale/process/entry/store_watch.py
+++ b/src/primrosescale/process/entry/store_watch.py
@@ -12,6 +12,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
 
 from primrosescale.process.exceptions import PlatformError
 from primrosescale.process.exceptions import PlatformHistoryGoneError
@@ -31,6 +32,8 @@
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 0.5
 GROWTH = 1.5
+# Pause after a fault of this program's own, which reading anew may not mend.
+FAULT_PAUSE = 1.0
 # A change answers the watches of all routers at once; drawing each wait anew
 # keeps their next questions apart, so that one of them is always recent.
 LEAST_WAIT_SHARE = 0.6
@@ -117,6 +120,8 @@
         Twisted's reactor.
     rng : Random
         Source of chance for pauses.
+    on_fault : Callable[[Failure], None]
+        Told of what should not have been raised; the watch goes on.
     wait : Callable[[], float] | None
         Returns the seconds that the store may keep the next question waiting;
         None for what `watched` says.
@@ -129,9 +134,11 @@
         handler: WatchHandler,
         reactor: Any,
         rng: Random,
+        on_fault: Callable[[Failure], None],
         wait: Callable[[], float] | None = None,
     ) -> None:
         self._wait = wait
+        self._on_fault = on_fault
         self._platform = platform
         self._watched = watched
         self._handler = handler
@@ -159,7 +166,19 @@
 
     @inlineCallbacks
     def run(self) -> Generator[Any, Any, None]:
-        """Follow changes until stopped."""
+        """Follow changes until stopped, whatever is met on the way."""
+        while not self._is_stopped:
+            try:
+                yield self._follow()
+            except Exception:  # noqa: BLE001 - a watch that ends is missed by nobody
+                self._on_fault(Failure())
+                # What was taken in by half is read anew.
+                self._since = 0
+                yield self._sleep(FAULT_PAUSE)
+
+    @inlineCallbacks
+    def _follow(self) -> Generator[Any, Any, None]:
+        """Follow changes until stopped or something unexpected is raised."""
         pause = FIRST_PAUSE
         while not self._is_stopped:
             asked_at = self._reactor.seconds()
--- a/src/primrosescale/process/entry/target_list.py
+++ b/src/primrosescale/process/entry/target_list.py
@@ -31,13 +31,14 @@
         Seconds after which a leaving target must get no new work.
     """
 
-    __slots__ = ("_drain", "_generation", "_known", "_vanished")
+    __slots__ = ("_drain", "_generation", "_known", "_unreadable", "_vanished")
 
     def __init__(self, drain: float) -> None:
         self._drain = drain
         self._generation = 0
         self._known: dict[str, TargetState] = {}
         self._vanished: dict[str, float] = {}
+        self._unreadable: dict[str, TargetState] = {}
 
     def __len__(self) -> int:
         """Return how many targets are known."""
@@ -116,6 +117,7 @@
             Whether something changed.
         """
         self._vanished.pop(target.name, None)
+        self._take_up(target.name)
         known = self._known.get(target.name)
         if known is None:
             self._known[target.name] = TargetState(target, now)
@@ -125,6 +127,39 @@
         known.relist(target)
         return is_new
 
+    def drop(self, name: str, now: float) -> bool:
+        """Take in that an entry cannot be read: it names no target at once.
+
+        The state is kept as long as that of a target whose entry is gone:
+        when the entry can be read again meanwhile, what runs there is known.
+
+        Parameters
+        ----------
+        name : str
+            The target.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether it was a target until now.
+        """
+        known = self._known.pop(name, None)
+        if known is None:
+            return False
+        self._generation += 1
+        self._unreadable[name] = known
+        self._vanished[name] = now + self._drain * HOLD_SHARE
+        return True
+
+    def _take_up(self, name: str) -> None:
+        """Have a target back whose entry could not be read for a while."""
+        state = self._unreadable.pop(name, None)
+        if state is not None:
+            self._known[name] = state
+            self._generation += 1
+
     def remove(self, name: str, gone_at: float) -> bool:
         """Take in that an entry is gone.
 
@@ -167,4 +202,5 @@
             del self._vanished[name]
             self._generation += 1
             self._known.pop(name, None)
+            self._unreadable.pop(name, None)
         return gone
--- a/src/primrosescale/process/events.py
+++ b/src/primrosescale/process/events.py
@@ -59,6 +59,7 @@
     WATCH_RENEWED = 613
     NEWS_REFUSED = 620
     NEWS_NOT_SENT = 621
+    ROUTER_REFUSED = 622
     SPAN = 700
 
 
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -642,6 +642,42 @@
         self.assertEqual(0, len(self.arrivals("p1")))
         self.assertEqual(4, len(self.arrivals("p2")))
 
+    @inlineCallbacks
+    def test_an_entry_that_becomes_unreadable_ends_new_work_and_cuts_none(self):
+        for name in ("m1", "m2"):
+            self.scripts[name].events = 60
+            self.scripts[name].gap = 0.01
+        yield self.start()
+        story = text(b"/story/x", method=b"POST", body=b"b")
+        caller = yield self.connect()
+        caller.transport.write(story)
+        yield caller.until(lambda c: b"id: 2" in c.data)
+        busy, other = ("m1", "m2") if self.arrivals("m1") else ("m2", "m1")
+        self.store.write("servers", busy, {"service": "model", "state": "ready"})
+        yield deferLater(reactor, 0.1, lambda: None)
+        for turn in range(3):
+            again = text(b"/story/x", rid=b"n%d" % turn, method=b"POST", body=b"b")
+            yield self.ask(again, b"0\r\n\r\n")
+        yield caller.until(lambda c: c.data.endswith(b"0\r\n\r\n"))
+        self.assertIn(b"id: 60", caller.data)
+        self.assertEqual((1, 3), (len(self.arrivals(busy)), len(self.arrivals(other))))
+        self.assertIn("TARGET_REFUSED", [name for name, _ in self.events])
+
+    @inlineCallbacks
+    def test_no_entry_ends_the_watch_of_targets(self):
+        yield self.start()
+        for number, odd in enumerate((float("inf"), 10**400, [[[]]], None, {"a": 1})):
+            entry = target_entry("portal", f"{LOOPBACK}:1", slots=odd)
+            self.store.write("servers", f"odd{number}", entry)
+            self.store.write("servers", f"text{number}", odd)
+            self.engine(f"p{number + 3}", "portal")
+            yield self.eventually(
+                lambda name=f"p{number + 3}": (
+                    self.router._knowledge.targets.state(name) is not None
+                )
+            )
+        self.assertNotIn("LOOP_FAILED", [name for name, _ in self.events])
+
     @inlineCallbacks
     def test_requests_before_the_first_knowledge_wait_for_it(self):
         self.store.faults.next_calls = [StoreFault.BUSY] * 4
--- a/tests/entry/test_knowledge.py
+++ b/tests/entry/test_knowledge.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
 
+from primrosescale.process.entry.entry_metrics import EntryMetrics
 from primrosescale.process.entry.entry_settings import EntryWatches
 from primrosescale.process.entry.knowledge import ASK_AGAIN_SECONDS
 from primrosescale.process.entry.knowledge import LIST_PATIENCE
@@ -61,6 +62,7 @@
             platform=self.store,
             rng=random.Random(1),
             decoder=None,
+            metrics=EntryMetrics(),
             log=SimpleNamespace(emit=lambda event, **said: self.told.append(event)),
         )
         watches = EntryWatches(
