What a model engine tells of its cache is one clear error when it is odd

Cause: an infinite count or deep nesting in its answer was no TargetError. The router logged it all the same, so nothing broke; the interface promised the type. The test of odd answers fails on the sources before (OverflowError).

--- /dev/null
+++ b/tests/adapter/test_engine_calls.py
@@ -0,0 +1,61 @@
+"""What a model engine tells of its cache is read, or is one clear error."""
+
+from __future__ import annotations
+
+from twisted.internet import reactor
+from twisted.internet.defer import inlineCallbacks
+from twisted.web.resource import Resource
+
+from entry.fakes import target
+from primrosescale.platform.engine_calls import EngineCaches
+from primrosescale.process.exceptions import TargetError
+from support.foreign import DEEP
+from support.live import DeploymentRunTest
+from support.live import LiveTest
+
+
+class Engine(Resource):
+    isLeaf = True
+
+    def __init__(self):
+        super().__init__()
+        self.answer = b""
+
+    def render_GET(self, request):
+        return self.answer
+
+
+class EngineCachesTest(LiveTest):
+    run_tests_with = DeploymentRunTest.make_factory(timeout=30.0)
+
+    def setUp(self):
+        super().setUp()
+        self.engine = Engine()
+        self.target = target("m1", endpoint=self.serve(self.engine))
+        self.caches = EngineCaches(reactor)
+
+    @inlineCallbacks
+    def test_what_it_holds_is_read(self):
+        self.engine.answer = b'{"held": [["", "5c1e", 800, "m"]]}'
+        [part] = yield self.caches.read(self.target)
+        self.assertEqual(("5c1e", 800), (part.name, part.tokens))
+
+    @inlineCallbacks
+    def test_an_odd_answer_is_one_clear_error(self):
+        for odd in (
+            b"",
+            b"\xff",
+            b"[]",
+            b"{}",
+            b'{"held": 7}',
+            b'{"held": [[]]}',
+            b'{"held": [["", "a", "many"]]}',
+            b'{"held": [["", "a", 1e999]]}',
+            b"[" * DEEP,
+        ):
+            self.engine.answer = odd
+            try:
+                yield self.caches.read(self.target)
+            except TargetError:
+                continue
+            self.fail(f"{odd[:40]!r} was read")
