A router answers the same spoiled content of its own entry once

Cause: a router whose own entry cannot be read by any router (its host's name or address is none) would have written it again after each change, two seconds apart, for ever. Ruled out: judging by the field at fault (which fields it fills itself is not the reader's to know). Change: the same content twice in a row is not answered.

--- a/src/primrosescale/process/entry/router_exchange.py
+++ b/src/primrosescale/process/entry/router_exchange.py
@@ -176,6 +176,7 @@
         self._is_stopped = False
         self._has_list = False
         self._links = settings.links
+        self._spoiled: bytes | None = None
         self._refused = RefusedRecords(RecordKind.ROUTER, parts.log, parts.metrics)
 
     @property
@@ -261,11 +262,23 @@
             # budgets is not given away; silence ends that.
             self._refused.refuse(stored, error)
             if _name(stored) == self._settings.name:
-                self._announce()
+                self._mend(stored)
             return
         self._refused.settle(stored.key)
+        if router.name == self._settings.name:
+            self._spoiled = None
         self._news.put(router, self._parts.reactor.seconds())
 
+    def _mend(self, stored: StoredObject) -> None:
+        """Write this router's entry again that somebody spoiled.
+
+        The same content twice in a row is what it wrote itself, which writing
+        would not mend.
+        """
+        if stored.value != self._spoiled:
+            self._spoiled = stored.value
+            self._announce()
+
     @inlineCallbacks
     def _announce(self) -> Generator[Any, Any, None]:
         """Write this router's entry until the store has taken it."""
--- a/tests/entry/test_foreign_entries.py
+++ b/tests/entry/test_foreign_entries.py
@@ -389,6 +389,15 @@
         self.told("r-0", {**ROUTER, "address": 7}, 2)
         self.assertEqual(["r-0"], [listed.name for listed in self.announced])
 
+    def test_what_writing_does_not_mend_is_written_twice_at_most(self):
+        odd = {**ROUTER, "address": "host.example"}
+        for version in range(2, 9):
+            self.told("r-0", odd, version)
+        self.assertEqual(1, len(self.announced))
+        self.told("r-0", ROUTER, 9)
+        self.told("r-0", odd, 10)
+        self.assertEqual(2, len(self.announced))
+
     @drawn(100)
     @given(st.lists(st.tuples(names, contents(ROUTER)), max_size=4))
     def test_drawn_entries_leave_the_others(self, odd):
