--- a/src/primrosescale/platform/engine_calls.py
+++ b/src/primrosescale/platform/engine_calls.py
@@ -8,7 +8,6 @@
 
 from twisted.internet.defer import inlineCallbacks
 
-from primrosescale.platform.records import MALFORMED
 from primrosescale.process.entry.codec import CacheReader
 from primrosescale.process.entry.codec import HeldParts
 from primrosescale.process.exceptions import TargetError
@@ -22,6 +21,16 @@
 
 HELD_PARTS = "/api/kv-list"
 OK = 200
+# What an odd answer raises while it is taken apart.
+MALFORMED = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    IndexError,
+    OverflowError,
+    RecursionError,
+)
 # The call waits behind the engine's own work, some steps of a few ms.
 TIMEOUT = 0.6
 
--- a/src/primrosescale/process/entry/codec.py
+++ b/src/primrosescale/process/entry/codec.py
@@ -123,7 +123,7 @@
         Returns
         -------
         RoutingTable
-            The table; fails with a `PrimrosescaleError`.
+            The table; fails with an `UnreadableRecordError`.
         """
 
     @abstractmethod
@@ -138,7 +138,7 @@
         Returns
         -------
         ServingTarget
-            The target; fails with a `PrimrosescaleError`.
+            The target; fails with an `UnreadableRecordError`.
         """
 
     @abstractmethod
@@ -153,7 +153,7 @@
         Returns
         -------
         OtherRouter
-            The router; fails with a `PrimrosescaleError`.
+            The router; fails with an `UnreadableRecordError`.
         """
 
 
--- a/src/primrosescale/process/entry/target_list.py
+++ b/src/primrosescale/process/entry/target_list.py
@@ -63,7 +63,14 @@
         Told when a life of a target became known.
     """
 
-    __slots__ = ("_drain", "_generation", "_known", "_on_life", "_vanished")
+    __slots__ = (
+        "_drain",
+        "_generation",
+        "_known",
+        "_on_life",
+        "_unreadable",
+        "_vanished",
+    )
 
     def __init__(
         self, drain: float, on_life: Callable[[BegunLife], None] | None = None
@@ -73,6 +80,7 @@
         self._generation = 0
         self._known: dict[str, TargetState] = {}
         self._vanished: dict[str, float] = {}
+        self._unreadable: dict[str, TargetState] = {}
 
     def __len__(self) -> int:
         """Return how many targets are known."""
@@ -155,12 +163,13 @@
         bool
             Whether something changed.
         """
-        known = self._known.get(target.name)
         told = target.incarnation
+        known = self._known.get(target.name) or self._unreadable.get(target.name)
         if known is not None and told.started_at is not None:
             if told.is_followed_by(known.incarnation):
                 return False
         self._vanished.pop(target.name, None)
+        self._take_up(target.name)
         if known is None or known.incarnation.is_followed_by(told):
             self._begin(target, known, now, told_by)
             return True
@@ -181,6 +190,39 @@
             before = None if former is None else former.incarnation
             self._on_life(BegunLife(target.incarnation, before, told_by))
 
+    def drop(self, name: str, now: float) -> bool:
+        """Take in that an entry cannot be read: it names no target at once.
+
+        The state is kept as long as that of a target whose entry is gone:
+        when the entry can be read again meanwhile, what runs there is known.
+
+        Parameters
+        ----------
+        name : str
+            The target.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether it was a target until now.
+        """
+        known = self._known.pop(name, None)
+        if known is None:
+            return False
+        self._generation += 1
+        self._unreadable[name] = known
+        self._vanished[name] = now + self._drain * HOLD_SHARE
+        return True
+
+    def _take_up(self, name: str) -> None:
+        """Have a target back whose entry could not be read for a while."""
+        state = self._unreadable.pop(name, None)
+        if state is not None:
+            self._known[name] = state
+            self._generation += 1
+
     def remove(self, name: str, gone_at: float) -> bool:
         """Take in that an entry is gone.
 
@@ -222,4 +264,8 @@
         for name in gone:
             del self._vanished[name]
             self._generation += 1
-        return [self._known.pop(name).incarnation for name in gone]
+        known, unreadable = self._known, self._unreadable
+        return [
+            (known if name in known else unreadable).pop(name).incarnation
+            for name in gone
+        ]
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -149,6 +149,17 @@
     }
 
 
+def target_entry(service, address, **fields):
+    """Return a target's entry with all fields that it must have."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "a",
+        "state": "ready",
+        **fields,
+    }
+
+
 class EntryRouterTest(LiveTest):
     run_tests_with = DeploymentRunTest.make_factory(timeout=30.0)
 
@@ -175,13 +186,8 @@
 
     def put_entry(self, name, service, script, born, **fields):
         """Write a target's entry; return its revision."""
-        entry = {
-            "service": service,
-            "address": self.addresses[id(script)],
-            "state": "ready",
-            "slots": 8,
-            "born": born,
-        }
+        address = self.addresses[id(script)]
+        entry = target_entry(service, address, slots=8, born=born)
         return self.store.write("servers", name, {**entry, **fields})
 
     @inlineCallbacks
@@ -345,7 +351,7 @@
         config["services"][1]["engine"]["kv_cache_tokens"] = 1000
         self.store.write("config", "main", config)
         for number in range(MOST_CACHES_READ + 30):
-            entry = {"service": "model", "address": f"{LOOPBACK}:1", "state": "ready"}
+            entry = target_entry("model", f"{LOOPBACK}:1")
             self.store.write("servers", f"x{number}", entry)
         caches = SilentCaches()
         yield self.start(reads_caches=True, caches=caches)
@@ -581,7 +587,7 @@
     def drain_unheard(self, name):
         """Have a target leave without the watch that waits hearing of it."""
         self.store.faults.is_deaf = True
-        entry = {"service": "model", "address": f"{LOOPBACK}:1", "state": "draining"}
+        entry = target_entry("model", f"{LOOPBACK}:1", state="draining")
         revision = self.store.write("servers", name, entry)
         self.store.faults.is_deaf = False
         return revision
@@ -648,8 +654,7 @@
     @inlineCallbacks
     def test_a_leaving_target_gets_no_more_requests(self):
         yield self.start()
-        address = f"{LOOPBACK}:1"
-        entry = {"service": "portal", "address": address, "state": "draining"}
+        entry = target_entry("portal", f"{LOOPBACK}:1", state="draining")
         self.store.write("servers", "p1", entry)
         yield deferLater(reactor, 0.1, lambda: None)
         for turn in range(4):
@@ -657,6 +662,42 @@
         self.assertEqual(0, len(self.arrivals("p1")))
         self.assertEqual(4, len(self.arrivals("p2")))
 
+    @inlineCallbacks
+    def test_an_entry_that_becomes_unreadable_ends_new_work_and_cuts_none(self):
+        for name in ("m1", "m2"):
+            self.scripts[name].events = 60
+            self.scripts[name].gap = 0.01
+        yield self.start()
+        story = text(b"/story/x", method=b"POST", body=b"b")
+        caller = yield self.connect()
+        caller.transport.write(story)
+        yield caller.until(lambda c: b"id: 2" in c.data)
+        busy, other = ("m1", "m2") if self.arrivals("m1") else ("m2", "m1")
+        self.store.write("servers", busy, {"service": "model", "state": "ready"})
+        yield deferLater(reactor, 0.1, lambda: None)
+        for turn in range(3):
+            again = text(b"/story/x", rid=b"n%d" % turn, method=b"POST", body=b"b")
+            yield self.ask(again, b"0\r\n\r\n")
+        yield caller.until(lambda c: c.data.endswith(b"0\r\n\r\n"))
+        self.assertIn(b"id: 60", caller.data)
+        self.assertEqual((1, 3), (len(self.arrivals(busy)), len(self.arrivals(other))))
+        self.assertIn("TARGET_REFUSED", [name for name, _ in self.events])
+
+    @inlineCallbacks
+    def test_no_entry_ends_the_watch_of_targets(self):
+        yield self.start()
+        for number, odd in enumerate((float("inf"), 10**400, [[[]]], None, {"a": 1})):
+            entry = target_entry("portal", f"{LOOPBACK}:1", slots=odd)
+            self.store.write("servers", f"odd{number}", entry)
+            self.store.write("servers", f"text{number}", odd)
+            self.engine(f"p{number + 3}", "portal")
+            yield self.eventually(
+                lambda name=f"p{number + 3}": (
+                    self.router._knowledge.targets.state(name) is not None
+                )
+            )
+        self.assertNotIn("LOOP_FAILED", [name for name, _ in self.events])
+
     @inlineCallbacks
     def test_requests_before_the_first_knowledge_wait_for_it(self):
         self.store.faults.next_calls = [StoreFault.BUSY] * 4
