The stand-in of an engine starts again under its name and falls silent whole

Cause: it had one life only, and silence of one request, not of all it does. Change: what belongs to a life is one object, replaced whole at a start, so a late end of the former life takes nothing off the new one; it tells its start in its report, the parts that it holds and its health answer, if it has one. Ruled out: a flag for each thing to forget, which the next field would miss.

--- a/src/primrosescale/standin/users_engine.py
+++ b/src/primrosescale/standin/users_engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import dataclass
 from dataclasses import field
 from enum import Enum
@@ -10,6 +11,7 @@
 
 from twisted.internet import reactor as default_reactor
 from twisted.internet.protocol import ServerFactory
+from twisted.internet.protocol import connectionDone
 from twisted.web.http import HTTPChannel
 from twisted.web.http import Request
 
@@ -23,6 +25,9 @@
 FULL = 503
 MISDIRECTED = 421
 RECEIPT = b"3e1b.07"
+REPORT = b"/api/report"
+HELD_PARTS = b"/api/kv-list"
+INCARNATION = b"Primrosescale-Instance-Id"
 
 
 class EngineFault(Enum):
@@ -68,6 +73,48 @@
     has_run: bool = False
 
 
+@dataclass(slots=True)
+class EngineLife:
+    """All that belongs to one life of an engine, replaced whole at a start.
+
+    Parameters
+    ----------
+    started_at : int | None
+        Its start in Unix milliseconds; None for an engine that tells none.
+    sequence : int
+        Orders that it has accepted.
+    held : list[tuple[str, int]]
+        Prompt parts that it holds, with their tokens.
+    running : int
+        Requests that are being worked on.
+    silent_until : float
+        Until when it sends nothing to anyone, in seconds of its source of
+        time: it reads, works and keeps its connections.
+    """
+
+    started_at: int | None = None
+    sequence: int = 0
+    held: list[tuple[str, int]] = field(default_factory=list)
+    running: int = 0
+    silent_until: float = 0.0
+
+    def said(self, **fields: Any) -> dict[str, Any]:
+        """Return what it says of itself, with its start if it tells one.
+
+        Parameters
+        ----------
+        **fields : Any
+            What else it says.
+
+        Returns
+        -------
+        dict[str, Any]
+            The fields.
+        """
+        told = {} if self.started_at is None else {"born": self.started_at}
+        return {**fields, **told}
+
+
 @dataclass(slots=True)
 class EngineScript:
     """How an engine behaves; may be changed while it runs.
@@ -75,7 +122,7 @@
     Parameters
     ----------
     name : str
-        Its incarnation.
+        Its name; another one for what is another target.
     faults : list[EngineFault]
         Faults of the requests to come, in order.
     events : int
@@ -93,10 +140,14 @@
     names_request : bool
         Whether answers and events hold the request's name, so that a caller
         can tell its own from others.
-    running : int
-        Requests that are being worked on.
+    receipt : bytes
+        What its answers are signed with.
+    health_path : bytes
+        Where it says that it is healthy; empty for nowhere.
     on_arrival : Callable[[Arrival], None] | None
         Told of each request, once it is decided whether it runs.
+    life : EngineLife
+        What belongs to its present life.
     """
 
     name: str = "i-1"
@@ -108,8 +159,51 @@
     delay: float = 0.0
     arrivals: list[Arrival] = field(default_factory=list)
     names_request: bool = False
-    running: int = 0
+    receipt: bytes = RECEIPT
+    health_path: bytes = b""
     on_arrival: Callable[[Arrival], None] | None = None
+    life: EngineLife = field(default_factory=EngineLife)
+
+    @property
+    def running(self) -> int:
+        """Return how many requests its present life works on."""
+        return self.life.running
+
+    def own_words(self, method: bytes, path: bytes) -> dict[str, Any] | None:
+        """Return what it says of itself when asked for that.
+
+        Parameters
+        ----------
+        method : bytes
+            HTTP method.
+        path : bytes
+            Path and query.
+
+        Returns
+        -------
+        dict[str, Any] | None
+            The fields; None for a caller's request.
+        """
+        asked = path.partition(b"?")[0]
+        life = self.life
+        if method != b"GET" or asked not in {REPORT, HELD_PARTS, self.health_path}:
+            return None
+        if asked == HELD_PARTS:
+            held = [["", part, tokens, "m"] for part, tokens in life.held]
+            return life.said(epoch=life.started_at or 0, next=len(held), held=held)
+        if asked == REPORT:
+            return life.said(
+                stage="both",
+                models=[{"name": "m", "version": 1, "adapters": []}],
+                busy=False,
+                sequence=life.sequence,
+                waiting=0,
+                running=life.running,
+                kv_used=sum(tokens for _, tokens in life.held),
+                kv_total=90000,
+                handles=0,
+            )
+        return life.said()
 
     def answer_to(self, request_id: bytes) -> bytes:
         """Return the whole plain answer to a request.
@@ -138,9 +232,14 @@
 
     def process(self) -> None:
         """Answer by the script."""
-        self._has_arrived = True
         channel: Any = self.channel
         self._script: EngineScript = channel.script
+        self._life: EngineLife = channel.life
+        words = self._script.own_words(self.method, self.uri)
+        if words is not None:
+            channel.when_awake(lambda: self._say(words))
+            return
+        self._has_arrived = True
         content: Any = self.content
         self._arrival = Arrival(
             self.method,
@@ -157,9 +256,25 @@
         is_other = expected is not None and expected.decode() != self._script.name
         self._is_working = not is_other and fault is not EngineFault.DECLINE
         self._arrival.has_run = self._is_working
-        self._script.running += self._is_working
+        self._life.running += self._is_working
         if self._script.on_arrival is not None:
             self._script.on_arrival(self._arrival)
+        channel.when_awake(lambda: self._begin(fault, is_other=is_other))
+
+    def _say(self, words: dict[str, Any]) -> None:
+        if self._disconnected:
+            return
+        body = json.dumps(words).encode()
+        self.responseHeaders.setRawHeaders(INCARNATION, [self._script.name.encode()])
+        self.responseHeaders.setRawHeaders(b"Content-Type", [b"application/json"])
+        self.responseHeaders.setRawHeaders(b"Content-Length", [b"%d" % len(body)])
+        self.write(body)
+        self.finish()
+
+    def _begin(self, fault: EngineFault | None, *, is_other: bool) -> None:
+        channel: Any = self.channel
+        if self._arrival.is_left:
+            return
         if is_other:
             self._head(MISDIRECTED, fault)
             self._end()
@@ -183,7 +298,7 @@
             self._stop_working()
 
     def _stop_working(self) -> None:
-        self._script.running -= self._is_working
+        self._life.running -= self._is_working
         self._is_working = False
 
     def _run(self, fault: EngineFault | None) -> None:
@@ -231,7 +346,7 @@
         body = self._script.answer_to(self._id)
         channel.transport.write(
             b"HTTP/1.1 200 OK\r\nConnection: close\r\n%b: %b\r\n%b: %b\r\n\r\n%b"
-            % (names.REQUEST_ID, self._id, names.RECEIPT, RECEIPT, body),
+            % (names.REQUEST_ID, self._id, names.RECEIPT, self._script.receipt, body),
         )
         if is_reset:
             channel.later(0.01, channel.transport.abortConnection)
@@ -245,7 +360,7 @@
         echoed = b"another" if fault is EngineFault.WRONG_ID else self._id
         self.responseHeaders.setRawHeaders(names.REQUEST_ID, [echoed])
         if fault is not EngineFault.NO_RECEIPT:
-            self.responseHeaders.setRawHeaders(names.RECEIPT, [RECEIPT])
+            self.responseHeaders.setRawHeaders(names.RECEIPT, [self._script.receipt])
         self.responseHeaders.setRawHeaders(names.LOAD, [b"1,0,8"])
         if length is not None:
             self.responseHeaders.setRawHeaders(b"Content-Length", [b"%d" % length])
@@ -266,14 +381,32 @@
 
     requestFactory: Any = _EngineRequest
 
-    def __init__(self, script: EngineScript, reactor: Any) -> None:
+    def __init__(
+        self, script: EngineScript, reactor: Any, open_channels: set[Any]
+    ) -> None:
         super().__init__()
         self.script = script
+        self.life = script.life
         self._reactor = reactor
+        self._open = open_channels
+        open_channels.add(self)
 
     def later(self, seconds: float, act: Callable[[], Any]) -> None:
         """Do something later."""
-        self._reactor.callLater(seconds, act)
+        self._reactor.callLater(seconds, self.when_awake, act)
+
+    def when_awake(self, act: Callable[[], Any]) -> None:
+        """Do something once the engine sends again: now, unless it is silent."""
+        left = self.life.silent_until - self._reactor.seconds()
+        if left > 0:
+            self._reactor.callLater(left, self.when_awake, act)
+        else:
+            act()
+
+    def connectionLost(self, reason: Any = connectionDone) -> None:
+        """Note that the connection has ended."""
+        self._open.discard(self)
+        super().connectionLost(reason)
 
 
 class UsersEngine(ServerFactory):
@@ -292,6 +425,34 @@
     def __init__(self, script: EngineScript, reactor: Any = default_reactor) -> None:
         self._script = script
         self._reactor = reactor
+        self._open: set[Any] = set()
+
+    def restart(self, started_at: int | None) -> None:
+        """Start again under the same name: all of the former life is gone.
+
+        What was running is cut off, and nothing of it is remembered. Where it
+        listens does not change; a caller that moves it makes another port with
+        this factory and closes the former one.
+
+        Parameters
+        ----------
+        started_at : int | None
+            Start of the new life in Unix milliseconds; None to tell none.
+        """
+        self._script.life = EngineLife(started_at)
+        self._script.faults.clear()
+        for channel in list(self._open):
+            channel.transport.abortConnection()
+
+    def fall_silent(self, seconds: float) -> None:
+        """Send nothing to anyone for a while, as when a long prompt is read.
+
+        Parameters
+        ----------
+        seconds : float
+            How long.
+        """
+        self._script.life.silent_until = self._reactor.seconds() + seconds
 
     def buildProtocol(self, addr: Any) -> HTTPChannel:
         """Return the protocol of a new connection.
@@ -306,7 +467,7 @@
         HTTPChannel
             The protocol.
         """
-        return _EngineChannel(self._script, self._reactor)
+        return _EngineChannel(self._script, self._reactor, self._open)
 
     def log(self, request: Any) -> None:
         """Write no access log.
--- /dev/null
+++ b/tests/standin/test_users_engine.py
@@ -0,0 +1,95 @@
+"""The stand-in of an engine starts again and falls silent as engines do."""
+
+from __future__ import annotations
+
+import json
+
+from testtools import TestCase
+from twisted.internet.error import ConnectionLost
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
+from primrosescale.standin.users_engine import EngineScript
+from primrosescale.standin.users_engine import UsersEngine
+
+FIRST_START = 1_790_000_000_000
+
+
+class UsersEngineTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = Clock()
+        self.script = EngineScript(name="i-1", events=3, gap=0.1, health_path=b"/up")
+        self.engine = UsersEngine(self.script, self.clock)
+
+    def ask(self, path, method=b"POST"):
+        """Send a request on a connection of its own; return its transport."""
+        channel = self.channel = self.engine.buildProtocol(None)
+        transport = StringTransport()
+        # Twisted asks for it when a connection is made.
+        transport.setTcpNoDelay = lambda _: None
+        channel.makeConnection(transport)
+        channel.dataReceived(
+            b"%b %b HTTP/1.1\r\nHost: e\r\nPrimrosescale-Request-Id: r1\r\n"
+            b"Content-Length: 0\r\n\r\n" % (method, path)
+        )
+        self.addCleanup(channel.setTimeout, None)
+        return transport
+
+    def said(self, path):
+        return json.loads(self.ask(path, b"GET").value().partition(b"\r\n\r\n")[2])
+
+    def test_it_tells_its_start_wherever_it_tells_of_itself(self):
+        self.engine.restart(FIRST_START)
+        for path in (b"/api/report", b"/api/kv-list", b"/up"):
+            self.assertEqual(FIRST_START, self.said(path)["born"], path)
+
+    def test_without_a_start_it_tells_none(self):
+        for path in (b"/api/report", b"/api/kv-list", b"/up"):
+            self.assertNotIn("born", self.said(path), path)
+
+    def test_a_new_life_has_forgotten_all(self):
+        self.engine.restart(FIRST_START)
+        life = self.script.life
+        life.sequence = 5
+        life.held.append(("aa", 200))
+        self.ask(b"/story/x")
+        self.assertEqual(1, self.script.running)
+        self.engine.restart(FIRST_START + 1)
+        report = self.said(b"/api/report")
+        self.assertEqual(
+            [0, 0, 0], [report[n] for n in ("sequence", "running", "kv_used")]
+        )
+        self.assertEqual([], self.said(b"/api/kv-list")["held"])
+        self.assertEqual("i-1", self.script.name)
+
+    def test_what_was_running_is_gone(self):
+        transport = self.ask(b"/story/x")
+        self.clock.pump([0.1, 0.1])
+        self.assertIn(b"id: 2\n", transport.value())
+        self.engine.restart(FIRST_START)
+        self.assertTrue(transport.disconnecting or transport.aborting)
+        self.assertEqual(0, self.script.running)
+
+    def test_the_end_of_the_former_life_takes_nothing_off_the_new_one(self):
+        self.ask(b"/story/x")
+        former = self.channel
+        self.engine.restart(FIRST_START)
+        self.ask(b"/story/y")
+        former.connectionLost(Failure(ConnectionLost()))
+        self.assertEqual(1, self.script.running)
+
+    def test_a_silent_engine_sends_nothing_to_anyone_and_goes_on(self):
+        transport = self.ask(b"/story/x")
+        self.clock.pump([0.1])
+        self.engine.fall_silent(0.8)
+        before = transport.value()
+        late = self.ask(b"/story/y")
+        self.clock.pump([0.1] * 7)
+        self.assertEqual((before, b""), (transport.value(), late.value()))
+        self.assertEqual([True, True], [a.has_run for a in self.script.arrivals])
+        self.clock.pump([0.1] * 8)
+        for stream in (transport, late):
+            self.assertIn(b"id: 3\n", stream.value())
+            self.assertTrue(stream.value().endswith(b"0\r\n\r\n"))
