The stand-in of the store lags and holds entries of other writers

Cause: it held only what can be read, and all reads found the present. Change: contents of other writers by what is wrong with them (a field missing or of another type, an unknown state or service, no object, bytes of no text); reads that allow it are stale on command; a former entry can be written again.

--- a/src/primrosescale/standin/users_engine.py
+++ b/src/primrosescale/standin/users_engine.py
@@ -250,6 +250,7 @@
             },
             content.read(),
         )
+        self._receipt = self._script.receipt
         self._script.arrivals.append(self._arrival)
         fault = self._script.faults.pop(0) if self._script.faults else None
         expected = self._arrival.headers.get(names.EXPECTED_INCARNATION.lower())
@@ -346,7 +347,7 @@
         body = self._script.answer_to(self._id)
         channel.transport.write(
             b"HTTP/1.1 200 OK\r\nConnection: close\r\n%b: %b\r\n%b: %b\r\n\r\n%b"
-            % (names.REQUEST_ID, self._id, names.RECEIPT, self._script.receipt, body),
+            % (names.REQUEST_ID, self._id, names.RECEIPT, self._receipt, body),
         )
         if is_reset:
             channel.later(0.01, channel.transport.abortConnection)
@@ -360,7 +361,7 @@
         echoed = b"another" if fault is EngineFault.WRONG_ID else self._id
         self.responseHeaders.setRawHeaders(names.REQUEST_ID, [echoed])
         if fault is not EngineFault.NO_RECEIPT:
-            self.responseHeaders.setRawHeaders(names.RECEIPT, [self._script.receipt])
+            self.responseHeaders.setRawHeaders(names.RECEIPT, [self._receipt])
         self.responseHeaders.setRawHeaders(names.LOAD, [b"1,0,8"])
         if length is not None:
             self.responseHeaders.setRawHeaders(b"Content-Length", [b"%d" % length])
--- a/src/primrosescale/standin/users_store.py
+++ b/src/primrosescale/standin/users_store.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import copy
 import json
 from dataclasses import dataclass
 from dataclasses import field
@@ -25,6 +26,59 @@
 PAGE = 500
 
 
+@dataclass(frozen=True, slots=True)
+class RawContent:
+    """Content that is answered as it is, whether it can be read or not.
+
+    Parameters
+    ----------
+    data : bytes
+        Bytes in the place of the content's JSON text.
+    """
+
+    data: bytes
+
+
+def foreign_entries(good: dict[str, Any]) -> dict[str, Any]:
+    """Return what another writer might put in the place of a target's entry.
+
+    Parameters
+    ----------
+    good : dict[str, Any]
+        An entry that can be used, with all its fields.
+
+    Returns
+    -------
+    dict[str, Any]
+        Contents that name no target to use, by what is wrong with them.
+    """
+    odd: dict[str, list[Any]] = {
+        "service": [None, 7, "nobody-knows-it", ["portal"], "\ud800"],
+        "address": [None, 7, "nowhere", "127.0.0.1", "127.0.0.1:0", ":80", ["a", 1]],
+        "zone": [None, 7, True, {}],
+        "state": [None, True, 1, "resting", "READY", ""],
+        "slots": [None, True, "16", -1, 1.5, float("nan"), float("inf"), [16]],
+        "born": [True, "1790000000000", 1.5, -1, float("nan")],
+    }
+    found: dict[str, Any] = {
+        f"no {name}": {k: v for k, v in good.items() if k != name}
+        for name in odd
+        # Not every writer tells its start.
+        if name != "born"
+    }
+    for name, values in odd.items():
+        for value in values:
+            found[f"{name} {value!a}"] = {**good, name: value}
+    wholes: list[Any] = [None, 7, True, "text", [], {}, [good]]
+    found.update({f"whole {whole!a:.20}": whole for whole in wholes})
+    text = json.dumps(good).encode()
+    found["bytes, none of a text"] = RawContent(b'"\xff\xfe\x80"')
+    found["bytes, beside a good text"] = RawContent(
+        text.replace(b"{", b'{"note": "\xc3(", ', 1)
+    )
+    return found
+
+
 class StoreFault(Enum):
     """What becomes of one call."""
 
@@ -60,12 +114,15 @@
         Objects on one page of a list.
     is_deaf : bool
         Whether watches hear nothing.
+    is_stale : bool
+        Whether calls that allow it read what was there when it began.
     """
 
     next_calls: list[StoreFault] = field(default_factory=list)
     all_calls: StoreFault | None = None
     page: int = PAGE
     is_deaf: bool = False
+    is_stale: bool = False
 
     def take(self) -> StoreFault | None:
         """Return the fault of a call.
@@ -99,6 +156,8 @@
         self._forgotten = 0
         self._history: list[tuple[int, str, bool, dict[str, Any]]] = []
         self._watchers: list[_Watcher] = []
+        # What stale reads find, with its revision.
+        self._stale: tuple[dict[str, dict[str, dict[str, Any]]], int] = ({}, 1)
         self.faults = StoreFaults()
         self.calls: list[str] = []
 
@@ -156,6 +215,37 @@
         self._note(kind, item, is_deleted=True)
         return True
 
+    def content(self, kind: str, name: str) -> Any:
+        """Return the content of an object, to be written again or changed.
+
+        Parameters
+        ----------
+        kind : str
+            Its kind.
+        name : str
+            Its name.
+
+        Returns
+        -------
+        Any
+            A copy of the content; None where there is no such object.
+        """
+        item = self._objects.get(kind, {}).get(name)
+        return copy.deepcopy(item["spec"]) if item else None
+
+    def fall_behind(self) -> None:
+        """From now on, reads that may be stale find what is there now."""
+        self._stale = (copy.deepcopy(self._objects), self._revision)
+        self.faults.is_stale = True
+
+    def catch_up(self) -> None:
+        """Have stale reads find the present again, and tell watches of it."""
+        self.faults.is_stale = self.faults.is_deaf = False
+        for watcher in list(self._watchers):
+            if self._events(watcher.kind, watcher.since):
+                watcher.timer.cancel()
+                self._end_watch(watcher)
+
     def forget_history(self) -> None:
         """Forget all changes so far and cut all watches."""
         self._forgotten = self._revision
@@ -201,7 +291,7 @@
         method = request.method
         if method == b"GET":
             if name:
-                item = self._objects.get(kind, {}).get(name)
+                item = self._read(request)[0].get(kind, {}).get(name)
                 return (OK, item) if item else (NOT_FOUND, {"error": "none"})
             if b"watch" in request.args:
                 return self._watch(request, kind)
@@ -239,14 +329,21 @@
 
     def _list(self, request: Any, kind: str) -> dict[str, Any]:
         after = request.args.get(b"after", [b""])[0].decode()
-        names = sorted(n for n in self._objects.get(kind, {}) if n > after)
+        objects, revision = self._read(request)
+        names = sorted(n for n in objects.get(kind, {}) if n > after)
         page = names[: self.faults.page]
         return {
-            "items": [self._objects[kind][n] for n in page],
+            "items": [objects[kind][n] for n in page],
             "truncated": len(names) > len(page),
-            "current_rev": self._revision,
+            "current_rev": revision,
         }
 
+    def _read(self, request: Any) -> tuple[dict[str, dict[str, dict[str, Any]]], int]:
+        """Return what a call reads, and its revision."""
+        if self.faults.is_stale and request.args.get(b"allow_stale") == [b"1"]:
+            return self._stale
+        return self._objects, self._revision
+
     def _watch(self, request: Any, kind: str) -> tuple[int, Any]:
         since = int(request.args[b"watch"][0])
         if since < self._forgotten:
@@ -283,8 +380,7 @@
         ]
 
     def _note(self, kind: str, item: dict[str, Any], *, is_deleted: bool) -> None:
-        copy = json.loads(json.dumps(item))
-        self._history.append((self._revision, kind, is_deleted, copy))
+        self._history.append((self._revision, kind, is_deleted, copy.deepcopy(item)))
         for watcher in list(self._watchers):
             if watcher.kind == kind and not self.faults.is_deaf:
                 watcher.timer.cancel()
@@ -292,7 +388,17 @@
 
 
 def _answer(request: Any, status: int, fields: Any) -> None:
-    _write(request, status, json.dumps(fields).encode())
+    raw: dict[bytes, bytes] = {}
+
+    def stand_for(content: RawContent) -> str:
+        name = f"raw content {len(raw)}"
+        raw[json.dumps(name).encode()] = content.data
+        return name
+
+    body = json.dumps(fields, default=stand_for).encode()
+    for name, data in raw.items():
+        body = body.replace(name, data, 1)
+    _write(request, status, body)
 
 
 def _write(request: Any, status: int, body: bytes) -> None:
