The soak restarts targets under their names, writes foreign entries, silences an engine

Three faults in a series of their own beside the others, so that what a seed drew before stays as it is (--without leaves them out). Five checks: former lives are over, good entries get work from each calm router, foreign entries get none, their neighbours keep theirs, streams at a silent engine end whole. The check of leaving targets tells lives apart (name and start), as strict as before: a life that took the name after a restart did not say that it leaves.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 from twisted.internet import reactor
 from twisted.web.server import Site
 
@@ -9,7 +11,9 @@
 from primrosescale.standin.users_engine import EngineScript
 from primrosescale.standin.users_engine import UsersEngine
 from primrosescale.standin.users_store import UsersStore
+from primrosescale.standin.users_store import foreign_entries
 from soak.fault_proxy import FaultProxy
+from soak.history import Entry
 from soak.history import Ran
 from soak.history import Version
 
@@ -26,6 +30,9 @@
     def __init__(self, name, service, history, peers, rng):
         self.service = service
         self.life = 0
+        self.start = 0
+        # Changes whenever something is done to it that undoes what was planned.
+        self.turn = 0
         self._base = name
         self._history = history
         self._peers = peers
@@ -37,21 +44,41 @@
             names_request=True,
             on_arrival=self._arrived,
         )
-        self._listener = reactor.listenTCP(
-            0, UsersEngine(self.script), interface=LOOPBACK
-        )
-        self.link = FaultProxy(self._listener.getHost().port)
+        self.engine = UsersEngine(self.script)
+        self._listen()
         self.begin()
 
+    def _listen(self):
+        self._listener = reactor.listenTCP(0, self.engine, interface=LOOPBACK)
+        self.link = FaultProxy(self._listener.getHost().port)
+
     @property
     def name(self):
         return self.script.name
 
     def begin(self):
-        """Begin a life: the same address, another incarnation."""
+        """Become another target at the same address; what runs goes on."""
         self.life += 1
         self.script.name = f"{self._base}-{self.life}"
         self.script.faults.clear()
+        self._start()
+        self.script.life.started_at = self.start
+
+    def restart(self, *, moves):
+        """Start again under the same name, here or elsewhere."""
+        self._history.ended[self.name, self.start] = reactor.seconds()
+        self._start()
+        self.link.reset()
+        self.engine.restart(self.start)
+        if moves:
+            self.link.close()
+            self._listener.stopListening()
+            self._listen()
+
+    def _start(self):
+        self.turn += 1
+        self.start = max(int(time.time() * 1000), self.start + 1)
+        self.script.receipt = f"{self.name}/{self.start}".encode()
 
     def entry(self, state="ready"):
         """Return the target's entry in the store."""
@@ -59,10 +86,19 @@
             "service": self.service,
             "address": f"{LOOPBACK}:{self.link.port}",
             "zone": "a",
+            "version": "1.4",
             "state": state,
             "slots": SLOTS,
+            "cold_remaining_ms": 0,
+            "sequence": self.script.life.sequence,
+            "born": self.start,
         }
 
+    def foreign(self, how):
+        """Return an entry of another writer that names it, by a number below 1."""
+        found = list(foreign_entries(self.entry()).values())
+        return found[int(how * len(found))]
+
     def _arrived(self, arrival):
         name = arrival.headers.get(names.REQUEST_ID.lower(), b"").decode()
         if not name:
@@ -72,7 +108,16 @@
         load = self.script.running
         now = reactor.seconds()
         self._history.ran.append(
-            Ran(name, self.name, self.service, now, arrival.has_run, load, mean)
+            Ran(
+                name,
+                self.name,
+                self.service,
+                now,
+                arrival.has_run,
+                load,
+                mean,
+                self.start,
+            )
         )
 
     def close(self):
@@ -149,6 +194,10 @@
 
     def __init__(self, portals, models, history, rng):
         self.store = UsersStore(reactor)
+        self._history = history
+        self._rng = rng
+        # What only entries of other writers name.
+        self._strangers = []
         self._site = Site(self.store)
         self._site.noisy = False
         self._listener = reactor.listenTCP(0, self._site, interface=LOOPBACK)
@@ -164,13 +213,59 @@
 
     def list(self, target, state="ready"):
         """Write a target's entry."""
+        self._closes(target)
+        if state == "ready":
+            now = reactor.seconds()
+            entry = Entry(target.name, target.service, target.start, now)
+            self._history.listed.append(entry)
         self.store.write("servers", target.name, target.entry(state))
 
     def delist(self, target):
         """Remove a target's entry."""
+        self._closes(target)
         self.store.remove("servers", target.name)
 
+    def restart(self, target, *, moves):
+        """Start a target again under its name; its entry stays as it is."""
+        self._closes(target)
+        target.restart(moves=moves)
+
+    def is_alone(self, target):
+        """Tell whether no other target of its service has a good entry."""
+        now = {(t.name, t.start) for t in self.targets if t is not target}
+        return not any(
+            entry.service == target.service and (entry.target, entry.start) in now
+            for entry in self._history.listed
+            if entry.until > reactor.seconds()
+        )
+
+    def stranger(self, name, service):
+        """Return a target that no good entry names."""
+        found = Target(name, service, self._history, self.targets, self._rng)
+        self._strangers.append(found)
+        return found
+
+    def write_foreign(self, target, content):
+        """Write an entry of another writer, in the place of a good one if any."""
+        self._closes(target)
+        now = reactor.seconds()
+        entry = Entry(target.name, target.service, target.start, now)
+        self._history.foreign.append(entry)
+        self.store.write("servers", target.name, content)
+        return entry
+
+    def write_old(self, target, content):
+        """Write what a former life of the target had written, once more."""
+        self._closes(target)
+        self.store.write("servers", target.name, content)
+
+    def _closes(self, target):
+        """Note that what stood in the store of a target stands no more."""
+        for entry in (*self._history.listed, *self._history.foreign):
+            if entry.target == target.name:
+                entry.until = min(entry.until, reactor.seconds())
+
     def close(self):
-        for target in self.targets:
+        for target in (*self.targets, *self._strangers):
             target.close()
         self._listener.stopListening()
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -162,6 +162,8 @@
         asked.echoed = (response.headers.getRawHeaders(names.REQUEST_ID) or [b""])[
             0
         ].decode()
+        signature = response.headers.getRawHeaders(names.RECEIPT) or [b""]
+        asked.signed = signature[0].decode()
         collected = _Body()
         response.deliverBody(collected)
         is_whole = yield collected.ended
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from math import inf
 
 ANSWERED = "answered"
 CUT = "cut"
@@ -31,6 +32,8 @@
     status: int = 0
     body: bytes = b""
     echoed: str = ""
+    # Target and life that signed the answer.
+    signed: str = ""
 
     @property
     def may_repeat(self):
@@ -48,6 +51,8 @@
     has_run: bool
     load: int = 0
     mean: float = 0.0
+    # Start of the life of the target that it reached.
+    start: int = 0
 
 
 @dataclass
@@ -70,6 +75,28 @@
     keys: tuple[str, ...]
 
 
+@dataclass
+class Entry:
+    """A target's entry as it stands in the store for a time."""
+
+    target: str
+    service: str
+    start: int
+    at: float
+    until: float = inf
+
+
+@dataclass
+class Silence:
+    """A time in which a target sent nothing to anyone and lost nothing."""
+
+    target: str
+    began: float
+    ended: float
+    # Whether no other target of its service was there.
+    is_alone: bool = True
+
+
 @dataclass
 class History:
     """Everything the checks need."""
@@ -78,7 +105,14 @@
     ran: list[Ran] = field(default_factory=list)
     troubles: list[Trouble] = field(default_factory=list)
     versions: list[Version] = field(default_factory=list)
-    draining: dict[str, float] = field(default_factory=dict)
+    # By name and start.
+    draining: dict[tuple[str, int], float] = field(default_factory=dict)
+    # When lives ended whose target started again under its name.
+    ended: dict[tuple[str, int], float] = field(default_factory=dict)
+    listed: list[Entry] = field(default_factory=list)
+    # Entries of other writers; the target is what they name.
+    foreign: list[Entry] = field(default_factory=list)
+    silences: list[Silence] = field(default_factory=list)
     own_ends: list[str] = field(default_factory=list)
     stops: list[tuple[str, int, float]] = field(default_factory=list)
     quiet_from: float | None = None
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -9,6 +9,7 @@
 
 from soak.history import ANSWERED
 from soak.history import CUT
+from soak.history import LEFT
 
 OK = 200
 REFUSALS = {408, 421, 429, 503}
@@ -33,6 +34,15 @@
 RECOVERED_AFTER = 6.0
 RECOVERED_SHARE = 0.9
 ANSWER_SLACK = 0.5
+# Time until each calm router has sent work to a target that came (back), if it
+# had at least so many requests for its service.
+AT_WORK = 5.0
+AT_WORK_LEAST = {"portal": 40, "model": 120}
+# Time after which nothing of a life that has ended reaches a caller.
+LIFE_OVER = 1.0
+# Share of the requests that get to the neighbours of an entry that names nothing.
+NEIGHBOURS_SHARE = 0.5
+NEIGHBOURS_LEAST = 20
 
 
 def at_most_once(history):
@@ -93,7 +103,7 @@
 def leaving_targets_get_no_work(history):
     """A target that said it leaves gets nothing new after the bound."""
     for run in history.ran:
-        told_at = history.draining.get(run.target)
+        told_at = history.draining.get((run.target, run.start))
         asked = history.asked.get(run.name)
         if told_at is None or asked is None:
             continue
@@ -198,6 +208,157 @@
             yield f"{asked.name} had no answer {late:.2f} s after its deadline"
 
 
+def former_lives_are_over(history):
+    """An answer is of a life that ran the request, and comes while it lasts."""
+    runs = history.runs_of()
+    for asked in history.asked.values():
+        if asked.outcome != ANSWERED or asked.status != OK or not asked.signed:
+            continue
+        target, _, start = asked.signed.rpartition("/")
+        lives = {(run.target, run.start) for run in runs.get(asked.name, ())}
+        if (target, int(start)) not in lives:
+            yield f"{asked.name} got an answer of {asked.signed}, where it never ran"
+            continue
+        ends = [history.ended.get(life) for life in lives]
+        if None in ends:
+            continue
+        late = asked.ended_at - max(ends)
+        if late > LIFE_OVER and history.is_calm(
+            max(ends), asked.ended_at, {asked.router}
+        ):
+            yield f"{asked.name} got an answer of {target} {late:.2f} s after its end"
+
+
+def good_entries_get_work(history):
+    """Each calm router sends work to a target whose entry is there again."""
+    asked_by = _asked_by_router(history)
+    came = {}
+    for run in history.ran:
+        if run.name in history.asked:
+            router = history.asked[run.name].router
+            came.setdefault((run.target, run.start, router), []).append(run.at)
+    for entry in history.listed:
+        scopes = {"store", entry.target}
+        if not history.is_calm(entry.at, min(entry.until, entry.at + AT_WORK), scopes):
+            continue
+        for router, all_asked in asked_by.items():
+            # Its news of the entry needs a moment to come.
+            times = [
+                asked.sent_at
+                for asked in all_asked
+                if asked.service == entry.service
+                and entry.at + IN_FORCE < asked.sent_at < entry.until
+            ]
+            least = AT_WORK_LEAST[entry.service]
+            if len(times) < least:
+                continue
+            until = max(entry.at + AT_WORK, times[least - 1])
+            own = {router, f"store of {router}", *scopes}
+            if until + SLACK > entry.until or not history.is_calm(entry.at, until, own):
+                continue
+            times_came = came.get((entry.target, entry.start, router), ())
+            if not any(entry.at <= at <= until + AT_WORK for at in times_came):
+                late = until - entry.at
+                yield f"{entry.target} got nothing from {router} in {late:.2f} s"
+
+
+def _asked_by_router(history):
+    """Return what each router was asked and could pass on, in order."""
+    newest = set(history.versions[-1].keys) if history.versions else set()
+    found = {}
+    for asked in sorted(history.asked.values(), key=lambda a: a.sent_at):
+        if asked.key in newest and not asked.version:
+            found.setdefault(asked.router, []).append(asked)
+    return found
+
+
+def foreign_entries_get_no_work(history):
+    """What another writer's entry names gets no request once that is known."""
+    for entry in history.foreign:
+        for run in history.ran:
+            late = run.at - entry.at
+            asked = history.asked.get(run.name)
+            if run.target != entry.target or asked is None or run.at > entry.until:
+                continue
+            scopes = {asked.router, "store", f"store of {asked.router}"}
+            if late > IN_FORCE + SLACK and history.is_calm(entry.at, run.at, scopes):
+                yield f"{run.name} reached {run.target} {late:.2f} s after its entry"
+
+
+def neighbours_keep_work(history):
+    """Targets beside an entry of another writer get work as before."""
+    runs = history.runs_of()
+    for entry in history.foreign:
+        others = {
+            good.target
+            for good in history.listed
+            if good.service == entry.service
+            and good.target != entry.target
+            and good.at < entry.at
+            and good.until >= entry.until
+            and history.is_calm(entry.at, entry.until, {good.target})
+        }
+        for router, all_asked in _asked_by_router(history).items():
+            scopes = {router, "store", f"store of {router}"}
+            sent = [
+                asked
+                for asked in all_asked
+                if asked.service == entry.service
+                and entry.at < asked.sent_at < entry.until - asked.deadline / 2
+                and history.is_calm(entry.at, asked.sent_at, scopes)
+            ]
+            got = [
+                a for a in sent if any(r.target in others for r in runs.get(a.name, ()))
+            ]
+            # Half of the targets or more are left, so most of it gets there.
+            if len(others) > 1 and len(sent) >= NEIGHBOURS_LEAST:
+                if len(got) < NEIGHBOURS_SHARE * len(sent):
+                    yield (
+                        f"{len(got)} of {len(sent)} requests at {router} got to the"
+                        f" targets beside {entry.target}"
+                    )
+
+
+def _over_a_silence(history):
+    """Return the streams that were at a silent target, and the silence."""
+    runs = history.runs_of()
+    found = []
+    for silence in history.silences:
+        for asked in history.asked.values():
+            ran = [r for r in runs.get(asked.name, ()) if r.at < silence.ended]
+            if asked.kind not in STREAMS or asked.outcome == LEFT:
+                continue
+            if silence.target not in {r.target for r in ran} or not asked.ended_at:
+                continue
+            places = {r.target for r in runs[asked.name]}
+            scopes = {f"{of}{name}" for name in places for of in ("", "life of ")}
+            if asked.ended_at > silence.began and history.is_calm(
+                asked.sent_at, asked.ended_at, {asked.router, *scopes}
+            ):
+                found.append((asked, silence))
+    return found
+
+
+def silence_ends_no_answer(history):
+    """A stream at a target that falls silent for a while ends whole."""
+    for asked, silence in _over_a_silence(history):
+        if asked.outcome != ANSWERED or asked.status != OK:
+            how = f"{asked.outcome} {asked.status}"
+            yield f"{asked.name} at {silence.target}, which was silent, ended: {how}"
+
+
+def judged(history):
+    """Return how much the checks of what is seldom had to judge."""
+    streams = _over_a_silence(history)
+    return {
+        "streams over a silence": len(streams),
+        "at the only target": sum(1 for _, s in streams if s.is_alone),
+        "silences": len(history.silences),
+        "restarts": len(history.ended),
+        "entries of other writers": len(history.foreign),
+    }
+
+
 def processes_stay(history):
     """No router ends by itself."""
     yield from history.own_ends
@@ -230,6 +391,11 @@
         "repeats": repeats_are_bounded(history),
         "load": load_is_even(history),
         "in time": answers_come_in_time(history),
+        "former lives": former_lives_are_over(history),
+        "good entries": good_entries_get_work(history),
+        "foreign entries": foreign_entries_get_no_work(history),
+        "their neighbours": neighbours_keep_work(history),
+        "silence": silence_ends_no_answer(history),
         "processes": processes_stay(history),
         "recovery": service_recovers(history),
     }
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -21,6 +21,9 @@
     "target_faults": 4,
     "target_crash": 2,
 }
+# Drawn in a series of their own beside the others, in the same spells.
+BESIDE = {"reborn": 3, "foreign": 3, "lone_silence": 1}
+BESIDE_PAUSE = 1.5
 PLANNED = {"term": 3, "term_two": 1, "hup": 2, "change": 4, "withdraw": 3, "drain": 2}
 
 
@@ -35,8 +38,27 @@
     how: float
 
 
-def draw(rng, seconds):
-    """Return the steps of a soak, in order."""
+def draw(rng, seconds, beside=None, without=()):
+    """Return the steps of a soak, in order.
+
+    What `beside` draws leaves the other series of the seed as it is.
+    """
+    steps = _first_series(rng, seconds)
+    kinds = {kind: n for kind, n in BESIDE.items() if kind not in without}
+    at = 0.0
+    while beside is not None and kinds:
+        at += beside.expovariate(1 / BESIDE_PAUSE)
+        if at >= seconds:
+            break
+        kind = beside.choices(list(kinds), list(kinds.values()))[0]
+        lasts = beside.uniform(0.5, 5.0)
+        step = Step(at, kind, lasts, beside.random(), beside.random())
+        if at % (ROUGH_SECONDS + PLANNED_SECONDS) < ROUGH_SECONDS:
+            steps.append(step)
+    return sorted(steps, key=lambda step: step.at)
+
+
+def _first_series(rng, seconds):
     steps = []
     at = rng.uniform(1.0, 2.0)
     while at < seconds:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -35,8 +35,11 @@
 from soak.fault_proxy import LinkFault
 from soak.fleet import Fleet
 from soak.history import History
+from soak.history import Silence
 from soak.history import Trouble
 
+PORTALS = 4
+MODELS = 4
 # A few hundred processes that start together share the cores for a minute.
 START_PATIENCE = 120.0
 LINK_FAULTS = [fault for fault in LinkFault if fault is not LinkFault.NONE]
@@ -50,16 +53,36 @@
 # A leaving target goes on serving for the time in which it may get work.
 LEAVES_AFTER = 2.4
 BURST = 12
+# How a target starts again under its name.
+RESTARTS = ("at once", "told late", "moved", "moved, told late", "twice", "older after")
+RESTARTS += ("while the store lags",)
+AGAIN_AFTER = 0.4
+OLDER_AFTER = 0.5
+OLDER_LASTS = 2.0
+RESTART_SECONDS = 3.0
+# Entries of other writers stay for longer than they may be acted on.
+FOREIGN_SECONDS = 2.5
+# Shares of them that stand in the list of routers, and under new names.
+FOREIGN_ROUTERS = 0.15
+FOREIGN_NEW = 0.5
+# How long an engine that reads a long prompt sends nothing, in seconds.
+SILENT_LEAST = 0.3
+SILENT_MOST = 1.5
 UNFINISHED = 2
 
 
 class Soak:
     """One run."""
 
-    def __init__(self, seed, routers, callers, folder, portals=4, models=4):
+    def __init__(self, seed, routers, callers, folder, without=()):
         self._rng = random.Random(seed)
+        # Of its own, so that what else the seed draws stays as it is.
+        self._beside = random.Random(f"beside {seed}")
+        self._without = without
+        self._is_lone = False
+        self._strangers = 0
         self.history = History()
-        self._backends = Backends(portals, models, self.history, self._rng)
+        self._backends = Backends(PORTALS, MODELS, self.history, self._rng)
         self._fleet = Fleet(routers, folder, self._backends.store_port, self.history)
         self._operator = self._backends.operator
         self._callers = [
@@ -83,7 +106,8 @@
         for caller in self._callers:
             caller.run(pause)
         began = reactor.seconds()
-        for step in schedule.draw(self._rng, seconds):
+        steps = schedule.draw(self._rng, seconds, self._beside, self._without)
+        for step in steps:
             yield self._wait(began + step.at - reactor.seconds())
             getattr(self, f"_{step.kind}")(step)
         yield self._wait(max(self._ending, default=0.0) - reactor.seconds())
@@ -248,20 +272,109 @@
     def _drain(self, step):
         """Have a target leave as planned, and another take its address."""
         target = self._target(step)
-        name = target.name
-        if name in self.history.draining:
-            return
+        if not self._is_draining(target):
+            self._leave(target, 0.0)
+
+    def _is_draining(self, target):
+        return (target.name, target.start) in self.history.draining
+
+    def _leave(self, target, back_after):
+        name, turn = target.name, target.turn
         self._backends.list(target, "draining")
-        self.history.draining[name] = reactor.seconds()
+        self.history.draining[name, target.start] = reactor.seconds()
 
         def leave():
-            if target.name == name:
+            if target.turn == turn:
                 self._backends.delist(target)
                 target.begin()
-                self._backends.list(target)
+                self._later(target, back_after, self._backends.list, target)
 
         self._begin("drain", name, LEAVES_AFTER, leave, is_planned=True)
 
+    def _later(self, target, seconds, act, *values):
+        """Do something unless something else is done to the target before."""
+        turn = target.turn
+
+        def act_then():
+            if target.turn == turn:
+                act(*values)
+
+        reactor.callLater(seconds, act_then)
+
+    def _reborn(self, step):
+        """Have a target start again under its name."""
+        target = self._target(step)
+        way = RESTARTS[int(step.how * len(RESTARTS))]
+        moves = way in {"moved", "moved, told late", "older after"}
+        backends, store = self._backends, self._backends.store
+        former = target.entry()
+        backends.restart(target, moves=moves)
+        late = step.lasts / 4 if way.endswith("told late") else 0.0
+        self._begin(f"restart {way}", f"life of {target.name}", RESTART_SECONDS)
+        if way == "while the store lags":
+            store.faults.is_deaf = True
+            self._begin("store lags", "store", step.lasts / 2, store.catch_up)
+        self._later(target, late, backends.list, target)
+        if way == "twice":
+            self._later(target, AGAIN_AFTER, self._again, target)
+        if way == "older after":
+            self._later(target, OLDER_AFTER, backends.write_old, target, former)
+            back = OLDER_AFTER + OLDER_LASTS
+            self._later(target, back, backends.list, target)
+
+    def _again(self, target):
+        self._backends.restart(target, moves=False)
+        self._backends.list(target)
+
+    def _foreign(self, step):
+        """Have another writer put an entry there, or in the place of a good one."""
+        target = self._target(step)
+        backends, store = self._backends, self._backends.store
+        lasts = FOREIGN_SECONDS + step.lasts
+        way = step.lasts % 1.0
+        self._strangers += 1
+        name = f"stranger{self._strangers}"
+        if way < FOREIGN_ROUTERS:
+            store.write("routers", name, target.foreign(step.how))
+            self._begin("foreign router", name, lasts)
+            reactor.callLater(lasts, store.remove, "routers", name)
+        elif way < FOREIGN_NEW:
+            stranger = backends.stranger(name, target.service)
+            backends.write_foreign(stranger, stranger.foreign(step.how))
+            self._begin("foreign new", f"entry of {stranger.name}", lasts)
+            reactor.callLater(lasts, backends.delist, stranger)
+        elif not self._is_draining(target):
+            target.turn += 1
+            backends.write_foreign(target, target.foreign(step.how))
+            self._begin("foreign instead", f"entry of {target.name}", lasts)
+            self._later(target, lasts, backends.list, target)
+
+    def _lone_silence(self, step):
+        """Have all model engines leave but one, and that one fall silent."""
+        models = [t for t in self._backends.targets if t.service == "model"]
+        left = models[int(step.pick * len(models))]
+        if self._is_lone or self._is_draining(left):
+            return
+        self._is_lone = True
+        lasts = SILENT_LEAST + step.how * (SILENT_MOST - SILENT_LEAST)
+        began = LEAVES_AFTER + AGAIN_AFTER
+        for target in models:
+            if target is not left and not self._is_draining(target):
+                self._leave(target, AGAIN_AFTER + lasts + AGAIN_AFTER)
+        reactor.callLater(began, self._fall_silent, left, lasts)
+
+        def end():
+            self._is_lone = False
+
+        self._begin("lone silence", "models", began + lasts + AGAIN_AFTER, end)
+
+    def _fall_silent(self, target, lasts):
+        now = reactor.seconds()
+        is_alone = self._backends.is_alone(target)
+        silence = Silence(target.name, now, now + lasts, is_alone)
+        self.history.silences.append(silence)
+        target.engine.fall_silent(lasts)
+
 
 def summary(history):
     """Return what a run was made of."""
@@ -272,7 +385,12 @@
     kinds = {}
     for trouble in history.troubles:
         kinds[trouble.kind] = kinds.get(trouble.kind, 0) + 1
-    return {"requests": outcomes, "runs": len(history.ran), "troubles": kinds}
+    return {
+        "requests": outcomes,
+        "runs": len(history.ran),
+        "troubles": kinds,
+        "judged": promises.judged(history),
+    }
 
 
 def main():
@@ -283,6 +401,9 @@
     parser.add_argument("--routers", type=int, default=4)
     parser.add_argument("--callers", type=int, default=30)
     parser.add_argument("--pause", type=float, default=0.3)
+    parser.add_argument(
+        "--without", nargs="*", default=[], choices=list(schedule.BESIDE)
+    )
     parser.add_argument("--keep", default="", help="folder for logs")
     arguments = parser.parse_args()
     folder = Path(arguments.keep or tempfile.mkdtemp(prefix="soak-"))
@@ -291,7 +412,13 @@
 
     @inlineCallbacks
     def play():
-        soak = Soak(arguments.seed, arguments.routers, arguments.callers, folder)
+        soak = Soak(
+            arguments.seed,
+            arguments.routers,
+            arguments.callers,
+            folder,
+            arguments.without,
+        )
         # Also when the run is terminated.
         reactor.addSystemEventTrigger("before", "shutdown", soak.stop)
         found = yield soak.run(arguments.seconds, arguments.pause)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -99,7 +99,7 @@
         self.assertEqual([], self.broken())
 
     def test_work_for_a_target_that_leaves(self):
-        self.history.draining["t0"] = 97.0
+        self.history.draining["t0", 0] = 97.0
         self.put(asked(), ran())
         self.assertEqual(["leaving targets"], self.broken())
         self.history.troubles.append(Trouble("silent", "store of r0", 98.0, 99.0))
