--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -231,6 +231,14 @@
 
 def good_entries_get_work(history):
     """Each calm router sends work to a target whose entry is there again."""
+    for entry, router, until, has_worked in _at_work(history):
+        if not has_worked:
+            late = until - entry.at
+            yield f"{entry.target} got nothing from {router} in {late:.2f} s"
+
+
+def _at_work(history):
+    """Return each good entry and calm router, by when it had enough to send."""
     asked_by = _asked_by_router(history)
     came = {}
     for run in history.ran:
@@ -238,28 +246,24 @@
             router = history.asked[run.name].router
             came.setdefault((run.target, run.start, router), []).append(run.at)
     for entry in history.listed:
-        scopes = {"store", entry.target}
-        if not history.is_calm(entry.at, min(entry.until, entry.at + AT_WORK), scopes):
-            continue
+        # Its news of the entry needs a moment to come.
+        since = entry.at + IN_FORCE
+        least = AT_WORK_LEAST[entry.service]
         for router, all_asked in asked_by.items():
-            # Its news of the entry needs a moment to come.
             times = [
                 asked.sent_at
                 for asked in all_asked
                 if asked.service == entry.service
-                and entry.at + IN_FORCE < asked.sent_at < entry.until
+                and since < asked.sent_at < entry.until
             ]
-            least = AT_WORK_LEAST[entry.service]
             if len(times) < least:
                 continue
-            until = max(entry.at + AT_WORK, times[least - 1])
-            own = {router, f"store of {router}", *scopes}
-            if until + SLACK > entry.until or not history.is_calm(entry.at, until, own):
+            until = max(entry.at + AT_WORK, times[least - 1]) + SLACK
+            scopes = {"store", entry.target, router, f"store of {router}"}
+            if until > entry.until or not history.is_calm(entry.at, until, scopes):
                 continue
-            times_came = came.get((entry.target, entry.start, router), ())
-            if not any(entry.at <= at <= until + AT_WORK for at in times_came):
-                late = until - entry.at
-                yield f"{entry.target} got nothing from {router} in {late:.2f} s"
+            at = came.get((entry.target, entry.start, router), ())
+            yield entry, router, until, any(entry.at <= t <= until for t in at)
 
 
 def _asked_by_router(history):
@@ -287,6 +291,16 @@
 
 def neighbours_keep_work(history):
     """Targets beside an entry of another writer get work as before."""
+    for entry, router, sent, got in _beside_foreign(history):
+        if got < NEIGHBOURS_SHARE * sent:
+            yield (
+                f"{got} of {sent} requests at {router} got to the targets"
+                f" beside {entry.target}"
+            )
+
+
+def _beside_foreign(history):
+    """Return each foreign entry and router, what it was sent and passed on."""
     runs = history.runs_of()
     for entry in history.foreign:
         others = {
@@ -298,6 +312,9 @@
             and good.until >= entry.until
             and history.is_calm(entry.at, entry.until, {good.target})
         }
+        # With half of the targets or more, most of it gets to them.
+        if len(others) < 2:
+            continue
         for router, all_asked in _asked_by_router(history).items():
             scopes = {router, "store", f"store of {router}"}
             sent = [
@@ -308,15 +325,12 @@
                 and history.is_calm(entry.at, asked.sent_at, scopes)
             ]
             got = [
-                a for a in sent if any(r.target in others for r in runs.get(a.name, ()))
+                asked
+                for asked in sent
+                if any(run.target in others for run in runs.get(asked.name, ()))
             ]
-            # Half of the targets or more are left, so most of it gets there.
-            if len(others) > 1 and len(sent) >= NEIGHBOURS_LEAST:
-                if len(got) < NEIGHBOURS_SHARE * len(sent):
-                    yield (
-                        f"{len(got)} of {len(sent)} requests at {router} got to the"
-                        f" targets beside {entry.target}"
-                    )
+            if len(sent) >= NEIGHBOURS_LEAST:
+                yield entry, router, len(sent), len(got)
 
 
 def _over_a_silence(history):
@@ -355,7 +369,9 @@
         "at the only target": sum(1 for _, s in streams if s.is_alone),
         "silences": len(history.silences),
         "restarts": len(history.ended),
+        "good entries at a router": sum(1 for _ in _at_work(history)),
         "entries of other writers": len(history.foreign),
+        "their neighbours at a router": sum(1 for _ in _beside_foreign(history)),
     }
 
 
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -7,13 +7,18 @@
 from soak import promises
 from soak.history import ANSWERED
 from soak.history import CUT
+from soak.history import LEFT
 from soak.history import Asked
+from soak.history import Entry
 from soak.history import History
 from soak.history import Ran
+from soak.history import Silence
 from soak.history import Trouble
 from soak.history import Version
 
 EVENTS = 2
+LIVES = {"signed": "t0/1"}
+STREAM = b"id: 1\ndata: s\n\nid: 2\ndata: s\n\n"
 
 
 def asked(name="a", **fields):
@@ -158,3 +163,105 @@
         self.assertEqual(["recovery"], self.broken())
         self.put(asked("b", status=502, sent_at=95.0, ended_at=95.2))
         self.assertEqual([], self.broken())
+
+    def test_what_may_run_once_runs_at_both_lives_of_a_target(self):
+        self.put(asked(kind="once"), ran(start=1), ran(at=100.3, start=2))
+        self.assertEqual(["at most once"], self.broken())
+
+    def test_not_run_is_said_of_what_a_former_life_ran(self):
+        self.history.ended["t0", 1] = 100.15
+        self.put(asked(kind="once", status=503), ran(start=1))
+        self.assertEqual(["not run is true"], self.broken())
+
+    def test_an_answer_of_a_life_that_never_ran_it(self):
+        self.put(asked(signed="t0/2"), ran(start=1))
+        self.assertEqual(["former lives"], self.broken())
+        self.history.asked["a"].signed = "t0/1"
+        self.assertEqual([], self.broken())
+
+    def test_an_answer_of_a_life_that_has_ended(self):
+        self.history.ended["t0", 1] = 99.0
+        self.put(asked(**LIVES), ran(at=98.9, start=1))
+        self.assertEqual(["former lives"], self.broken())
+        # A stream that went on at another life keeps its first signature.
+        self.put(ran(start=2))
+        self.assertEqual([], self.broken())
+
+    def test_an_answer_of_a_life_that_ends_while_it_is_sent(self):
+        self.history.ended["t0", 1] = 99.5
+        self.put(asked(**LIVES), ran(at=99.4, start=1))
+        self.assertEqual([], self.broken())
+
+    def put_requests(self, count, *, target, since=100.0, **fields):
+        """Put requests, ten a second, that run at one target."""
+        for number in range(count):
+            name, at = f"{target}-{number}", since + number / 10
+            self.put(asked(name, sent_at=at, ended_at=at + 0.1))
+            self.put(ran(name, at + 0.05, target=target, **fields))
+
+    def test_a_new_life_that_gets_no_work(self):
+        self.history.listed.append(Entry("t0", "portal", 2, 95.0))
+        self.put_requests(60, target="t1")
+        self.assertEqual(["good entries"], self.broken())
+        # Work for the former life is none for the new one.
+        self.history.ran[0].target, self.history.ran[0].start = "t0", 1
+        self.assertEqual(["good entries"], self.broken())
+        self.history.ran[0].start = 2
+        self.assertEqual([], self.broken())
+
+    def test_one_router_that_stopped_following_the_list(self):
+        self.history.listed.append(Entry("t0", "portal", 2, 95.0))
+        self.put_requests(60, target="t1")
+        self.put(asked("b", router="r1"), ran("b", start=2))
+        self.assertEqual(["good entries"], self.broken())
+        self.history.troubles.append(Trouble("kill", "r0", 96.0, 97.0))
+        self.assertEqual([], self.broken())
+
+    def test_an_entry_that_went_before_enough_was_asked(self):
+        self.history.listed.append(Entry("t0", "portal", 2, 95.0, until=101.0))
+        self.put_requests(60, target="t1")
+        self.assertEqual([], self.broken())
+
+    def test_work_for_what_another_writer_s_entry_names(self):
+        entry = Entry("t0", "portal", 1, 97.0, until=100.3)
+        self.history.foreign.append(entry)
+        self.put(asked(), ran())
+        self.assertEqual(["foreign entries"], self.broken())
+        for changed in ({"at": 98.5}, {"until": 100.05}):
+            was = {name: getattr(entry, name) for name in changed}
+            vars(entry).update(changed)
+            self.assertEqual([], self.broken(), changed)
+            vars(entry).update(was)
+        self.history.troubles.append(Trouble("silent", "store of r0", 98.0, 99.0))
+        self.assertEqual([], self.broken())
+
+    def test_neighbours_of_another_writer_s_entry_that_lose_their_work(self):
+        self.history.foreign.append(Entry("t0", "portal", 1, 99.0, until=104.0))
+        for name in ("t1", "t2"):
+            self.history.listed.append(Entry(name, "portal", 1, 50.0, until=104.0))
+        self.put_requests(30, target="t3")
+        self.assertEqual(["their neighbours"], self.broken())
+        for run in self.history.ran[:20]:
+            run.target = "t2"
+        self.assertEqual([], self.broken())
+
+    def put_stream(self, **fields):
+        values = {"kind": "draft", "body": STREAM, "deadline": 6.0, "ended_at": 101.5}
+        self.put(asked("s", **{**values, **fields}), ran("s"))
+
+    def test_a_stream_that_ends_as_its_engine_is_silent(self):
+        self.history.silences.append(Silence("t0", 100.2, 101.2))
+        for fields in ({"outcome": CUT}, {"status": 502, "outcome": ANSWERED}):
+            self.history.ran.clear()
+            self.put_stream(**fields)
+            self.assertEqual(["silence"], self.broken(), fields)
+        self.history.troubles.append(Trouble("faults", "t0", 99.0, 101.0))
+        self.assertEqual([], self.broken())
+
+    def test_streams_that_a_silence_has_not_ended(self):
+        self.history.silences.append(Silence("t0", 100.2, 101.2))
+        for fields in ({}, {"outcome": LEFT}, {"outcome": CUT, "ended_at": 100.1}):
+            self.history.asked.clear()
+            self.history.ran.clear()
+            self.put_stream(**fields)
+            self.assertEqual([], self.broken(), fields)
