--- a/tests/adapter/test_start.py
+++ b/tests/adapter/test_start.py
@@ -16,6 +16,19 @@
 from testtools import TestCase
 
 LOOPBACK = "127.0.0.1"
+# Runs the program and sends it a signal whenever it loads anything but itself.
+SIGNALS_AT_EACH_IMPORT = """
+import os, runpy, signal, sys
+import __future__
+
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name.rpartition(".")[2] not in {"primrosescale", "platform", "__main__"}:
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Finder())
+runpy.run_module("primrosescale.platform", run_name="__main__")
+"""
 PATIENCE = 60.0
 
 
@@ -57,6 +70,17 @@
         self.addCleanup(child.kill)
         return child
 
+    def run_with_signals(self):
+        """Run it with signals that come before all that it loads."""
+        return subprocess.run(
+            [sys.executable, "-c", SIGNALS_AT_EACH_IMPORT],
+            env={**os.environ, "PRIMROSESCALE_BOOT": str(self.boot)},
+            capture_output=True,
+            text=True,
+            timeout=PATIENCE,
+            check=False,
+        )
+
     def run_program(self):
         child = self.start_program()
         _, child.said = child.communicate(timeout=PATIENCE)
@@ -84,6 +108,11 @@
         self.assertEqual(os.EX_CONFIG, done.returncode, done.said)
         self.assertIn(str(self.boot), done.said)
 
+    def test_signals_that_come_before_anything_is_loaded_are_not_its_end(self):
+        self.boot.write_text("{}")
+        done = self.run_with_signals()
+        self.assertEqual(os.EX_CONFIG, done.returncode, done.stderr)
+
     def test_signals_that_come_while_it_is_loaded_are_not_its_end(self):
         with socket.create_server((LOOPBACK, 0)) as probe:
             self.write(self.free, probe.getsockname()[1])
