--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -69,6 +69,8 @@
 SILENT_LEAST = 0.3
 SILENT_MOST = 1.5
 UNFINISHED = 2
+# How often the soak looks whether it was itself held up, in seconds.
+LOOK_EVERY = 0.05
 
 
 class Soak:
@@ -96,6 +98,10 @@
             for n in range(callers)
         ]
         self._ending = []
+        # Longest time for which the machine kept this process from running:
+        # callers seem to wait for longer by that.
+        self.held_up = 0.0
+        self._looked_at = None
 
     @inlineCallbacks
     def run(self, seconds, pause):
@@ -103,6 +109,7 @@
         self._operator.write(self._rng)
         self._fleet.start()
         yield self._until_ready()
+        self._look()
         for caller in self._callers:
             caller.run(pause)
         began = reactor.seconds()
@@ -118,6 +125,13 @@
         yield self._wait(0.1)
         return promises.broken(self.history, EVENTS)
 
+    def _look(self):
+        now = reactor.seconds()
+        if self._looked_at is not None:
+            self.held_up = max(self.held_up, now - self._looked_at - LOOK_EVERY)
+        self._looked_at = now
+        reactor.callLater(LOOK_EVERY, self._look)
+
     def stop(self):
         """End all that was started."""
         self._fleet.stop()
@@ -376,8 +390,9 @@
         target.engine.fall_silent(lasts)
 
 
-def summary(history):
+def summary(soak):
     """Return what a run was made of."""
+    history = soak.history
     outcomes = {}
     for asked in history.asked.values():
         key = f"{asked.outcome or 'open'} {asked.status or ''}".strip()
@@ -390,6 +405,7 @@
         "runs": len(history.ran),
         "troubles": kinds,
         "judged": promises.judged(history),
+        "held up": f"{soak.held_up:.2f} s",
     }
 
 
@@ -422,9 +438,7 @@
         # Also when the run is terminated.
         reactor.addSystemEventTrigger("before", "shutdown", soak.stop)
         found = yield soak.run(arguments.seconds, arguments.pause)
-        sys.stdout.write(
-            f"seed {arguments.seed}: {json.dumps(summary(soak.history))}\n"
-        )
+        sys.stdout.write(f"seed {arguments.seed}: {json.dumps(summary(soak))}\n")
         for promise, lines in found.items():
             for line in lines[:10]:
                 sys.stdout.write(f"seed {arguments.seed}: BROKEN {promise}: {line}\n")
