--- a/src/primrosescale/standin/deployment.py
+++ b/src/primrosescale/standin/deployment.py
@@ -12,6 +12,7 @@
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import inlineCallbacks
+from twisted.protocols.policies import WrappingFactory
 from twisted.web.server import Site
 
 from primrosescale.connection.endpoint import Endpoint
@@ -214,14 +215,7 @@
             When the agent has joined.
         """
         domain = DOMAINS[number % len(DOMAINS)]
-        resource: EngineResource | PlainServiceResource
-        if service == MODEL_SERVICE:
-            resource = EngineResource(
-                EngineSettings(tokens_per_second=TOKENS_PER_SECOND),
-                self._reactor,
-            )
-        else:
-            resource = PlainServiceResource(name, 0.01, self._reactor, self._runs)
+        resource = self._resource(name, service)
         port = self._listen(resource)
         agent = self._agent(name, service, domain, port.getHost().port)
         agent.listen()
@@ -248,6 +242,32 @@
         yield target.agent.stop()
         yield target.port.stopListening()
 
+    @inlineCallbacks
+    def restart_target(self, name: str) -> Generator[Any, Any, None]:
+        """Start a target again behind its agent: same name, same address.
+
+        What it was working on is cut off, and it has forgotten all. One that
+        moves is stopped and started, with a new agent; see `stop_target`.
+
+        Parameters
+        ----------
+        name : str
+            Name of the agent.
+
+        Returns
+        -------
+        Deferred[None]
+            When the new life takes calls.
+        """
+        target = self._targets[name]
+        number = target.port.getHost().port
+        connections = list(target.port.factory.protocols)
+        yield target.port.stopListening()
+        for connection in connections:
+            connection.transport.abortConnection()
+        target.resource = self._resource(name, target.service)
+        target.port = self._listen(target.resource, number)
+
     @inlineCallbacks
     def roll_out(self, caller: HttpCaller, text: str) -> Generator[Any, Any, int]:
         """Create, sign and roll out a bundle as operators do.
@@ -384,10 +404,21 @@
         self._platforms.append(platform)
         return platform
 
-    def _listen(self, resource: Any) -> Any:
+    def _resource(
+        self, name: str, service: str
+    ) -> EngineResource | PlainServiceResource:
+        if service == MODEL_SERVICE:
+            settings = EngineSettings(tokens_per_second=TOKENS_PER_SECOND)
+            return EngineResource(settings, self._reactor)
+        return PlainServiceResource(name, 0.01, self._reactor, self._runs)
+
+    def _listen(self, resource: Any, number: int = 0) -> Any:
+        """Serve a resource; its port knows the connections that are open."""
         site = Site(resource)
         site.noisy = False
-        return self._reactor.listenTCP(0, site, interface=LOOPBACK)
+        factory = WrappingFactory(site)
+        factory.noisy = False
+        return self._reactor.listenTCP(number, factory, interface=LOOPBACK)
 
 
 def _model_service() -> str:
--- a/src/primrosescale/standin/engine.py
+++ b/src/primrosescale/standin/engine.py
@@ -67,6 +67,11 @@
         self._chats: OrderedDict[str, int] = OrderedDict()
         self._total = 0
 
+    @property
+    def chats(self) -> list[str]:
+        """Return the chats that have tokens here."""
+        return list(self._chats)
+
     def __contains__(self, chat: object) -> bool:
         """Tell whether a chat has tokens here."""
         return chat in self._chats
