What the soak had planned for a target ends when the target is to leave

Cause: an entry that was to come after a restart or a crash was written over the notice of leaving that came in between: the soak's own fault, no router's. The check of leaving targets stays as it is.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -281,7 +281,8 @@
         target.link.reset()
         target.begin()
         reactor.callLater(LAPSE_AFTER, store.remove, "servers", name)
-        self._begin("crash", name, BACK_AFTER, lambda: self._backends.list(target))
+        self._begin("crash", name, BACK_AFTER)
+        self._later(target, BACK_AFTER, self._backends.list, target)
 
     def _drain(self, step):
         """Have a target leave as planned, and another take its address."""
@@ -293,6 +294,7 @@
         return (target.name, target.start) in self.history.draining
 
     def _leave(self, target, back_after):
+        target.turn += 1
         name, turn = target.name, target.turn
         self._backends.list(target, "draining")
         self.history.draining[name, target.start] = reactor.seconds()
