What may run once may be sent to two targets in the soak

Cause: its routes allowed one attempt, so at-most-once over a restart was held by the number of attempts alone. Now a router must know it from what has been sent.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -160,9 +160,9 @@
             "version": self.number,
             "routes": [
                 _route("plain", "safe", "portal"),
-                _route("once", "unsafe", "portal", max_attempts=1),
+                _route("once", "unsafe", "portal"),
                 _route("story", "streaming", "model", resume_streams=True),
-                _route("draft", "streaming", "model", max_attempts=1),
+                _route("draft", "streaming", "model"),
                 *(_route(f"v{number}", "safe", "portal") for number in kept),
             ],
             "services": [{"name": "portal"}, {"name": "model"}],
