Routers of agents follow the list of hosts beside entries of other writers

Cause: one entry that cannot be read (a field missing or of another type, no object) ended the reading of the whole list, without a line of our own; found by the demo's deployment, which can now hold such entries. Change: HttpPlatform reads each entry with strict types and passes over what names no host; the router tells of it once a change (601, host_refused). Test: failed before with versions [12, 12, 12] known of a list that went on; 24 odd entries, 3 routers. Ruled out: leaving it to the caller of the list, which would hide the rest.

--- a/src/primrosescale/process/daemons/router.py
+++ b/src/primrosescale/process/daemons/router.py
@@ -392,6 +392,10 @@
             target=report.target,
         )
 
+    def host_unreadable(self, detail: str) -> None:
+        """Log an entry of the list of hosts that names no host to use."""
+        self._log(Event.HOST_REFUSED, detail=detail)
+
     def platform_failed(self, detail: str) -> None:
         """Log that the platform could not be asked."""
         self._log(Event.PLATFORM_FAILED, detail=detail)
--- a/src/primrosescale/process/daemons/router_control.py
+++ b/src/primrosescale/process/daemons/router_control.py
@@ -80,6 +80,16 @@
 class ControlObserver(ABC):
     """Is told about control traffic."""
 
+    @abstractmethod
+    def host_unreadable(self, detail: str) -> None:
+        """Take in that an entry of the list of hosts cannot be read.
+
+        Parameters
+        ----------
+        detail : str
+            What is wrong with it.
+        """
+
     @abstractmethod
     def platform_failed(self, detail: str) -> None:
         """Take in that the platform could not be asked.
@@ -172,6 +182,8 @@
         self._is_watching = False
         self._watch_revision = 0
         self._is_listing = False
+        # Told of once a change, not with each reading of the list.
+        self._unreadable: tuple[str, ...] = ()
         self._listed_at = -1.0e9
         self._heard_at = clock.seconds()
         self._is_stopped = False
@@ -527,6 +539,10 @@
             return
         finally:
             self._is_listing = False
+        if found.unreadable != self._unreadable:
+            self._unreadable = found.unreadable
+            for detail in found.unreadable:
+                self._observer.host_unreadable(detail)
         if found.is_full or found.entries:
             now = self._clock.seconds()
             entries = list(found.entries)
--- a/src/primrosescale/process/exceptions.py
+++ b/src/primrosescale/process/exceptions.py
@@ -69,6 +69,16 @@
         )
 
 
+class HostEntryError(ProcessError):
+    """An entry of the platform's list of hosts cannot be read."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(
+            f"unreadable host entry: {detail}",
+            "see who wrote it; the entries beside it hold",
+        )
+
+
 class SettingsError(ProcessError):
     """The settings of a process cannot be used."""
 
--- a/src/primrosescale/process/transport/http_platform.py
+++ b/src/primrosescale/process/transport/http_platform.py
@@ -13,9 +13,12 @@
 from twisted.web.http_headers import Headers
 
 from primrosescale.connection.wire.ttypes import HostEntry
+from primrosescale.process.exceptions import HostEntryError
 from primrosescale.process.exceptions import PlatformConflictError
 from primrosescale.process.exceptions import PlatformLimitError
 from primrosescale.process.exceptions import PlatformUnavailableError
+from primrosescale.process.membership.members import AGENT_ROLE
+from primrosescale.process.membership.members import ROUTER_ROLE
 from primrosescale.process.transport.called_platform import CalledPlatform
 from primrosescale.process.transport.platform import MAX_VALUE
 from primrosescale.process.transport.platform import MUST_NOT_EXIST
@@ -37,6 +40,18 @@
 CONFLICT = 412
 TOO_LARGE = 413
 HOST_FIELDS = HostEntry.__slots__  # type: ignore[attr-defined]
+# What a host's fields are, those that are no text.
+HOST_FIELD_TYPES: dict[str, type] = {
+    "port": int,
+    "leaving": bool,
+    "gone": bool,
+    "version": int,
+    "incarnation": int,
+}
+ROLES = frozenset({AGENT_ROLE, ROUTER_ROLE})
+MOST_PORT = 65535
+# Characters of an odd value that a line shows.
+SHOWN = 60
 
 
 class HttpPlatform(CalledPlatform):
@@ -111,8 +126,18 @@
         reply = yield self._call("GET", f"/hosts?since={since}")
         _require(reply, OK)
         fields = json.loads(reply.body)
-        entries = tuple(host_from_fields(item) for item in fields["hosts"])
-        return HostList(int(fields["version"]), bool(fields["is_full"]), entries)
+        entries, unreadable = [], []
+        for item in fields["hosts"]:
+            try:
+                entries.append(host_from_fields(item))
+            except HostEntryError as error:
+                unreadable.append(str(error))
+        return HostList(
+            int(fields["version"]),
+            bool(fields["is_full"]),
+            tuple(entries),
+            tuple(unreadable),
+        )
 
     @inlineCallbacks
     def announce(self, entry: HostEntry) -> Generator[Any, Any, None]:
@@ -144,8 +169,29 @@
     -------
     HostEntry
         The host.
+
+    Raises
+    ------
+    HostEntryError
+        When a field is missing, or is not what a host tells.
     """
-    return HostEntry(**{name: fields[name] for name in HOST_FIELDS})
+    if not isinstance(fields, dict):
+        raise HostEntryError(f"a {type(fields).__name__}")
+    found: dict[str, Any] = {name: fields.get(name) for name in HOST_FIELDS}
+    for name, value in found.items():
+        # A truth value is a number in Python, and none to a host.
+        if type(value) is not HOST_FIELD_TYPES.get(name, str):
+            raise HostEntryError(f"{name} is {value!r:.{SHOWN}}")
+    if not found["name"] or found["role"] not in ROLES:
+        shown = f"{found['name']!r:.{SHOWN}}, {found['role']!r:.{SHOWN}}"
+        raise HostEntryError(f"name and role are {shown}")
+    is_counted = min(found["version"], found["incarnation"]) >= 0
+    if not 0 < found["port"] <= MOST_PORT or not is_counted:
+        raise HostEntryError(
+            f"port, version and incarnation are {found['port']!r:.{SHOWN}},"
+            f" {found['version']!r:.{SHOWN}}, {found['incarnation']!r:.{SHOWN}}"
+        )
+    return HostEntry(**found)
 
 
 def fields_of_host(entry: HostEntry) -> dict[str, Any]:
--- a/src/primrosescale/process/transport/platform.py
+++ b/src/primrosescale/process/transport/platform.py
@@ -66,11 +66,14 @@
         Whether the entries are the whole list.
     entries : tuple[HostEntry, ...]
         The entries; those with ``gone`` set have left.
+    unreadable : tuple[str, ...]
+        What was wrong with entries that name no host to use.
     """
 
     version: int
     is_full: bool
     entries: tuple[HostEntry, ...]
+    unreadable: tuple[str, ...] = ()
 
 
 class Platform(ABC):
--- a/src/primrosescale/standin/deployment.py
+++ b/src/primrosescale/standin/deployment.py
@@ -268,6 +268,16 @@
         target.resource = self._resource(name, target.service)
         target.port = self._listen(target.resource, number)
 
+    def write_foreign_hosts(self, entries: list[Any]) -> None:
+        """Have another writer's entries stand in the list of hosts.
+
+        Parameters
+        ----------
+        entries : list[Any]
+            What stands there besides the fleet's own; empty to take it away.
+        """
+        self._store.foreign_hosts = entries
+
     @inlineCallbacks
     def roll_out(self, caller: HttpCaller, text: str) -> Generator[Any, Any, int]:
         """Create, sign and roll out a bundle as operators do.
--- a/src/primrosescale/standin/object_store.py
+++ b/src/primrosescale/standin/object_store.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from typing import Any
 
 from primrosescale.process.exceptions import PlatformConflictError
 from primrosescale.process.exceptions import PlatformLimitError
@@ -113,6 +114,8 @@
         self._writes = TokenBucket(now)
         self._host_changes: list[_HostChange] = []
         self._host_version = 0
+        # Entries of another writer, as they stand in the list of hosts.
+        self.foreign_hosts: list[Any] = []
         self._read_count = 0
         self._write_count = 0
 
--- a/src/primrosescale/standin/platform_site.py
+++ b/src/primrosescale/standin/platform_site.py
@@ -102,7 +102,10 @@
             return watched.addCallback(lambda found: _send(request, _watch(found)))
         if kind == "hosts" and method == "GET":
             listing = self._platform.hosts(int(_argument(request, "since", "0")))
-            return listing.addCallback(lambda found: _send(request, _hosts(found)))
+            foreign = self._platform.store.foreign_hosts
+            return listing.addCallback(
+                lambda found: _send(request, _hosts(found, foreign))
+            )
         if kind == "hosts" and method == "PUT":
             entry = host_from_fields(json.loads(request_body(request)))
             announced = self._platform.announce(entry)
@@ -162,11 +165,11 @@
     return {"revision": found.revision, "items": items}
 
 
-def _hosts(found: HostList) -> dict[str, Any]:
+def _hosts(found: HostList, foreign: list[Any]) -> dict[str, Any]:
     return {
         "version": found.version,
         "is_full": found.is_full,
-        "hosts": [fields_of_host(entry) for entry in found.entries],
+        "hosts": [*foreign, *(fields_of_host(entry) for entry in found.entries)],
     }
 
 
--- a/tests/standin/test_deployment.py
+++ b/tests/standin/test_deployment.py
@@ -1,13 +1,45 @@
-"""The demo's deployment plays a target that starts again under its name."""
+"""The demo's deployment plays targets that start again, and foreign entries."""
 
 from __future__ import annotations
 
+from eliot import add_destinations
+from eliot import remove_destination
+from twisted.internet import reactor
 from twisted.internet.defer import inlineCallbacks
 
 from primrosescale.standin.deployment import MODEL
 from primrosescale.standin.deployment import MODEL_SERVICE
 from process.test_callers import DeployedTest
 
+GOOD = {
+    "name": "stranger",
+    "role": "agent",
+    "address": "127.0.0.1",
+    "port": 9,
+    "domain": "d1",
+    "region": "riga",
+    "service_name": MODEL_SERVICE,
+    "leaving": False,
+    "gone": False,
+    "version": 1,
+    "incarnation": 1,
+}
+ODD_HOSTS = [
+    None,
+    "text",
+    [],
+    {},
+    {**GOOD, "port": "9"},
+    {**GOOD, "port": 0},
+    {**GOOD, "port": True},
+    {**GOOD, "gone": "no"},
+    {**GOOD, "incarnation": 1.5},
+    {**GOOD, "version": -1},
+    {**GOOD, "name": 7},
+    {**GOOD, "name": ""},
+    {**GOOD, "role": "stranger"},
+    *({k: v for k, v in GOOD.items() if k != name} for name in GOOD),
+]
 PATH = "/v1/chat/completions"
 OK = 200
 
@@ -66,3 +98,29 @@
                 return
             yield self.deployment.pause(0.05)
         self.fail("the new life got no work")
+
+
+class ForeignHostsTest(DeployedTest):
+    @inlineCallbacks
+    def test_routers_follow_the_list_beside_entries_of_other_writers(self):
+        lines = []
+        add_destinations(lines.append)
+        self.addCleanup(remove_destination, lines.append)
+        self.deployment.write_foreign_hosts(ODD_HOSTS)
+        yield self.deployment.start_target("engine-9", MODEL_SERVICE, 1)
+        store = self.deployment.store
+        all_members = [router.members for router in self.deployment.routers]
+        for _ in range(200):
+            versions = [members.list_version for members in all_members]
+            if min(versions) >= store.hosts(0, reactor.seconds()).version:
+                break
+            yield self.deployment.pause(0.05)
+        else:
+            self.fail(f"routers know versions {versions}")
+        for members in all_members:
+            self.assertIsNotNone(members.get("engine-9"))
+            self.assertIsNone(members.get("stranger"))
+        # Once a change, however often the list is read.
+        yield self.deployment.pause(1.5)
+        told = [line for line in lines if line.get("message_type") == "host_refused"]
+        self.assertEqual(len(ODD_HOSTS) * len(all_members), len(told))
