--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -225,6 +225,12 @@
         self._closes(target)
         self.store.remove("servers", target.name)
 
+    def crash(self, target):
+        """End a target at once; another is soon at its address."""
+        self._closes(target)
+        target.link.reset()
+        target.begin()
+
     def restart(self, target, *, moves):
         """Start a target again under its name; its entry stays as it is."""
         self._closes(target)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -278,8 +278,7 @@
         target = self._target(step)
         name = target.name
         store = self._backends.store
-        target.link.reset()
-        target.begin()
+        self._backends.crash(target)
         reactor.callLater(LAPSE_AFTER, store.remove, "servers", name)
         self._begin("crash", name, BACK_AFTER)
         self._later(target, BACK_AFTER, self._backends.list, target)
