--- /dev/null
+++ b/tests/soak/test_schedule.py
@@ -0,0 +1,32 @@
+"""What a seed draws."""
+
+from __future__ import annotations
+
+import random
+
+from testtools import TestCase
+
+from soak import schedule
+
+SECONDS = 200.0
+
+
+class ScheduleTest(TestCase):
+    def draw(self, beside=None, without=()):
+        return schedule.draw(random.Random(7), SECONDS, beside, without)
+
+    def test_the_second_series_leaves_the_first_as_it_is(self):
+        first = self.draw()
+        both = self.draw(random.Random(8))
+        beside = [step for step in both if step.kind in schedule.BESIDE]
+        self.assertEqual(first, [step for step in both if step not in beside])
+        self.assertEqual(set(schedule.BESIDE), {step.kind for step in beside})
+        self.assertEqual(sorted(both, key=lambda step: step.at), both)
+
+    def test_what_is_left_out_is_not_drawn(self):
+        steps = self.draw(random.Random(8), ["foreign", "lone_silence"])
+        drawn = {step.kind for step in steps} & set(schedule.BESIDE)
+        self.assertEqual({"reborn"}, drawn)
+        self.assertEqual(
+            self.draw(), self.draw(random.Random(8), list(schedule.BESIDE))
+        )
