--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -9,6 +9,7 @@
 
 from soak.history import ANSWERED
 from soak.history import CUT
+from soak.history import LEFT
 
 OK = 200
 REFUSALS = {408, 421, 429, 503}
@@ -33,6 +34,15 @@
 RECOVERED_AFTER = 6.0
 RECOVERED_SHARE = 0.9
 ANSWER_SLACK = 0.5
+# Time until each calm router has sent work to a target that came (back), if it
+# had at least so many requests for its service.
+AT_WORK = 5.0
+AT_WORK_LEAST = {"portal": 40, "model": 30}
+# Time after which nothing of a life that has ended reaches a caller.
+LIFE_OVER = 1.0
+# Share of the requests that get to the neighbours of an entry that names nothing.
+NEIGHBOURS_SHARE = 0.5
+NEIGHBOURS_LEAST = 20
 
 
 def at_most_once(history):
@@ -93,7 +103,7 @@
 def leaving_targets_get_no_work(history):
     """A target that said it leaves gets nothing new after the bound."""
     for run in history.ran:
-        told_at = history.draining.get(run.target)
+        told_at = history.draining.get((run.target, run.start))
         asked = history.asked.get(run.name)
         if told_at is None or asked is None:
             continue
@@ -198,6 +208,198 @@
             yield f"{asked.name} had no answer {late:.2f} s after its deadline"
 
 
+def former_lives_are_over(history):
+    """An answer is of a life that ran the request, and comes while it lasts."""
+    runs = history.runs_of()
+    for asked in history.asked.values():
+        if asked.outcome != ANSWERED or asked.status != OK or not asked.signed:
+            continue
+        target, _, start = asked.signed.rpartition("/")
+        lives = {(run.target, run.start) for run in runs.get(asked.name, ())}
+        if (target, int(start)) not in lives:
+            yield f"{asked.name} got an answer of {asked.signed}, where it never ran"
+            continue
+        ends = [history.ended.get(life) for life in lives]
+        if None in ends:
+            continue
+        late = asked.ended_at - max(ends)
+        if late > LIFE_OVER and history.is_calm(
+            max(ends), asked.ended_at, {asked.router}
+        ):
+            yield f"{asked.name} got an answer of {target} {late:.2f} s after its end"
+
+
+def good_entries_get_work(history):
+    """Each calm router sends work to a target whose entry is there again."""
+    for entry, router, until, has_worked in _at_work(history):
+        if not has_worked:
+            late = until - entry.at
+            yield f"{entry.target} got nothing from {router} in {late:.2f} s"
+
+
+def _at_work(history):
+    """Return each good entry and calm router, by when it had enough to send.
+
+    What is judged is the time after the last trouble that touched the router or
+    the store, and before the first of the target's own, which may keep routers away
+    from it for longer. Model engines are chosen by what they hold, so only new
+    chats count there, and all routers as one.
+    """
+    asked_by = _asked_by_router(history)
+    came = {}
+    for run in history.ran:
+        if run.name in history.asked:
+            came.setdefault((run.target, run.start), []).append(run)
+    for entry in history.listed:
+        gone_at = _untouched_until(history, entry)
+        each = [(router,) for router in asked_by]
+        groups = [tuple(asked_by)] if entry.service == "model" else each
+        least = AT_WORK_LEAST[entry.service]
+        for group in groups:
+            scopes = {"store", *group}
+            scopes |= {f"store of {router}" for router in group}
+            since = history.calm_since(entry.at, gone_at, scopes)
+            times = sorted(
+                asked.sent_at
+                for router in group
+                for asked in asked_by[router]
+                if asked.service == entry.service
+                and asked.is_new
+                # Its news of the entry needs a moment to come.
+                and since + IN_FORCE < asked.sent_at < gone_at
+            )
+            if len(times) < least:
+                continue
+            until = max(since + AT_WORK, times[least - 1]) + SLACK
+            if until > gone_at:
+                continue
+            has_worked = any(
+                since <= run.at <= until and history.asked[run.name].router in group
+                for run in came.get((entry.target, entry.start), ())
+            )
+            yield entry, " and ".join(group), until, has_worked
+
+
+def _untouched_until(history, entry):
+    """Return until when an entry stood with no trouble at its target."""
+    began = (
+        max(trouble.began, entry.at)
+        for trouble in history.troubles
+        if trouble.scope == entry.target
+        and (trouble.ended is None or trouble.ended > entry.at)
+    )
+    return min([entry.until, *began])
+
+
+def _asked_by_router(history):
+    """Return what each router was asked and could pass on, in order."""
+    newest = set(history.versions[-1].keys) if history.versions else set()
+    found = {}
+    for asked in sorted(history.asked.values(), key=lambda a: a.sent_at):
+        if asked.key in newest and not asked.version:
+            found.setdefault(asked.router, []).append(asked)
+    return found
+
+
+def foreign_entries_get_no_work(history):
+    """What another writer's entry names gets no request once that is known."""
+    for entry in history.foreign:
+        for run in history.ran:
+            asked = history.asked.get(run.name)
+            if run.target != entry.target or asked is None or run.at > entry.until:
+                continue
+            scopes = {asked.router, "store", f"store of {asked.router}"}
+            late = run.at - history.calm_since(entry.at, run.at, scopes)
+            if late > IN_FORCE + SLACK:
+                yield f"{run.name} reached {run.target} {late:.2f} s after its entry"
+
+
+def neighbours_keep_work(history):
+    """Targets beside an entry of another writer get work as before."""
+    for entry, router, sent, got in _beside_foreign(history):
+        if got < NEIGHBOURS_SHARE * sent:
+            yield (
+                f"{got} of {sent} requests at {router} got to the targets"
+                f" beside {entry.target}"
+            )
+
+
+def _beside_foreign(history):
+    """Return each foreign entry and router, what it was sent and passed on."""
+    runs = history.runs_of()
+    for entry in history.foreign:
+        others = {
+            good.target
+            for good in history.listed
+            if good.service == entry.service
+            and good.target != entry.target
+            and good.at < entry.at
+            and good.until >= entry.until
+            and history.is_calm(entry.at, entry.until, {good.target})
+        }
+        # There has to be something beside it that may get work.
+        if not others:
+            continue
+        for router, all_asked in _asked_by_router(history).items():
+            scopes = {router, "store", f"store of {router}"}
+            sent = [
+                asked
+                for asked in all_asked
+                if asked.service == entry.service
+                and asked.sent_at < entry.until - asked.deadline / 2
+                and asked.sent_at > history.calm_since(entry.at, asked.sent_at, scopes)
+            ]
+            got = [
+                asked
+                for asked in sent
+                if any(r.target != entry.target for r in runs.get(asked.name, ()))
+            ]
+            if len(sent) >= NEIGHBOURS_LEAST:
+                yield entry, router, len(sent), len(got)
+
+
+def _over_a_silence(history):
+    """Return the streams that were at a silent target, and the silence."""
+    runs = history.runs_of()
+    found = []
+    for silence in history.silences:
+        for asked in history.asked.values():
+            ran = [r for r in runs.get(asked.name, ()) if r.at < silence.ended]
+            if asked.kind not in STREAMS or asked.outcome == LEFT:
+                continue
+            if silence.target not in {r.target for r in ran} or not asked.ended_at:
+                continue
+            places = {r.target for r in runs[asked.name]}
+            scopes = {f"{of}{name}" for name in places for of in ("", "life of ")}
+            if asked.ended_at > silence.began and history.is_calm(
+                asked.sent_at, asked.ended_at, {asked.router, *scopes}
+            ):
+                found.append((asked, silence))
+    return found
+
+
+def silence_ends_no_answer(history):
+    """A stream at a target that falls silent for a while ends whole."""
+    for asked, silence in _over_a_silence(history):
+        if asked.outcome != ANSWERED or asked.status != OK:
+            how = f"{asked.outcome} {asked.status}"
+            yield f"{asked.name} at {silence.target}, which was silent, ended: {how}"
+
+
+def judged(history):
+    """Return how much the checks of what is seldom had to judge."""
+    streams = _over_a_silence(history)
+    return {
+        "streams over a silence": len(streams),
+        "at the only target": sum(1 for _, s in streams if s.is_alone),
+        "silences": len(history.silences),
+        "restarts": len(history.ended),
+        "good entries at a router": sum(1 for _ in _at_work(history)),
+        "entries of other writers": len(history.foreign),
+        "their neighbours at a router": sum(1 for _ in _beside_foreign(history)),
+    }
+
+
 def processes_stay(history):
     """No router ends by itself."""
     yield from history.own_ends
@@ -230,6 +432,11 @@
         "repeats": repeats_are_bounded(history),
         "load": load_is_even(history),
         "in time": answers_come_in_time(history),
+        "former lives": former_lives_are_over(history),
+        "good entries": good_entries_get_work(history),
+        "foreign entries": foreign_entries_get_no_work(history),
+        "their neighbours": neighbours_keep_work(history),
+        "silence": silence_ends_no_answer(history),
         "processes": processes_stay(history),
         "recovery": service_recovers(history),
     }
