--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -1,7 +1,11 @@
-"""Tests of the tools that sum up plays."""
+"""Tests of the tools that play days and sum them up, and of the day files."""
 
 from __future__ import annotations
 
+import importlib
+import itertools
+import operator
+import re
 import subprocess
 import sys
 import tempfile
@@ -10,7 +14,10 @@
 
 from testtools import TestCase
 
-TOOL = Path(__file__).resolve().parent.parent / "tools/plot_day.py"
+TOOLS = Path(__file__).resolve().parent.parent / "tools"
+sys.path.insert(0, str(TOOLS))
+play_days = importlib.import_module("play_days")
+TOOL = TOOLS / "plot_day.py"
 REPORT = """{"G": 0.5, "events": [{"at_s": 1, "to_s": 3, "kind": "hup"}], "windows": [
   {"name": "0", "worth": 1.0, "refused": 0, "failed": 0, "late": 0},
   {"name": "2", "worth": 0.5, "refused": 1, "failed": 4, "late": 3}]}"""
@@ -49,3 +56,224 @@
         self.assertEqual(2, done.returncode)
         self.assertIn("report.json holds no windows", done.stderr)
         self.assertFalse(plot.exists())
+
+
+MARKS = {"class": "@c0", "service": "@s0", "zone": "@z0", "to_zone": "@z0"}
+FIELDS = {"kind", "at", "for_s", "gap_s", "share", "count", "x", "how", "on", *MARKS}
+# Each kind of trouble with the words of its ways; "" is the plain way. What is left
+# out, and why, stands in docs/days.md.
+WAYS = {
+    "add_nodes": "",
+    "after_ack_kill": ",kill,timed",
+    "answer_lost": ",reset",
+    "big_config": "",
+    "burst": "",
+    "clock_step": "ahead,back",
+    "config_change": "route,weights,timeout,tenant,quota,down,topup,idle",
+    "config_storm": ",idle",
+    "core_cut": ",all,both,leader,lure,meet,near,one_way,race,refuse,relieve,reset,"
+    "seeds,split",
+    "garble": ",early,extra,late,unframed",
+    "give_up": ",once",
+    "herd_kill": ",off,power",
+    "hot_key": "",
+    "hot_tenant": "",
+    "hup": "",
+    "idle_race": "",
+    "lossy": "",
+    "node_cut": ",all,meet,reborn,reset,revoke,servers",
+    "node_freeze": ",leader,meet,renewed",
+    "node_kill": ",drain,follower,hard,leader,meet,power,race,reader,turn",
+    "node_slow": "",
+    "platform_compact": ",drain",
+    "platform_down": "busy,drain,lapse,leader,many,meet,nodes,reset,revoke,silent",
+    "platform_lost": ",late",
+    "platform_slow": "",
+    "release": "",
+    "replace_with_reuse": ",dark,drain,side",
+    "reset_conns": "",
+    "retry_abuse": "",
+    "revoke": ",last",
+    "roll_term": ",busy,leader,remove",
+    "scale_in": ",dry,reclaim,spot",
+    "scale_out": "",
+    "shift": "",
+    "srv_crash": ",across,all,dark,domain,gone",
+    "srv_cut": ",fronts,lossy,one_way,reborn,reset,some",
+    "srv_flap": "",
+    "srv_grey": "all,busy,errors,hang,mute,one_zone,reset,shed,slow",
+    "srv_lying_health": "bad,errors,hang,reset",
+    "srv_slow": "",
+}
+ENDS = {("kill_all", ""), ("power_off_all", "all"), ("power_off_all", "timed")}
+SECONDS_PLAYED = 34.0
+LONG_BURST = ("burst", "@c0")
+DENSE = (
+    "dense-changes",
+    "dense-changes-cut",
+    "dense-changes-gone",
+    "dense-changes-reborn",
+)
+BENCH = """#!{python}
+import json, pathlib, sys
+words = sys.argv[1:]
+day = pathlib.Path(words[2])
+if "broken" in day.name:
+    sys.exit("bench: contract is not open")
+pathlib.Path(words[words.index("--report") + 1]).write_text(json.dumps({{
+    "breaks": {{"TWICE": 2}}, "fault": None, "exits_n": 0, "served": 0.9, "G": 0.8,
+    "parts": [["whole day", 0.7, 0.9], ["worst windows", 0.3, 0.5]],
+    "prices": [["memory", 6.0, 0.02], ["cloud calls", 9.0, 0.3]]}}))
+print(" ".join(words))
+"""
+TROUBLE = '[[day]]\nname = "{}"\nplan = []\nfaults = [{{ kind = "burst", at = 1 }}]\n'
+
+
+def words_of(trouble):
+    return trouble.get("how", "").split() or [""]
+
+
+class DayFilesTest(TestCase):
+    """The days of the deploy folder fit every deployment and leave out no way."""
+
+    def setUp(self):
+        super().setUp()
+        self.days = play_days.read_days([])
+
+    def test_each_day_names_the_kinds_that_it_plays(self):
+        for day in self.days:
+            with self.subTest(day.name):
+                named = re.search(r"^# Kinds: (.+)\.$", day.text, re.MULTILINE)
+                kinds = sorted({trouble["kind"] for trouble in day.troubles})
+                self.assertEqual(", ".join(kinds), named and named[1])
+                self.assertTrue(kinds)
+
+    def test_each_way_of_each_kind_is_played_by_some_day(self):
+        found = {}
+        for trouble in itertools.chain(*(day.troubles for day in self.days)):
+            found.setdefault(trouble["kind"], set()).update(words_of(trouble))
+        wanted = {kind: set(ways.split(",")) for kind, ways in WAYS.items()}
+        self.assertEqual(wanted, found)
+        ends = [day.table["closing"] for day in self.days if "closing" in day.table]
+        self.assertEqual(ENDS, {(end["kind"], end.get("how", "")) for end in ends})
+
+    def test_no_day_holds_a_name_of_one_site(self):
+        for day in self.days:
+            for trouble in day.troubles:
+                with self.subTest(day.name, trouble=trouble):
+                    self.assertLessEqual(set(trouble), FIELDS)
+                    for field, mark in MARKS.items():
+                        self.assertIn(trouble.get(field, mark), (mark,))
+                    self.assertIn(trouble.get("on", "core"), ("core",))
+
+    def test_planned_work_and_faults_stand_apart_and_within_the_day(self):
+        for day in self.days:
+            with self.subTest(day.name):
+                for part, is_planned in (("plan", True), ("faults", False)):
+                    for trouble in day.table[part]:
+                        planned = trouble["kind"] in play_days.PLANNED
+                        self.assertEqual(is_planned, planned, trouble)
+                        self.assertLess(trouble["at"], SECONDS_PLAYED)
+
+    def test_seeds_differ_so_that_days_draw_different_luck(self):
+        seeds = [day.table["seed"] for day in self.days]
+        self.assertEqual(len(seeds), len(set(seeds)))
+
+    def test_changes_come_each_second_and_of_each_way_where_one_target_is_left(self):
+        for day in play_days.read_days(list(DENSE)):
+            changes = [x for x in day.troubles if x["kind"] == "config_change"]
+            times = sorted(x["at"] for x in changes)
+            self.assertEqual(list(range(times[0], times[-1] + 1)), times)
+            self.assertGreaterEqual(len(times), 30)
+            self.assertEqual(
+                set(WAYS["config_change"].split(",")) - {"down"},
+                {x["how"] for x in changes},
+            )
+            leaving = [x for x in day.troubles if x["kind"] == "scale_in"]
+            self.assertTrue(leaving, day.name)
+            self.assertTrue(all(x["service"] == "@s0" for x in leaving), day.name)
+            if day.name == "dense-changes":
+                self.assertEqual([0.95], [x["share"] for x in leaving])
+            self.assertTrue(
+                [x for x in day.troubles if (x["kind"], x.get("class")) == LONG_BURST]
+            )
+
+
+class PlayDaysTest(TestCase):
+    def folder(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        return Path(folder.name)
+
+    def days(self, *names):
+        folder = self.folder()
+        for name in names:
+            (folder / f"{name}.toml").write_text(TROUBLE.format(name))
+        return folder
+
+    def arguments(self, *words):
+        bench = self.folder() / "bench"
+        bench.write_text(BENCH.format(python=sys.executable))
+        bench.chmod(0o700)
+        fixed = ["--bench", str(bench), "--site", "site.toml", "--why", "a reason"]
+        return play_days.parser().parse_args([*fixed, *words])
+
+    def test_a_day_that_is_not_there_is_an_error_that_names_it(self):
+        with self.assertRaisesRegex(play_days.DayError, "no day file other; .* one"):
+            play_days.read_days(["other"], self.days("one"))
+
+    def test_a_file_with_two_days_is_refused(self):
+        folder = self.days("one")
+        (folder / "one.toml").write_text(TROUBLE.format("one") * 2)
+        with self.assertRaisesRegex(play_days.DayError, "2 days in a file"):
+            play_days.read_days([], folder)
+
+    def test_a_tenth_and_pairs_are_drawn_by_the_seed(self):
+        days = play_days.read_days([])
+        tenth = play_days.draw(days, 7)
+        self.assertEqual(tenth, play_days.draw(days, 7))
+        self.assertNotEqual(tenth, play_days.draw(days, 8))
+        self.assertEqual(-(-len(days) // 10), len(tenth))
+        pairs = play_days.draw_pairs(days, 5, 7)
+        self.assertEqual(pairs, play_days.draw_pairs(days, 5, 7))
+        self.assertNotEqual(pairs, play_days.draw_pairs(days, 5, 8))
+
+    def test_a_pair_holds_the_troubles_of_both_days(self):
+        one, other = play_days.read_days(["dense-changes", "crash"])
+        (pair,) = play_days.draw_pairs([one, other], 1, 3)
+        key = operator.itemgetter("kind", "at")
+        self.assertEqual(
+            sorted([*one.troubles, *other.troubles], key=key),
+            sorted(pair.troubles, key=key),
+        )
+        self.assertEqual("crash+dense-changes", pair.table["name"])
+
+    def test_a_day_is_played_with_its_own_seed_unless_one_is_given(self):
+        (day,) = play_days.read_days([], self.days("one"))
+        file = Path("one.toml")
+        plain = play_days.command(self.arguments(), day, file, file)
+        self.assertNotIn("--seed", plain)
+        self.assertNotIn("--vary", plain)
+        self.assertIn("a reason: day one", plain)
+        varied = self.arguments("--vary", "--seed", "0")
+        self.assertEqual(
+            ["--vary", "--seed", "0"], play_days.command(varied, day, file, file)[-3:]
+        )
+
+    def test_the_row_of_a_day_holds_rules_and_figures_and_what_was_kept(self):
+        (day,) = play_days.read_days([], self.days("one"))
+        kept = self.folder()
+        self.assertEqual(
+            "| one | TWICE 2 | 0.900 | 0.800 | 0.500 |"
+            " 0.300 cloud calls, 0.020 memory |",
+            play_days.play(self.arguments("--keep", str(kept)), day),
+        )
+        self.assertIn("--log all", (kept / "one.txt").read_text())
+        self.assertEqual(day.text, (kept / "one.toml").read_text())
+
+    def test_a_day_that_does_not_fit_is_told_with_the_reason(self):
+        (day,) = play_days.read_days([], self.days("broken"))
+        self.assertEqual(
+            "| broken | not played: bench: contract is not open |",
+            play_days.play(self.arguments(), day),
+        )
