--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -4,6 +4,7 @@
 
 import importlib
 import itertools
+import json
 import operator
 import re
 import subprocess
@@ -17,6 +18,7 @@
 TOOLS = Path(__file__).resolve().parent.parent / "tools"
 sys.path.insert(0, str(TOOLS))
 play_days = importlib.import_module("play_days")
+sum_days = importlib.import_module("sum_days")
 TOOL = TOOLS / "plot_day.py"
 REPORT = """{"G": 0.5, "events": [{"at_s": 1, "to_s": 3, "kind": "hup"}], "windows": [
   {"name": "0", "worth": 1.0, "refused": 0, "failed": 0, "late": 0},
@@ -121,7 +123,8 @@
 if "broken" in day.name:
     sys.exit("bench: contract is not open")
 pathlib.Path(words[words.index("--report") + 1]).write_text(json.dumps({{
-    "breaks": {{"TWICE": 2}}, "fault": None, "exits_n": 0, "served": 0.9, "G": 0.8,
+    "breaks": {{"TWICE": 2}}, "short": [], "fault": None,
+    "exits_n": 0, "served": 0.9, "G": 0.8,
     "parts": [["whole day", 0.7, 0.9], ["worst windows", 0.3, 0.5]],
     "prices": [["memory", 6.0, 0.02], ["cloud calls", 9.0, 0.3]]}}))
 print(" ".join(words))
@@ -277,3 +280,34 @@
             "| broken | not played: bench: contract is not open |",
             play_days.play(self.arguments(), day),
         )
+
+
+class SumDaysTest(TestCase):
+    def folder(self, *names):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        for name in names:
+            (Path(folder.name) / f"{name}.toml").write_text(TROUBLE.format(name))
+        return Path(folder.name)
+
+    def write(self, path, **other):
+        report = {"breaks": {}, "short": [], "fault": None, "exits_n": 0}
+        path.write_text(json.dumps({**report, "served": 0.5, "G": 0.25, **other}))
+
+    def test_a_column_holds_figures_or_what_broke_or_why_it_was_not_played(self):
+        one, other = self.folder("a", "b"), self.folder("a", "b", "c")
+        self.write(one / "a.json")
+        faults = {"breaks": {"LOST": 1}, "short": ["starved"], "exits_n": 2}
+        self.write(other / "a.json", **faults, fault="too long")
+        (one / "b.txt").write_text("bench: srv_flap: contract health is not open")
+        told = "LOST 1, starved, fault: too long, 2 ended by themselves"
+        self.assertEqual(
+            [
+                f"| day | {one.name} | {other.name} |",
+                "| --- | --- | --- |",
+                f"| a | 0.500 / 0.250 | **{told}**, 0.500 / 0.250 |",
+                "| b | not open | not played |",
+                "| c | not played | not played |",
+            ],
+            sum_days.table([one, other]).splitlines(),
+        )
--- a/tools/play_days.py
+++ b/tools/play_days.py
@@ -180,18 +180,24 @@
         return row(day.name, json.loads(report.read_text()))
 
 
-def row(name: str, report: dict[str, Any]) -> str:
-    """Sum up the report of one day."""
-    broken = [f"{rule} {count}" for rule, count in sorted(report["breaks"].items())]
+def broken(report: dict[str, Any]) -> list[str]:
+    """Return what a day broke: rules, other demands of the gate, ends, faults."""
+    told = [f"{rule} {count}" for rule, count in sorted(report["breaks"].items())]
+    told += [str(item) for item in report["short"]]
     if report["fault"]:
-        broken.append(f"fault: {report['fault']}")
+        told.append(f"fault: {report['fault']}")
     if report["exits_n"]:
-        broken.append(f"{report['exits_n']} ended by themselves")
+        told.append(f"{report['exits_n']} ended by themselves")
+    return told
+
+
+def row(name: str, report: dict[str, Any]) -> str:
+    """Sum up the report of one day."""
     worst = {part: value for part, _, value in report["parts"]}.get("worst windows")
     prices = sorted(((cost, what) for what, _, cost in report["prices"]), reverse=True)
     told = ", ".join(f"{cost:.3f} {what}" for cost, what in prices[:3])
     figures = f"{report['served']:.3f} | {report['G']:.3f} | {worst:.3f}"
-    return f"| {name} | {', '.join(broken) or 'none'} | {figures} | {told} |"
+    return f"| {name} | {', '.join(broken(report)) or 'none'} | {figures} | {told} |"
 
 
 def chosen(arguments: argparse.Namespace) -> list[Day]:
