--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -67,7 +67,7 @@
 WAYS = {
     "add_nodes": "",
     "after_ack_kill": ",kill,timed",
-    "answer_lost": ",reset",
+    "answer_lost": ",all,reset",
     "big_config": "",
     "burst": "",
     "clock_step": "ahead,back",
@@ -75,7 +75,7 @@
     "config_storm": ",idle",
     "core_cut": ",all,both,leader,lure,meet,near,one_way,race,refuse,relieve,reset,"
     "seeds,split",
-    "garble": ",early,extra,late,unframed",
+    "garble": ",all,early,extra,late,unframed",
     "give_up": ",once",
     "herd_kill": ",off,power",
     "hot_key": "",
@@ -101,7 +101,7 @@
     "scale_out": "",
     "shift": "",
     "srv_crash": ",across,all,dark,domain,gone",
-    "srv_cut": ",fronts,lossy,one_way,reborn,reset,some",
+    "srv_cut": ",all,fronts,lossy,one_way,reborn,reset,some",
     "srv_flap": "",
     "srv_grey": "all,busy,errors,hang,mute,one_zone,reset,shed,slow",
     "srv_lying_health": "bad,errors,hang,reset",
