--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -151,6 +151,12 @@
                 self.assertEqual(", ".join(kinds), named and named[1])
                 self.assertTrue(kinds)
 
+    def test_the_page_of_days_says_what_each_file_plays(self):
+        page = (TOOLS.parent / "docs/days.md").read_text()
+        for day in self.days:
+            words = re.findall(r"^# (?!Kinds: )(.+)$", day.text, re.MULTILINE)
+            self.assertIn(f"| `{day.name}` | {' '.join(words)} |", page)
+
     def test_each_way_of_each_kind_is_played_by_some_day(self):
         found = {}
         for trouble in itertools.chain(*(day.troubles for day in self.days)):
