--- a/src/primrosescale/process/entry/target_list.py
+++ b/src/primrosescale/process/entry/target_list.py
@@ -157,6 +157,7 @@
         """Have a target back whose entry could not be read for a while."""
         state = self._unreadable.pop(name, None)
         if state is not None:
+            self._vanished.pop(name, None)
             self._known[name] = state
             self._generation += 1
 
