--- a/src/primrosescale/process/entry/target_list.py
+++ b/src/primrosescale/process/entry/target_list.py
@@ -163,6 +163,9 @@
         bool
             Whether something changed.
         """
+        if target.name in self._unreadable and told_by != STORE:
+            # Only an entry that can be read again makes it a target again.
+            return False
         told = target.incarnation
         known = self._known.get(target.name) or self._unreadable.get(target.name)
         if known is not None and told.started_at is not None:
--- a/tests/entry/test_foreign_entries.py
+++ b/tests/entry/test_foreign_entries.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+from dataclasses import replace
 from types import SimpleNamespace
 
 from hypothesis import given
@@ -155,6 +156,13 @@
         self.change(entry("i-1", TARGET, 4))
         self.assertEqual(["i-1", "i-2"], self.usable())
 
+    def test_a_target_s_own_word_does_not_bring_an_unreadable_one_back(self):
+        state = self.targets.state("i-1")
+        self.change(entry("i-1", ODD, 2))
+        begun = replace(state.target, started_at=TARGET["born"] + 1)
+        self.assertFalse(self.targets.put(begun, self.now, told_by="target"))
+        self.assertEqual(["i-2"], self.usable())
+
     def test_an_odd_entry_between_good_ones_hides_neither(self):
         self.change(entry("i-0"), entry("i-x", ODD), entry("i-3"))
         self.assertEqual(["i-0", "i-1", "i-2", "i-3"], self.usable())
