A target's entry without its number of slots names no target

Cause: the number could be left out and was taken for 'not told', so an entry of another writer that lacks it was used. Ruled out: the load of the machine. The test that let it be missing is replaced by one that has it refused.

--- a/src/primrosescale/platform/records.py
+++ b/src/primrosescale/platform/records.py
@@ -123,7 +123,7 @@
         endpoint=reader.endpoint("address"),
         service=reader.text("service"),
         domain=reader.text("zone"),
-        slots=reader.whole_or("slots", 0, MOST_SLOTS),
+        slots=reader.whole("slots", MOST_SLOTS),
         is_draining=STATES[state],
         # Time for which a target that has just started is still slow.
         warming_for=reader.number_or("cold_remaining_ms", 0, LONGEST_TIME)
--- a/tests/adapter/test_foreign_records.py
+++ b/tests/adapter/test_foreign_records.py
@@ -100,16 +100,14 @@
         self.assertEqual(1764720000000, found.started_at)
 
     def test_what_may_be_missing_has_a_safe_meaning(self):
-        needed = ("service", "address", "zone", "state")
+        needed = ("service", "address", "zone", "state", "slots")
         found = decode_target(
             stored("servers/i-1", {name: TARGET[name] for name in needed})
         )
-        self.assertEqual(
-            (0, 0.0, None), (found.slots, found.warming_for, found.started_at)
-        )
+        self.assertEqual((0.0, None), (found.warming_for, found.started_at))
 
-    def test_what_a_target_is_called_by_may_not_be_missing(self):
-        for name in ("service", "address", "zone", "state"):
+    def test_what_a_target_is_called_and_loaded_by_may_not_be_missing(self):
+        for name in ("service", "address", "zone", "state", "slots"):
             fields = {key: value for key, value in TARGET.items() if key != name}
             error = self.refused(decode_target, "servers/i-1", fields, name)
             self.assertEqual("missing", error.reason)
@@ -312,10 +310,10 @@
                 ).map(lambda pair: f"{pair[0]}:{pair[1]}"),
                 "zone": st.text("abc-", min_size=1, max_size=9),
                 "state": st.sampled_from(["ready", "draining"]),
+                "slots": st.integers(0, 65535),
             },
             optional={
                 "version": st.text("v.1", max_size=5),
-                "slots": st.integers(0, 65535),
                 "cold_remaining_ms": st.floats(0, 86_400_000),
                 "sequence": st.integers(0, 2**53 - 1),
                 "born": st.integers(0, 2**53 - 1),
@@ -329,5 +327,5 @@
             (fields["service"], fields["address"], fields["zone"], fields.get("born")),
             (found.service, str(found.endpoint), found.domain, found.started_at),
         )
-        self.assertEqual(fields.get("slots", 0), found.slots)
+        self.assertEqual(fields["slots"], found.slots)
         self.assertEqual(fields["state"] == "draining", found.is_draining)
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -133,6 +133,7 @@
             "address": "10.0.0.1:80",
             "zone": "a",
             "state": "draining",
+            "slots": 4,
         }
         found = decode_target(stored(fields, "servers/i-1"))
         self.assertEqual(
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -156,6 +156,7 @@
         "address": address,
         "zone": "a",
         "state": "ready",
+        "slots": 8,
         **fields,
     }
 
