One name of a stored object, one list of routers heard of, one bound of ports

- A record's name was cut out of its key in four places: StoredObject.name.
- Which routers were heard of lately was worked out in four ways: RouterNews._heard, and a router's own place in the order is hashed once.
- The highest port stood three times: that of the settings' options is used.
- A request that had reached its number of targets gave the choice only the targets that it may go back to, so that mean and bound were theirs and not the service's.
All are given, and the others excluded, as for any other request.
- Whether time is left is asked in one place; the age of others' news once a choice; a run finds its pool through the life that it belongs to.

--- a/src/primrosescale/platform/field_reader.py
+++ b/src/primrosescale/platform/field_reader.py
@@ -18,6 +18,7 @@
 from typing import NoReturn
 
 from primrosescale.connection.endpoint import Endpoint
+from primrosescale.ini.options import HIGHEST_PORT
 from primrosescale.platform.exceptions import RecordError
 
 if TYPE_CHECKING:
@@ -27,7 +28,6 @@
 LONGEST_NAME = 253
 # Whole numbers up to this are the same for every reader of JSON (RFC 8259).
 MOST_WHOLE = 2**53 - 1
-HIGHEST_PORT = 65535
 # What a target's name may consist of: it is sent in a header and logged.
 NAME = re.compile(r"[!-~]+")
 PORT = re.compile(r"[0-9]{1,5}")
@@ -536,7 +536,7 @@
     RecordError
         When it is empty, too long, or has other characters.
     """
-    name = stored.key.partition("/")[2]
+    name = stored.name
     if len(name) > LONGEST_NAME:
         reason = f"{len(name)} characters, more than {LONGEST_NAME}"
         raise RecordError(stored.key, "name", reason, remedy)
--- a/src/primrosescale/process/entry/listed_targets.py
+++ b/src/primrosescale/process/entry/listed_targets.py
@@ -81,7 +81,7 @@
         self._refused.keep(item.key for item in listed)
         for item in listed:
             self._take(item, now)
-        names = {_name(item) for item in listed}
+        names = {item.name for item in listed}
         for state in list(self._targets.states):
             if state.target.name not in names:
                 self._remove(state.target.name, now)
@@ -96,7 +96,7 @@
             self._revision = max(self._revision, stored.version)
             if stored.is_deleted:
                 self._refused.settle(stored.key)
-                self._remove(_name(stored), now)
+                self._remove(stored.name, now)
             else:
                 self._take(stored, now)
 
@@ -129,7 +129,7 @@
         except UnreadableRecordError as error:
             # Not the way of an entry that is gone, whose target may still be
             # used when there is no other: this one may lead anywhere.
-            self._targets.drop(_name(stored), now)
+            self._targets.drop(stored.name, now)
             self._refused.refuse(stored, error)
             return
         is_back = self._refused.settle(stored.key)
@@ -147,7 +147,3 @@
         # It may have happened while the watch rested.
         if self._targets.remove(name, now - self._rest):
             self._log.emit(Event.TARGET_DELISTED, target=name)
-
-
-def _name(stored: StoredObject) -> str:
-    return stored.key.partition("/")[2]
--- a/src/primrosescale/process/entry/refused_records.py
+++ b/src/primrosescale/process/entry/refused_records.py
@@ -77,7 +77,7 @@
         self._metrics.record_refused(self._kind.value)
         self._told()
         said = {
-            self._kind.value: log_text(stored.key.partition("/")[2]),
+            self._kind.value: log_text(stored.name),
             "field": log_text(error.field),
             "reason": log_text(error.reason),
             "remedy": error.remedy,
--- a/src/primrosescale/process/entry/router_exchange.py
+++ b/src/primrosescale/process/entry/router_exchange.py
@@ -213,7 +213,7 @@
         self._refused.keep(stored.key for stored in objects)
         for stored in objects:
             self._take(stored)
-        listed = {_name(stored) for stored in objects if not stored.is_deleted}
+        listed = {stored.name for stored in objects if not stored.is_deleted}
         for router in self._news.others:
             if router.name not in listed:
                 self._news.remove(router.name)
@@ -224,7 +224,7 @@
         """Take in changed entries; see `WatchHandler.changed`."""
         for stored in objects:
             self._take(stored)
-            if stored.is_deleted and _name(stored) == self._settings.name:
+            if stored.is_deleted and stored.name == self._settings.name:
                 self._announce()
 
     def forget_silent(self, now: float) -> None:
@@ -253,7 +253,7 @@
     def _take(self, stored: StoredObject) -> None:
         if stored.is_deleted:
             self._refused.settle(stored.key)
-            self._news.remove(_name(stored))
+            self._news.remove(stored.name)
             return
         try:
             router = self._parts.decoder.router(stored)
@@ -261,7 +261,7 @@
             # What was known of the router holds, so that its part of shared
             # budgets is not given away; silence ends that.
             self._refused.refuse(stored, error)
-            if _name(stored) == self._settings.name:
+            if stored.name == self._settings.name:
                 self._mend(stored)
             return
         self._refused.settle(stored.key)
@@ -311,7 +311,3 @@
             version=0,
             incarnation=self._incarnation,
         )
-
-
-def _name(stored: StoredObject) -> str:
-    return stored.key.partition("/")[2]
--- a/src/primrosescale/process/entry/router_news.py
+++ b/src/primrosescale/process/entry/router_news.py
@@ -158,12 +158,7 @@
         int
             Routers.
         """
-        oldest = now - FRESH_INTERVALS * self.interval
-        return sum(
-            1
-            for peer in self._peers.values()
-            if peer.heard_at is not None and peer.heard_at >= oldest
-        )
+        return len(self._heard(now))
 
     def others_reach_store(self, now: float) -> bool:
         """Tell whether other routers are better off than one without the store.
@@ -179,11 +174,9 @@
             True when another router says that it reaches the store, or when
             none is heard of any more, so that the network fails here.
         """
-        known = [peer for peer in self._peers.values() if peer.heard_at is not None]
-        if not known:
+        if all(peer.heard_at is None for peer in self._peers.values()):
             return False
-        oldest = now - FRESH_INTERVALS * self.interval
-        heard = [peer for peer in known if (peer.heard_at or 0.0) >= oldest]
+        heard = self._heard(now)
         return not heard or any(not peer.is_store_lost for peer in heard)
 
     def newest_version(self, now: float) -> int:
@@ -199,15 +192,7 @@
         int
             The version; 0 for none.
         """
-        oldest = now - FRESH_INTERVALS * self.interval
-        return max(
-            (
-                peer.version
-                for peer in self._peers.values()
-                if peer.heard_at is not None and peer.heard_at >= oldest
-            ),
-            default=0,
-        )
+        return max((peer.version for peer in self._heard(now)), default=0)
 
     def newest_list(self) -> int:
         """Return the newest change of the target list that others told of.
@@ -236,17 +221,22 @@
         bool
             True for the first few of those that reach the store.
         """
-        oldest = now - FRESH_INTERVALS * self.interval
+        own_place = target_key(self._name)
         before = sum(
-            1
-            for name, peer in self._peers.items()
-            if target_key(name) < target_key(self._name)
-            and peer.heard_at is not None
-            and peer.heard_at >= oldest
-            and not peer.is_store_lost
+            target_key(peer.router.name) < own_place and not peer.is_store_lost
+            for peer in self._heard(now)
         )
         return before < ASKING_ROUTERS
 
+    def _heard(self, now: float) -> list[_Peer]:
+        """Return the other routers that were heard of lately."""
+        oldest = now - FRESH_INTERVALS * self.interval
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.heard_at is not None and peer.heard_at >= oldest
+        ]
+
     def unheard(self, now: float) -> list[str]:
         """Return listed routers that have not been heard of for long.
 
--- a/src/primrosescale/process/entry/target_caller.py
+++ b/src/primrosescale/process/entry/target_caller.py
@@ -81,7 +81,6 @@
         self._observer = observer
         self._codec = codec
         self._life = life
-        self._pool = life.pool
         self._clock = clock
         self._opening: Deferred[TargetChannel] | None = None
         self._channel: TargetChannel | None = None
@@ -93,11 +92,11 @@
         self._life.runs.add(self)
         channel = None
         if not self._sending.needs_new_connection:
-            channel = self._pool.idle(self._clock.seconds())
+            channel = self._life.pool.idle(self._clock.seconds())
         if channel is not None:
             self._send(channel)
             return
-        self._opening = self._pool.open()
+        self._opening = self._life.pool.open()
         self._opening.addCallbacks(self._opened, self._not_opened)
 
     def cancel(self) -> None:
@@ -165,7 +164,7 @@
             self._observer.run_cut(failure_text(reason))
             return
         if channel is not None:
-            self._pool.give_back(channel, self._clock.seconds())
+            self._life.pool.give_back(channel, self._clock.seconds())
         self._observer.run_done()
 
     def _opened(self, channel: TargetChannel) -> None:
@@ -216,7 +215,7 @@
         self._life.failed_at = self._clock.seconds()
         self._end()
         if self._channel is not None:
-            self._pool.lost(self._channel, self._clock.seconds())
+            self._life.pool.lost(self._channel, self._clock.seconds())
         self._abort()
         self._observer.run_cut(failure_text(failure))
 
--- a/src/primrosescale/process/transport/http_platform.py
+++ b/src/primrosescale/process/transport/http_platform.py
@@ -13,6 +13,7 @@
 from twisted.web.http_headers import Headers
 
 from primrosescale.connection.wire.ttypes import HostEntry
+from primrosescale.ini.options import HIGHEST_PORT
 from primrosescale.process.exceptions import HostEntryError
 from primrosescale.process.exceptions import PlatformConflictError
 from primrosescale.process.exceptions import PlatformLimitError
@@ -49,7 +50,6 @@
     "incarnation": int,
 }
 ROLES = frozenset({AGENT_ROLE, ROUTER_ROLE})
-MOST_PORT = 65535
 # Characters of an odd value that a line shows.
 SHOWN = 60
 
@@ -186,7 +186,7 @@
         shown = f"{found['name']!r:.{SHOWN}}, {found['role']!r:.{SHOWN}}"
         raise HostEntryError(f"name and role are {shown}")
     is_counted = min(found["version"], found["incarnation"]) >= 0
-    if not 0 < found["port"] <= MOST_PORT or not is_counted:
+    if not 0 < found["port"] <= HIGHEST_PORT or not is_counted:
         raise HostEntryError(
             f"port, version and incarnation are {found['port']!r:.{SHOWN}},"
             f" {found['version']!r:.{SHOWN}}, {found['incarnation']!r:.{SHOWN}}"
--- a/src/primrosescale/process/transport/platform.py
+++ b/src/primrosescale/process/transport/platform.py
@@ -37,6 +37,11 @@
     value: bytes
     is_deleted: bool = False
 
+    @property
+    def name(self) -> str:
+        """Return its name within its kind; empty when it has none."""
+        return self.key.partition("/")[2]
+
 
 @dataclass(frozen=True, slots=True)
 class WatchResult:
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -122,10 +122,10 @@
         now : float
             Present time in seconds.
         """
-        left = self._request.give_up_at - now
-        if left < self._tools.settings.shortest_time:
+        if not self._has_time_left(now):
             self._refuse(Refusal.TOO_LATE)
             return
+        left = self._request.give_up_at - now
         self._timer = self._tools.clock.callLater(left, self._give_up)
         self._tools.budget_of(self._request.service).requested(now)
         self._serve_from_any(now)
@@ -267,8 +267,7 @@
 
     def _serve_from_any(self, now: float) -> None:
         """Send it to a target, even a doubtful one; refuse it if there is none."""
-        left = self._request.give_up_at - now
-        if left < self._tools.settings.shortest_time:
+        if not self._has_time_left(now):
             self._fail(Refusal.TIMED_OUT_UNSENT)
             return
         choice = self._choose(now)
@@ -293,12 +292,13 @@
         self._begin(attempt, choice, now)
 
     def _choose(self, now: float) -> Choice | None:
+        states = self._states()
         return self._tools.chooser.choose(
-            self._open_states(), self._tried.excluded, self._request.prompt, now
+            states, self._tried.excluded(states), self._request.prompt, now
         )
 
-    def _open_states(self) -> Sequence[TargetState]:
-        return self._tried.open_to(self._tools.states_of(self._request.service))
+    def _states(self) -> Sequence[TargetState]:
+        return self._tools.states_of(self._request.service)
 
     def _choose_sure(self, now: float) -> Choice | None:
         """Return a target that nothing speaks against."""
@@ -578,13 +578,12 @@
             return
         self._verdict = verdict
         tools = self._tools
+        states = self._states()
         silence = Silence(
             target=attempt.name,
             silent_for=attempt.state.silence(now),
             waited=now - self._waits_since,
-            others=tools.chooser.count_open(
-                self._open_states(), self._tried.excluded, now
-            ),
+            others=tools.chooser.count_open(states, self._tried.excluded(states), now),
             verdict=verdict,
         )
         tools.silence_judged(self._request, silence)
--- a/src/primrosescale/request/target_choice.py
+++ b/src/primrosescale/request/target_choice.py
@@ -222,22 +222,23 @@
         usable = usable or open_ones
         if not usable:
             return None
+        has_old_news = self._has_old_news
         settings = self._settings
         # The request itself counts into the mean.
         cap = settings.load_multiple * (mean + 1 / len(serving)) + settings.load_margin
         bounded = [state for state in usable if loads[state.target.name] + 1 <= cap]
         if not bounded:
-            few = self._draw(usable) if self._has_old_news else usable
+            few = self._draw(usable) if has_old_news else usable
             bounded = [min(few, key=lambda s: loads[s.target.name])]
         if prompt is None:
-            bounded = self._draw(bounded) if self._has_old_news else bounded
+            bounded = self._draw(bounded) if has_old_news else bounded
             best = min(bounded, key=lambda s: self._plain_cost(s, loads, now))
             return Choice(best, 0, None, loads[best.target.name], mean)
         held = {
             state.target.name: self._parts.held(state.incarnation, prompt.parts, now)
             for state in states
         }
-        if self._has_old_news:
+        if has_old_news:
             low = LEAST_DRAWN_LOAD * mean
             limit = low + (cap - low) * self._rng.random()
             bounded = self._drawn_candidates(bounded, prompt, held, loads, limit)
--- a/src/primrosescale/request/tried_targets.py
+++ b/src/primrosescale/request/tried_targets.py
@@ -31,11 +31,6 @@
         self._spare: set[TargetIncarnation] = set()
         self._unreachable: set[TargetIncarnation] = set()
 
-    @property
-    def excluded(self) -> set[TargetIncarnation]:
-        """Return lives of targets that it must not go to."""
-        return (self._engaged - self._spare) | self._unreachable
-
     def engage(self, target: TargetIncarnation) -> None:
         """Take in that it is on its way to a target, which counts from now on.
 
@@ -81,8 +76,8 @@
         """
         self._spare.add(target)
 
-    def open_to(self, states: Sequence[TargetState]) -> Sequence[TargetState]:
-        """Return the targets that its number of targets still lets it go to.
+    def excluded(self, states: Sequence[TargetState]) -> set[TargetIncarnation]:
+        """Return lives of targets that it must not go to.
 
         Parameters
         ----------
@@ -91,9 +86,11 @@
 
         Returns
         -------
-        Sequence[TargetState]
-            All of them, or once the number is reached those that were spared.
+        set[TargetIncarnation]
+            Those where it was, and once its number of targets is reached all
+            others too; never those that were spared.
         """
-        if len(self._engaged) < self._most:
-            return states
-        return [state for state in states if state.incarnation in self._spare]
+        excluded = set(self._engaged)
+        if len(self._engaged) >= self._most:
+            excluded.update(state.incarnation for state in states)
+        return (excluded - self._spare) | self._unreachable
