--- a/src/primrosescale/process/daemons/router.py
+++ b/src/primrosescale/process/daemons/router.py
@@ -29,8 +29,8 @@
 from primrosescale.process.ledger.claim_writer import ClaimWriter
 from primrosescale.process.ledger.ledger_bucket import bucket_of
 from primrosescale.process.membership.fleet_status import fleet_status
-from primrosescale.process.membership.load_sums import first_in_order
 from primrosescale.process.membership.members import Members
+from primrosescale.process.membership.order import first_in_order
 from primrosescale.process.metrics import Metric
 from primrosescale.process.settings import parse_endpoint
 from primrosescale.process.transport.bounded_request import BoundedRequest
--- a/src/primrosescale/process/daemons/router_control.py
+++ b/src/primrosescale/process/daemons/router_control.py
@@ -25,7 +25,7 @@
 from primrosescale.process.membership.load_sums import AgentSums
 from primrosescale.process.membership.load_sums import DomainSums
 from primrosescale.process.membership.load_sums import FleetSums
-from primrosescale.process.membership.load_sums import first_in_order
+from primrosescale.process.membership.order import first_in_order
 from primrosescale.request.rate_limit import Demand
 from primrosescale.version.exceptions import HeadError
 from primrosescale.version.head import NO_HEAD
--- a/src/primrosescale/process/membership/load_sums.py
+++ b/src/primrosescale/process/membership/load_sums.py
@@ -12,8 +12,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from xxhash import xxh3_64_intdigest
-
 from primrosescale.connection.wire import ttypes as wire
 from primrosescale.connection.wire.ttypes import MemberState
 from primrosescale.ini.options import SECONDS
@@ -56,29 +54,6 @@
     )
 
 
-def first_in_order(names: Iterable[str], key: str, count: int) -> list[str]:
-    """Return the first names by rendezvous hashing.
-
-    Parameters
-    ----------
-    names : Iterable[str]
-        Who may be chosen.
-    key : str
-        What for.
-    count : int
-        How many at the most.
-
-    Returns
-    -------
-    list[str]
-        The same for all who know the same names.
-    """
-    ranked = sorted(
-        names, key=lambda name: xxh3_64_intdigest(f"{key}\0{name}".encode())
-    )
-    return ranked[:count]
-
-
 class _AgentNews:
     """The last heartbeat of one agent."""
 
--- a/tests/process/test_members.py
+++ b/tests/process/test_members.py
@@ -12,8 +12,8 @@
 from primrosescale.process.membership.load_sums import DomainSums
 from primrosescale.process.membership.load_sums import FleetSums
 from primrosescale.process.membership.load_sums import SumSettings
-from primrosescale.process.membership.load_sums import first_in_order
 from primrosescale.process.membership.members import Members
+from primrosescale.process.membership.order import first_in_order
 from primrosescale.request.candidates import Locality
 
 READY, DOWN, LEAVING = MemberState.READY, MemberState.DOWN, MemberState.LEAVING
