--- a/benchmarks/entry_news.py
+++ b/benchmarks/entry_news.py
@@ -8,7 +8,7 @@
 
 from primrosescale.connection.codec import encode
 from primrosescale.connection.endpoint import Endpoint
-from primrosescale.process.entry.router_news import OtherRouter
+from primrosescale.process.entry.other_router import OtherRouter
 from primrosescale.process.entry.router_news import RouterNews
 from primrosescale.process.entry.target_list import TargetList
 from primrosescale.request.freshness import Freshness
--- a/src/primrosescale/connection/wire.thrift
+++ b/src/primrosescale/connection/wire.thrift
@@ -164,13 +164,24 @@
 }
 struct PartNews {
   1: required string part, 2: required i32 target, 3: required i32 tokens,
-  4: required i32 age_ms
-}
+  4: required i32 age_ms, 5: optional list<string> before
+}
+/* Whose requests a message counts: the sender's own, those of all routers of its
+ * failure domain, or those of all routers but the one that it is sent to. */
+enum NewsScope { ROUTER = 1, DOMAIN = 2, FLEET = 3 }
+/* "scope" is absent where all routers tell all. The loads of a message with a
+ * scope stand in "running", a byte a target in the order of the targets' short
+ * names, where "targets_digest" is that of the receiver's list; else in "targets".
+ * They are deflated where "is_packed" says so.
+ * "age_ms" is the age of the oldest load in it, "routers" how many it counts. */
 struct RouterNews {
   1: required string origin, 2: required i64 incarnation, 3: required i64 sequence,
   4: required i64 heard, 5: required i64 version, 6: required i32 knowledge_age_ms,
   7: required list<TargetNews> targets, 8: required list<PartNews> parts,
-  9: required bool store_lost, 10: optional i64 targets_revision
+  9: required bool store_lost, 10: optional i64 targets_revision,
+  11: optional NewsScope scope, 12: optional bool wants_fleet,
+  13: optional i32 targets_digest, 14: optional binary running,
+  15: optional i32 age_ms, 16: optional i32 routers, 17: optional bool is_packed
 }
 
 struct SectionRequest { 1: required string digest }
--- a/src/primrosescale/connection/wire/ttypes.py
+++ b/src/primrosescale/connection/wire/ttypes.py
@@ -88,6 +88,13 @@
 
 
 
+class NewsScope(IntEnum):
+    ROUTER = 1
+    DOMAIN = 2
+    FLEET = 3
+
+
+
 class ClaimVerb(IntEnum):
     CLAIM = 1
     RECORD = 2
@@ -4077,6 +4084,7 @@
      - target
      - tokens
      - age_ms
+     - before
 
     """
 
@@ -4085,14 +4093,16 @@
         'target',
         'tokens',
         'age_ms',
+        'before',
     )
 
 
-    def __init__(self, part=None, target=None, tokens=None, age_ms=None,):
+    def __init__(self, part=None, target=None, tokens=None, age_ms=None, before=None,):
         self.part = part
         self.target = target
         self.tokens = tokens
         self.age_ms = age_ms
+        self.before = before
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4123,6 +4133,16 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.before = []
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.before.append(_elem138)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4149,6 +4169,13 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 4)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.before is not None:
+            oprot.writeFieldBegin('before', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.before))
+            for iter139 in self.before:
+                oprot.writeString(iter139.encode('utf-8') if sys.version_info[0] == 2 else iter139)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4195,6 +4222,13 @@
      - parts
      - store_lost
      - targets_revision
+     - scope
+     - wants_fleet
+     - targets_digest
+     - running
+     - age_ms
+     - routers
+     - is_packed
 
     """
 
@@ -4209,10 +4243,17 @@
         'parts',
         'store_lost',
         'targets_revision',
+        'scope',
+        'wants_fleet',
+        'targets_digest',
+        'running',
+        'age_ms',
+        'routers',
+        'is_packed',
     )
 
 
-    def __init__(self, origin=None, incarnation=None, sequence=None, heard=None, version=None, knowledge_age_ms=None, targets=None, parts=None, store_lost=None, targets_revision=None,):
+    def __init__(self, origin=None, incarnation=None, sequence=None, heard=None, version=None, knowledge_age_ms=None, targets=None, parts=None, store_lost=None, targets_revision=None, scope=None, wants_fleet=None, targets_digest=None, running=None, age_ms=None, routers=None, is_packed=None,):
         self.origin = origin
         self.incarnation = incarnation
         self.sequence = sequence
@@ -4223,6 +4264,13 @@
         self.parts = parts
         self.store_lost = store_lost
         self.targets_revision = targets_revision
+        self.scope = scope
+        self.wants_fleet = wants_fleet
+        self.targets_digest = targets_digest
+        self.running = running
+        self.age_ms = age_ms
+        self.routers = routers
+        self.is_packed = is_packed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4266,22 +4314,22 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = TargetNews()
-                        _elem138.read(iprot)
-                        self.targets.append(_elem138)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = TargetNews()
+                        _elem145.read(iprot)
+                        self.targets.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype142, _size139) = iprot.readListBegin()
-                    for _i143 in range(_size139):
-                        _elem144 = PartNews()
-                        _elem144.read(iprot)
-                        self.parts.append(_elem144)
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = PartNews()
+                        _elem151.read(iprot)
+                        self.parts.append(_elem151)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4295,6 +4343,41 @@
                     self.targets_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.scope = NewsScope(iprot.readI32()).name
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.wants_fleet = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.targets_digest = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRING:
+                    self.running = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I32:
+                    self.routers = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.BOOL:
+                    self.is_packed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4332,15 +4415,15 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter145 in self.targets:
-                iter145.write(oprot)
+            for iter152 in self.targets:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter146 in self.parts:
-                iter146.write(oprot)
+            for iter153 in self.parts:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_lost is not None:
@@ -4351,6 +4434,34 @@
             oprot.writeFieldBegin('targets_revision', TType.I64, 10)
             oprot.writeI64(self.targets_revision)
             oprot.writeFieldEnd()
+        if self.scope is not None:
+            oprot.writeFieldBegin('scope', TType.I32, 11)
+            oprot.writeI32(NewsScope[self.scope].value)
+            oprot.writeFieldEnd()
+        if self.wants_fleet is not None:
+            oprot.writeFieldBegin('wants_fleet', TType.BOOL, 12)
+            oprot.writeBool(self.wants_fleet)
+            oprot.writeFieldEnd()
+        if self.targets_digest is not None:
+            oprot.writeFieldBegin('targets_digest', TType.I32, 13)
+            oprot.writeI32(self.targets_digest)
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.STRING, 14)
+            oprot.writeBinary(self.running)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 15)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.routers is not None:
+            oprot.writeFieldBegin('routers', TType.I32, 16)
+            oprot.writeI32(self.routers)
+            oprot.writeFieldEnd()
+        if self.is_packed is not None:
+            oprot.writeFieldBegin('is_packed', TType.BOOL, 17)
+            oprot.writeBool(self.is_packed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4603,11 +4714,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = Header()
-                        _elem152.read(iprot)
-                        self.headers.append(_elem152)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = Header()
+                        _elem159.read(iprot)
+                        self.headers.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4638,8 +4749,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter153 in self.headers:
-                iter153.write(oprot)
+            for iter160 in self.headers:
+                iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -5096,21 +5207,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype157, _size154) = iprot.readListBegin()
-                    for _i158 in range(_size154):
-                        _elem159 = LedgerEntry()
-                        _elem159.read(iprot)
-                        self.entries.append(_elem159)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = LedgerEntry()
+                        _elem166.read(iprot)
+                        self.entries.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.sealed = []
-                    (_etype163, _size160) = iprot.readListBegin()
-                    for _i164 in range(_size160):
-                        _elem165 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.sealed.append(_elem165)
+                    (_etype170, _size167) = iprot.readListBegin()
+                    for _i171 in range(_size167):
+                        _elem172 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.sealed.append(_elem172)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5131,15 +5242,15 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter166 in self.entries:
-                iter166.write(oprot)
+            for iter173 in self.entries:
+                iter173.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sealed is not None:
             oprot.writeFieldBegin('sealed', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.sealed))
-            for iter167 in self.sealed:
-                oprot.writeString(iter167.encode('utf-8') if sys.version_info[0] == 2 else iter167)
+            for iter174 in self.sealed:
+                oprot.writeString(iter174.encode('utf-8') if sys.version_info[0] == 2 else iter174)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5561,6 +5672,7 @@
     (2, TType.I32, 'target', None, None, ),  # 2
     (3, TType.I32, 'tokens', None, None, ),  # 3
     (4, TType.I32, 'age_ms', None, None, ),  # 4
+    (5, TType.LIST, 'before', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
 all_structs.append(RouterNews)
 RouterNews.thrift_spec = (
@@ -5575,6 +5687,13 @@
     (8, TType.LIST, 'parts', (TType.STRUCT, [PartNews, None], False), None, ),  # 8
     (9, TType.BOOL, 'store_lost', None, None, ),  # 9
     (10, TType.I64, 'targets_revision', None, None, ),  # 10
+    (11, TType.I32, 'scope', None, None, ),  # 11
+    (12, TType.BOOL, 'wants_fleet', None, None, ),  # 12
+    (13, TType.I32, 'targets_digest', None, None, ),  # 13
+    (14, TType.STRING, 'running', 'BINARY', None, ),  # 14
+    (15, TType.I32, 'age_ms', None, None, ),  # 15
+    (16, TType.I32, 'routers', None, None, ),  # 16
+    (17, TType.BOOL, 'is_packed', None, None, ),  # 17
 )
 all_structs.append(SectionRequest)
 SectionRequest.thrift_spec = (
--- a/src/primrosescale/connection/wire/ttypes.pyi
+++ b/src/primrosescale/connection/wire/ttypes.pyi
@@ -65,6 +65,11 @@
     LEAVING = 3
     DOWN = 4
 
+class NewsScope(IntEnum):
+    ROUTER = 1
+    DOMAIN = 2
+    FLEET = 3
+
 class ClaimVerb(IntEnum):
     CLAIM = 1
     RECORD = 2
@@ -382,7 +387,8 @@
     target: int
     tokens: int
     age_ms: int
-    def __init__(self, part: str, target: int, tokens: int, age_ms: int) -> None: ...
+    before: list[str] | None
+    def __init__(self, part: str, target: int, tokens: int, age_ms: int, before: list[str] | None = ...) -> None: ...
     def read(self, iprot: object) -> None: ...
     def write(self, oprot: object) -> None: ...
 
@@ -397,7 +403,14 @@
     parts: list[PartNews]
     store_lost: bool
     targets_revision: int
-    def __init__(self, origin: str, incarnation: int, sequence: int, heard: int, version: int, knowledge_age_ms: int, targets: list[TargetNews], parts: list[PartNews], store_lost: bool, targets_revision: int) -> None: ...
+    scope: NewsScope | None
+    wants_fleet: bool | None
+    targets_digest: int | None
+    running: bytes | None
+    age_ms: int | None
+    routers: int | None
+    is_packed: bool | None
+    def __init__(self, origin: str, incarnation: int, sequence: int, heard: int, version: int, knowledge_age_ms: int, targets: list[TargetNews], parts: list[PartNews], store_lost: bool, targets_revision: int, scope: NewsScope | None = ..., wants_fleet: bool | None = ..., targets_digest: int | None = ..., running: bytes | None = ..., age_ms: int | None = ..., routers: int | None = ..., is_packed: bool | None = ...) -> None: ...
     def read(self, iprot: object) -> None: ...
     def write(self, oprot: object) -> None: ...
 
--- a/src/primrosescale/platform/entry.py
+++ b/src/primrosescale/platform/entry.py
@@ -32,7 +32,7 @@
     import socket
     from random import Random
 
-    from primrosescale.process.entry.router_news import OtherRouter
+    from primrosescale.process.entry.other_router import OtherRouter
     from primrosescale.process.transport.platform import StoredObject
     from primrosescale.request.serving_target import ServingTarget
     from primrosescale.version.routing_table import RoutingTable
--- a/src/primrosescale/platform/records.py
+++ b/src/primrosescale/platform/records.py
@@ -8,7 +8,7 @@
 from primrosescale.platform.field_reader import FieldReader
 from primrosescale.platform.field_reader import record_name
 from primrosescale.platform.host_settings import MILLISECOND
-from primrosescale.process.entry.router_news import OtherRouter
+from primrosescale.process.entry.other_router import OtherRouter
 from primrosescale.request.serving_target import ServingTarget
 from primrosescale.version.routing_table import CallerLimits
 from primrosescale.version.routing_table import Organisation
@@ -152,7 +152,8 @@
     """
     reader = FieldReader.of(stored, REMEDY_ROUTER)
     endpoint = Endpoint(reader.address("address"), reader.port("port"))
-    return OtherRouter(record_name(stored, REMEDY_ROUTER), endpoint)
+    domain = reader.text_or("domain", "")
+    return OtherRouter(record_name(stored, REMEDY_ROUTER), endpoint, domain)
 
 
 def _route(item: FieldReader) -> Route:
--- a/src/primrosescale/process/entry/codec.py
+++ b/src/primrosescale/process/entry/codec.py
@@ -11,7 +11,7 @@
     from twisted.internet.defer import Deferred
     from twisted.web.http_headers import Headers
 
-    from primrosescale.process.entry.router_news import OtherRouter
+    from primrosescale.process.entry.other_router import OtherRouter
     from primrosescale.process.transport.platform import StoredObject
     from primrosescale.request.direct_port import AnswerHead
     from primrosescale.request.direct_port import Refusal
--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -10,6 +10,8 @@
 from prometheus_client import Histogram
 from prometheus_client.exposition import generate_latest
 
+from primrosescale.request.target_choice import OLD_NEWS
+
 if TYPE_CHECKING:
     from primrosescale.request.forwarded_call import ForwardedCall
     from primrosescale.request.silence import Silence
@@ -35,6 +37,12 @@
             ["target"],
             registry=self._registry,
         )
+        self._prompts = Counter(
+            "primrosescale_prompts_sent",
+            "Prompts sent to targets, by what the target was taken to have of them",
+            ["place", "is_copied", "has_old_loads"],
+            registry=self._registry,
+        )
         self._silences = Counter(
             "primrosescale_silences",
             "Judgements on targets that sent nothing",
@@ -83,6 +91,8 @@
                 ("store_calls", "Calls made to the store"),
                 ("news_bytes", "Bytes of news sent to other routers"),
                 ("peers", "Other routers heard of lately"),
+                ("news_age_seconds", "Age of the oldest load told by other routers"),
+                ("relay_rank", "Place among the relays of its domain; -1 for none"),
                 ("is_ready", "Whether the balancer is told to send callers"),
                 ("log_lines_dropped", "Log lines left out"),
             )
@@ -120,6 +130,12 @@
             )
         for attempt in call.attempts:
             self._attempts.labels(attempt.target).inc()
+            if request.prompt is not None:
+                self._prompts.labels(
+                    "home" if attempt.is_home else "elsewhere",
+                    bool(attempt.fetched_from),
+                    attempt.load_age > OLD_NEWS,
+                ).inc()
 
     def silence_judged(self, silence: Silence) -> None:
         """Count a judgement on a silent target.
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -125,7 +126,13 @@
         restarts = TargetRestarts(self._caller, self._directory, parts)
         targets = TargetList(settings.drain, restarts.began)
         self._news = RouterNews(
-            settings.name, incarnation, targets, self._directory, freshness
+            settings.name,
+            incarnation,
+            targets,
+            self._directory,
+            freshness,
+            settings.domain,
+            settings.news,
         )
         self._registry = RouterRegistry(settings, incarnation, self._news, parts)
         self._exchange = NewsExchange(
@@ -155,7 +162,8 @@
                 settings.choice,
                 self._directory,
                 parts.rng,
-                lambda: self._news.interval,
+                lambda: self._news.age(self._now()),
+                lambda: self._news.is_relayed,
             ),
             parts=self._directory,
             states_of=targets.of_service,
@@ -375,7 +383,9 @@
                     "after": round(item.began_at - request.received_at, 3),
                     "until": round((item.ended_at or now) - request.received_at, 3),
                     "load": item.load,
+                    "load_age": _told_age(item.load_age),
                     "cached_tokens": item.held,
+                    "is_home": item.is_home,
                     "fetched_from": item.fetched_from,
                     "outcome": item.outcome,
                 }
@@ -551,6 +561,7 @@
         now = self._now()
         table = self._knowledge.table
         age = self._knowledge.freshness.age(now)
+        rank = self._news.relay_rank(now)
         values: dict[str, float] = {
             "version": 0 if table is None else table.version,
             "knowledge_age_seconds": -1.0 if age is None else age,
@@ -559,6 +570,8 @@
             "requests_under_way": len(self._calls),
             "peers": self._news.heard_lately(now),
             "news_bytes": self._exchange.bytes_out,
+            "news_age_seconds": self._news.age(now),
+            "relay_rank": -1.0 if rank is None else rank,
             "store_calls": self._knowledge.store_calls,
             "is_ready": float(self.is_ready),
             "log_lines_dropped": self._lines_dropped,
@@ -589,3 +602,8 @@
 
     def _now(self) -> float:
         return float(self._reactor.seconds())
+
+
+def _told_age(seconds: float) -> float | None:
+    """Return an age as the log has it; None where nothing was ever heard."""
+    return round(seconds, 2) if math.isfinite(seconds) else None
--- a/src/primrosescale/process/entry/entry_settings.py
+++ b/src/primrosescale/process/entry/entry_settings.py
@@ -6,6 +6,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from primrosescale.process.entry.news_paths import NewsSettings
 from primrosescale.request.forward_tools import ForwardSettings
 from primrosescale.request.target_choice import ChoiceSettings
 
@@ -52,6 +53,8 @@
         Timing of requests.
     choice : ChoiceSettings
         Weights of the choice of targets.
+    news : NewsSettings
+        How routers tell each other what they know.
     """
 
     name: str
@@ -69,6 +72,7 @@
     repeats: RepeatBounds
     forward: ForwardSettings = field(default_factory=ForwardSettings)
     choice: ChoiceSettings = field(default_factory=ChoiceSettings)
+    news: NewsSettings = field(default_factory=NewsSettings)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/primrosescale/process/entry/load_sum.py
@@ -0,0 +1,97 @@
+"""Requests and failures at targets, summed over routers."""
+
+from __future__ import annotations
+
+
+class LoadSum:
+    """What some routers have at targets.
+
+    Sums are built from the last word of each router and replaced whole, so that
+    nothing is ever added twice and a lost message costs only its own age.
+
+    Parameters
+    ----------
+    known_at : float
+        When the oldest word in it was true, in seconds of this router's clock.
+    routers : int
+        How many routers it counts.
+    reaches_store : bool
+        Whether one of them reaches the store.
+    """
+
+    __slots__ = ("known_at", "outcomes", "reaches_store", "routers", "running")
+
+    def __init__(
+        self, known_at: float, routers: int, *, reaches_store: bool = False
+    ) -> None:
+        self.known_at = known_at
+        self.routers = routers
+        self.reaches_store = reaches_store
+        # Both by the targets' short names; good outcomes, then bad ones.
+        self.running: dict[int, int] = {}
+        self.outcomes: dict[int, tuple[float, float]] = {}
+
+    def add(self, other: LoadSum) -> None:
+        """Add what other routers have.
+
+        Parameters
+        ----------
+        other : LoadSum
+            A sum over routers that are not in this one.
+        """
+        self.known_at = min(self.known_at, other.known_at)
+        self.routers += other.routers
+        self.reaches_store = self.reaches_store or other.reaches_store
+        for key, running in other.running.items():
+            self.running[key] = self.running.get(key, 0) + running
+        for key, (good, bad) in other.outcomes.items():
+            known_good, known_bad = self.outcomes.get(key, (0.0, 0.0))
+            self.outcomes[key] = (known_good + good, known_bad + bad)
+
+    def without(self, other: LoadSum) -> LoadSum:
+        """Return this sum without what some of its routers have.
+
+        Parameters
+        ----------
+        other : LoadSum
+            A sum that was added to this one.
+
+        Returns
+        -------
+        LoadSum
+            The rest, taken to be as old as this sum.
+        """
+        rest = LoadSum(
+            self.known_at,
+            self.routers - other.routers,
+            reaches_store=self.reaches_store,
+        )
+        rest.running = dict(self.running)
+        for key, running in other.running.items():
+            rest.running[key] -= running
+        rest.outcomes = dict(self.outcomes)
+        for key, (good, bad) in other.outcomes.items():
+            all_good, all_bad = rest.outcomes[key]
+            rest.outcomes[key] = (all_good - good, all_bad - bad)
+        return rest
+
+
+def sum_of(parts: list[LoadSum], now: float) -> LoadSum:
+    """Return the sum over several sets of routers.
+
+    Parameters
+    ----------
+    parts : list[LoadSum]
+        Sums over routers, no router in two of them.
+    now : float
+        Present time in seconds.
+
+    Returns
+    -------
+    LoadSum
+        The sum; of no routers where there are no parts.
+    """
+    total = LoadSum(now, 0)
+    for part in parts:
+        total.add(part)
+    return total
--- /dev/null
+++ b/src/primrosescale/process/entry/news_relay.py
@@ -0,0 +1,293 @@
+"""What a router knows of others' requests by relays, and passes on for them.
+
+The pattern it answers: many routers before few targets, where no router can hear
+all others often. Every word is kept by who it came from and replaced whole. A
+relay that is lost, frozen or cut off costs the time until the next one is asked.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from primrosescale.connection.wire.ttypes import NewsScope
+from primrosescale.process.entry.load_sum import LoadSum
+from primrosescale.process.entry.load_sum import sum_of
+
+if TYPE_CHECKING:
+    from primrosescale.connection.wire import ttypes as wire
+    from primrosescale.process.entry.news_paths import NewsPaths
+    from primrosescale.process.entry.news_paths import NewsSettings
+
+# News of parts that wait to be passed on; the oldest are left out, each of which
+# costs a prompt that is read once more.
+MOST_WAITING_PARTS = 200
+# Parts in one message of a relay: 27 a second, 700 bytes to each router that it
+# tells. Loads, which grow old, do not wait for more of them.
+MOST_RELAYED_PARTS = 4
+# Of two relays that tell of the same routers the one that counts more of them is
+# believed, for as long as it tells: a relay that has just become one knows few.
+BELIEVED_INTERVALS = 3
+
+
+class _Word:
+    """The last sum that was heard from a router, and when."""
+
+    __slots__ = ("heard_at", "loads", "origin")
+
+    def __init__(self, origin: str, loads: LoadSum, heard_at: float) -> None:
+        self.origin = origin
+        self.loads = loads
+        self.heard_at = heard_at
+
+
+class Telling:
+    """What one router is to be told in a round.
+
+    Parameters
+    ----------
+    name : str
+        The router.
+    scope : NewsScope
+        Whose requests it is told.
+    loads : LoadSum
+        The requests.
+    parts : list[wire.PartNews]
+        Where parts of prompts went.
+    wants_fleet : bool
+        Whether it is asked to tell of all routers.
+    """
+
+    __slots__ = ("loads", "name", "parts", "scope", "wants_fleet")
+
+    def __init__(
+        self,
+        name: str,
+        scope: NewsScope,
+        loads: LoadSum,
+        parts: list[wire.PartNews],
+        *,
+        wants_fleet: bool = False,
+    ) -> None:
+        self.name = name
+        self.scope = scope
+        self.loads = loads
+        self.parts = parts
+        self.wants_fleet = wants_fleet
+
+
+class _WaitingPart:
+    """News of a part that is to be passed on."""
+
+    __slots__ = ("is_of_domain", "origin", "part")
+
+    def __init__(self, origin: str, part: wire.PartNews, *, is_of_domain: bool) -> None:
+        self.origin = origin
+        self.part = part
+        self.is_of_domain = is_of_domain
+
+
+class NewsRelay:
+    """Sums of others' requests, by router, by domain and of all.
+
+    Parameters
+    ----------
+    name : str
+        This router.
+    paths : NewsPaths
+        Who exchanges news with whom.
+    settings : NewsSettings
+        Sizes and times.
+    """
+
+    def __init__(self, name: str, paths: NewsPaths, settings: NewsSettings) -> None:
+        self._name = name
+        self._paths = paths
+        self._settings = settings
+        # Requests of routers of the own domain, by router.
+        self._reports: dict[str, _Word] = {}
+        # Requests of other domains, by domain.
+        self._domains: dict[str, _Word] = {}
+        # Requests of all but this router, by the relay that told it.
+        self._fleets: dict[str, _Word] = {}
+        # Routers that ask this one to answer as a relay, and until when.
+        self._askers: dict[str, float] = {}
+        self._waiting: deque[_WaitingPart] = deque(maxlen=MOST_WAITING_PARTS)
+
+    def hear_from(
+        self, message: wire.RouterNews, loads: LoadSum | None, now: float
+    ) -> None:
+        """Take in a message that goes by relays.
+
+        Parameters
+        ----------
+        message : wire.RouterNews
+            The message.
+        loads : LoadSum | None
+            The requests in it; None where they could not be read.
+        now : float
+            Present time in seconds.
+        """
+        origin = message.origin
+        is_report = message.scope == NewsScope.ROUTER
+        if message.scope is not None and not is_report:
+            self._paths.answered(origin)
+            if loads is not None:
+                self.hear(message.scope, origin, loads, now)
+        if message.wants_fleet or message.scope == NewsScope.DOMAIN:
+            self._askers[origin] = now + self._settings.keep
+        if not self._askers or message.scope == NewsScope.FLEET:
+            return
+        for part in message.parts:
+            self._waiting.append(_WaitingPart(origin, part, is_of_domain=is_report))
+
+    def hear(self, scope: NewsScope, origin: str, loads: LoadSum, now: float) -> None:
+        """Take in what another router tells of requests.
+
+        Parameters
+        ----------
+        scope : NewsScope
+            Whose requests they are.
+        origin : str
+            The router that tells.
+        loads : LoadSum
+            The requests.
+        now : float
+            Present time in seconds.
+        """
+        word = _Word(origin, loads, now)
+        if scope == NewsScope.FLEET:
+            self._fleets[origin] = word
+        elif scope == NewsScope.ROUTER:
+            if self._paths.is_own_domain(origin):
+                self._reports[origin] = word
+        elif not self._paths.is_own_domain(origin):
+            self._hear_domain(self._paths.domain_of(origin), word, now)
+
+    def _hear_domain(self, domain: str, word: _Word, now: float) -> None:
+        known = self._domains.get(domain)
+        if known is not None and known.origin != word.origin:
+            believed = BELIEVED_INTERVALS * self._settings.interval
+            is_telling = now - known.heard_at < believed
+            if is_telling and known.loads.routers > word.loads.routers:
+                return
+        self._domains[domain] = word
+
+    def forget(self, name: str) -> None:
+        """Forget a router that is no longer listed.
+
+        Parameters
+        ----------
+        name : str
+            The router.
+        """
+        self._reports.pop(name, None)
+        self._fleets.pop(name, None)
+        self._askers.pop(name, None)
+
+    def others(self, now: float) -> LoadSum:
+        """Return the requests of all other routers by the best knowledge.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        LoadSum
+            What this router has gathered itself, or what a relay has told it,
+            whichever counts more routers.
+        """
+        gathered = self._gathered(now)
+        told = self._fresh(self._fleets, now)
+        if not told:
+            return gathered
+        best = max(told, key=lambda word: (word.loads.routers, word.heard_at)).loads
+        return gathered if gathered.routers >= best.routers else best
+
+    def compose(
+        self,
+        own: LoadSum,
+        parts: list[wire.PartNews],
+        now: float,
+        *,
+        is_urgent: bool,
+    ) -> list[Telling]:
+        """Return what to tell whom in a round.
+
+        Parameters
+        ----------
+        own : LoadSum
+            This router's own requests.
+        parts : list[wire.PartNews]
+            Where this router sent parts of prompts.
+        now : float
+            Present time in seconds.
+        is_urgent : bool
+            Whether only this router's relays are told.
+
+        Returns
+        -------
+        list[Telling]
+            What each is told.
+        """
+        for part in parts:
+            self._waiting.append(_WaitingPart(self._name, part, is_of_domain=True))
+        teller = self._paths.teller(now)
+        told = [
+            Telling(
+                name,
+                NewsScope.ROUTER,
+                own,
+                parts[-MOST_RELAYED_PARTS:],
+                wants_fleet=name == teller,
+            )
+            for name in self._paths.own_relays(now)
+        ]
+        if is_urgent:
+            return told
+        if teller is not None:
+            self._paths.asked(teller, now)
+        return told + self._answers(own, now)
+
+    def _answers(self, own: LoadSum, now: float) -> list[Telling]:
+        """Return the sums for those who ask, and for relays of other domains.
+
+        Nothing where this router is no relay and nobody takes it for one.
+        """
+        self._askers = {n: until for n, until in self._askers.items() if now < until}
+        others: set[str] = set()
+        if self._askers or self._paths.is_relay(now):
+            others.update(self._paths.counterparts(now))
+            for name in others:
+                self._paths.asked(name, now)
+        others.update(n for n in self._askers if not self._paths.is_own_domain(n))
+        members = [name for name in self._askers if self._paths.is_own_domain(name)]
+        count = min(MOST_RELAYED_PARTS, len(self._waiting))
+        waiting = [self._waiting.popleft() for _ in range(count)]
+        if not others and not members:
+            return []
+        reports = [word.loads for word in self._fresh(self._reports, now)]
+        domain = sum_of([own, *reports], now)
+        of_domain = [item.part for item in waiting if item.is_of_domain]
+        told = [Telling(name, NewsScope.DOMAIN, domain, of_domain) for name in others]
+        fleet = sum_of([own, self._gathered(now)], now)
+        for name in members:
+            report = self._reports.get(name)
+            is_counted = report is not None and self._is_fresh(report, now)
+            loads = fleet.without(report.loads) if report and is_counted else fleet
+            parts = [item.part for item in waiting if item.origin != name]
+            told.append(Telling(name, NewsScope.FLEET, loads, parts))
+        return told
+
+    def _gathered(self, now: float) -> LoadSum:
+        reports = [word.loads for word in self._fresh(self._reports, now)]
+        domains = [word.loads for word in self._fresh(self._domains, now)]
+        return sum_of([*reports, *domains], now)
+
+    def _fresh(self, words: dict[str, _Word], now: float) -> list[_Word]:
+        return [word for word in words.values() if self._is_fresh(word, now)]
+
+    def _is_fresh(self, word: _Word, now: float) -> bool:
+        return now - word.heard_at <= self._settings.keep
--- a/src/primrosescale/process/entry/router_exchange.py
+++ b/src/primrosescale/process/entry/router_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -72,9 +73,10 @@
         self._reactor = parts.reactor
         self._log = parts.log
         self._timer: Timer | None = None
-        self._is_urgent = False
+        self._urgent: Timer | None = None
         self._is_stopped = False
         self._bytes_out = 0
+        self._teller: str | None = None
 
     @property
     def bytes_out(self) -> int:
@@ -83,18 +85,18 @@
 
     def startProtocol(self) -> None:
         """Begin the rounds."""
-        self._schedule(self._news.interval)
+        self._timer = self._reactor.callLater(self._news.interval, self._round)
 
     def stop(self) -> None:
         """Send no more."""
         self._is_stopped = True
         cancel_timer(self._timer)
+        cancel_timer(self._urgent)
 
     def tell_soon(self) -> None:
-        """Send the next round within milliseconds."""
-        if not self._is_urgent and not self._is_stopped:
-            self._is_urgent = True
-            self._schedule(URGENT_SECONDS)
+        """Tell within milliseconds what others should not have to wait for."""
+        if self._urgent is None and self._news.is_urgent and not self._is_stopped:
+            self._urgent = self._reactor.callLater(URGENT_SECONDS, self._urgent_round)
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:
         """Take in a datagram; what cannot be read is dropped.
@@ -115,16 +117,39 @@
         if isinstance(message, wire.RouterNews):
             self._news.take(message, self._version(), self._reactor.seconds())
 
-    def _schedule(self, seconds: float) -> None:
-        cancel_timer(self._timer)
-        self._timer = self._reactor.callLater(seconds, self._round)
+    def _urgent_round(self) -> None:
+        if not self._news.is_relayed:
+            cancel_timer(self._timer)
+            self._round()
+            return
+        self._urgent = None
+        self._send(is_urgent=True)
 
     def _round(self) -> None:
-        self._timer = None
-        self._is_urgent = False
+        cancel_timer(self._urgent)
+        self._urgent = None
         if self._is_stopped:
             return
-        self._schedule(self._news.interval)
+        self._send(is_urgent=False)
+        self._note_teller()
+        self._timer = self._reactor.callLater(self._news.interval, self._round)
+
+    def _note_teller(self) -> None:
+        """Log from whom this router hears of all others, when that changes."""
+        now = self._reactor.seconds()
+        teller = self._news.teller(now)
+        if teller != self._teller:
+            age = self._news.age(now)
+            self._log.emit(
+                Event.RELAY_CHANGED,
+                relay=teller,
+                former=self._teller,
+                news_age=round(age, 2) if math.isfinite(age) else None,
+                routers=self._news.heard_lately(now),
+            )
+            self._teller = teller
+
+    def _send(self, *, is_urgent: bool) -> None:
         transport: Any = self.transport
         now = self._reactor.seconds()
         messages = self._news.compose(
@@ -132,6 +157,7 @@
             now,
             is_store_lost=self._is_store_lost(),
             list_revision=self._list_revision(),
+            is_urgent=is_urgent,
         )
         for router, message in messages:
             frame = encode(message)
--- a/src/primrosescale/process/entry/router_news.py
+++ b/src/primrosescale/process/entry/router_news.py
@@ -9,32 +9,34 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
-from dataclasses import dataclass
-from functools import lru_cache
+import math
 from typing import TYPE_CHECKING
 
-from xxhash import xxh32_intdigest
-
 from primrosescale.connection.wire import ttypes as wire
+from primrosescale.connection.wire.ttypes import NewsScope
+from primrosescale.process.entry.load_codec import MILLISECONDS
+from primrosescale.process.entry.load_codec import LoadCodec
+from primrosescale.process.entry.news_paths import NewsPaths
+from primrosescale.process.entry.news_paths import NewsSettings
+from primrosescale.process.entry.news_relay import NewsRelay
+from primrosescale.process.entry.other_router import RouterPeer
+from primrosescale.process.entry.target_keys import target_key
 from primrosescale.request.part_directory import PartUse
 
 if TYPE_CHECKING:
-    from primrosescale.connection.endpoint import Endpoint
+    from collections.abc import Iterable
+
+    from primrosescale.process.entry.load_sum import LoadSum
+    from primrosescale.process.entry.news_relay import Telling
+    from primrosescale.process.entry.other_router import OtherRouter
     from primrosescale.process.entry.target_list import TargetList
     from primrosescale.request.freshness import Freshness
     from primrosescale.request.part_directory import PartDirectory
-    from primrosescale.request.target_state import TargetState
 
 # Datagrams stay under what every link carries in one piece.
 MOST_PARTS = 36
-MOST_TARGETS = 40
-# Short names that are remembered.
-MOST_KEYS = 16384
-# Failures that are worth telling.
-LEAST_TOLD = 0.05
-# Bytes a second that a router spends on telling; the users allow 22 KB/s for
-# all control.
+# Bytes a second that a router spends on telling all others; the users allow 22
+# KB/s for all control.
 BYTES_PER_SECOND = 12_000.0
 USUAL_DATAGRAM = 180
 SHORTEST_INTERVAL = 0.25
@@ -43,60 +45,12 @@
 ASKING_ROUTERS = 4
 # News of another router is relied on for this many of its intervals.
 FRESH_INTERVALS = 4
-# Own messages whose sending time is remembered for each other router.
-REMEMBERED_SENDINGS = 64
-# A router that sees more than half of its requests fail everywhere has a
-# trouble of its own and is no witness.
-WITNESS_MOST_FAILURES = 0.5
 # A listed router that has been silent for so long is taken off the list. Cuts
 # and restarts of today last some seconds; one that lives lists itself again.
 GONE_SECONDS = 60.0
-PERCENT = 100
-MILLISECONDS = 1000
 UNKNOWN = -1
-
-
-@dataclass(frozen=True, slots=True)
-class OtherRouter:
-    """Another router as the store lists it.
-
-    Parameters
-    ----------
-    name : str
-        Name of its host.
-    endpoint : Endpoint
-        Where it takes news.
-    """
-
-    name: str
-    endpoint: Endpoint
-
-
-class _Peer:
-    """What is known of one other router."""
-
-    __slots__ = (
-        "heard",
-        "heard_at",
-        "incarnation",
-        "is_store_lost",
-        "list_revision",
-        "listed_at",
-        "router",
-        "sent_at",
-        "version",
-    )
-
-    def __init__(self, router: OtherRouter, now: float) -> None:
-        self.router = router
-        self.listed_at = now
-        self.incarnation = 0
-        self.heard = 0
-        self.heard_at: float | None = None
-        self.is_store_lost = False
-        self.version = 0
-        self.list_revision = 0
-        self.sent_at: OrderedDict[int, float] = OrderedDict()
+# Under which targets' states keep what relays tell.
+RELAYED = "relays"
 
 
 class RouterNews:
@@ -107,13 +61,17 @@
     name : str
         Name of this router's host.
     incarnation : int
-        Number of this life of the process.
+        Number of this incarnation of the process.
     targets : TargetList
         Targets and their states.
     parts : PartDirectory
         Where parts of prompts are cached.
     freshness : Freshness
         How old the knowledge of the configuration is.
+    domain : str
+        Failure domain of this router.
+    settings : NewsSettings | None
+        Sizes and times; None for the usual ones.
     """
 
     def __init__(
@@ -123,28 +81,98 @@
         targets: TargetList,
         parts: PartDirectory,
         freshness: Freshness,
+        domain: str = "",
+        settings: NewsSettings | None = None,
     ) -> None:
+        settings = settings or NewsSettings()
+        self._settings = settings
         self._name = name
         self._incarnation = incarnation
-        self._targets = targets
         self._parts = parts
         self._freshness = freshness
-        self._peers: dict[str, _Peer] = {}
+        self._codec = LoadCodec(targets)
+        self._peers: dict[str, RouterPeer] = {}
+        self._paths = NewsPaths(name, domain, settings)
+        self._relay = NewsRelay(name, self._paths, settings)
         self._sequence = 0
-        self._generation = -1
-        self._by_key: dict[int, TargetState] = {}
+        self._round_messages = 0
+        # When the oldest load that relays told was true, and at which targets.
+        self._known_at = -math.inf
+        self._relayed_targets: frozenset[int] = frozenset()
+        # Since when routers of the own domain should be heard of here.
+        self._judges_since = math.inf
 
     @property
     def interval(self) -> float:
         """Return the seconds between two rounds of news."""
+        if self._paths.is_relayed:
+            settings = self._settings
+            bytes_a_round = self._round_messages * self._codec.usual_bytes
+            return max(settings.interval, bytes_a_round / settings.bytes_per_second)
         bytes_a_round = len(self._peers) * USUAL_DATAGRAM
         return max(SHORTEST_INTERVAL, bytes_a_round / BYTES_PER_SECOND)
 
+    @property
+    def is_relayed(self) -> bool:
+        """Tell whether news goes by relays."""
+        return self._paths.is_relayed
+
+    @property
+    def is_urgent(self) -> bool:
+        """Tell whether there is something that others should not wait for."""
+        return not self._paths.is_relayed or self._parts.has_unexpected
+
     @property
     def others(self) -> list[OtherRouter]:
         """Return the other routers that the store lists."""
         return [peer.router for peer in self._peers.values()]
 
+    def age(self, now: float) -> float:
+        """Return how old the news of other routers' requests may be.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        float
+            Seconds; of relayed news the age of the oldest load in it, which
+            grows while relays are silent.
+        """
+        return now - self._known_at if self._paths.is_relayed else self.interval
+
+    def relay_rank(self, now: float) -> int | None:
+        """Return this router's place among the relays of its domain.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        int | None
+            0 for the first; None for a router that is none of them.
+        """
+        return self._paths.rank(now) if self._paths.is_relayed else None
+
+    def teller(self, now: float) -> str | None:
+        """Return the relay that tells this router of all others.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        str | None
+            Its name; None where all routers tell all.
+        """
+        return self._paths.teller(now) if self._paths.is_relayed else None
+
     def heard_lately(self, now: float) -> int:
         """Return how many other routers were heard of lately.
 
@@ -158,6 +186,8 @@
         int
             Routers.
         """
+        if self._paths.is_relayed:
+            return self._relay.others(now).routers
         return len(self._heard(now))
 
     def others_reach_store(self, now: float) -> bool:
@@ -219,8 +249,12 @@
         Returns
         -------
         bool
-            True for the first few of those that reach the store.
+            True for the first few of those that reach the store; with relays
+            for the first relay of each domain.
         """
+        if self._paths.is_relayed:
+            is_alone = not self.heard_lately(now)
+            return is_alone or self._paths.rank(now) == 0
         own_place = target_key(self._name)
         before = sum(
             target_key(peer.router.name) < own_place and not peer.is_store_lost
@@ -228,15 +262,22 @@
         )
         return before < ASKING_ROUTERS
 
-    def _heard(self, now: float) -> list[_Peer]:
+    def _heard(self, now: float) -> list[RouterPeer]:
         """Return the other routers that were heard of lately."""
-        oldest = now - FRESH_INTERVALS * self.interval
+        oldest = now - self._kept_for
         return [
             peer
             for peer in self._peers.values()
             if peer.heard_at is not None and peer.heard_at >= oldest
         ]
 
+    @property
+    def _kept_for(self) -> float:
+        """Return the seconds for which news of another router is relied on."""
+        if self._paths.is_relayed:
+            return self._settings.keep
+        return FRESH_INTERVALS * self.interval
+
     def unheard(self, now: float) -> list[str]:
         """Return listed routers that have not been heard of for long.
 
@@ -253,12 +294,21 @@
         """
         if not self.heard_lately(now):
             return []
+        names: Iterable[str] = self._peers
+        since = 0.0
+        if self._paths.is_relayed:
+            names = filter(self._paths.is_own_domain, self._peers)
+            since = self._judges_since
         return [
             name
-            for name, peer in self._peers.items()
-            if now - max(peer.listed_at, peer.heard_at or 0.0) > GONE_SECONDS
+            for name in names
+            if now - max(since, self._last_sign(name)) > GONE_SECONDS
         ]
 
+    def _last_sign(self, name: str) -> float:
+        peer = self._peers[name]
+        return max(peer.listed_at, peer.heard_at or 0.0)
+
     def put(self, router: OtherRouter, now: float) -> None:
         """Take in another router of the list.
 
@@ -273,7 +323,8 @@
             return
         known = self._peers.get(router.name)
         if known is None or known.router != router:
-            self._peers[router.name] = _Peer(router, now)
+            self._peers[router.name] = RouterPeer(router, now)
+            self._paths.put(router.name, router.domain)
 
     def remove(self, name: str) -> None:
         """Take in that a router is no longer listed.
@@ -283,7 +334,9 @@
         name : str
             Its name.
         """
-        self._peers.pop(name, None)
+        if self._peers.pop(name, None) is not None:
+            self._paths.remove(name)
+            self._relay.forget(name)
 
     def compose(
         self,
@@ -292,8 +345,9 @@
         *,
         is_store_lost: bool = False,
         list_revision: int = 0,
+        is_urgent: bool = False,
     ) -> list[tuple[OtherRouter, wire.RouterNews]]:
-        """Return what to tell each other router now.
+        """Return what to tell other routers now.
 
         Parameters
         ----------
@@ -306,51 +360,70 @@
         list_revision : int
             The store's revision of the newest change of the target list that
             is known here.
+        is_urgent : bool
+            Whether only what relays should hear before the next round is told.
 
         Returns
         -------
         list[tuple[OtherRouter, wire.RouterNews]]
             Messages, each for one router.
         """
-        states = [
-            state
-            for state in self._targets.states
-            if state.own_running or state.has_outcomes(now)
-        ]
-        # The bound concerns the most loaded ones; failures come after them.
-        states.sort(key=lambda state: (-state.own_running, -state.outcomes(now)[1]))
-        told = [_target_news(state, now) for state in states[:MOST_TARGETS]]
-        parts = [
-            wire.PartNews(
-                use.part,
-                target_key(*use.target),
-                use.tokens,
-                _milliseconds(now - use.used_at),
-            )
-            for use in self._parts.take_news()[-MOST_PARTS:]
-        ]
-        age = self._freshness.age(now)
-        self._sequence += 1
+        head = _Head(version, self._freshness.age(now), is_store_lost, list_revision)
+        is_relayed = self._paths.is_relayed
+        take_uses = self._parts.take_unexpected if is_relayed else self._parts.take_news
+        parts = [_part_news(use, now) for use in take_uses()]
+        if is_relayed:
+            own = self._codec.own_sum(now, reaches_store=not is_store_lost)
+            told = self._relay.compose(own, parts, now, is_urgent=is_urgent)
+            if not is_urgent:
+                self._round_messages = len(told)
+                self._note_rank(now)
+                self._adopt_relayed(now)
+            return [self._summed(item, head, now) for item in told]
+        targets = self._codec.own_news(now)
         messages = []
         for peer in self._peers.values():
-            peer.sent_at[self._sequence] = now
-            if len(peer.sent_at) > REMEMBERED_SENDINGS:
-                peer.sent_at.popitem(last=False)
-            message = wire.RouterNews(
-                self._name,
-                self._incarnation,
-                self._sequence,
-                peer.heard,
-                version,
-                UNKNOWN if age is None else _milliseconds(age),
-                told,
-                parts,
-                is_store_lost,
-                list_revision,
-            )
+            message = self._message(peer, head, now)
+            message.targets = targets
+            message.parts = parts[-MOST_PARTS:]
             messages.append((peer.router, message))
         return messages
 
+    def _note_rank(self, now: float) -> None:
+        """Note since when this router is the one that all of its domain report to."""
+        if self._paths.rank(now) != 0:
+            self._judges_since = math.inf
+        else:
+            self._judges_since = min(self._judges_since, now)
+
+    def _message(self, peer: RouterPeer, head: _Head, now: float) -> wire.RouterNews:
+        self._sequence += 1
+        peer.sends(self._sequence, now)
+        return wire.RouterNews(
+            self._name,
+            self._incarnation,
+            self._sequence,
+            peer.heard,
+            head.version,
+            UNKNOWN if head.age is None else _milliseconds(head.age),
+            [],
+            [],
+            head.is_store_lost,
+            head.list_revision,
+        )
+
+    def _summed(
+        self, item: Telling, head: _Head, now: float
+    ) -> tuple[OtherRouter, wire.RouterNews]:
+        """Return the message for what a router is told by relays."""
+        peer = self._peers[item.name]
+        message = self._message(peer, head, now)
+        message.scope = item.scope
+        message.wants_fleet = item.wants_fleet
+        message.parts = item.parts
+        self._codec.write(item.loads, message, peer.targets_digest, now)
+        return peer.router, message
+
     def take(self, message: wire.RouterNews, version: int, now: float) -> bool:
         """Take in the news of another router.
 
@@ -369,33 +442,33 @@
             False for a router that is not listed, and for old news.
         """
         peer = self._peers.get(message.origin)
-        if peer is None:
-            return False
-        if message.incarnation != peer.incarnation:
-            if message.incarnation < peer.incarnation:
-                return False
-            peer.incarnation = message.incarnation
-            peer.heard = 0
-        if message.sequence <= peer.heard:
+        if peer is None or not peer.is_new(message.incarnation, message.sequence):
             return False
-        peer.heard = message.sequence
         peer.heard_at = now
         peer.is_store_lost = message.store_lost
         peer.version = message.version
         peer.list_revision = message.targets_revision or 0
+        peer.targets_digest = message.targets_digest
         self._take_freshness(peer, message, version)
-        self._take_targets(message, now)
+        loads = self._codec.read(message, now)
+        if message.scope is not None:
+            self._relay.hear_from(message, loads, now)
+        if message.scope in {None, NewsScope.ROUTER} and loads is not None:
+            self._take_own(peer, loads, now)
+        if message.scope == NewsScope.FLEET:
+            self._adopt_relayed(now)
         self._take_parts(message, now)
         return True
 
     def _take_freshness(
-        self, peer: _Peer, message: wire.RouterNews, version: int
+        self, peer: RouterPeer, message: wire.RouterNews, version: int
     ) -> None:
         """Rely on the other router's question to the store as on an own one.
 
         It was asked no earlier than its age before the message that this one
         replies to went out from here. That holds whatever the network did to
-        either message. Another version there proves nothing about this one.
+        either message, and through any number of routers that rely on each
+        other so. Another version there proves nothing about this one.
         """
         if message.version != version or message.knowledge_age_ms < 0:
             return
@@ -404,75 +477,77 @@
             age = message.knowledge_age_ms / MILLISECONDS
             self._freshness.answered(replied_to - age)
 
-    def _take_targets(self, message: wire.RouterNews, now: float) -> None:
-        fresh_until = now + FRESH_INTERVALS * self.interval
-        states = self._states_by_key()
-        good = sum(item.good_percent or 0 for item in message.targets)
-        bad = sum(item.bad_percent or 0 for item in message.targets)
-        is_witness = bad <= WITNESS_MOST_FAILURES * (good + bad)
-        for item in message.targets:
-            state = states.get(item.target)
-            if state is None:
-                continue
-            state.hear_router(message.origin, item.running, fresh_until)
-            if is_witness:
-                state.hear_outcomes(
-                    message.origin,
-                    (item.good_percent or 0) / PERCENT,
-                    (item.bad_percent or 0) / PERCENT,
-                    fresh_until,
-                )
+    def _take_own(self, peer: RouterPeer, loads: LoadSum, now: float) -> None:
+        """Take in the requests of one router."""
+        origin = peer.router.name
+        if self._paths.is_relayed:
+            if self._paths.is_own_domain(origin):
+                self._relay.hear(NewsScope.ROUTER, origin, loads, now)
+            return
+        self._keep(origin, loads, peer.told_targets, now)
+        peer.told_targets = frozenset(loads.running)
+
+    def _adopt_relayed(self, now: float) -> None:
+        """Let targets' states have the best sum that relays told."""
+        loads = self._relay.others(now)
+        if not loads.routers:
+            return
+        self._keep(RELAYED, loads, self._relayed_targets, now)
+        self._relayed_targets = frozenset(loads.running)
+        self._known_at = loads.known_at
+
+    def _keep(
+        self, origin: str, loads: LoadSum, before: frozenset[int], now: float
+    ) -> None:
+        """Let targets' states have a sum in place of the one told before."""
+        fresh_until = now + self._kept_for
+        states = self._codec.keys.states
+        for key in before.union(loads.running):
+            state = states.get(key)
+            if state is not None:
+                state.hear_router(origin, loads.running.get(key, 0), fresh_until)
+        for key, (good, bad) in loads.outcomes.items():
+            state = states.get(key)
+            if state is not None:
+                state.hear_outcomes(origin, good, bad, fresh_until)
 
     def _take_parts(self, message: wire.RouterNews, now: float) -> None:
-        states = self._states_by_key()
+        states = self._codec.keys.states
         for item in message.parts:
             state = states.get(item.target)
             if state is not None:
                 used_at = now - item.age_ms / MILLISECONDS
-                use = PartUse(item.part, state.incarnation, item.tokens, used_at)
+                use = PartUse(
+                    item.part,
+                    state.incarnation,
+                    item.tokens,
+                    used_at,
+                    tuple(item.before or ()),
+                )
                 self._parts.note(use)
 
-    def _states_by_key(self) -> dict[int, TargetState]:
-        if self._generation != self._targets.generation:
-            self._generation = self._targets.generation
-            self._by_key = {
-                target_key(*state.incarnation): state for state in self._targets.states
-            }
-        return self._by_key
-
 
-@lru_cache(maxsize=MOST_KEYS)
-def target_key(name: str, started_at: int | None = None) -> int:
-    """Return the short name of a life of a target in news.
+class _Head:
+    """What each message of a round begins with."""
 
-    News of a life that a router does not know as the present one match nothing
-    there, whether it is a former one or one that it has yet to hear of.
+    __slots__ = ("age", "is_store_lost", "list_revision", "version")
 
-    Parameters
-    ----------
-    name : str
-        The target.
-    started_at : int | None
-        Its start in its own Unix milliseconds; None where nothing tells it.
-
-    Returns
-    -------
-    int
-        32 bits. Two of 11,000 targets share one in about one fleet of seventy;
-        then a load is counted for the wrong one of them.
-    """
-    text = name if started_at is None else f"{name}\0{started_at}"
-    return int(xxh32_intdigest(text.encode())) - 2**31
-
-
-def _target_news(state: TargetState, now: float) -> wire.TargetNews:
-    good, bad = state.outcomes(now)
-    is_worth_telling = bad > LEAST_TOLD
-    return wire.TargetNews(
-        target_key(*state.incarnation),
-        state.own_running,
-        round(good * PERCENT) if is_worth_telling else None,
-        round(bad * PERCENT) if is_worth_telling else None,
+    def __init__(
+        self, version: int, age: float | None, is_store_lost: bool, list_revision: int
+    ) -> None:
+        self.version = version
+        self.age = age
+        self.is_store_lost = is_store_lost
+        self.list_revision = list_revision
+
+
+def _part_news(use: PartUse, now: float) -> wire.PartNews:
+    return wire.PartNews(
+        use.part,
+        target_key(*use.target),
+        use.tokens,
+        _milliseconds(now - use.used_at),
+        list(use.before) or None,
     )
 
 
--- a/src/primrosescale/process/events.py
+++ b/src/primrosescale/process/events.py
@@ -62,6 +62,7 @@
     NEWS_REFUSED = 620
     NEWS_NOT_SENT = 621
     ROUTER_REFUSED = 622
+    RELAY_CHANGED = 623
     SPAN = 700
 
 
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -161,7 +161,13 @@
         self._tried.sent(attempt.incarnation)
         prompt = self._request.prompt
         if prompt is not None:
-            if self._tools.parts.note_own(attempt.incarnation, prompt.parts, now):
+            is_news = self._tools.parts.note_own(
+                attempt.incarnation,
+                prompt.parts,
+                now,
+                is_expected=attempt.is_home,
+            )
+            if is_news:
                 self._tools.parts_changed()
         if attempt is self._pair.serving:
             self._watch_silence(now)
@@ -313,7 +319,9 @@
             choice.state.target.name,
             now,
             round(choice.load, 1),
+            choice.load_age,
             choice.held,
+            choice.is_home,
             source.target.name if source is not None else "",
         )
         self._attempts.append(record)
--- a/src/primrosescale/request/part_directory.py
+++ b/src/primrosescale/request/part_directory.py
@@ -11,6 +11,7 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -28,6 +29,12 @@
 CACHE_SHARE = 1.0
 # Parts remembered for one target whose memory is not known.
 MOST_PARTS = 4096
+# Others are told again that a part is still used once their knowledge of it has
+# lost half of its time: early enough for one lost datagram, and not with each use.
+TELL_AGAIN_SECONDS = HELD_SECONDS / 2
+# Shorter shared parts are read within 20 ms by an engine of today, about what
+# moving them takes; where they went is not worth telling a large fleet.
+LEAST_TOLD_TOKENS = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,12 +51,28 @@
         Its length.
     used_at : float
         When, in seconds.
+    before : tuple[str, ...]
+        Parts before it, which were used with it, where they are not told
+        themselves.
     """
 
     part: str
     target: TargetIncarnation
     tokens: int
     used_at: float
+    before: tuple[str, ...] = ()
+
+
+class _HeldPart:
+    """A part that a target is taken to hold."""
+
+    __slots__ = ("tokens", "told_at", "used_at")
+
+    def __init__(self, tokens: int, used_at: float) -> None:
+        self.tokens = tokens
+        self.used_at = used_at
+        # When other routers last heard of its use, from here or elsewhere.
+        self.told_at = used_at
 
 
 class _Holder:
@@ -58,35 +81,41 @@
     __slots__ = ("parts", "tokens")
 
     def __init__(self) -> None:
-        self.parts: OrderedDict[str, tuple[float, int]] = OrderedDict()
+        self.parts: OrderedDict[str, _HeldPart] = OrderedDict()
         self.tokens = 0
 
-    def note(self, part: str, tokens: int, used_at: float, capacity: int) -> bool:
-        """Take in the use of a part; tell whether it was not held."""
-        known = self.parts.pop(part, None)
-        if known is not None:
-            self.tokens -= known[1]
-            used_at = max(used_at, known[0])
-        self.parts[part] = (used_at, tokens)
-        self.tokens += tokens
+    def note(self, use: PartUse, capacity: int) -> tuple[_HeldPart, bool]:
+        """Take in the use of a part; return it and whether it was not held."""
+        known = self.parts.get(use.part)
+        if known is None:
+            held = self.parts[use.part] = _HeldPart(use.tokens, use.used_at)
+        else:
+            held = known
+            self.tokens -= held.tokens
+            held.tokens = max(held.tokens, use.tokens)
+            held.used_at = max(held.used_at, use.used_at)
+            self.parts.move_to_end(use.part)
+        self.tokens += held.tokens
         while len(self.parts) > 1 and (
             len(self.parts) > MOST_PARTS or (capacity and self.tokens > capacity)
         ):
-            _, (_, dropped) = self.parts.popitem(last=False)
-            self.tokens -= dropped
-        return known is None
+            _, dropped = self.parts.popitem(last=False)
+            self.tokens -= dropped.tokens
+        return held, known is None
 
 
 class PartDirectory:
     """Remembers which target has read which part, and when."""
 
-    __slots__ = ("_again", "_capacity", "_holders", "_news")
+    __slots__ = ("_again", "_capacity", "_holders", "_news", "_unexpected")
 
     def __init__(self) -> None:
         self._again: dict[tuple[str, TargetIncarnation], PartUse] = {}
         self._holders: dict[TargetIncarnation, _Holder] = {}
         self._capacity: dict[TargetIncarnation, int] = {}
         self._news: dict[tuple[str, TargetIncarnation], PartUse] = {}
+        # Prompts that are elsewhere than others expect them, by their deepest part.
+        self._unexpected: dict[tuple[str, TargetIncarnation], PartUse] = {}
 
     def __len__(self) -> int:
         """Return how many parts are known, counted for each target."""
@@ -117,19 +146,37 @@
         bool
             Whether this was not known.
         """
+        for name in use.before:
+            # Their tokens count where they are told or sent by themselves.
+            self._note(PartUse(name, use.target, 0, use.used_at))
+        held, is_new = self._note(use)
+        held.told_at = max(held.told_at, use.used_at)
+        return is_new
+
+    def _note(self, use: PartUse) -> tuple[_HeldPart, bool]:
         holder = self._holders.get(use.target)
         if holder is None:
             holder = self._holders[use.target] = _Holder()
-        capacity = self._capacity.get(use.target, 0)
-        return holder.note(use.part, use.tokens, use.used_at, capacity)
+        return holder.note(use, self._capacity.get(use.target, 0))
+
+    @property
+    def has_unexpected(self) -> bool:
+        """Tell whether a prompt went elsewhere than others expect."""
+        return bool(self._unexpected)
 
     def note_own(
-        self, target: TargetIncarnation, parts: Sequence[PromptPart], now: float
+        self,
+        target: TargetIncarnation,
+        parts: Sequence[PromptPart],
+        now: float,
+        *,
+        is_expected: bool = False,
     ) -> bool:
         """Take in that a request of this router went to a target.
 
         The last part belongs to the request or its chat alone and is no news
-        for others.
+        for others. Of the shared ones those that were not known to be there
+        are, and now and then the deepest, whose use tells of those before it.
 
         Parameters
         ----------
@@ -139,20 +186,36 @@
             The request's parts.
         now : float
             Present time in seconds.
+        is_expected : bool
+            Whether other routers may expect the parts there untold.
 
         Returns
         -------
         bool
             Whether some shared part was not known to be there.
         """
-        is_new = False
+        is_news = False
+        deepest = len(parts) - 2
         for place, part in enumerate(parts):
             use = PartUse(part.name, target, part.tokens, now)
-            was_unknown = self.note(use)
-            if place < len(parts) - 1:
-                is_new = was_unknown or is_new
+            held, was_unknown = self._note(use)
+            if place > deepest:
+                continue
+            is_news = is_news or was_unknown
+            is_old = now - held.told_at >= TELL_AGAIN_SECONDS
+            if was_unknown or (is_old and place == deepest):
+                held.told_at = now
                 self._news[(part.name, target)] = use
-        return is_new
+                if place == deepest and not is_expected:
+                    self._note_unexpected(use, parts)
+        return is_news
+
+    def _note_unexpected(self, use: PartUse, parts: Sequence[PromptPart]) -> None:
+        shared = parts[:-1]
+        if sum(part.tokens for part in shared) >= LEAST_TOLD_TOKENS:
+            before = tuple(part.name for part in shared[:-1])
+            found = replace(use, before=before)
+            self._unexpected[(use.part, use.target)] = found
 
     def take_news(self) -> list[PartUse]:
         """Return what this router noted since the call before the last.
@@ -166,9 +229,25 @@
             Uses of shared parts.
         """
         news, self._news = self._news, {}
-        told = {**self._again, **news}
-        self._again = news
-        return list(told.values())
+        again, self._again = self._again, news
+        self._unexpected.clear()
+        return list({**again, **news}.values())
+
+    def take_unexpected(self) -> list[PartUse]:
+        """Return which prompts went elsewhere than others expect.
+
+        Each is told once, since it goes to others by two ways, and by its
+        deepest part with the names of those before it.
+
+        Returns
+        -------
+        list[PartUse]
+            Uses of the deepest shared parts.
+        """
+        news, self._unexpected = self._unexpected, {}
+        self._news.clear()
+        self._again.clear()
+        return list(news.values())
 
     def forget_target(self, target: TargetIncarnation) -> None:
         """Take in that a life of a target has ended with all it held.
@@ -180,7 +259,7 @@
         """
         self._holders.pop(target, None)
         self._capacity.pop(target, None)
-        for told in (self._news, self._again):
+        for told in (self._news, self._unexpected, self._again):
             for key in [key for key in told if key[1] == target]:
                 del told[key]
 
@@ -206,10 +285,13 @@
         holder = self._holders.get(target)
         if holder is None:
             return 0
-        tokens = 0
+        tokens = usable = 0
         for part in parts:
             found = holder.parts.get(part.name)
-            if found is None or now - found[0] > HELD_SECONDS:
+            if found is None:
                 break
             tokens += part.tokens
-        return tokens
+            # A part that was used lately was used with all before it.
+            if now - found.used_at <= HELD_SECONDS:
+                usable = tokens
+        return usable
--- a/src/primrosescale/request/target_attempt.py
+++ b/src/primrosescale/request/target_attempt.py
@@ -35,8 +35,12 @@
         Seconds.
     load : float
         Requests there by the best knowledge.
+    load_age : float
+        How old the knowledge of other routers' requests was, in seconds.
     held : int
         Leading tokens that it was taken to have cached.
+    is_home : bool
+        Whether other routers expect the prompt there without being told.
     fetched_from : str
         Target whose cache was to be copied; empty for none.
     outcome : str
@@ -48,7 +52,9 @@
     target: str
     began_at: float
     load: float
+    load_age: float
     held: int
+    is_home: bool
     fetched_from: str
     outcome: str = RUNNING
     ended_at: float | None = None
@@ -176,6 +182,11 @@
         self._splitter = EventSplitter()
         self.head: AnswerHead | None = None
 
+    @property
+    def is_home(self) -> bool:
+        """Tell whether other routers expect the prompt at its target."""
+        return self._record.is_home
+
     @property
     def name(self) -> str:
         """Return the target's name."""
--- a/src/primrosescale/request/target_choice.py
+++ b/src/primrosescale/request/target_choice.py
@@ -15,10 +15,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from xxhash import xxh3_64_intdigest
-
 from primrosescale.ini.options import SECONDS
 from primrosescale.ini.options import option
+from primrosescale.request.prompt_homes import expected_source
+from primrosescale.request.prompt_homes import home_of
+from primrosescale.request.prompt_homes import known_home
+from primrosescale.request.prompt_homes import shared_tokens
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,12 +39,13 @@
 PLAIN_FAILURE_WEIGHT = 32.0
 # Smaller than the difference that one request makes.
 TIE_BREAK = 0.01
-# Seconds between news of other routers beyond which it is too old to choose
+# Age in seconds of the news of other routers beyond which it is too old to choose
 # the best of all by. Share of requests that reach a target over twice the mean
 # and 3, with news 1.5 s old (60 routers, 60 targets, virtual clock): few shared
 # parts 13-16 %, by lot 1-2 %; plain requests 3-6 %, by lot 0.1 %. At 0.4 s, 27
-# routers, choosing the best keeps the bound and more of the cache.
-OLD_NEWS = 0.5
+# routers, choosing the best keeps the bound and more of the cache; so it does at
+# 0.7 s, 68 routers, where the oldest load is so old (0.9 %).
+OLD_NEWS = 0.7
 # Targets drawn by lot then. Plain requests over the bound, on a virtual clock at
 # three sizes: with two 0, 1.0 and 0 %, with three 5.3, 1.4 and 0.1 %.
 DRAWN_TARGETS = 2
@@ -103,8 +106,12 @@
         Leading tokens of the prompt that it is taken to have.
     fetch_from : TargetState | None
         Target whose cache holds more of the prompt.
+    is_home : bool
+        Whether other routers expect the prompt there without being told.
     load : float
         Requests there by the best knowledge.
+    load_age : float
+        How old the knowledge of others' requests was, in seconds.
     mean : float
         Mean of the service.
     """
@@ -112,7 +119,9 @@
     state: TargetState
     held: int
     fetch_from: TargetState | None
+    is_home: bool
     load: float
+    load_age: float
     mean: float
 
 
@@ -127,9 +136,12 @@
         Where parts of prompts are cached.
     rng : Random
         Source of chance for ties and lots.
-    news_interval : Callable[[], float] | None
-        Returns the seconds between news of other routers; None for a router
-        without others.
+    news_age : Callable[[], float] | None
+        Returns how old the news of other routers' requests may be, in seconds;
+        None for a router without others.
+    relies_on_homes : Callable[[], bool]
+        Returns whether routers tell each other only of prompts that are
+        elsewhere than at their homes, which are then taken to hold them.
     """
 
     def __init__(
@@ -137,16 +149,17 @@
         settings: ChoiceSettings,
         parts: PartDirectory,
         rng: Random,
-        news_interval: Callable[[], float] | None = None,
+        news_age: Callable[[], float] | None = None,
+        relies_on_homes: Callable[[], bool] = lambda: False,
     ) -> None:
         self._settings = settings
         self._parts = parts
         self._rng = rng
-        self._news_interval = news_interval
+        self._news_age = news_age
+        self._relies_on_homes = relies_on_homes
 
-    @property
-    def _has_old_news(self) -> bool:
-        return self._news_interval is not None and self._news_interval() > OLD_NEWS
+    def _load_age(self) -> float:
+        return 0.0 if self._news_age is None else self._news_age()
 
     def configure(self, settings: ChoiceSettings) -> None:
         """Take in changed weights.
@@ -222,7 +235,8 @@
         usable = usable or open_ones
         if not usable:
             return None
-        has_old_news = self._has_old_news
+        load_age = self._load_age()
+        has_old_news = load_age > OLD_NEWS
         settings = self._settings
         # The request itself counts into the mean.
         cap = settings.load_multiple * (mean + 1 / len(serving)) + settings.load_margin
@@ -233,16 +247,49 @@
         if prompt is None:
             bounded = self._draw(bounded) if has_old_news else bounded
             best = min(bounded, key=lambda s: self._plain_cost(s, loads, now))
-            return Choice(best, 0, None, loads[best.target.name], mean)
-        held = {
+            return Choice(
+                best,
+                held=0,
+                fetch_from=None,
+                is_home=False,
+                load=loads[best.target.name],
+                load_age=load_age,
+                mean=mean,
+            )
+        known = {
             state.target.name: self._parts.held(state.incarnation, prompt.parts, now)
             for state in states
         }
+        reached = [state for state in states if not state.is_avoided(now)] or states
+        held = known
+        if self._relies_on_homes():
+            held = _with_home(prompt, states, known, now)
         if has_old_news:
             low = LEAST_DRAWN_LOAD * mean
             limit = low + (cap - low) * self._rng.random()
             bounded = self._drawn_candidates(bounded, prompt, held, loads, limit)
-        return self._by_prompt(bounded, states, prompt, held, loads, mean, now)
+        elif self._relies_on_homes():
+            bounded = self._drawn_candidates(bounded, prompt, held, loads, cap)
+        usual = _usual_failures(states, now)
+        best = self._cheapest(bounded, reached, prompt, held, loads, usual, now)
+        return Choice(
+            best,
+            held=held[best.target.name],
+            fetch_from=self._source(best, reached, prompt, known, now),
+            is_home=best is home_of(prompt, serving),
+            load=loads[best.target.name],
+            load_age=load_age,
+            mean=mean,
+        )
+
+    def _is_held(self, prompt: Prompt, most: int) -> bool:
+        """Tell whether tokens that a target holds make others go there.
+
+        Where homes are relied on that takes all that is shared: the beginnings
+        of prompts are held by most targets.
+        """
+        least = max(1, shared_tokens(prompt)) if self._relies_on_homes() else 1
+        return most >= least
 
     def _draw(self, states: Sequence[TargetState]) -> list[TargetState]:
         return self._rng.sample(states, min(DRAWN_TARGETS, len(states)))
@@ -257,10 +304,10 @@
     ) -> list[TargetState]:
         """Return some by lot, and some that hold the prompt below a load."""
         most = max(held[state.target.name] for state in bounded)
-        if most:
+        if self._is_held(prompt, most):
             warm = [state for state in bounded if held[state.target.name] == most]
         else:
-            warm = [_home(prompt, bounded)]
+            warm = [home_of(prompt, bounded)]
         warm = [state for state in warm if loads[state.target.name] + 1 <= limit]
         return self._draw(bounded) + self._draw(warm)
 
@@ -274,21 +321,20 @@
         failing = 1.0 + PLAIN_FAILURE_WEIGHT * state.failure_share(now) ** 2
         return waiting * failing + TIE_BREAK * self._rng.random()
 
-    def _by_prompt(
+    def _cheapest(
         self,
         bounded: Sequence[TargetState],
-        states: Sequence[TargetState],
+        reached: Sequence[TargetState],
         prompt: Prompt,
         held: dict[str, int],
         loads: dict[str, float],
-        mean: float,
+        usual: float,
         now: float,
-    ) -> Choice:
-        reachable = [state for state in states if not state.is_avoided(now)]
-        richest = max(reachable or states, key=lambda state: held[state.target.name])
-        most = held[richest.target.name]
-        home = _home(prompt, bounded)
-        usual = _usual_failures(states, now)
+    ) -> TargetState:
+        """Return the target that costs least; `usual` is the share of failures."""
+        most = max(held[state.target.name] for state in reached)
+        home = home_of(prompt, bounded)
+        is_known = self._is_held(prompt, most)
         settings = self._settings
 
         def cost(state: TargetState) -> float:
@@ -299,14 +345,26 @@
             total += loads[name] * settings.tokens_per_request
             failing = max(0.0, state.failure_share(now) - usual)
             total += failing**2 * settings.failure_weight
-            if state is home and not most:
+            if state is home and not is_known:
                 total -= settings.home_bonus
             return total
 
-        best = min(bounded, key=cost)
-        name = best.target.name
-        source = richest if most > held[name] else None
-        return Choice(best, held[name], source, loads[name], mean)
+        return min(bounded, key=cost)
+
+    def _source(
+        self,
+        best: TargetState,
+        reached: Sequence[TargetState],
+        prompt: Prompt,
+        known: dict[str, int],
+        now: float,
+    ) -> TargetState | None:
+        """Return where the chosen target may copy the prompt from."""
+        richest = max(reached, key=lambda state: known[state.target.name])
+        most = known[richest.target.name]
+        if self._relies_on_homes() and not self._is_held(prompt, most):
+            return expected_source(prompt, reached, best, now)
+        return richest if most > known[best.target.name] else None
 
 
 def _usual_failures(states: Sequence[TargetState], now: float) -> float:
@@ -319,17 +377,17 @@
     return shares[(len(shares) - 1) // 2]
 
 
-def _home(prompt: Prompt, states: Sequence[TargetState]) -> TargetState:
-    """Return the target that routers choose for it that know nothing yet."""
-    group = _group(prompt)
-    return max(states, key=lambda state: _rank(group, state.target.name))
+def _with_home(
+    prompt: Prompt,
+    states: Sequence[TargetState],
+    known: dict[str, int],
+    now: float,
+) -> dict[str, int]:
+    """Return what targets are taken to hold, the home not less than others.
 
-
-def _group(prompt: Prompt) -> str:
-    """Return what names the prompts that share all but their last part."""
-    shared = prompt.shared or prompt.parts
-    return ",".join(part.name for part in shared)
-
-
-def _rank(group: str, target: str) -> int:
-    return int(xxh3_64_intdigest(f"{group}|{target}".encode()))
+    A prompt goes elsewhere when its home has enough to do, with a copy from it.
+    """
+    most = max(known.values())
+    if most < shared_tokens(prompt):
+        return known
+    return {**known, known_home(prompt, states, now).target.name: most}
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -32,7 +32,7 @@
 from primrosescale.process.entry.entry_router import EntryRouter
 from primrosescale.process.entry.entry_settings import EntrySettings
 from primrosescale.process.entry.entry_settings import EntryWatches
-from primrosescale.process.entry.router_news import OtherRouter
+from primrosescale.process.entry.other_router import OtherRouter
 from primrosescale.process.entry.router_news import RouterNews
 from primrosescale.process.entry.store_watch import WatchedPrefix
 from primrosescale.process.entry.target_list import TargetList
--- /dev/null
+++ b/tests/entry/test_news_relays.py
@@ -0,0 +1,291 @@
+"""News by relays: lost, frozen, cut off, restarted, and of another release."""
+
+from __future__ import annotations
+
+import math
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from entry.fakes import prompt
+from primrosescale.connection.codec import decode
+from primrosescale.connection.codec import encode
+from primrosescale.connection.wire import ttypes as wire
+from primrosescale.connection.wire.ttypes import NewsScope
+from primrosescale.process.entry.news_paths import FORGIVEN_SECONDS
+from primrosescale.process.entry.news_paths import NewsSettings
+from primrosescale.process.entry.router_news import GONE_SECONDS
+from primrosescale.process.entry.target_keys import target_key
+from primrosescale.request.target_choice import OLD_NEWS
+from support.drawn import drawn
+from support.router_fleet import Fleet
+
+ROUTERS, TARGETS, DOMAINS = 18, 10, 3
+SETTINGS = NewsSettings(most_direct=6)
+# A relay is taken for lost after a second of silence; then another is asked.
+TAKEN_OVER = 2.0
+TARGET = "target-3"
+
+
+class RelayedFleet(TestCase):
+    """A small fleet whose routers go by relays."""
+
+    routers = ROUTERS
+
+    def setUp(self):
+        super().setUp()
+        self.begin()
+
+    def begin(self):
+        self.fleet = Fleet(self.routers, TARGETS, DOMAINS, 1.0, 7, settings=SETTINGS)
+        self.fleet.run(2.0)
+        self.now = self.fleet.clock.seconds
+
+    def send(self, router, target=TARGET):
+        router.targets.state(target).sent(self.now())
+
+    def seen(self, router, target=TARGET):
+        return router.targets.state(target).load(self.now())
+
+    def relays(self, domain):
+        ranks = {
+            router.news.relay_rank(self.now()): router
+            for router in self.fleet.routers
+            if router.domain == domain and router.is_up
+        }
+        ranks.pop(None, None)
+        return [ranks[rank] for rank in sorted(ranks)]
+
+    def members(self, domain):
+        relays = self.relays(domain)
+        return [
+            router
+            for router in self.fleet.routers
+            if router.domain == domain and router.is_up and router not in relays
+        ]
+
+
+class RelayTest(RelayedFleet):
+    def test_each_request_is_counted_once_by_every_router(self):
+        for router in self.fleet.routers[::2]:
+            self.send(router)
+        self.fleet.run(1.0)
+        for router in self.fleet.routers:
+            self.assertEqual(ROUTERS / 2, self.seen(router), router.name)
+            self.assertEqual(ROUTERS - 1, router.news.heard_lately(self.now()))
+
+    def test_what_has_ended_is_counted_no_more(self):
+        first = self.fleet.routers[0]
+        self.send(first)
+        self.fleet.run(1.0)
+        first.targets.state(TARGET).ended()
+        self.fleet.run(1.0)
+        self.assertEqual({0.0}, {self.seen(router) for router in self.fleet.routers})
+
+    def test_all_agree_on_two_relays_a_domain(self):
+        for domain in ("domain-0", "domain-1", "domain-2"):
+            self.assertEqual(2, len(self.relays(domain)))
+
+    def test_where_a_prompt_went_is_known_everywhere(self):
+        wanted = prompt(("terms", 500), ("tariffs", 9000), ("chat", 10)).parts
+        for router in (self.members("domain-0")[0], self.relays("domain-1")[0]):
+            state = router.targets.state(TARGET)
+            router.parts.note_own(state.incarnation, wanted, self.now())
+            router.exchange.tell_soon()
+        self.fleet.run(1.0)
+        for router in self.fleet.routers:
+            life = router.targets.state(TARGET).incarnation
+            self.assertEqual(9500, router.parts.held(life, wanted[:2], self.now()))
+
+    def test_a_prompt_where_all_expect_it_is_no_news(self):
+        [member, *_] = self.members("domain-0")
+        wanted = prompt(("tariffs", 9000), ("chat", 10)).parts
+        life = member.targets.state(TARGET).incarnation
+        member.parts.note_own(life, wanted, self.now(), is_expected=True)
+        self.assertFalse(member.news.is_urgent)
+        self.fleet.run(1.0)
+        self.assertEqual(0, self.fleet.routers[1].parts.held(life, wanted, self.now()))
+
+
+class TroubleTest(RelayedFleet):
+    def assert_all_know(self, load, routers=None):
+        for router in routers or self.fleet.routers:
+            if router.is_up:
+                self.assertEqual(load, self.seen(router), router.name)
+
+    def test_a_lost_relay_is_replaced(self):
+        lost = self.relays("domain-0")[0]
+        self.fleet.lose(lost)
+        self.send(self.members("domain-0")[0])
+        self.fleet.run(TAKEN_OVER)
+        self.assert_all_know(1.0)
+
+    def test_two_lost_relays_of_a_domain_are_replaced(self):
+        for lost in self.relays("domain-0"):
+            self.fleet.lose(lost)
+        left = self.members("domain-0")
+        self.send(left[0])
+        self.fleet.run(2 * TAKEN_OVER)
+        self.assert_all_know(1.0)
+
+    def test_a_frozen_relay_that_wakes_spoils_nothing(self):
+        frozen = self.relays("domain-1")[0]
+        gone = self.members("domain-1")[0]
+        self.send(gone)
+        self.fleet.run(1.0)
+        self.fleet.lose(frozen)
+        self.fleet.run(3.0)
+        gone.targets.state(TARGET).ended()
+        self.fleet.run(1.0)
+        self.fleet.wake(frozen)
+        self.fleet.run(FORGIVEN_SECONDS + TAKEN_OVER)
+        self.assert_all_know(0.0)
+        self.send(gone)
+        self.fleet.run(1.0)
+        self.assert_all_know(1.0)
+
+    def test_a_relay_that_hears_but_is_not_heard_is_replaced(self):
+        cut = self.relays("domain-2")[0]
+        for router in self.fleet.routers:
+            self.fleet.cuts.add((cut.name, router.name))
+        self.send(self.members("domain-2")[0])
+        self.fleet.run(2 * TAKEN_OVER)
+        others = [router for router in self.fleet.routers if router is not cut]
+        self.assert_all_know(1.0, others)
+
+    def test_a_relay_that_starts_again_under_its_name_is_believed_anew(self):
+        again = self.relays("domain-0")[0]
+        self.send(self.members("domain-0")[0])
+        self.fleet.lose(again)
+        self.fleet.run(0.3)
+        self.fleet.restart(again, 2)
+        self.fleet.run(TAKEN_OVER)
+        self.assert_all_know(1.0)
+
+    def test_two_domains_that_lose_each_other_know_the_rest(self):
+        for one in self.fleet.routers:
+            for other in self.fleet.routers:
+                if {one.domain, other.domain} == {"domain-0", "domain-1"}:
+                    self.fleet.cuts.add((one.name, other.name))
+        for domain in ("domain-0", "domain-1", "domain-2"):
+            self.send(self.members(domain)[0])
+        self.fleet.run(2 * TAKEN_OVER)
+        for router in self.fleet.routers:
+            know = 3.0 if router.domain == "domain-2" else 2.0
+            self.assertEqual(know, self.seen(router), router.name)
+
+    def test_a_router_cut_off_from_all_relies_on_what_it_sees_itself(self):
+        alone = self.members("domain-0")[0]
+        for router in self.fleet.routers:
+            self.fleet.cuts |= {(alone.name, router.name), (router.name, alone.name)}
+        self.send(self.fleet.routers[1])
+        self.send(alone)
+        self.fleet.run(3.0)
+        self.assertEqual(1.0, self.seen(alone))
+        self.assertGreater(alone.news.age(self.now()), OLD_NEWS)
+        self.assertEqual(0, alone.news.heard_lately(self.now()))
+        self.assertTrue(alone.news.asks_often(self.now()))
+
+    def test_news_is_young_for_all_others_meanwhile(self):
+        self.fleet.lose(self.relays("domain-0")[0])
+        self.fleet.run(TAKEN_OVER)
+        ages = [r.news.age(self.now()) for r in self.fleet.routers if r.is_up]
+        # Two intervals more while the lost one's last word still counts.
+        self.assertLess(max(ages), SETTINGS.keep + 4 * SETTINGS.interval)
+        self.fleet.run(SETTINGS.keep)
+        ages = [r.news.age(self.now()) for r in self.fleet.routers if r.is_up]
+        self.assertLess(max(ages), 0.5)
+
+    def test_a_relay_that_has_just_become_one_takes_nobody_for_gone(self):
+        self.fleet.run(GONE_SECONDS)
+        for lost in self.relays("domain-0"):
+            self.fleet.lose(lost)
+        self.fleet.run(2 * TAKEN_OVER)
+        for router in self.members("domain-0"):
+            self.assertEqual([], router.news.unheard(self.now()))
+
+    def test_a_router_that_is_gone_is_noticed_by_its_domain_s_first_relay(self):
+        [gone, *_] = self.members("domain-0")
+        self.fleet.lose(gone)
+        self.fleet.run(GONE_SECONDS + 1)
+        first, second = self.relays("domain-0")
+        self.assertEqual([gone.name], first.news.unheard(self.now()))
+        self.assertEqual([], second.news.unheard(self.now()))
+
+
+class ReleasesTest(RelayedFleet):
+    """Routers of the release before relays tell all others, and hear no sums."""
+
+    def former(self, number):
+        """Return what a router of the former release sends."""
+        router = self.fleet.routers[number]
+        return wire.RouterNews(
+            router.name,
+            1,
+            1000,
+            0,
+            1,
+            -1,
+            [],
+            [],
+            store_lost=False,
+            targets_revision=0,
+        )
+
+    def test_a_report_of_the_former_release_counts_in_its_domain_alone(self):
+        self.send(self.fleet.routers[0])
+        message = self.former(0)
+        life = self.fleet.routers[0].targets.state(TARGET).incarnation
+        message.targets = [wire.TargetNews(target_key(*life), 1)]
+        self.fleet.lose(self.fleet.routers[0])
+        self.fleet.run(SETTINGS.keep + 1)
+        for _ in range(20):
+            message.sequence += 1
+            for other in self.fleet.routers[1:]:
+                other.news.take(decode(encode(message)), 1, self.now())
+            self.fleet.run(0.15)
+        for router in self.fleet.routers[1:]:
+            self.assertEqual(1.0, self.seen(router), router.name)
+
+    def test_a_router_of_the_former_release_is_told_no_sum_as_a_router_s_own(self):
+        relay = self.relays("domain-0")[0]
+        self.send(self.members("domain-0")[0])
+        self.fleet.run(1.0)
+        for _, message in relay.news.compose(1, self.now()):
+            if message.scope != NewsScope.ROUTER and message.running is not None:
+                self.assertEqual([], [i for i in message.targets if i.running])
+
+
+class FreshnessTest(RelayedFleet):
+    """Knowledge of the store that passes through routers keeps its age."""
+
+    routers = 12
+
+    @drawn(15)
+    @given(
+        st.lists(
+            st.tuples(st.integers(0, 11), st.floats(0.05, 1.5), st.booleans()),
+            min_size=1,
+            max_size=8,
+        )
+    )
+    def test_no_router_takes_an_answer_for_younger_than_its_question(self, asked):
+        self.begin()
+        newest = -math.inf
+        for number, pause, is_slow in asked:
+            router = self.fleet.routers[number]
+            question = self.now() - (0.4 if is_slow else 0.0)
+            router.freshness.answered(question)
+            newest = max(newest, question)
+            self.fleet.run(pause)
+            for other in self.fleet.routers:
+                age = other.freshness.age(self.now())
+                if age is not None:
+                    self.assertTrue(self.now() - age <= newest + 1e-3)
+
+    def test_one_answer_reaches_all_within_a_second(self):
+        self.fleet.routers[5].freshness.answered(self.now())
+        self.fleet.run(1.0)
+        for router in self.fleet.routers:
+            self.assertLess(router.freshness.age(self.now()), 2.0)
--- a/tests/entry/test_restart.py
+++ b/tests/entry/test_restart.py
@@ -22,7 +22,7 @@
 from primrosescale.connection.codec import decode
 from primrosescale.connection.codec import encode
 from primrosescale.connection.endpoint import Endpoint
-from primrosescale.process.entry.router_news import OtherRouter
+from primrosescale.process.entry.other_router import OtherRouter
 from primrosescale.process.entry.router_news import RouterNews
 from primrosescale.process.entry.target_list import BegunLife
 from primrosescale.process.entry.target_list import TargetList
--- /dev/null
+++ b/tests/support/router_fleet.py
@@ -0,0 +1,454 @@
+"""Many entry routers that choose targets and hear of each other, on one clock.
+
+The pattern it plays: model engines of a large deployment, whose prompts share
+long parts, with callers spread over all routers. Targets are a number of slots
+and a bounded cache. Routers are the product's own news, knowledge of targets and
+choice; only sockets, callers and targets are stand-ins. Nothing waits: time is
+that of the clock.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import OrderedDict
+
+from primrosescale.connection.endpoint import Endpoint
+from primrosescale.process.entry.other_router import OtherRouter
+from primrosescale.process.entry.router_exchange import NewsExchange
+from primrosescale.process.entry.router_news import RouterNews
+from primrosescale.process.entry.target_list import TargetList
+from primrosescale.request.freshness import Freshness
+from primrosescale.request.incoming import Prompt
+from primrosescale.request.incoming import PromptPart
+from primrosescale.request.part_directory import PartDirectory
+from primrosescale.request.serving_target import ServingTarget
+from primrosescale.request.target_choice import ChoiceSettings
+from primrosescale.request.target_choice import TargetChooser
+from primrosescale.request.target_state import LoadReport
+
+START = 1000.0
+SERVICE = "model"
+SLOTS = 16
+CACHE_TOKENS = 310_000
+LINK_SECONDS = 0.001
+# Datagrams get lost now and then.
+LOST_SHARE = 0.001
+# Pace of an engine of this size: a step for one token, more for each request
+# beside, and the reading of prompts.
+STEP_SECONDS = 0.0029
+STEP_SECONDS_A_REQUEST = 0.0001
+READ_TOKENS_A_SECOND = 55_000
+FETCHED_TOKENS_A_SECOND = 880_000
+# Of a kind with a hot subject, the requests that ask for it.
+HOT_SHARE = 0.28
+STARTS_AT = 1_790_000_000_000
+
+
+class Timer:
+    """A call that is due."""
+
+    __slots__ = ("act", "arguments", "is_due")
+
+    def __init__(self, act, arguments):
+        self.act = act
+        self.arguments = arguments
+        self.is_due = True
+
+    def active(self):
+        return self.is_due
+
+    def cancel(self):
+        self.is_due = False
+
+
+class HeapClock:
+    """Time and timers, fast with many of them."""
+
+    def __init__(self):
+        self._now = START
+        self._order = itertools.count()
+        self._timers = []
+
+    def seconds(self):
+        return self._now
+
+    def callLater(self, delay, act, *arguments):
+        timer = Timer(act, arguments)
+        heapq.heappush(self._timers, (self._now + delay, next(self._order), timer))
+        return timer
+
+    def run(self, until):
+        while self._timers and self._timers[0][0] <= until:
+            self._now, _, timer = heapq.heappop(self._timers)
+            if timer.is_due:
+                timer.is_due = False
+                timer.act(*timer.arguments)
+        self._now = until
+
+
+class Kind:
+    """A kind of request.
+
+    Parameters
+    ----------
+    rate : float
+        Its part of all requests.
+    subjects : int
+        How many long shared parts there are.
+    shared_tokens : int
+        Mean length of these.
+    own_tokens : int
+        Mean length of what belongs to a request alone.
+    output_tokens : int
+        Mean length of an answer.
+    """
+
+    def __init__(self, name, rate, subjects, shared_tokens, own_tokens, output_tokens):
+        self.name = name
+        self.rate = rate
+        self.subjects = subjects
+        self.shared_tokens = shared_tokens
+        self.own_tokens = own_tokens
+        self.output_tokens = output_tokens
+
+
+# A desk that drafts contracts, tells of meter histories and tags complaints:
+# requests a second as fractions, subjects and tokens of such a deployment.
+DESK = (
+    Kind("draft", 0.263, 217, 10_000, 1300, 384),
+    Kind("story", 0.307, 380, 580, 130, 288),
+    Kind("tag", 0.43, 797, 1700, 360, 24),
+)
+
+
+class Engine:
+    """A target: what it runs and what its cache holds."""
+
+    def __init__(self, name):
+        self.name = name
+        self.running = 0
+        self.cache = OrderedDict()
+        self.cached_tokens = 0
+
+    def holds(self, parts):
+        """Return the leading tokens that it need not read."""
+        tokens = 0
+        for part in parts:
+            if part.name not in self.cache:
+                break
+            tokens += part.tokens
+        return tokens
+
+    def keep(self, parts):
+        for part in parts:
+            known = self.cache.pop(part.name, 0)
+            self.cache[part.name] = part.tokens
+            self.cached_tokens += part.tokens - known
+        while self.cached_tokens > CACHE_TOKENS:
+            _, tokens = self.cache.popitem(last=False)
+            self.cached_tokens -= tokens
+
+
+class QuietLog:
+    """Takes no notice of events."""
+
+    def emit(self, *arguments, **fields):
+        pass
+
+
+class ExchangeParts:
+    """What an exchange of news is built with."""
+
+    def __init__(self, clock):
+        self.reactor = clock
+        self.log = QuietLog()
+
+
+class Wire:
+    """The datagrams of one router."""
+
+    def __init__(self, fleet, router):
+        self._fleet = fleet
+        self._router = router
+
+    def write(self, frame, address):
+        self._fleet.carry(self._router, frame, address[1])
+
+
+class FleetRouter:
+    """One router: its knowledge, its choice and its news."""
+
+    def __init__(self, number, domain, fleet):
+        self.name = f"router-{number}"
+        self.domain = domain
+        self.number = number
+        self.is_up = True
+        self.fleet = fleet
+        self.begin(1)
+
+    def begin(self, incarnation):
+        """Begin a life of the process, which knows nothing of a former one."""
+        clock = self.fleet.clock
+        self.targets = TargetList(2.0)
+        self.parts = PartDirectory()
+        self.freshness = Freshness(5.0)
+        self.news = self._build_news(incarnation)
+        self.exchange = NewsExchange(
+            self.news, lambda: 1, lambda: False, lambda: 0, ExchangeParts(clock)
+        )
+        self.exchange.transport = Wire(self.fleet, self)
+        self.chooser = TargetChooser(
+            ChoiceSettings(),
+            self.parts,
+            random.Random(f"{self.number} {incarnation}"),
+            lambda: self.news.age(clock.seconds()),
+            lambda: self.news.is_relayed,
+        )
+
+    def _build_news(self, incarnation):
+        return RouterNews(
+            self.name,
+            incarnation,
+            self.targets,
+            self.parts,
+            self.freshness,
+            self.domain,
+            self.fleet.settings,
+        )
+
+    def as_listed(self):
+        endpoint = Endpoint("10.0.0.1", self.number)
+        return OtherRouter(self.name, endpoint, self.domain)
+
+
+class Fleet:
+    """Routers, targets and callers.
+
+    Parameters
+    ----------
+    routers : int
+        How many.
+    targets : int
+        How many.
+    domains : int
+        Failure domains of the routers.
+    rate : float
+        Requests a second.
+    seed : int
+        Of all chance.
+    """
+
+    def __init__(
+        self, routers, targets, domains, rate, seed, kinds=DESK, settings=None
+    ):
+        self.clock = HeapClock()
+        self.rng = random.Random(seed)
+        self.rate = rate
+        self.kinds = kinds
+        self.settings = settings
+        self.engines = {}
+        self.hot = None
+        # Pairs of names, from whom to whom nothing comes through.
+        self.cuts = set()
+        self.sent = self.over = 0
+        self.tokens = self.read = self.fetched = 0
+        self.ages = []
+        self.is_settled = False
+        self.over_by_target = {}
+        self.routers = [
+            FleetRouter(number, f"domain-{number % domains}", self)
+            for number in range(routers)
+        ]
+        for number in range(targets):
+            self.add_target(f"target-{number}", number)
+        for router in self.routers:
+            self.list_routers(router)
+            delay = self.rng.random() * 0.3
+            self.clock.callLater(delay, router.exchange.startProtocol)
+
+    def list_routers(self, router):
+        for other in self.routers:
+            router.news.put(other.as_listed(), self.clock.seconds())
+
+    def add_target(self, name, number, delay=lambda: 0.0):
+        """List a target, which each router hears of at a time of its own."""
+        self.engines[name] = Engine(name)
+        entry = ServingTarget(
+            name=name,
+            endpoint=Endpoint("10.0.1.1", 9000 + number),
+            service=SERVICE,
+            domain="a",
+            slots=SLOTS,
+            started_at=STARTS_AT + number,
+        )
+        for router in self.routers:
+            self.clock.callLater(delay(), self._list, router, entry)
+
+    def _list(self, router, entry):
+        router.targets.put(entry, self.clock.seconds())
+        state = router.targets.state(entry.name)
+        router.parts.limit(state.incarnation, CACHE_TOKENS)
+
+    def remove_target(self, name, delay):
+        """Lose a target with all that runs there."""
+        self.engines.pop(name)
+        for router in self.routers:
+            self.clock.callLater(delay(), self._delist, router, name)
+
+    def _delist(self, router, name):
+        router.targets.remove(name, 0.0)
+        for incarnation in router.targets.forget_gone(self.clock.seconds() + 9):
+            router.parts.forget_target(incarnation)
+
+    def carry(self, sender, frame, number):
+        """Take a datagram to another router."""
+        if (sender.name, self.routers[number].name) in self.cuts:
+            return
+        if sender.is_up and self.rng.random() >= LOST_SHARE:
+            self.clock.callLater(LINK_SECONDS, self._deliver, number, frame)
+
+    def _deliver(self, number, frame):
+        router = self.routers[number]
+        if router.is_up:
+            router.exchange.datagramReceived(frame, ("10.0.0.1", 1))
+
+    def lose(self, router):
+        """Have a router neither send nor receive any more, frozen or dead."""
+        router.is_up = False
+
+    def wake(self, router):
+        """Have a frozen router go on with what it knew."""
+        router.is_up = True
+
+    def restart(self, router, incarnation):
+        """Have a router begin anew under its name, knowing only its lists."""
+        router.exchange.stop()
+        entries = [state.target for state in router.targets.states]
+        router.begin(incarnation)
+        self.list_routers(router)
+        for entry in entries:
+            self._list(router, entry)
+        router.is_up = True
+        router.exchange.startProtocol()
+
+    def run(self, seconds):
+        self.clock.run(self.clock.seconds() + seconds)
+
+    def begin(self):
+        """Let callers come, once targets are listed."""
+        self.run(0.1)
+        self._ask()
+
+    def settle(self):
+        """Count from now on."""
+        self.is_settled = True
+
+    def _ask(self):
+        self.clock.callLater(self.rng.expovariate(self.rate), self._ask)
+        router = self.rng.choice(self.routers)
+        if not router.is_up:
+            return
+        now = self.clock.seconds()
+        if self.is_settled:
+            self.ages.append(router.news.age(now))
+        kind, wanted = self._draw()
+        choice = router.chooser.choose(
+            router.targets.of_service(SERVICE), (), wanted, now
+        )
+        state = choice.state
+        state.sent(now)
+        if router.parts.note_own(
+            state.incarnation, wanted.parts, now, is_expected=choice.is_home
+        ):
+            router.exchange.tell_soon()
+        source = choice.fetch_from
+        self.clock.callLater(
+            LINK_SECONDS, self._arrive, router, state, kind, wanted, source
+        )
+
+    def _draw(self):
+        [kind] = self.rng.choices(self.kinds, [kind.rate for kind in self.kinds])
+        # Few subjects are asked for much more often than the rest.
+        place = int(kind.subjects * self.rng.random() ** 1.4)
+        if self.hot is not None and kind is self.hot and self.rng.random() < HOT_SHARE:
+            place = kind.subjects
+        shuffled = random.Random(f"{kind.name} {place}")
+        tokens = max(1, int(shuffled.expovariate(1 / kind.shared_tokens)))
+        tokens = min(tokens, 3 * kind.shared_tokens)
+        own = max(1, int(self.rng.expovariate(1 / kind.own_tokens)))
+        parts = (
+            PromptPart(f"{kind.name[0]}{place % 8:07x}", 300),
+            PromptPart(f"{kind.name[0]}{place + 8:07x}", tokens),
+            PromptPart(f"{self.rng.getrandbits(32):08x}", own),
+        )
+        total = sum(part.tokens for part in parts)
+        output = max(1, int(self.rng.expovariate(1 / kind.output_tokens)))
+        return kind, Prompt(parts, total, output, "m")
+
+    def _arrive(self, router, state, kind, wanted, source):
+        now = self.clock.seconds()
+        engine = self.engines.get(state.target.name)
+        if engine is None:
+            # A crashed target; its caller would be sent elsewhere.
+            state.unreachable(now)
+            state.ended()
+            return
+        mean = sum(item.running for item in self.engines.values()) / len(self.engines)
+        if self.is_settled:
+            self.sent += 1
+            if engine.running > 2 * mean + 3:
+                self.over += 1
+                name = engine.name
+                self.over_by_target[name] = self.over_by_target.get(name, 0) + 1
+        held = engine.holds(wanted.parts)
+        moved = self._move(engine, wanted, held, source)
+        read = wanted.prompt_tokens - held - moved
+        if self.is_settled:
+            shared = wanted.prompt_tokens - wanted.parts[-1].tokens
+            self.tokens += shared
+            self.read += max(0, shared - held - moved)
+            self.fetched += moved
+        engine.keep(wanted.parts)
+        engine.running += 1
+        first = read / READ_TOKENS_A_SECOND + moved / FETCHED_TOKENS_A_SECOND
+        step = STEP_SECONDS + STEP_SECONDS_A_REQUEST * engine.running
+        lasts = first + wanted.output_tokens * step
+        self.clock.callLater(first + step, self._answer, state, engine)
+        self.clock.callLater(first + lasts, self._end, state, engine)
+
+    def _move(self, engine, wanted, held, source):
+        if source is None or source.target.name not in self.engines:
+            return 0
+        there = self.engines[source.target.name].holds(wanted.parts)
+        return max(0, there - held)
+
+    def _answer(self, state, engine):
+        now = self.clock.seconds()
+        if engine.name in self.engines:
+            state.reported(LoadReport(engine.running, 0, SLOTS), now)
+            state.succeeded(now)
+
+    def _end(self, state, engine):
+        engine.running -= 1
+        state.ended()
+
+    @property
+    def over_share(self):
+        """Return the share of requests that met a target over the bound."""
+        return self.over / max(1, self.sent)
+
+    @property
+    def read_share(self):
+        """Return the share of tokens of shared parts that were read again."""
+        return self.read / max(1, self.tokens)
+
+    @property
+    def fetched_share(self):
+        """Return the share of tokens of shared parts that were moved."""
+        return self.fetched / max(1, self.tokens)
+
+    def bytes_out(self):
+        """Return the bytes of news that each router has sent."""
+        return [router.exchange.bytes_out for router in self.routers]
--- a/tools/generate_wire.py
+++ b/tools/generate_wire.py
@@ -85,6 +85,14 @@
     ("LedgerEntry", "answer"),
     ("TargetNews", "good_percent"),
     ("TargetNews", "bad_percent"),
+    ("PartNews", "before"),
+    ("RouterNews", "scope"),
+    ("RouterNews", "wants_fleet"),
+    ("RouterNews", "targets_digest"),
+    ("RouterNews", "running"),
+    ("RouterNews", "age_ms"),
+    ("RouterNews", "routers"),
+    ("RouterNews", "is_packed"),
 ]
 ENUM_FIELDS = {
     ("CallFailed", "outcome"): "Outcome",
@@ -94,6 +102,7 @@
     ("ClaimRequest", "verb"): "ClaimVerb",
     ("ClaimReply", "state"): "ClaimState",
     ("LedgerEntry", "state"): "ClaimState",
+    ("RouterNews", "scope"): "NewsScope",
 }
 BOOL, I32, I64, STRING, STRUCT, LIST = 2, 8, 10, 11, 12, 15
 
