--- a/tools/fill_docs.py
+++ b/tools/fill_docs.py
@@ -85,6 +85,7 @@
     "path-cost": lambda: flat("path_cost"),
     "decision-cost": lambda: flat("decision_cost"),
     "placement": lambda: grouped("placement"),
+    "fleet-news": lambda: grouped("fleet_news"),
     "fairness": lambda: grouped("fairness"),
     "ledger-rate": lambda: grouped("ledger_rate"),
     "config-spread": lambda: grouped("config_spread"),
