--- a/src/primrosescale/request/target_choice.py
+++ b/src/primrosescale/request/target_choice.py
@@ -140,8 +140,8 @@
         Returns how old the news of other routers' requests may be, in seconds;
         None for a router without others.
     relies_on_homes : Callable[[], bool]
-        Returns whether routers tell each other only of prompts that are
-        elsewhere than at their homes, which are then taken to hold them.
+        Returns whether routers are so many that they tell each other only of
+        prompts that are elsewhere than at their homes.
     """
 
     def __init__(
@@ -245,7 +245,12 @@
             few = self._draw(usable) if has_old_news else usable
             bounded = [min(few, key=lambda s: loads[s.target.name])]
         if prompt is None:
-            bounded = self._draw(bounded) if has_old_news else bounded
+            # Plain requests end, within 0.1 s, before a large fleet hears of them:
+            # the best by the last news would be the best for all routers. Over
+            # twice the mean and 3 then: 2.6 %, by lot 0.1 % (68 routers, 6 targets,
+            # virtual clock).
+            if has_old_news or self._relies_on_homes():
+                bounded = self._draw(bounded)
             best = min(bounded, key=lambda s: self._plain_cost(s, loads, now))
             return Choice(
                 best,
--- a/tests/entry/test_large_fleet.py
+++ b/tests/entry/test_large_fleet.py
@@ -14,6 +14,7 @@
 from testtools import TestCase
 
 from support.router_fleet import DESK
+from support.router_fleet import PORTAL
 from support.router_fleet import Fleet
 
 ROUTERS, TARGETS, DOMAINS = 68, 60, 6
@@ -86,3 +87,19 @@
         self.fleet.hot = DESK[0]
         self.count()
         self.assertLess(self.fleet.over_share, MOST_OVER)
+
+
+class PlainRequestsTest(TestCase):
+    """110 lookups of 0.09 s a second, from 68 routers to 6 targets.
+
+    They end before other routers hear of them, so that who all choose what
+    looked best in the last news choose alike.
+    """
+
+    def test_they_keep_the_bound(self):
+        fleet = Fleet(ROUTERS, 6, DOMAINS, 110.0, SEED, PORTAL)
+        fleet.begin()
+        fleet.run(2.0)
+        fleet.settle()
+        fleet.run(6.0)
+        self.assertLess(fleet.over_share, MOST_OVER)
--- a/tests/support/router_fleet.py
+++ b/tests/support/router_fleet.py
@@ -41,6 +41,8 @@
 STEP_SECONDS_A_REQUEST = 0.0001
 READ_TOKENS_A_SECOND = 55_000
 FETCHED_TOKENS_A_SECOND = 880_000
+# Work of a plain request.
+PLAIN_SECONDS = 0.09
 # Of a kind with a hot subject, the requests that ask for it.
 HOT_SHARE = 0.28
 STARTS_AT = 1_790_000_000_000
@@ -96,7 +98,7 @@
     rate : float
         Its part of all requests.
     subjects : int
-        How many long shared parts there are.
+        How many long shared parts there are; 0 for plain requests.
     shared_tokens : int
         Mean length of these.
     own_tokens : int
@@ -123,6 +125,10 @@
 )
 
 
+# Customers' portals that look up readings and confirm changes.
+PORTAL = (Kind("lookup", 1.0, 0, 0, 0, 0),)
+
+
 class Engine:
     """A target: what it runs and what its cache holds."""
 
@@ -359,7 +365,7 @@
         )
         state = choice.state
         state.sent(now)
-        if router.parts.note_own(
+        if wanted is not None and router.parts.note_own(
             state.incarnation, wanted.parts, now, is_expected=choice.is_home
         ):
             router.exchange.tell_soon()
@@ -370,6 +376,8 @@
 
     def _draw(self):
         [kind] = self.rng.choices(self.kinds, [kind.rate for kind in self.kinds])
+        if not kind.subjects:
+            return kind, None
         # Few subjects are asked for much more often than the rest.
         place = int(kind.subjects * self.rng.random() ** 1.4)
         if self.hot is not None and kind is self.hot and self.rng.random() < HOT_SHARE:
@@ -402,6 +410,16 @@
                 self.over += 1
                 name = engine.name
                 self.over_by_target[name] = self.over_by_target.get(name, 0) + 1
+        engine.running += 1
+        first, lasts = self._serve(engine, wanted, source)
+        self.clock.callLater(first, self._answer, state, engine)
+        self.clock.callLater(lasts, self._end, state, engine)
+
+    def _serve(self, engine, wanted, source):
+        """Return the seconds until an answer begins and ends."""
+        if wanted is None:
+            lasts = self.rng.expovariate(1 / PLAIN_SECONDS)
+            return lasts, lasts
         held = engine.holds(wanted.parts)
         moved = self._move(engine, wanted, held, source)
         read = wanted.prompt_tokens - held - moved
@@ -411,12 +429,9 @@
             self.read += max(0, shared - held - moved)
             self.fetched += moved
         engine.keep(wanted.parts)
-        engine.running += 1
         first = read / READ_TOKENS_A_SECOND + moved / FETCHED_TOKENS_A_SECOND
         step = STEP_SECONDS + STEP_SECONDS_A_REQUEST * engine.running
-        lasts = first + wanted.output_tokens * step
-        self.clock.callLater(first + step, self._answer, state, engine)
-        self.clock.callLater(first + lasts, self._end, state, engine)
+        return first + step, first + wanted.output_tokens * step
 
     def _move(self, engine, wanted, held, source):
         if source is None or source.target.name not in self.engines:
