--- a/src/primrosescale/request/target_choice.py
+++ b/src/primrosescale/request/target_choice.py
@@ -6,8 +6,10 @@
 what the cache does not save against the requests that are there already.
 
 Many routers hear of each other's requests late. All would then choose the same
-target until the news comes, and none of them after it; so they choose by lot
-among few, and go where a prompt is cached only below a load drawn each time.
+target until the news comes, and none of them after it. So a large fleet chooses
+among the home of a prompt, those that are known to hold it and two by lot. Where
+the news is older still, the home and the holders are left out above a load that
+is drawn each time.
 """
 
 from __future__ import annotations
