--- a/src/primrosescale/process/entry/router_exchange.py
+++ b/src/primrosescale/process/entry/router_exchange.py
@@ -130,9 +130,10 @@
         self._urgent = None
         if self._is_stopped:
             return
+        # Before anything that may fail: a round that fails must not be the last.
+        self._timer = self._reactor.callLater(self._news.interval, self._round)
         self._send(is_urgent=False)
         self._note_teller()
-        self._timer = self._reactor.callLater(self._news.interval, self._round)
 
     def _note_teller(self) -> None:
         """Log from whom this router hears of all others, when that changes."""
--- a/tests/entry/test_news_relays.py
+++ b/tests/entry/test_news_relays.py
@@ -213,6 +213,22 @@
         self.assertEqual([gone.name], first.news.unheard(self.now()))
         self.assertEqual([], second.news.unheard(self.now()))
 
+    def test_a_round_that_fails_is_not_the_last(self):
+        [member, *_] = self.members("domain-0")
+        compose, failed = member.news.compose, []
+
+        def fail_once(*arguments, **fields):
+            if not failed:
+                failed.append(True)
+                raise ZeroDivisionError
+            return compose(*arguments, **fields)
+
+        member.news.compose = fail_once
+        self.assertRaises(ZeroDivisionError, self.fleet.run, 1.0)
+        self.send(member)
+        self.fleet.run(1.0)
+        self.assert_all_know(1.0)
+
 
 class ReleasesTest(RelayedFleet):
     """Routers of the release before relays tell all others, and hear no sums."""
--- a/tests/entry/test_router_news.py
+++ b/tests/entry/test_router_news.py
@@ -11,9 +11,11 @@
 from primrosescale.connection.codec import decode
 from primrosescale.connection.codec import encode
 from primrosescale.connection.endpoint import Endpoint
+from primrosescale.process.entry.news_paths import NewsSettings
 from primrosescale.process.entry.other_router import OtherRouter
 from primrosescale.process.entry.router_news import BYTES_PER_SECOND
 from primrosescale.process.entry.router_news import MOST_PARTS
+from primrosescale.process.entry.router_news import USUAL_DATAGRAM
 from primrosescale.process.entry.router_news import RouterNews
 from primrosescale.process.entry.target_list import TargetList
 from primrosescale.request.freshness import Freshness
@@ -23,11 +25,18 @@
 
 
 class Side:
-    def __init__(self, name, incarnation=1):
+    def __init__(self, name, incarnation=1, settings=None):
         self.targets = TargetList(2.0)
         self.parts = PartDirectory()
         self.fresh = Freshness(5.0)
-        self.news = RouterNews(name, incarnation, self.targets, self.parts, self.fresh)
+        self.news = RouterNews(
+            name,
+            incarnation,
+            self.targets,
+            self.parts,
+            self.fresh,
+            settings=settings,
+        )
         for number in range(1, 6):
             self.targets.put(target(f"m{number}"), START)
 
@@ -180,6 +189,15 @@
         self.b.news.take(self.a.message(), 1, START)
         self.assertEqual(0.0, self.b.targets.state("x80").load(START))
 
+    def test_many_routers_are_told_less_often(self):
+        direct = Side("a", settings=NewsSettings(most_direct=1000))
+        direct.knows("a", "b")
+        self.assertEqual(0.25, direct.news.interval)
+        direct.knows(*(f"r{number}" for number in range(420)))
+        told = (len(direct.news.others)) * USUAL_DATAGRAM / direct.news.interval
+        self.assertTrue(len(direct.news.others) >= 420)
+        self.assertAlmostEqual(BYTES_PER_SECOND, told)
+
     def test_many_routers_are_told_within_the_bytes_allowed(self):
         self.assertEqual(0.25, self.a.news.interval)
         self.a.targets.state("m1").sent(START)
