After a start each engine is asked by one router, which tells the others

Cause: each router that started again asked each engine what it holds. Change: each engine is the share of one router, by an order that all agree on. Who starts asks its share, and the other routers for theirs; routers that went on answer from what they know. Shares of routers that are down are asked for by others, a dozen engines in all. The code leaves the entry router for two modules.

--- a/src/primrosescale/connection/codec.py
+++ b/src/primrosescale/connection/codec.py
@@ -43,6 +43,8 @@
     | wire.ClaimRequest
     | wire.ClaimReply
     | wire.CacheImport
+    | wire.CacheQuestion
+    | wire.CacheAnswer
 )
 
 KIND = wire.MessageKind
@@ -71,6 +73,8 @@
     KIND.CLAIM_REQUEST: wire.ClaimRequest,
     KIND.CLAIM_REPLY: wire.ClaimReply,
     KIND.CACHE_IMPORT: wire.CacheImport,
+    KIND.CACHE_QUESTION: wire.CacheQuestion,
+    KIND.CACHE_ANSWER: wire.CacheAnswer,
 }
 PREFIX_BY_CLASS = {item: bytes([kind]) for kind, item in CLASS_BY_KIND.items()}
 MALFORMED = (
--- a/src/primrosescale/connection/wire.thrift
+++ b/src/primrosescale/connection/wire.thrift
@@ -13,7 +13,7 @@
   DOMAIN_SUMS = 34, ROUTER_NEWS = 35,
   SECTION_REQUEST = 40, SECTION_REPLY = 41,
   CLAIM_REQUEST = 50, CLAIM_REPLY = 51,
-  CACHE_IMPORT = 60
+  CACHE_IMPORT = 60, CACHE_QUESTION = 61, CACHE_ANSWER = 62
 }
 
 /* What is known about a call that has no answer. */
@@ -184,6 +184,19 @@
   15: optional i32 age_ms, 16: optional i32 routers, 17: optional bool is_packed
 }
 
+/* What a router that has just started asks the others, and what one answers: the
+ * parts of prompts that targets hold, of those targets for which it is the first
+ * in the order of routers that all agree on. "is_last" ends its answer. */
+struct CacheQuestion { 1: required string origin }
+struct CachedPart {
+  1: required string part, 2: required i32 tokens, 3: required i32 age_ms
+}
+struct TargetCache { 1: required i32 target, 2: required list<CachedPart> parts }
+struct CacheAnswer {
+  1: required string origin, 2: required list<TargetCache> caches,
+  3: required bool is_last
+}
+
 struct SectionRequest { 1: required string digest }
 struct SectionReply {
   1: required string digest, 2: required bool found, 3: required binary data
--- a/src/primrosescale/connection/wire/ttypes.py
+++ b/src/primrosescale/connection/wire/ttypes.py
@@ -42,6 +42,8 @@
     CLAIM_REQUEST = 50
     CLAIM_REPLY = 51
     CACHE_IMPORT = 60
+    CACHE_QUESTION = 61
+    CACHE_ANSWER = 62
 
 
 
@@ -4505,6 +4507,374 @@
         return not (self == other)
 
 
+class CacheQuestion(object):
+    """
+    Attributes:
+     - origin
+
+    """
+
+    __slots__ = (
+        'origin',
+    )
+
+
+    def __init__(self, origin=None,):
+        self.origin = origin
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.origin = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CacheQuestion')
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.STRING, 1)
+            oprot.writeString(self.origin.encode('utf-8') if sys.version_info[0] == 2 else self.origin)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.origin is None:
+            raise TProtocolException(message='Required field origin is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CachedPart(object):
+    """
+    Attributes:
+     - part
+     - tokens
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'part',
+        'tokens',
+        'age_ms',
+    )
+
+
+    def __init__(self, part=None, tokens=None, age_ms=None,):
+        self.part = part
+        self.tokens = tokens
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CachedPart')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 2)
+            oprot.writeI32(self.tokens)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.part is None:
+            raise TProtocolException(message='Required field part is unset!')
+        if self.tokens is None:
+            raise TProtocolException(message='Required field tokens is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TargetCache(object):
+    """
+    Attributes:
+     - target
+     - parts
+
+    """
+
+    __slots__ = (
+        'target',
+        'parts',
+    )
+
+
+    def __init__(self, target=None, parts=None,):
+        self.target = target
+        self.parts = parts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.target = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = CachedPart()
+                        _elem159.read(iprot)
+                        self.parts.append(_elem159)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetCache')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.I32, 1)
+            oprot.writeI32(self.target)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.parts))
+            for iter160 in self.parts:
+                iter160.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.target is None:
+            raise TProtocolException(message='Required field target is unset!')
+        if self.parts is None:
+            raise TProtocolException(message='Required field parts is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CacheAnswer(object):
+    """
+    Attributes:
+     - origin
+     - caches
+     - is_last
+
+    """
+
+    __slots__ = (
+        'origin',
+        'caches',
+        'is_last',
+    )
+
+
+    def __init__(self, origin=None, caches=None, is_last=None,):
+        self.origin = origin
+        self.caches = caches
+        self.is_last = is_last
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.origin = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.caches = []
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = TargetCache()
+                        _elem166.read(iprot)
+                        self.caches.append(_elem166)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.is_last = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CacheAnswer')
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.STRING, 1)
+            oprot.writeString(self.origin.encode('utf-8') if sys.version_info[0] == 2 else self.origin)
+            oprot.writeFieldEnd()
+        if self.caches is not None:
+            oprot.writeFieldBegin('caches', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.caches))
+            for iter167 in self.caches:
+                iter167.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.is_last is not None:
+            oprot.writeFieldBegin('is_last', TType.BOOL, 3)
+            oprot.writeBool(self.is_last)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.origin is None:
+            raise TProtocolException(message='Required field origin is unset!')
+        if self.caches is None:
+            raise TProtocolException(message='Required field caches is unset!')
+        if self.is_last is None:
+            raise TProtocolException(message='Required field is_last is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SectionRequest(object):
     """
     Attributes:
@@ -4714,11 +5084,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype157, _size154) = iprot.readListBegin()
-                    for _i158 in range(_size154):
-                        _elem159 = Header()
-                        _elem159.read(iprot)
-                        self.headers.append(_elem159)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = Header()
+                        _elem173.read(iprot)
+                        self.headers.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4749,8 +5119,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter160 in self.headers:
-                iter160.write(oprot)
+            for iter174 in self.headers:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -5207,21 +5577,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = LedgerEntry()
-                        _elem166.read(iprot)
-                        self.entries.append(_elem166)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = LedgerEntry()
+                        _elem180.read(iprot)
+                        self.entries.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.sealed = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.sealed.append(_elem172)
+                    (_etype184, _size181) = iprot.readListBegin()
+                    for _i185 in range(_size181):
+                        _elem186 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.sealed.append(_elem186)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5242,15 +5612,15 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter173 in self.entries:
-                iter173.write(oprot)
+            for iter187 in self.entries:
+                iter187.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sealed is not None:
             oprot.writeFieldBegin('sealed', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.sealed))
-            for iter174 in self.sealed:
-                oprot.writeString(iter174.encode('utf-8') if sys.version_info[0] == 2 else iter174)
+            for iter188 in self.sealed:
+                oprot.writeString(iter188.encode('utf-8') if sys.version_info[0] == 2 else iter188)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5695,6 +6065,31 @@
     (16, TType.I32, 'routers', None, None, ),  # 16
     (17, TType.BOOL, 'is_packed', None, None, ),  # 17
 )
+all_structs.append(CacheQuestion)
+CacheQuestion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'origin', 'UTF8', None, ),  # 1
+)
+all_structs.append(CachedPart)
+CachedPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'tokens', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
+all_structs.append(TargetCache)
+TargetCache.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'target', None, None, ),  # 1
+    (2, TType.LIST, 'parts', (TType.STRUCT, [CachedPart, None], False), None, ),  # 2
+)
+all_structs.append(CacheAnswer)
+CacheAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'origin', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'caches', (TType.STRUCT, [TargetCache, None], False), None, ),  # 2
+    (3, TType.BOOL, 'is_last', None, None, ),  # 3
+)
 all_structs.append(SectionRequest)
 SectionRequest.thrift_spec = (
     None,  # 0
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -9,13 +9,14 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.defer import DeferredList
 from twisted.internet.defer import inlineCallbacks
 
 from primrosescale.clock import cancel_timer
 from primrosescale.connection.early_listener import BACKLOG
 from primrosescale.connection.endpoint import Endpoint
 from primrosescale.exceptions import PrimrosescaleError
+from primrosescale.process.entry.cache_learning import CacheLearning
+from primrosescale.process.entry.cache_shares import CacheShares
 from primrosescale.process.entry.caller_site import FIRST_LIMITS
 from primrosescale.process.entry.caller_site import CallerConnection
 from primrosescale.process.entry.caller_site import EntryFactory
@@ -25,7 +26,6 @@
 from primrosescale.process.entry.router_exchange import RouterRegistry
 from primrosescale.process.entry.router_news import RouterNews
 from primrosescale.process.entry.target_caller import HttpTargetCaller
-from primrosescale.process.entry.target_list import TARGET
 from primrosescale.process.entry.target_list import TargetList
 from primrosescale.process.entry.target_restarts import TargetRestarts
 from primrosescale.process.entry.text_site import Text
@@ -40,19 +40,14 @@
 from primrosescale.request.gate import Gate
 from primrosescale.request.hop import NO_HOP
 from primrosescale.request.part_directory import PartDirectory
-from primrosescale.request.part_directory import PartUse
 from primrosescale.request.repeat_budget import RepeatBudget
 from primrosescale.request.target_choice import TargetChooser
-from primrosescale.request.target_incarnation import TargetIncarnation
 
 if TYPE_CHECKING:
     from collections.abc import Generator
 
-    from twisted.python.failure import Failure
-
     from primrosescale.clock import Timer
     from primrosescale.process.entry.caller_site import EntryRequest
-    from primrosescale.process.entry.codec import HeldParts
     from primrosescale.process.entry.entry_parts import EntryParts
     from primrosescale.process.entry.entry_settings import EntrySettings
     from primrosescale.process.entry.entry_settings import EntryWatches
@@ -77,17 +72,8 @@
 # A request that comes before the store has been read waits this long: reading
 # takes some 10 ms, and 0.25 s while the store is slow.
 START_PATIENCE = 0.5
-# Model engines tell what they hold within 20-40 ms; one that is silent must not
-# keep callers waiting.
-CACHE_PATIENCE = 0.1
-# Telling delays a model engine's work, and each answer takes a connection: at
-# 2,700 engines a restart took 74 MB and 120 new connections a second. Where
-# there are more, what the hash order of targets says is relied on for the rest.
-# Of 27 all are asked: with 12, what is read again costs more than is saved.
-MOST_CACHES_READ = 96
-# Many routers need not read them: what they send where is at its home by hash
-# already. All of 68 routers that start again together would ask 60 engines each,
-# 4,000 questions in the second in which callers come back.
+# Many routers learn nothing of caches at their start: what they send where is at
+# its home by hash already.
 # The list of routers tells which holds. It normally comes within the 4 ms that the
 # store takes to answer; callers do not wait for it longer than for caches.
 LIST_PAUSE = 0.005
@@ -142,12 +128,19 @@
             settings.news,
         )
         self._registry = RouterRegistry(settings, incarnation, self._news, parts)
+        shares = CacheShares(
+            settings.name, targets, self._directory, lambda: self._news.others
+        )
         self._exchange = NewsExchange(
             self._news,
             self._version,
             self._is_store_lost,
             lambda: self._knowledge.listed.revision,
             parts,
+            shares,
+        )
+        self._learning = CacheLearning(
+            shares, self._exchange, targets, self._directory, parts
         )
         self._knowledge = Knowledge(
             settings,
@@ -472,20 +465,10 @@
             self._reactor.callLater(LIST_PAUSE, self._learned, patience - LIST_PAUSE)
             return
         if not self._settings.reads_caches or self._news.is_relayed:
+            self._learning.skip()
             self._serve_early()
             return
-        # Requests that waited for the start come in a burst; without this
-        # knowledge each of their prompts would be read again somewhere.
-        targets = [
-            state.target
-            for state in self._knowledge.targets.states
-            if self._has_cache(state.target)
-        ]
-        if len(targets) > MOST_CACHES_READ:
-            targets = self._parts.rng.sample(targets, MOST_CACHES_READ)
-        read = DeferredList([self._read_cache(target) for target in targets])
-        read.addCallback(lambda _: self._serve_early())
-        self._reactor.callLater(CACHE_PATIENCE, self._serve_early)
+        self._learning.start(self._has_cache, self._serve_early)
 
     def _limit_caches(self) -> None:
         """Take in how much each target holds, whenever that may have changed."""
@@ -504,40 +487,6 @@
         service = table.service(target.service) if table is not None else None
         return service is not None and bool(service.cache_tokens)
 
-    def _read_cache(self, target: ServingTarget) -> Deferred[None]:
-        """Learn what a model engine holds from before this process's start."""
-        reading = self._parts.caches.read(target)
-
-        def failed(failure: Failure) -> None:
-            detail = failure.getErrorMessage()
-            self._log.emit(Event.CACHE_NOT_READ, target=target.name, detail=detail)
-
-        return reading.addCallbacks(self._learn_cache, failed, callbackArgs=(target,))
-
-    def _learn_cache(self, held: HeldParts, target: ServingTarget) -> None:
-        """Take in what a target told; it may be of an earlier or a later life."""
-        now = self._now()
-        told = target.incarnation
-        if held.started_at is not None:
-            told = TargetIncarnation(target.name, held.started_at)
-        state = self._knowledge.targets.state(target.name)
-        if state is not None and state.incarnation.is_followed_by(told):
-            # The store's word on a leave or a slow start was of the former.
-            begun = replace(
-                state.target,
-                started_at=told.started_at,
-                is_draining=False,
-                warming_for=0.0,
-            )
-            self._knowledge.targets.put(begun, now, told_by=TARGET)
-        elif state is None or state.incarnation != told:
-            detail = f"not of the life that is known: start {told.started_at}"
-            self._log.emit(Event.CACHE_NOT_READ, target=target.name, detail=detail)
-            return
-        for part in held.parts:
-            self._directory.note(PartUse(part.name, told, part.tokens, now))
-        self._log.emit(Event.CACHE_READ, target=target.name, parts=len(held.parts))
-
     def _is_cut_off(self, now: float) -> bool:
         """Tell whether callers are better served by other routers."""
         if self._knowledge.lost_for(now) < LOST_SECONDS:
--- a/src/primrosescale/process/entry/router_exchange.py
+++ b/src/primrosescale/process/entry/router_exchange.py
@@ -25,13 +25,17 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Generator
+    from collections.abc import Sequence
 
     from twisted.python.failure import Failure
 
     from primrosescale.clock import Timer
+    from primrosescale.connection.codec import Message
     from primrosescale.connection.endpoint import Endpoint
+    from primrosescale.process.entry.cache_shares import CacheShares
     from primrosescale.process.entry.entry_parts import EntryParts
     from primrosescale.process.entry.entry_settings import EntrySettings
+    from primrosescale.process.entry.other_router import OtherRouter
     from primrosescale.process.entry.router_news import RouterNews
     from primrosescale.process.transport.platform import StoredObject
 
@@ -56,6 +60,8 @@
         Returns the newest change of the target list that is known here.
     parts : EntryParts
         What the router is built with.
+    shares : CacheShares
+        What is asked and told of the caches of targets.
     """
 
     def __init__(
@@ -65,8 +71,10 @@
         is_store_lost: Callable[[], bool],
         list_revision: Callable[[], int],
         parts: EntryParts,
+        shares: CacheShares,
     ) -> None:
         self._news = news
+        self._shares = shares
         self._version = version
         self._is_store_lost = is_store_lost
         self._list_revision = list_revision
@@ -114,8 +122,22 @@
             detail = f"{addr}: {error}"
             self._log.emit(Event.NEWS_REFUSED, detail=detail)
             return
+        now = self._reactor.seconds()
         if isinstance(message, wire.RouterNews):
-            self._news.take(message, self._version(), self._reactor.seconds())
+            self._news.take(message, self._version(), now)
+        elif isinstance(message, wire.CacheQuestion):
+            self._write_all(self._shares.take_question(message, now))
+        elif isinstance(message, wire.CacheAnswer):
+            self._shares.take_answer(message, now)
+
+    def ask_caches(self) -> None:
+        """Ask the routers that have not answered yet what targets hold."""
+        question = self._shares.question()
+        self._write_all([(other, question) for other in self._shares.unanswered])
+
+    def know_caches(self) -> None:
+        """Tell those who have asked: this router knows its share by now."""
+        self._write_all(self._shares.know(self._reactor.seconds()))
 
     def _urgent_round(self) -> None:
         if not self._news.is_relayed:
@@ -151,15 +173,17 @@
             self._teller = teller
 
     def _send(self, *, is_urgent: bool) -> None:
-        transport: Any = self.transport
-        now = self._reactor.seconds()
         messages = self._news.compose(
             self._version(),
-            now,
+            self._reactor.seconds(),
             is_store_lost=self._is_store_lost(),
             list_revision=self._list_revision(),
             is_urgent=is_urgent,
         )
+        self._write_all(messages)
+
+    def _write_all(self, messages: Sequence[tuple[OtherRouter, Message]]) -> None:
+        transport: Any = self.transport
         for router, message in messages:
             frame = encode(message)
             address = (router.endpoint.address, router.endpoint.port)
--- a/src/primrosescale/request/part_directory.py
+++ b/src/primrosescale/request/part_directory.py
@@ -66,11 +66,13 @@
 class _HeldPart:
     """A part that a target is taken to hold."""
 
-    __slots__ = ("tokens", "told_at", "used_at")
+    __slots__ = ("is_shared", "tokens", "told_at", "used_at")
 
     def __init__(self, tokens: int, used_at: float) -> None:
         self.tokens = tokens
         self.used_at = used_at
+        # Whether requests of other routers may have it.
+        self.is_shared = True
         # When other routers last heard of its use, from here or elsewhere.
         self.told_at = used_at
 
@@ -200,7 +202,9 @@
             use = PartUse(part.name, target, part.tokens, now)
             held, was_unknown = self._note(use)
             if place > deepest:
+                held.is_shared = held.is_shared and not was_unknown
                 continue
+            held.is_shared = True
             is_news = is_news or was_unknown
             is_old = now - held.told_at >= TELL_AGAIN_SECONDS
             if was_unknown or (is_old and place == deepest):
@@ -263,6 +267,30 @@
             for key in [key for key in told if key[1] == target]:
                 del told[key]
 
+    def shared(self, target: TargetIncarnation, now: float) -> list[PartUse]:
+        """Return the parts that a target has and that any request may share.
+
+        Parameters
+        ----------
+        target : TargetIncarnation
+            The life of the target.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        list[PartUse]
+            Their last uses that are known, the least recent first.
+        """
+        holder = self._holders.get(target)
+        if holder is None:
+            return []
+        return [
+            PartUse(name, target, part.tokens, part.used_at)
+            for name, part in holder.parts.items()
+            if part.is_shared and now - part.used_at <= HELD_SECONDS
+        ]
+
     def held(
         self, target: TargetIncarnation, parts: Iterable[PromptPart], now: float
     ) -> int:
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -24,11 +24,11 @@
 from primrosescale.platform.exceptions import BootFileError
 from primrosescale.platform.http_codec import PlatformCodec
 from primrosescale.platform.object_platform import ObjectPlatform
+from primrosescale.process.entry.cache_learning import MOST_READ
 from primrosescale.process.entry.codec import CacheReader
 from primrosescale.process.entry.codec import HeldParts
 from primrosescale.process.entry.entry_metrics import EntryMetrics
 from primrosescale.process.entry.entry_parts import EntryParts
-from primrosescale.process.entry.entry_router import MOST_CACHES_READ
 from primrosescale.process.entry.entry_router import EntryRouter
 from primrosescale.process.entry.entry_settings import EntrySettings
 from primrosescale.process.entry.entry_settings import EntryWatches
@@ -369,14 +369,14 @@
         config = configuration()
         config["services"][1]["engine"]["kv_cache_tokens"] = 1000
         self.store.write("config", "main", config)
-        for number in range(MOST_CACHES_READ + 30):
+        for number in range(MOST_READ + 30):
             entry = target_entry("model", f"{LOOPBACK}:1")
             self.store.write("servers", f"x{number}", entry)
         caches = SilentCaches()
         yield self.start(reads_caches=True, caches=caches)
         yield self.eventually(lambda: bool(caches.readings))
         asked = len(caches.readings)
-        self.assertEqual(MOST_CACHES_READ, asked)
+        self.assertEqual(MOST_READ, asked)
 
     def said(self, arrival):
         return arrival.method, arrival.path, arrival.body
--- a/tests/support/router_fleet.py
+++ b/tests/support/router_fleet.py
@@ -15,6 +15,7 @@
 from collections import OrderedDict
 
 from primrosescale.connection.endpoint import Endpoint
+from primrosescale.process.entry.cache_shares import CacheShares
 from primrosescale.process.entry.other_router import OtherRouter
 from primrosescale.process.entry.router_exchange import NewsExchange
 from primrosescale.process.entry.router_news import RouterNews
@@ -201,8 +202,16 @@
         self.parts = PartDirectory()
         self.freshness = Freshness(5.0)
         self.news = self._build_news(incarnation)
+        self.shares = CacheShares(
+            self.name, self.targets, self.parts, lambda: self.news.others
+        )
         self.exchange = NewsExchange(
-            self.news, lambda: 1, lambda: False, lambda: 0, ExchangeParts(clock)
+            self.news,
+            lambda: 1,
+            lambda: False,
+            lambda: 0,
+            ExchangeParts(clock),
+            self.shares,
         )
         self.exchange.transport = Wire(self.fleet, self)
         self.chooser = TargetChooser(
