Through an outage one watch asks the store, and wakes the others

Cause: each of three watches of a router asked a store that did not answer two or three times a second, and a fourth question went beside them when the knowledge grew old. Change: while the watch of the configuration knows the store to be lost, the other two leave asking to it for up to 4 s; its first answer renews them at once. Ruled out: waiting for it alone, since it may be its question that fails.

--- a/src/primrosescale/process/entry/knowledge.py
+++ b/src/primrosescale/process/entry/knowledge.py
@@ -184,11 +184,17 @@
                 parts.rng,
                 self._broken,
                 wait,
+                leaves_asking,
             )
-            for watched, handler, wait in (
-                (watches.configuration, self._handler, self._configuration_wait),
-                (watches.targets, self._listed, None),
-                (watches.routers, routers, None),
+            for watched, handler, wait, leaves_asking in (
+                (
+                    watches.configuration,
+                    self._handler,
+                    self._configuration_wait,
+                    lambda: False,
+                ),
+                (watches.targets, self._listed, None, self._is_lost),
+                (watches.routers, routers, None, self._is_lost),
             )
         ]
         self._targets_watch = self._watches[1]
@@ -270,7 +276,9 @@
             Present time in seconds.
         """
         self._look_after_list(newest_list, now)
-        if not self._is_old(now) and not self._is_outdated(newest_version, now):
+        is_due = self._is_old(now) or self._is_outdated(newest_version, now)
+        if not is_due or self._is_lost():
+            # A lost store is asked by the watch, again and again.
             return
         pause = ASK_BESIDE_SECONDS if self._is_asking else ASK_AGAIN_SECONDS
         if self._asked_at is None or now - self._asked_at > pause:
@@ -330,6 +338,10 @@
         reading.addCallbacks(answered, failed)
         reading.addErrback(self._broken)
 
+    def _is_lost(self) -> bool:
+        """Tell whether the watch of the configuration asks the store for all."""
+        return self._connection.lost_at is not None
+
     def _configuration_wait(self) -> float:
         if self._asks_often():
             return self._watched.wait
--- a/src/primrosescale/process/entry/store_watch.py
+++ b/src/primrosescale/process/entry/store_watch.py
@@ -32,6 +32,8 @@
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 0.5
 GROWTH = 1.5
+# The same of a watch that leaves asking to another one, which wakes it.
+LEFT_PAUSE = 4.0
 # Pause after a fault of this program's own, which reading anew may not mend.
 FAULT_PAUSE = 1.0
 # A change answers the watches of all routers at once; drawing each wait anew
@@ -125,6 +127,10 @@
     wait : Callable[[], float] | None
         Returns the seconds that the store may keep the next question waiting;
         None for what `watched` says.
+    leaves_asking : Callable[[], bool]
+        Returns whether another watch asks a store that does not answer, and
+        renews this one when it does: three that ask through an outage cost three
+        times as much and know it no sooner.
     """
 
     def __init__(
@@ -136,8 +142,10 @@
         rng: Random,
         on_fault: Callable[[Failure], None],
         wait: Callable[[], float] | None = None,
+        leaves_asking: Callable[[], bool] = lambda: False,
     ) -> None:
         self._wait = wait
+        self._leaves_asking = leaves_asking
         self._on_fault = on_fault
         self._platform = platform
         self._watched = watched
@@ -147,6 +155,7 @@
         self._is_stopped = False
         self._since = 0
         self._asked: Deferred[WatchResult] | None = None
+        self._resting: Deferred[None] | None = None
 
     @property
     def revision(self) -> int:
@@ -163,6 +172,8 @@
         asked, self._asked = self._asked, None
         if asked is not None:
             asked.cancel()
+        if self._resting is not None:
+            self._resting.cancel()
 
     @inlineCallbacks
     def run(self) -> Generator[Any, Any, None]:
@@ -194,7 +205,7 @@
                 self._handler.failed(error)
                 if self._watched.reads_after_failure:
                     self._since = 0
-                yield self._sleep(pause)
+                yield self._rest(LEFT_PAUSE if self._leaves_asking() else pause)
                 pause = min(LONGEST_PAUSE, pause * GROWTH)
                 continue
             if found is None:
@@ -225,6 +236,17 @@
                 self._asked = None
         return found
 
+    @inlineCallbacks
+    def _rest(self, seconds: float) -> Generator[Any, Any, None]:
+        """Wait after a failed question, until it is renewed at the longest."""
+        self._resting = self._sleep(seconds)
+        try:
+            yield self._resting
+        except CancelledError:
+            pass
+        finally:
+            self._resting = None
+
     def _sleep(self, seconds: float) -> Any:
         drawn = seconds * self._rng.uniform(0.5, 1.0)
         return deferLater(self._reactor, drawn, lambda: None)
--- a/tests/entry/test_knowledge.py
+++ b/tests/entry/test_knowledge.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from types import SimpleNamespace
 
 from testtools import TestCase
 from twisted.internet.defer import Deferred
+from twisted.internet.defer import fail
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
 
@@ -16,6 +18,7 @@
 from primrosescale.process.entry.knowledge import LIST_PATIENCE
 from primrosescale.process.entry.knowledge import VERSION_PATIENCE
 from primrosescale.process.entry.knowledge import Knowledge
+from primrosescale.process.entry.store_watch import FIRST_PAUSE
 from primrosescale.process.entry.store_watch import WatchedPrefix
 from primrosescale.process.entry.target_list import TargetList
 from primrosescale.process.exceptions import PlatformUnavailableError
@@ -50,12 +53,15 @@
 
     changed = replaced
 
+    def failed(self, error):
+        """Do nothing."""
+
 
-class LookAfterTest(TestCase):
+class KnowledgeTest(TestCase):
     def setUp(self):
         super().setUp()
         self.clock = Clock()
-        self.store = QuietStore()
+        self.store = self.make_store()
         self.told = []
         parts = SimpleNamespace(
             reactor=self.clock,
@@ -66,7 +72,7 @@
             log=SimpleNamespace(emit=lambda event, **said: self.told.append(event)),
         )
         watches = EntryWatches(
-            configuration=WatchedPrefix("versions/", 1.5),
+            configuration=WatchedPrefix("versions/", 1.5, reads_after_failure=True),
             targets=WatchedPrefix("targets/", 8.0, rest=REST),
             routers=WatchedPrefix("routers/", 20.0),
         )
@@ -82,12 +88,17 @@
         self.knowledge.start(lambda: None)
         self.store.reads.clear()
 
+    def make_store(self):
+        return QuietStore()
+
     def pass_time(self, seconds, version=0, listed=0):
         for _ in range(int(seconds / TICK)):
             self.knowledge.freshness.answered(self.clock.seconds())
             self.knowledge.look_after(version, listed, self.clock.seconds())
             self.clock.advance(TICK)
 
+
+class LookAfterTest(KnowledgeTest):
     def test_a_version_on_its_way_is_not_asked_for(self):
         self.pass_time(VERSION_PATIENCE - TICK, version=1)
         self.assertEqual([], self.store.reads)
@@ -116,3 +127,66 @@
         self.knowledge.renew_watches()
         self.assertEqual([], self.told)
         self.assertEqual(6, len(self.store.watches))
+
+
+class LostStore(QuietStore):
+    """Fails each question while it is down, and keeps watches waiting else."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_down = False
+        self.asked = []
+
+    def watch(self, prefix, since, wait):
+        self.asked.append(prefix)
+        if self.is_down:
+            return fail(PlatformUnavailableError("status 503"))
+        return super().watch(prefix, since, wait)
+
+    def fall(self):
+        """Go down: what waits is answered with a failure."""
+        self.is_down = True
+        waiting, self.watches = self.watches, []
+        for _, asked in waiting:
+            asked.errback(PlatformUnavailableError("connection lost"))
+        self.asked.clear()
+
+
+class OutageTest(KnowledgeTest):
+    """A store that is away for long, asked by hundreds of routers."""
+
+    OUTAGE = 10.0
+    # The watch of the configuration asks two or three times a second.
+    MOST_ASKED_A_SECOND = 4
+
+    def make_store(self):
+        return LostStore()
+
+    def pass_outage(self, seconds):
+        for _ in range(int(seconds / TICK)):
+            self.knowledge.look_after(1, 0, self.clock.seconds())
+            self.clock.advance(TICK)
+
+    def test_one_watch_asks_for_all(self):
+        self.store.fall()
+        self.pass_outage(self.OUTAGE)
+        asked = Counter(self.store.asked)
+        self.assertLess(len(self.store.asked), self.MOST_ASKED_A_SECOND * self.OUTAGE)
+        self.assertGreater(asked["versions/"], 3 * asked["targets/"])
+        self.assertGreater(asked["versions/"], 3 * asked["routers/"])
+
+    def test_the_end_of_an_outage_wakes_the_others_at_once(self):
+        self.store.fall()
+        self.pass_outage(self.OUTAGE)
+        self.store.asked.clear()
+        self.store.is_down = False
+        while "versions/" not in self.store.asked:
+            self.clock.advance(0.01)
+        self.assertEqual({"versions/", "targets/", "routers/"}, set(self.store.asked))
+
+    def test_a_failure_of_one_watch_alone_is_asked_through(self):
+        [asked] = [a for prefix, a in self.store.watches if prefix == "targets/"]
+        self.store.asked.clear()
+        asked.errback(PlatformUnavailableError("status 429"))
+        self.clock.advance(FIRST_PAUSE)
+        self.assertEqual(["targets/"], self.store.asked)
