A prompt whose shared parts no target holds whole goes to its home

Cause: all targets hold the beginnings of prompts, so a new rest counted as known wherever its beginning was, and went to the least busy of these. Routers that met it at once had it read at different targets, and copies of it then pushed other parts out of memories of 170,000 tokens. Change: tokens that a target holds make others go there only if they are all that is shared, as it was in fleets of more than 32 routers; the two ways of judging are one.

--- a/src/primrosescale/request/target_choice.py
+++ b/src/primrosescale/request/target_choice.py
@@ -289,15 +289,6 @@
             mean=mean,
         )
 
-    def _is_held(self, prompt: Prompt, most: int) -> bool:
-        """Tell whether tokens that a target holds make others go there.
-
-        Where homes are relied on that takes all that is shared: the beginnings
-        of prompts are held by most targets.
-        """
-        least = max(1, shared_tokens(prompt)) if self._relies_on_homes() else 1
-        return most >= least
-
     def _draw(self, states: Sequence[TargetState]) -> list[TargetState]:
         return self._rng.sample(states, min(DRAWN_TARGETS, len(states)))
 
@@ -311,7 +302,7 @@
     ) -> list[TargetState]:
         """Return some by lot, and some that hold the prompt below a load."""
         most = max(held[state.target.name] for state in bounded)
-        if self._is_held(prompt, most):
+        if _is_held(prompt, most):
             warm = [state for state in bounded if held[state.target.name] == most]
         else:
             warm = [home_of(prompt, bounded)]
@@ -341,7 +332,7 @@
         """Return the target that costs least; `usual` is the share of failures."""
         most = max(held[state.target.name] for state in reached)
         home = home_of(prompt, bounded)
-        is_known = self._is_held(prompt, most)
+        is_known = _is_held(prompt, most)
         settings = self._settings
 
         def cost(state: TargetState) -> float:
@@ -369,11 +360,21 @@
         """Return where the chosen target may copy the prompt from."""
         richest = max(reached, key=lambda state: known[state.target.name])
         most = known[richest.target.name]
-        if self._relies_on_homes() and not self._is_held(prompt, most):
+        if self._relies_on_homes() and not _is_held(prompt, most):
             return expected_source(prompt, reached, best, now)
         return richest if most > known[best.target.name] else None
 
 
+def _is_held(prompt: Prompt, most: int) -> bool:
+    """Tell whether tokens that a target holds make others go there.
+
+    That takes all that is shared. The beginnings of prompts are held by most
+    targets; if they counted, routers that meet a new rest at once would each have
+    it read at another target.
+    """
+    return most >= max(1, shared_tokens(prompt))
+
+
 def _usual_failures(states: Sequence[TargetState], now: float) -> float:
     """Return the median share of failures, which is no reason to leave a target.
 
--- a/tests/entry/test_prompt_homes.py
+++ b/tests/entry/test_prompt_homes.py
@@ -137,3 +137,43 @@
         wanted = prompt(("chat", 900))
         choice = self.chooser().choose(self.states, (), wanted, START + 1)
         self.assertIs(home_of(wanted, self.states), choice.state)
+
+
+class BeginningsTest(TestCase):
+    """Prompts of one kind: the same beginning, then one of many long parts.
+
+    All targets hold the beginning, and routers that differ in what they know of
+    loads meet a new long part at the same moment.
+    """
+
+    ROUTERS = 20
+
+    def setUp(self):
+        super().setUp()
+        self.states = [
+            TargetState(target(f"m{number}"), START) for number in range(TARGETS)
+        ]
+        self.parts = PartDirectory()
+        for state in self.states:
+            self.parts.note(PartUse("terms", state.incarnation, 500, START))
+
+    def chosen(self, wanted):
+        """Return the targets that routers with other loads each choose."""
+        names = set()
+        for number in range(self.ROUTERS):
+            chooser = TargetChooser(ChoiceSettings(), self.parts, random.Random(number))
+            busy = self.states[number % TARGETS]
+            busy.hear_router("other", 1, START + 1)
+            names.add(chooser.choose(self.states, (), wanted, START).state.target.name)
+            busy.hear_router("other", 0, START + 1)
+        return names
+
+    def test_a_new_rest_is_read_at_one_target_for_all_routers(self):
+        home = home_of(WANTED, self.states)
+        self.assertEqual({home.target.name}, self.chosen(WANTED))
+
+    def test_a_prompt_that_is_held_whole_goes_where_it_is(self):
+        home = home_of(WANTED, self.states)
+        holder = next(state for state in self.states if state is not home)
+        self.parts.note(PartUse("tariffs", holder.incarnation, 10_000, START))
+        self.assertEqual({holder.target.name}, self.chosen(WANTED))
