After a version the next one is read a fifth of its bound later at the soonest

Cause: in a storm of configurations each change wakes the watch of each router. Change: the rest after a version follows the bound that the deployment names (0.4 of 2 s, 0.6 of 3 s) in place of 0.15 s. It delays only versions that come in it.

--- a/src/primrosescale/platform/entry.py
+++ b/src/primrosescale/platform/entry.py
@@ -61,11 +61,11 @@
 # times over in buffers, and as much again in reserve.
 BYTES_PER_REQUEST = 600_000
 # Changes come in bursts: versions 0.1-0.3 s apart in a storm, targets of a
-# release together, all routers at a start. Each rest is a part of the time in
-# which the change must be known: 0.15 s of 2 s for a version; for targets, a
-# share of the time in which one that leaves may still get work; for routers
-# nothing is promised.
-CONFIGURATION_REST = 0.15
+# release together, all routers at a start. Each rest is a share of the time in
+# which the change must be known: of that in which a version must be in force, and
+# of that in which a target that leaves may still get work; for routers nothing is
+# promised. A rest halves the calls of a storm and delays only what comes in it.
+CONFIGURATION_REST_SHARE = 0.2
 TARGETS_REST_SHARE = 0.3
 ROUTERS_REST = 2.0
 # Routers come and go seldom, and nothing is promised about them.
@@ -143,7 +143,7 @@
             records.CONFIGURATION,
             CONFIGURATION_WAIT,
             longest_wait=LONGEST_CONFIGURATION_WAIT,
-            rest=CONFIGURATION_REST,
+            rest=CONFIGURATION_REST_SHARE * host.bounds.apply,
             reads_after_failure=True,
         ),
         targets=WatchedPrefix(
--- a/src/primrosescale/platform/host_settings.py
+++ b/src/primrosescale/platform/host_settings.py
@@ -18,6 +18,7 @@
 # name all of them, with these values.
 DEFAULT_BOUNDS: dict[str, float] = {
     "drain_ms": 2000,
+    "config_apply_ms": 2000,
     "grace_s": 8,
     "revoke_ms": 5000,
     "retry_budget_ratio": 0.2,
@@ -35,6 +36,8 @@
     ----------
     drain : float
         Seconds after which a leaving target must get no new work.
+    apply : float
+        Seconds after which a version must be in force on all routers.
     stop : float
         Seconds between SIGTERM and SIGKILL.
     revoke : float
@@ -50,6 +53,7 @@
     """
 
     drain: float
+    apply: float
     stop: float
     revoke: float
     repeat_ratio: float
@@ -193,6 +197,7 @@
 
     return Bounds(
         drain=of("drain_ms") * MILLISECOND,
+        apply=of("config_apply_ms") * MILLISECOND,
         stop=of("grace_s"),
         revoke=of("revoke_ms") * MILLISECOND,
         repeat_ratio=of("retry_budget_ratio"),
