Routers tell each other good outcomes of targets too

Cause: a target was told of by routers that saw it fail, and by them alone. With all of them known, outcomes halve in 2 s, not 5. Sums of what others told are kept in one class for loads and outcomes.

--- a/src/primrosescale/connection/wire.thrift
+++ b/src/primrosescale/connection/wire.thrift
@@ -157,10 +157,11 @@
  * that the receiver knows after which of its own messages this was sent.
  * "knowledge_age_ms" is the age of the sender's newest answer of the store
  * about the configuration; -1 for none. Targets are named by a hash of their
- * name; "good_percent" and "bad_percent" are left out where nothing failed. */
+ * name; "good_percent" and "bad_percent" are left out where nothing failed, and "good"
+ * has the good outcomes there. */
 struct TargetNews {
   1: required i32 target, 2: required i32 running,
-  3: optional i32 good_percent, 4: optional i32 bad_percent
+  3: optional i32 good_percent, 4: optional i32 bad_percent, 5: optional i32 good
 }
 struct PartNews {
   1: required string part, 2: required i32 target, 3: required i32 tokens,
--- a/src/primrosescale/connection/wire/ttypes.py
+++ b/src/primrosescale/connection/wire/ttypes.py
@@ -3978,6 +3978,7 @@
      - running
      - good_percent
      - bad_percent
+     - good
 
     """
 
@@ -3986,14 +3987,16 @@
         'running',
         'good_percent',
         'bad_percent',
+        'good',
     )
 
 
-    def __init__(self, target=None, running=None, good_percent=None, bad_percent=None,):
+    def __init__(self, target=None, running=None, good_percent=None, bad_percent=None, good=None,):
         self.target = target
         self.running = running
         self.good_percent = good_percent
         self.bad_percent = bad_percent
+        self.good = good
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4024,6 +4027,11 @@
                     self.bad_percent = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.good = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4050,6 +4058,10 @@
             oprot.writeFieldBegin('bad_percent', TType.I32, 4)
             oprot.writeI32(self.bad_percent)
             oprot.writeFieldEnd()
+        if self.good is not None:
+            oprot.writeFieldBegin('good', TType.I32, 5)
+            oprot.writeI32(self.good)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6034,6 +6046,7 @@
     (2, TType.I32, 'running', None, None, ),  # 2
     (3, TType.I32, 'good_percent', None, None, ),  # 3
     (4, TType.I32, 'bad_percent', None, None, ),  # 4
+    (5, TType.I32, 'good', None, None, ),  # 5
 )
 all_structs.append(PartNews)
 PartNews.thrift_spec = (
--- a/src/primrosescale/process/entry/load_codec.py
+++ b/src/primrosescale/process/entry/load_codec.py
@@ -79,7 +79,7 @@
         states = [
             state
             for state in self._targets.states
-            if state.own_running or state.has_outcomes(now)
+            if state.own_running or _has_outcomes(state, now)
         ]
         # The bound concerns the most loaded ones; failures come after them.
         states.sort(key=lambda state: (-state.own_running, -state.outcomes(now)[1]))
@@ -212,26 +212,37 @@
     """
     found = {
         item.target: (
-            (item.good_percent or 0) / PERCENT,
+            item.good or (item.good_percent or 0) / PERCENT,
             (item.bad_percent or 0) / PERCENT,
         )
         for item in targets
-        if item.bad_percent is not None
+        if item.bad_percent is not None or item.good is not None
     }
     good = sum(outcomes[0] for outcomes in found.values())
     bad = sum(outcomes[1] for outcomes in found.values())
     return found if bad <= WITNESS_MOST_FAILURES * (good + bad) else {}
 
 
+def _has_outcomes(state: TargetState, now: float) -> bool:
+    """Tell whether there are outcomes that would be seen after rounding."""
+    good, bad = state.outcomes(now)
+    return bad > LEAST_TOLD or round(good) > 0
+
+
 def _target_news(state: TargetState, now: float) -> wire.TargetNews:
+    """Return what a router tells of a target.
+
+    Good outcomes are told without failures too: by those of one router a single
+    failure would look like a target that often fails.
+    """
     good, bad = state.outcomes(now)
-    is_worth_telling = bad > LEAST_TOLD
-    return wire.TargetNews(
-        target_key(*state.incarnation),
-        state.own_running,
-        round(good * PERCENT) if is_worth_telling else None,
-        round(bad * PERCENT) if is_worth_telling else None,
-    )
+    news = wire.TargetNews(target_key(*state.incarnation), state.own_running)
+    if bad > LEAST_TOLD:
+        news.good_percent = round(good * PERCENT)
+        news.bad_percent = round(bad * PERCENT)
+    elif round(good):
+        news.good = min(MOST_IN_A_BYTE, round(good))
+    return news
 
 
 def _summed(key: int, running: int, loads: LoadSum) -> wire.TargetNews:
--- a/src/primrosescale/request/target_state.py
+++ b/src/primrosescale/request/target_state.py
@@ -8,12 +8,12 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from primrosescale.request.decaying_outcomes import DecayingOutcomes
+from primrosescale.request.told_counts import ToldCounts
 
 if TYPE_CHECKING:
     from primrosescale.request.serving_target import ServingTarget
@@ -23,9 +23,10 @@
 # time most plain requests that it counted have ended (their mean is 0.1 s),
 # and streams are counted again by the next answers.
 REPORT_HALF_LIFE = 0.5
-# Outcomes lose half of their influence in this time: at about one request a
-# second from one router to one target, five outcomes count.
-OUTCOME_HALF_LIFE = 5.0
+# Outcomes lose half of their influence in this time. All routers tell theirs, so
+# that it covers a dozen or more at each target; a longer time would send callers
+# to a target that has begun to fail.
+OUTCOME_HALF_LIFE = 2.0
 # A target that could not be reached is left out this long at first, and twice
 # as long after each further failure, up to the most. A restart takes 2-5 s.
 FIRST_PAUSE = 0.5
@@ -37,8 +38,6 @@
 SILENT_SECONDS = 0.45
 # A late answer is worth half of one in time.
 LATE_WEIGHT = 0.5
-# Fewer than this have faded to nothing.
-LEAST_OUTCOMES = 0.01
 # Pseudo-outcomes that hold a target to be good before it was tried.
 PRIOR_GOOD = 2.0
 
@@ -81,7 +80,6 @@
         "_heard_at",
         "_held_up",
         "_incarnation",
-        "_news",
         "_outcomes",
         "_own",
         "_own_at_report",
@@ -91,8 +89,8 @@
         "_since",
         "_target",
         "_told",
-        "_told_outcomes",
-        "_told_until",
+        "_told_bad",
+        "_told_good",
         "_waited_for_since",
     )
 
@@ -105,12 +103,9 @@
         self._report = LoadReport(0, 0, target.slots)
         self._report_at = now - 60.0
         self._own_at_report = 0
-        self._news: dict[str, tuple[int, float]] = {}
-        # Sum of the news and a time until which all of it counts, so that a
-        # choice need not add up what some hundred routers told.
-        self._told = 0
-        self._told_until = math.inf
-        self._told_outcomes: dict[str, tuple[float, float, float]] = {}
+        self._told = ToldCounts()
+        self._told_good = ToldCounts()
+        self._told_bad = ToldCounts()
         self._outcomes = DecayingOutcomes(OUTCOME_HALF_LIFE, now)
         self._failures = 0
         self._paused_until = 0.0
@@ -234,10 +229,7 @@
         fresh_until : float
             When this stops to count, in seconds.
         """
-        known, _ = self._news.get(router, (0, 0.0))
-        self._news[router] = (running, fresh_until)
-        self._told += running - known
-        self._told_until = min(self._told_until, fresh_until)
+        self._told.put(router, running, fresh_until)
 
     def hear_outcomes(
         self, router: str, good: float, bad: float, fresh_until: float
@@ -255,7 +247,8 @@
         fresh_until : float
             When this stops to count, in seconds.
         """
-        self._told_outcomes[router] = (good, bad, fresh_until)
+        self._told_good.put(router, good, fresh_until)
+        self._told_bad.put(router, bad, fresh_until)
 
     def load(self, now: float) -> float:
         """Return how many requests are there by the best knowledge.
@@ -273,23 +266,10 @@
         float
             Requests, running and waiting.
         """
-        if now > self._told_until:
-            self._forget_old_news(now)
         total = self._report.running + self._report.waiting
         others = max(0, total - self._own_at_report)
         faded = others * 0.5 ** ((now - self._report_at) / REPORT_HALF_LIFE)
-        return float(self._own + max(self._told, faded))
-
-    def _forget_old_news(self, now: float) -> None:
-        self._news = {
-            router: (running, fresh_until)
-            for router, (running, fresh_until) in self._news.items()
-            if now <= fresh_until
-        }
-        self._told = sum(running for running, _ in self._news.values())
-        self._told_until = min(
-            (until for _, until in self._news.values()), default=math.inf
-        )
+        return float(self._own + max(self._told.total(now), faded))
 
     def failure_share(self, now: float) -> float:
         """Return the share of failures among recent outcomes.
@@ -304,11 +284,9 @@
         float
             0 to 1.
         """
-        good, bad = self.outcomes(now)
-        for told_good, told_bad, fresh_until in self._told_outcomes.values():
-            if now <= fresh_until:
-                good += told_good
-                bad += told_bad
+        own_good, own_bad = self.outcomes(now)
+        good = own_good + self._told_good.total(now)
+        bad = own_bad + self._told_bad.total(now)
         return bad / (good + bad + PRIOR_GOOD)
 
     def outcomes(self, now: float) -> tuple[float, float]:
@@ -326,22 +304,6 @@
         """
         return self._outcomes.counts(now)
 
-    def has_outcomes(self, now: float) -> bool:
-        """Tell whether there are outcomes worth telling others.
-
-        Parameters
-        ----------
-        now : float
-            Present time in seconds.
-
-        Returns
-        -------
-        bool
-            True when they would be seen after rounding.
-        """
-        good, bad = self.outcomes(now)
-        return good + bad > LEAST_OUTCOMES
-
     def succeeded(self, now: float) -> None:
         """Take in a good outcome.
 
--- a/tests/entry/test_router_news.py
+++ b/tests/entry/test_router_news.py
@@ -208,3 +208,45 @@
         told = sum(len(encode(message)) for _, message in messages)
         self.assertLess(told / self.a.news.interval, BYTES_PER_SECOND)
         self.assertLess(3 * self.a.news.interval, 0.8)
+
+
+class OutcomesTest(TestCase):
+    """Many routers, each of which sees few requests at each target."""
+
+    ROUTERS, SENT_BY_EACH = 30, 2
+
+    def setUp(self):
+        super().setUp()
+        names = [f"r{number}" for number in range(self.ROUTERS)]
+        self.sides = [Side(name) for name in names]
+        for side in self.sides:
+            side.knows(*names)
+            for _ in range(self.SENT_BY_EACH):
+                for number in range(1, 6):
+                    side.targets.state(f"m{number}").succeeded(START)
+
+    def tell_all(self):
+        for side in self.sides:
+            _, message = side.news.compose(1, START)[0]
+            frame = encode(message)
+            self.assertLess(len(frame), BYTES_IN_ONE_PIECE)
+            for other in self.sides:
+                if other is not side:
+                    other.news.take(decode(frame), 1, START)
+
+    def share(self, name):
+        return self.sides[0].targets.state(name).failure_share(START)
+
+    def test_a_single_failure_weighs_as_one_of_all_that_all_sent(self):
+        self.sides[7].targets.state("m1").failed(START)
+        self.tell_all()
+        sent = self.ROUTERS * self.SENT_BY_EACH + 1
+        self.assertLess(self.share("m1"), 1.1 / sent)
+
+    def test_one_that_fails_two_in_five_everywhere_is_known_everywhere(self):
+        for side in self.sides:
+            for _ in range(4 * self.SENT_BY_EACH // 3):
+                side.targets.state("m1").failed(START)
+        self.tell_all()
+        self.assertAlmostEqual(0.4, self.share("m1"), delta=0.1)
+        self.assertEqual(0.0, self.share("m2"))
--- a/tools/generate_wire.py
+++ b/tools/generate_wire.py
@@ -85,6 +85,7 @@
     ("LedgerEntry", "answer"),
     ("TargetNews", "good_percent"),
     ("TargetNews", "bad_percent"),
+    ("TargetNews", "good"),
     ("PartNews", "before"),
     ("RouterNews", "scope"),
     ("RouterNews", "wants_fleet"),
