The choice of a target is split by job; constants without tales of their tuning

choose() had 90 lines: loads of one moment have a class, the load bound, plain requests and prompts a method each. Comments over constants say unit and reason.

--- a/src/primrosescale/request/part_directory.py
+++ b/src/primrosescale/request/part_directory.py
@@ -21,7 +21,7 @@
     from primrosescale.request.incoming import PromptPart
     from primrosescale.request.target_incarnation import TargetIncarnation
 
-# What was used longer ago is not relied on, whatever the memory: other
+# Seconds. What was used longer ago is not relied on, whatever the memory: other
 # routers' use of it may have gone unheard.
 HELD_SECONDS = 60.0
 # Of a target's memory. Shared parts of running requests are held once for all,
@@ -32,8 +32,8 @@
 # Others are told again that a part is still used once their knowledge of it has
 # lost half of its time: early enough for one lost datagram, and not with each use.
 TELL_AGAIN_SECONDS = HELD_SECONDS / 2
-# Shorter shared parts are read within 20 ms by an engine of today, about what
-# moving them takes; where they went is not worth telling a large fleet.
+# Shorter shared parts are read about as soon as they are moved; where they went is
+# not worth telling a large fleet.
 LEAST_TOLD_TOKENS = 1000
 
 
--- a/src/primrosescale/request/target_choice.py
+++ b/src/primrosescale/request/target_choice.py
@@ -37,19 +37,14 @@
 
 # A target that fails two requests in five must look busier than one with all
 # slots taken, while the one in seven that some plain services fail anyway
-# hardly counts: 32 x 0.4^2 = 5, 32 x 0.14^2 = 0.6.
+# hardly counts.
 PLAIN_FAILURE_WEIGHT = 32.0
-# Smaller than the difference that one request makes.
+# Requests; smaller than the difference that one request makes.
 TIE_BREAK = 0.01
-# Age in seconds of the news of other routers beyond which it is too old to choose
-# the best of all by. Share of requests that reach a target over twice the mean
-# and 3, with news 1.5 s old (60 routers, 60 targets, virtual clock): few shared
-# parts 13-16 %, by lot 1-2 %; plain requests 3-6 %, by lot 0.1 %. At 0.4 s, 27
-# routers, choosing the best keeps the bound and more of the cache; so it does at
-# 0.7 s, 68 routers, where the oldest load is so old (0.9 %).
+# Age in seconds of the news of other routers beyond which the best target by it
+# would be the best for all of them at once.
 OLD_NEWS = 0.7
-# Targets drawn by lot then. Plain requests over the bound, on a virtual clock at
-# three sizes: with two 0, 1.0 and 0 %, with three 5.3, 1.4 and 0.1 %.
+# Targets drawn by lot then; of more, the best would again be the same for many.
 DRAWN_TARGETS = 2
 # The load below which a target that holds the prompt is taken is drawn from
 # this part of the mean up to the bound.
@@ -127,6 +122,32 @@
     mean: float
 
 
+class _Loads:
+    """Loads of the targets that serve, at the moment of one choice."""
+
+    __slots__ = ("_by_name", "age", "mean", "serving")
+
+    def __init__(self, serving: Sequence[TargetState], age: float, now: float) -> None:
+        self._by_name = {state.target.name: state.load(now) for state in serving}
+        self.serving = serving
+        self.age = age
+        self.mean = sum(self._by_name.values()) / len(serving)
+
+    @property
+    def targets(self) -> int:
+        """Return how many targets serve."""
+        return len(self.serving)
+
+    @property
+    def is_old(self) -> bool:
+        """Tell whether others' requests are known too late to choose the best by."""
+        return self.age > OLD_NEWS
+
+    def of(self, state: TargetState) -> float:
+        """Return the requests at a target."""
+        return self._by_name[state.target.name]
+
+
 class TargetChooser:
     """Chooses targets by cached tokens, load and failures.
 
@@ -160,9 +181,6 @@
         self._news_age = news_age
         self._relies_on_homes = relies_on_homes
 
-    def _load_age(self) -> float:
-        return 0.0 if self._news_age is None else self._news_age()
-
     def configure(self, settings: ChoiceSettings) -> None:
         """Take in changed weights.
 
@@ -230,39 +248,62 @@
         serving = [state for state in states if not state.target.is_draining]
         if not serving:
             return None
-        loads = {state.target.name: state.load(now) for state in serving}
-        mean = sum(loads.values()) / len(serving)
         open_ones = [state for state in serving if state.incarnation not in tried]
         usable = [state for state in open_ones if not state.is_avoided(now)]
         usable = usable or open_ones
         if not usable:
             return None
-        load_age = self._load_age()
-        has_old_news = load_age > OLD_NEWS
-        settings = self._settings
-        # The request itself counts into the mean.
-        cap = settings.load_multiple * (mean + 1 / len(serving)) + settings.load_margin
-        bounded = [state for state in usable if loads[state.target.name] + 1 <= cap]
-        if not bounded:
-            few = self._draw(usable) if has_old_news else usable
-            bounded = [min(few, key=lambda s: loads[s.target.name])]
+        age = 0.0 if self._news_age is None else self._news_age()
+        loads = _Loads(serving, age, now)
+        bounded = self._within_bound(usable, loads)
         if prompt is None:
-            # Plain requests end, within 0.1 s, before a large fleet hears of them:
-            # the best by the last news would be the best for all routers. Over
-            # twice the mean and 3 then: 2.6 %, by lot 0.1 % (68 routers, 6 targets,
-            # virtual clock).
-            if has_old_news or self._relies_on_homes():
-                bounded = self._draw(bounded)
-            best = min(bounded, key=lambda s: self._plain_cost(s, loads, now))
-            return Choice(
-                best,
-                held=0,
-                fetch_from=None,
-                is_home=False,
-                load=loads[best.target.name],
-                load_age=load_age,
-                mean=mean,
-            )
+            return self._choose_plain(bounded, loads, now)
+        return self._choose_for(prompt, states, bounded, loads, now)
+
+    def _bound(self, loads: _Loads) -> float:
+        """Return the load that is allowed; the request itself counts into the mean."""
+        mean = loads.mean + 1 / loads.targets
+        return self._settings.load_multiple * mean + self._settings.load_margin
+
+    def _within_bound(
+        self, usable: Sequence[TargetState], loads: _Loads
+    ) -> list[TargetState]:
+        """Return the targets within the load bound; one at least."""
+        bound = self._bound(loads)
+        bounded = [state for state in usable if loads.of(state) + 1 <= bound]
+        if bounded:
+            return bounded
+        few = self._draw(usable) if loads.is_old else usable
+        return [min(few, key=loads.of)]
+
+    def _choose_plain(
+        self, bounded: list[TargetState], loads: _Loads, now: float
+    ) -> Choice:
+        """Choose for a request without a prompt."""
+        # Such requests end before a large fleet hears of them: the best by the
+        # last news would be the best for all routers.
+        if loads.is_old or self._relies_on_homes():
+            bounded = self._draw(bounded)
+        best = min(bounded, key=lambda state: self._plain_cost(state, loads, now))
+        return Choice(
+            best,
+            held=0,
+            fetch_from=None,
+            is_home=False,
+            load=loads.of(best),
+            load_age=loads.age,
+            mean=loads.mean,
+        )
+
+    def _choose_for(
+        self,
+        prompt: Prompt,
+        states: Sequence[TargetState],
+        bounded: list[TargetState],
+        loads: _Loads,
+        now: float,
+    ) -> Choice:
+        """Choose for a request with a prompt, which targets may have read."""
         known = {
             state.target.name: self._parts.held(state.incarnation, prompt.parts, now)
             for state in states
@@ -271,22 +312,23 @@
         held = known
         if self._relies_on_homes():
             held = _with_home(prompt, states, known, now)
-        if has_old_news:
-            low = LEAST_DRAWN_LOAD * mean
-            limit = low + (cap - low) * self._rng.random()
+        if loads.is_old:
+            low = LEAST_DRAWN_LOAD * loads.mean
+            limit = low + (self._bound(loads) - low) * self._rng.random()
             bounded = self._drawn_candidates(bounded, prompt, held, loads, limit)
         elif self._relies_on_homes():
-            bounded = self._drawn_candidates(bounded, prompt, held, loads, cap)
+            limit = self._bound(loads)
+            bounded = self._drawn_candidates(bounded, prompt, held, loads, limit)
         usual = _usual_failures(states, now)
         best = self._cheapest(bounded, reached, prompt, held, loads, usual, now)
         return Choice(
             best,
             held=held[best.target.name],
             fetch_from=self._source(best, reached, prompt, known, now),
-            is_home=best is home_of(prompt, serving),
-            load=loads[best.target.name],
-            load_age=load_age,
-            mean=mean,
+            is_home=best is home_of(prompt, loads.serving),
+            load=loads.of(best),
+            load_age=loads.age,
+            mean=loads.mean,
         )
 
     def _draw(self, states: Sequence[TargetState]) -> list[TargetState]:
@@ -297,7 +339,7 @@
         bounded: Sequence[TargetState],
         prompt: Prompt,
         held: dict[str, int],
-        loads: dict[str, float],
+        loads: _Loads,
         limit: float,
     ) -> list[TargetState]:
         """Return some by lot, and some that hold the prompt below a load."""
@@ -306,16 +348,16 @@
             warm = [state for state in bounded if held[state.target.name] == most]
         else:
             warm = [home_of(prompt, bounded)]
-        warm = [state for state in warm if loads[state.target.name] + 1 <= limit]
+        warm = [state for state in warm if loads.of(state) + 1 <= limit]
         return self._draw(bounded) + self._draw(warm)
 
     def _plain_cost(
         self,
         state: TargetState,
-        loads: dict[str, float],
+        loads: _Loads,
         now: float,
     ) -> float:
-        waiting = (loads[state.target.name] + 1.0) / state.slots
+        waiting = (loads.of(state) + 1.0) / state.slots
         failing = 1.0 + PLAIN_FAILURE_WEIGHT * state.failure_share(now) ** 2
         return waiting * failing + TIE_BREAK * self._rng.random()
 
@@ -325,7 +367,7 @@
         reached: Sequence[TargetState],
         prompt: Prompt,
         held: dict[str, int],
-        loads: dict[str, float],
+        loads: _Loads,
         usual: float,
         now: float,
     ) -> TargetState:
@@ -340,7 +382,7 @@
             fetched = max(0, most - held[name])
             read = prompt.prompt_tokens - max(most, held[name])
             total = read + fetched * settings.fetch_weight
-            total += loads[name] * settings.tokens_per_request
+            total += loads.of(state) * settings.tokens_per_request
             failing = max(0.0, state.failure_share(now) - usual)
             total += failing**2 * settings.failure_weight
             if state is home and not is_known:
--- a/src/primrosescale/request/target_state.py
+++ b/src/primrosescale/request/target_state.py
@@ -19,22 +19,22 @@
     from primrosescale.request.serving_target import ServingTarget
     from primrosescale.request.target_incarnation import TargetIncarnation
 
-# A report of load tells of the moment at which the answer began. After this
-# time most plain requests that it counted have ended (their mean is 0.1 s),
-# and streams are counted again by the next answers.
+# Seconds. A report of load tells of the moment at which the answer began: most
+# plain requests that it counted have ended since, and streams are counted again
+# by the next answers.
 REPORT_HALF_LIFE = 0.5
-# Outcomes lose half of their influence in this time. All routers tell theirs, so
+# Seconds in which outcomes lose half of their influence. All routers tell theirs, so
 # that it covers a dozen or more at each target; a longer time would send callers
 # to a target that has begun to fail.
 OUTCOME_HALF_LIFE = 2.0
-# A target that could not be reached is left out this long at first, and twice
-# as long after each further failure, up to the most. A restart takes 2-5 s.
+# Seconds for which a target that could not be reached is left out at first, and
+# twice as long after each further failure, up to the most: a restart takes some
+# seconds.
 FIRST_PAUSE = 0.5
 LONGEST_PAUSE = 4.0
-# A target of today that works sends something every 50 ms to each stream, and
-# answers nine in ten plain requests within 0.2 s. A prompt of 30,000 tokens has
-# kept one silent for 0.46 s, so silence is a reason to ask others, no proof that
-# a target is lost.
+# Seconds. A target that works sends something to each stream many times as often;
+# reading a long prompt keeps one silent for about as long, so that silence is a
+# reason to ask others, no proof that a target is lost.
 SILENT_SECONDS = 0.45
 # A late answer is worth half of one in time.
 LATE_WEIGHT = 0.5
