--- /dev/null
+++ b/tests/test_constants.py
@@ -0,0 +1,75 @@
+"""Each constant that decisions rest on stands on a page, with its value and unit."""
+
+from __future__ import annotations
+
+import ast
+import re
+from pathlib import Path
+
+from testtools import TestCase
+
+ROOT = Path(__file__).resolve().parent.parent
+PAGE = ROOT / "docs/constants.md"
+SOURCE = ROOT / "src/primrosescale"
+DECIDING = ("request", "process/entry")
+UNITS = {
+    "seconds",
+    "milliseconds a second",
+    "requests",
+    "targets",
+    "routers",
+    "engines",
+    "questions",
+    "parts",
+    "tokens",
+    "bytes",
+    "bytes a second",
+    "bytes a token",
+    "lines",
+    "lines a second",
+    "share",
+    "multiple",
+    "weight",
+    "entries",
+    "intervals",
+    "HTTP status",
+    "level",
+    "number",
+    "percent",
+}
+ROW = re.compile(
+    r"^\| `([\w/.]+)` \| `(\w+)` \| `([^`]+)` \| ([^|]+) \|$", re.MULTILINE
+)
+
+
+def is_number(node):
+    """Tell whether an expression is made of numbers and names alone."""
+    if isinstance(node, ast.Constant):
+        return type(node.value) in {int, float}
+    if isinstance(node, ast.Tuple):
+        return all(is_number(item) for item in node.elts)
+    if isinstance(node, ast.BinOp):
+        return is_number(node.right)
+    return False
+
+
+def constants():
+    """Yield module, name and value of each constant of deciding code."""
+    for folder in DECIDING:
+        for path in sorted((SOURCE / folder).glob("*.py")):
+            for node in ast.parse(path.read_text()).body:
+                if not isinstance(node, ast.Assign) or not is_number(node.value):
+                    continue
+                name = node.targets[0].id
+                if name.isupper():
+                    yield f"{folder}/{path.name}", name, ast.unparse(node.value)
+
+
+class ConstantsTest(TestCase):
+    def test_the_page_names_each_constant_with_its_value(self):
+        listed = [row[:3] for row in ROW.findall(PAGE.read_text())]
+        self.assertEqual(list(constants()), listed)
+
+    def test_each_has_a_unit(self):
+        for module, name, _, unit in ROW.findall(PAGE.read_text()):
+            self.assertIn(unit, UNITS, f"{module} {name}")
