--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -15,6 +15,7 @@
 from entry.fakes import prompt
 from entry.fakes import request
 from entry.fakes import target
+from primrosescale.platform.entry import CONFIGURATION_REST_SHARE
 from primrosescale.platform.exceptions import BootFileError
 from primrosescale.platform.exceptions import RecordError
 from primrosescale.platform.host_settings import read_host_settings
@@ -158,11 +159,17 @@
     def test_settings_are_read_and_defaults_fill_in(self):
         host = self.read(SETTINGS)
         self.assertEqual("10.1.0.40:8227", str(host.callers))
-        self.assertEqual((1.5, 5.0), self.bounds(host))
+        self.assertEqual((1.5, 2.0, 5.0), self.bounds(host))
         self.assertTrue(host.is_first_start)
 
     def bounds(self, host):
-        return host.bounds.drain, host.bounds.revoke
+        return host.bounds.drain, host.bounds.apply, host.bounds.revoke
+
+    def test_the_rest_after_a_version_is_within_its_bound(self):
+        bounds = {"drain_ms": 1500, "config_apply_ms": 3000}
+        host = self.read({**SETTINGS, "bounds": bounds})
+        self.assertEqual((1.5, 3.0, 5.0), self.bounds(host))
+        self.assertLess(CONFIGURATION_REST_SHARE, 0.5)
 
     def test_what_cannot_be_used_is_one_clear_error(self):
         for odd in (
