--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -20,6 +20,7 @@
 sys.path.insert(0, str(TOOLS))
 play_days = importlib.import_module("play_days")
 sum_days = importlib.import_module("sum_days")
+ablate = importlib.import_module("ablate")
 TOOL = TOOLS / "plot_day.py"
 REPORT = """{"G": 0.5, "events": [{"at_s": 1, "to_s": 3, "kind": "hup"}], "windows": [
   {"name": "0", "worth": 1.0, "refused": 0, "failed": 0, "late": 0},
@@ -393,3 +394,31 @@
         done = self.sum_up([])
         self.assertEqual(2, done.returncode)
         self.assertIn("name a report", done.stderr)
+
+
+class AblateTest(TestCase):
+    def test_each_switch_fits_the_code(self):
+        for switch in ablate.read_switches(ablate.SWITCHES):
+            text = (ablate.ROOT / switch.file).read_text()
+            self.assertEqual(1, text.count(switch.old), switch.name)
+            compile(text.replace(switch.old, switch.new), switch.file, "exec")
+
+    def test_one_that_no_longer_fits_is_an_error_that_names_the_remedy(self):
+        folder = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, folder)
+        (folder / "a.py").write_text("x = 1\nx = 1\n")
+        switch = ablate.Switch("mechanism", "a.py", "x = 1", "x = 2")
+        error = self.assertRaises(ablate.SwitchError, switch.turn_off, folder)
+        self.assertIn("2 times in a.py; mend it in switches.toml", str(error))
+
+    def test_the_table_compares_the_same_day_and_seed(self):
+        found = {
+            ablate.Play(ablate.WHOLE, "d", 1): 0.8,
+            ablate.Play(ablate.WHOLE, "d", 2): 0.7,
+            ablate.Play(ablate.WHOLE, "d", 3): 0.7,
+            ablate.Play("off-0", "d", 1): 0.75,
+            ablate.Play("off-0", "d", 2): 0.71,
+            ablate.Play("off-0", "d", 3): None,
+        }
+        row = ablate.table({"off-0": "homes"}, found).splitlines()[-1]
+        self.assertEqual("| homes | -0.020 | -0.050 | +0.010 | 2 | 1 |", row)
