Routers that left the list to start again are told what engines hold

Cause: a router that is stopped takes itself off the list; when it starts again its question reached the others up to two seconds before they heard that it was back, and who is not listed is told nothing. Change: the last 64 routers that left the list are remembered with their addresses, and their questions answered. Answering any address was ruled out: a stranger would be told, and small questions have large answers. Before and after: the new test, on a virtual clock with 30 routers, fails without it.

--- a/src/primrosescale/process/entry/cache_shares.py
+++ b/src/primrosescale/process/entry/cache_shares.py
@@ -44,10 +44,15 @@
         Where parts of prompts are cached.
     others : Callable[[], Sequence[OtherRouter]]
         Returns the other routers that are listed.
+    find : Callable[[str], OtherRouter | None]
+        Returns a router by name that is listed, or was until lately: one that is
+        stopped takes itself off the list, and asks some seconds before the others
+        hear that it is back.
     """
 
     __slots__ = (
         "_answered",
+        "_find",
         "_is_known",
         "_name",
         "_others",
@@ -62,11 +67,13 @@
         targets: TargetList,
         parts: PartDirectory,
         others: Callable[[], Sequence[OtherRouter]],
+        find: Callable[[str], OtherRouter | None],
     ) -> None:
         self._name = name
         self._targets = targets
         self._parts = parts
         self._others = others
+        self._find = find
         self._answered: set[str] = set()
         self._waiting: set[str] = set()
         self._is_known = False
@@ -140,8 +147,10 @@
         -------
         list[tuple[OtherRouter, wire.CacheAnswer]]
             What to tell it now; it is told later by a router that has just
-            started itself, and nothing when it is not listed.
+            started itself, and nothing when it was not listed.
         """
+        if self._find(message.origin) is None:
+            return []
         self._waiting.add(message.origin)
         return self._answers(now) if self._is_known else []
 
@@ -184,7 +193,8 @@
                 )
 
     def _answers(self, now: float) -> list[tuple[OtherRouter, wire.CacheAnswer]]:
-        askers = [item for item in self._others() if item.name in self._waiting]
+        found = [self._find(name) for name in sorted(self._waiting)]
+        askers = [router for router in found if router is not None]
         self._waiting.clear()
         if not askers:
             return []
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -129,7 +129,11 @@
         )
         self._registry = RouterRegistry(settings, incarnation, self._news, parts)
         shares = CacheShares(
-            settings.name, targets, self._directory, lambda: self._news.others
+            settings.name,
+            targets,
+            self._directory,
+            lambda: self._news.others,
+            self._news.find,
         )
         self._exchange = NewsExchange(
             self._news,
--- a/src/primrosescale/process/entry/router_news.py
+++ b/src/primrosescale/process/entry/router_news.py
@@ -48,6 +48,8 @@
 # A listed router that has been silent for so long is taken off the list. Cuts
 # and restarts of today last some seconds; one that lives lists itself again.
 GONE_SECONDS = 60.0
+# Routers that left the list whose addresses are remembered.
+MOST_FORMER = 64
 UNKNOWN = -1
 # Under which targets' states keep what relays tell.
 RELAYED = "relays"
@@ -92,6 +94,7 @@
         self._freshness = freshness
         self._codec = LoadCodec(targets)
         self._peers: dict[str, RouterPeer] = {}
+        self._former: dict[str, OtherRouter] = {}
         self._paths = NewsPaths(name, domain, settings)
         self._relay = NewsRelay(name, self._paths, settings)
         self._sequence = 0
@@ -334,9 +337,31 @@
         name : str
             Its name.
         """
-        if self._peers.pop(name, None) is not None:
-            self._paths.remove(name)
-            self._relay.forget(name)
+        peer = self._peers.pop(name, None)
+        if peer is None:
+            return
+        self._paths.remove(name)
+        self._relay.forget(name)
+        self._former.pop(name, None)
+        self._former[name] = peer.router
+        if len(self._former) > MOST_FORMER:
+            del self._former[next(iter(self._former))]
+
+    def find(self, name: str) -> OtherRouter | None:
+        """Return another router that is listed, or one of the last that were.
+
+        Parameters
+        ----------
+        name : str
+            Its name.
+
+        Returns
+        -------
+        OtherRouter | None
+            As it is or was listed.
+        """
+        peer = self._peers.get(name)
+        return self._former.get(name) if peer is None else peer.router
 
     def compose(
         self,
--- a/tests/entry/test_cache_shares.py
+++ b/tests/entry/test_cache_shares.py
@@ -127,6 +127,16 @@
         for router in self.fleet.routers:
             self.assertGreater(self.known_share(router), 0.95, router.name)
 
+    def test_one_that_is_stopped_and_started_is_told_before_it_is_listed(self):
+        router = self.fleet.routers[4]
+        for other in self.fleet.routers:
+            if other is not router:
+                other.news.remove(router.name)
+        self.restart(router)
+        self.fleet.run(PATIENCE)
+        self.assertGreater(self.known_share(router), 0.95)
+        self.assertLess(self.served[router.name], PATIENCE)
+
     def test_callers_do_not_wait_for_routers_that_are_gone(self):
         lost, router = self.fleet.routers[:2]
         self.fleet.lose(lost)
@@ -177,11 +187,17 @@
         super().setUp()
         self.targets, self.parts = TargetList(2.0), PartDirectory()
         self.others = [OtherRouter("b", Endpoint("127.0.0.1", 7001))]
-        self.shares = CacheShares("a", self.targets, self.parts, lambda: self.others)
+        self.shares = self.sharing("a", lambda: self.others)
         for number in range(8):
             self.targets.put(target(f"m{number}"), START)
         self.own = self.shares.own()[0].incarnation
 
+    def sharing(self, name, others):
+        def find(wanted):
+            return {router.name: router for router in others()}.get(wanted)
+
+        return CacheShares(name, self.targets, self.parts, others, find)
+
     def asked(self, origin="b", now=START):
         return self.shares.take_question(wire.CacheQuestion(origin), now)
 
@@ -194,12 +210,8 @@
         return self.parts.held(life(name), prompt((part, 9000)).parts, START)
 
     def test_each_target_is_the_share_of_one_router(self):
-        other = CacheShares(
-            "b",
-            self.targets,
-            self.parts,
-            lambda: [OtherRouter("a", Endpoint("127.0.0.1", 7000))],
-        )
+        first = OtherRouter("a", Endpoint("127.0.0.1", 7000))
+        other = self.sharing("b", lambda: [first])
         own = [state.target.name for state in self.shares.own()]
         theirs = [state.target.name for state in other.own()]
         self.assertEqual([f"m{number}" for number in range(8)], sorted(own + theirs))
--- a/tests/entry/test_router_news.py
+++ b/tests/entry/test_router_news.py
@@ -14,6 +14,7 @@
 from primrosescale.process.entry.news_paths import NewsSettings
 from primrosescale.process.entry.other_router import OtherRouter
 from primrosescale.process.entry.router_news import BYTES_PER_SECOND
+from primrosescale.process.entry.router_news import MOST_FORMER
 from primrosescale.process.entry.router_news import MOST_PARTS
 from primrosescale.process.entry.router_news import USUAL_DATAGRAM
 from primrosescale.process.entry.router_news import RouterNews
@@ -210,6 +211,19 @@
         self.assertLess(3 * self.a.news.interval, 0.8)
 
 
+class FormerTest(TestCase):
+    def test_of_routers_that_left_the_list_the_last_are_found(self):
+        side = Side("a")
+        count = MOST_FORMER + 1
+        side.knows(*(f"r{number}" for number in range(count)))
+        self.assertEqual("r0", side.news.find("r0").name)
+        for number in range(count):
+            side.news.remove(f"r{number}")
+        self.assertIsNone(side.news.find("r0"))
+        self.assertEqual("r1", side.news.find("r1").name)
+        self.assertEqual([], side.news.others)
+
+
 class OutcomesTest(TestCase):
     """Many routers, each of which sees few requests at each target."""
 
--- a/tests/support/router_fleet.py
+++ b/tests/support/router_fleet.py
@@ -203,7 +203,11 @@
         self.freshness = Freshness(5.0)
         self.news = self._build_news(incarnation)
         self.shares = CacheShares(
-            self.name, self.targets, self.parts, lambda: self.news.others
+            self.name,
+            self.targets,
+            self.parts,
+            lambda: self.news.others,
+            self.news.find,
         )
         self.exchange = NewsExchange(
             self.news,
