A member whose name cannot be read spoils its object, not the answer

Cause: the name of a member of many thousand brackets raises RecursionError, which the taking apart of one object did not catch, so that the whole answer of the store counted as none. Change: caught as an unreadable value is. Test failed first.

--- a/src/primrosescale/platform/store_answer.py
+++ b/src/primrosescale/platform/store_answer.py
@@ -185,7 +185,7 @@
         pass
     try:
         members = list(_members(text))
-    except ValueError:
+    except (ValueError, RecursionError):
         return text
     return {
         name: _object_taken_apart(value) if name == _OBJECT else _read_or_bytes(value)
--- a/tests/adapter/test_store_answer.py
+++ b/tests/adapter/test_store_answer.py
@@ -169,6 +169,13 @@
         ):
             self.assertRaises(PlatformUnavailableError, answer_fields, odd)
 
+    def test_a_member_whose_name_is_none_leaves_the_neighbours(self):
+        for raw in SPOILERS:
+            fields = {"items": [item("a"), {"?": None}, item("c")]}
+            found = answer_fields(with_raw(fields, raw))["items"]
+            names = self.readable(stored_object("servers", each) for each in found)
+            self.assertEqual(("a", "c"), (names[0], names[-1]), raw[:20])
+
     @drawn(200)
     @given(
         st.lists(
