--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -7,6 +7,7 @@
 import json
 import operator
 import re
+import shutil
 import subprocess
 import sys
 import tempfile
@@ -317,3 +318,78 @@
             ],
             sum_days.table([one, other]).splitlines(),
         )
+
+
+LOSING_DAY = {
+    "parts": [["whole day", 0.4, 0.9], ["worst windows", 0.1, 0.5]],
+    "prices": [["probes", 30.0, 0.02], ["disk", 0.0, 0.0], ["moved", 9.0, 0.03]],
+    "classes": [
+        {
+            "name": "plan",
+            "n": 12,
+            "not_owed": 2,
+            "late": 1,
+            "refused": 0,
+            "failed": 2,
+            "worth": 0.75,
+        }
+    ],
+    "unserved_by": [["502", 2, ["sent", "its run ends: 0 crashed", "gets 502"]]],
+    "events": [
+        {"at_s": 1.0, "to_s": 3.0, "kind": "hup"},
+        {"at_s": 5.0, "to_s": 9.0, "kind": "burst"},
+    ],
+    "windows": [
+        {"name": "0", "n": 6, "worth": 1.0, "late": 0, "refused": 0, "failed": 0},
+        {"name": "2", "n": 6, "worth": 0.5, "late": 1, "refused": 0, "failed": 2},
+    ],
+}
+LOSING_LINES = (
+    '  0.28 front-1 {"number":202,"outcome":"answered","status":200,'
+    '"prompt_tokens":900,"attempts":[{"outcome":"answered","is_home":true,'
+    '"cached_tokens":600,"fetched_from":""}]}\n'
+    '  0.30 front-1 {"number":202,"outcome":"refused: cut","status":null,'
+    '"prompt_tokens":0,"attempts":[{"outcome":"lost: reset"}]}\n'
+    '  0.31 front-1 {"number":310,"target":"m1"}\n'
+    '  0.32 front-1 {"number":202,"outc\n'
+)
+
+
+class WorthLostTest(TestCase):
+    def sum_up(self, days, log=""):
+        folder = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, folder)
+        words = [sys.executable, str(TOOLS / "worth_lost.py")]
+        for place, day in enumerate(days):
+            (folder / f"{place}.json").write_text(json.dumps(day))
+            words.append(str(folder / f"{place}.json"))
+        if log:
+            (folder / "day.log").write_text(log)
+            words += ["--log", str(folder / "day.log")]
+        return subprocess.run(words, capture_output=True, text=True, check=False)
+
+    def test_worth_is_summed_by_part_price_kind_reason_and_moment(self):
+        dearer = {**LOSING_DAY, "prices": [["probes", 50.0, 0.06]]}
+        said = self.sum_up([LOSING_DAY, dearer]).stdout
+        for row in (
+            "| worst windows | 0.0500 |",
+            "| probes | 40.0 | 0.0400 |",
+            "| moved | 4.5 | 0.0150 |",
+            "| plan | 20 | 2 | 0 | 4 | 0.750 |",
+            "| 502 | 4 | its run ends: 0 crashed |",
+            "| 2.0 | 0.50 | 6 | 1 | 0 | 2 | hup |",
+        ):
+            self.assertIn(row, said)
+        self.assertLess(said.index("| probes |"), said.index("| moved |"))
+        self.assertNotIn("disk", said)
+
+    def test_lines_alone_tell_by_which_decision_requests_ended(self):
+        said = self.sum_up([], LOSING_LINES).stdout
+        self.assertIn("| refused: cut | lost: reset | 1 | 1 |", said)
+        self.assertIn("| home | held | 1 | 300 |", said)
+        self.assertNotIn("| answered", said)
+
+    def test_without_anything_to_read_it_says_what_to_name(self):
+        done = self.sum_up([])
+        self.assertEqual(2, done.returncode)
+        self.assertIn("name a report", done.stderr)
--- /dev/null
+++ b/tools/worth_lost.py
@@ -0,0 +1,178 @@
+"""Say where a day's worth is lost, from reports of the bench and the routers' lines.
+
+    fleetbench run SITE DAY --report DAY.json --log all --why "..." > DAY.log
+    python tools/worth_lost.py DAY.json [DAY.json ...] [--log DAY.log ...]
+
+Of several reports, days or seeds, means over all are shown. Tables by price, by kind
+of request, by reason why a request was not served, and by moment: each window under
+0.8 with what happened meanwhile. Lines 202 tell by which decision requests ended,
+and for prompts what their target was taken to hold; for an operator's bad day the
+lines alone will do.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import pathlib
+import sys
+from collections import Counter
+from typing import Any
+
+WINDOW_SECONDS = 2.0
+# Windows that served less than this share of their worth are shown.
+POOR_WINDOW = 0.8
+# Prices below this part of a day's worth are left out.
+LEAST_PRICE = 0.0005
+REQUEST_ENDED = 202
+
+
+def table(head: list[str], rows: list[list[Any]]) -> str:
+    """Return a table of a page."""
+    lines = [head, ["---"] * len(head), *rows]
+    return "".join(f"| {' | '.join(map(str, line))} |\n" for line in lines)
+
+
+def prices(days: list[dict[str, Any]]) -> str:
+    """Return what was priced, by act, the dearest first."""
+    units: Counter[str] = Counter()
+    worth: Counter[str] = Counter()
+    for day in days:
+        for name, count, price in day["prices"]:
+            units[name] += count
+            worth[name] += price
+    rows = [
+        [name, f"{units[name] / len(days):.1f}", f"{price / len(days):.4f}"]
+        for name, price in worth.most_common()
+        if price / len(days) >= LEAST_PRICE
+    ]
+    return table(["price", "units", "worth"], rows)
+
+
+def parts(days: list[dict[str, Any]]) -> str:
+    """Return what the parts of a day's worth take off, by their weights."""
+    lost: Counter[str] = Counter()
+    for day in days:
+        for name, weight, kept in day["parts"]:
+            lost[name] += weight * (1.0 - kept)
+    rows = [[name, f"{taken / len(days):.4f}"] for name, taken in lost.most_common()]
+    return table(["part", "worth"], rows)
+
+
+def kinds(days: list[dict[str, Any]]) -> str:
+    """Return what became of each kind of request."""
+    names = [kind["name"] for kind in days[0]["classes"]]
+    rows = []
+    for place, name in enumerate(names):
+        found = [day["classes"][place] for day in days]
+        sums = {
+            key: sum(kind[key] for kind in found)
+            for key in ("n", "not_owed", "late", "refused", "failed")
+        }
+        kept = sum(kind["worth"] or 0.0 for kind in found) / len(days)
+        counts = [sums[key] for key in ("late", "refused", "failed")]
+        rows.append([name, sums["n"] - sums["not_owed"], *counts, f"{kept:.3f}"])
+    return table(["kind", "owed", "late", "refused", "failed", "kept"], rows)
+
+
+def reasons(days: list[dict[str, Any]]) -> str:
+    """Return why requests were not served, with the last line of an example."""
+    counts: Counter[str] = Counter()
+    examples = {}
+    for day in days:
+        for reason, count, steps in day["unserved_by"]:
+            counts[reason] += count
+            examples.setdefault(reason, steps[-2].strip() if len(steps) > 1 else "")
+    rows = [[reason, count, examples[reason]] for reason, count in counts.most_common()]
+    return table(["not served", "requests", "one of them, last but one step"], rows)
+
+
+def moments(day: dict[str, Any]) -> str:
+    """Return the poor windows of a day and what happened meanwhile."""
+    rows = []
+    for window in day["windows"]:
+        begins = float(window["name"])
+        if window["worth"] is None or window["worth"] >= POOR_WINDOW:
+            continue
+        meanwhile = [
+            event["kind"]
+            for event in day["events"]
+            if event["at_s"] < begins + WINDOW_SECONDS and event["to_s"] > begins
+        ]
+        counts = [window[key] for key in ("n", "late", "refused", "failed")]
+        rows.append([begins, f"{window['worth']:.2f}", *counts, "; ".join(meanwhile)])
+    head = ["second", "kept", "requests", "late", "refused", "failed", "meanwhile"]
+    return table(head, rows)
+
+
+def lines(path: pathlib.Path) -> list[dict[str, Any]]:
+    """Return the lines 202 of a log."""
+    found = []
+    for text in path.read_text(errors="replace").splitlines():
+        begin = text.find('{"number"')
+        if begin < 0:
+            continue
+        try:
+            line = json.loads(text[begin:])
+        except ValueError:
+            # The last line of a process that was killed.
+            continue
+        if line["number"] == REQUEST_ENDED:
+            found.append(line)
+    return found
+
+
+def decisions(found: list[dict[str, Any]]) -> str:
+    """Return by which decision requests ended that were not just answered."""
+    counts: Counter[tuple[str, str, str]] = Counter()
+    for line in found:
+        attempts = line.get("attempts") or [{"outcome": "none"}]
+        status = line.get("status")
+        if line["outcome"] == "answered" and status == 200 and len(attempts) == 1:
+            continue
+        last = str(attempts[-1]["outcome"])[:50]
+        ended = line["outcome"] if status is None else f"{line['outcome']} {status}"
+        counts[(ended, last, str(len(attempts)))] += 1
+    rows = [[*key, count] for key, count in counts.most_common(20)]
+    return table(["ended", "last attempt", "attempts", "requests"], rows)
+
+
+def placements(found: list[dict[str, Any]]) -> str:
+    """Return for prompts what their targets were taken to hold of them."""
+    counts: Counter[tuple[str, str]] = Counter()
+    tokens: Counter[tuple[str, str]] = Counter()
+    for line in found:
+        for attempt in (line.get("attempts") or [])[:1]:
+            if not line.get("prompt_tokens"):
+                continue
+            place = "home" if attempt["is_home"] else "elsewhere"
+            held = "held" if attempt["cached_tokens"] else "not held"
+            if attempt["fetched_from"]:
+                held = "copied"
+            counts[(place, held)] += 1
+            tokens[(place, held)] += line["prompt_tokens"] - attempt["cached_tokens"]
+    rows = [[*key, count, tokens[key]] for key, count in counts.most_common()]
+    return table(["place", "taken to be", "prompts", "tokens not held"], rows)
+
+
+def main() -> None:
+    """Print the tables."""
+    parser = argparse.ArgumentParser(description=(__doc__ or "").split("\n")[0])
+    parser.add_argument("reports", nargs="*", type=pathlib.Path)
+    parser.add_argument("--log", action="append", default=[], type=pathlib.Path)
+    given = parser.parse_args()
+    if not given.reports and not given.log:
+        parser.error("name a report, or a log with --log")
+    days = [json.loads(path.read_text()) for path in given.reports]
+    found = []
+    if days:
+        found += [parts(days), prices(days), kinds(days), reasons(days)]
+        found += [moments(day) for day in days]
+    told = [line for path in given.log for line in lines(path)]
+    if told:
+        found += [decisions(told), placements(told)]
+    sys.stdout.write("\n".join(found))
+
+
+if __name__ == "__main__":
+    main()
