Lines of requests whose answer was lost tell what was asked for

The log could not say whether requests with ids of their own that met targets ending had the same content.

--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -33,6 +33,7 @@
 from primrosescale.process.events import Event
 from primrosescale.process.incarnation import new_incarnation
 from primrosescale.process.log_text import LOGGED_CHARACTERS
+from primrosescale.request.content_fingerprint import fingerprint_text
 from primrosescale.request.direct_port import Refusal
 from primrosescale.request.forward_tools import ForwardTools
 from primrosescale.request.forwarded_call import ForwardedCall
@@ -378,6 +379,9 @@
             knowledge_age=self._knowledge.rounded_age(now),
             outcome=outcome,
             status=call.status,
+            fingerprint=(
+                fingerprint_text(request.fingerprint) if call.is_answer_lost else None
+            ),
             prompt_tokens=0 if request.prompt is None else request.prompt.prompt_tokens,
             took=round(now - request.received_at, 3),
             first_byte=None if first is None else round(first - request.received_at, 3),
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -80,6 +80,7 @@
         self._tried = TriedTargets(request.route.max_targets)
         self._unreached = 0
         self._may_have_run = False
+        self._is_answer_lost = False
         self._status: int | None = None
         self._is_held_up = False
         self._is_over = False
@@ -104,6 +105,11 @@
         """Return the status of the target's answer that is passed on, if any."""
         return self._status
 
+    @property
+    def is_answer_lost(self) -> bool:
+        """Tell whether a target's answer was lost, be it that another came."""
+        return self._is_answer_lost
+
     @property
     def first_byte_at(self) -> float | None:
         """Return when the caller got the first byte, in seconds."""
@@ -398,6 +404,7 @@
 
     def _lost(self, attempt: TargetAttempt, detail: str, now: float) -> None:
         """Take in that the request may have run and its answer is lost."""
+        self._is_answer_lost = True
         attempt.state.failed(now)
         attempt.leave(f"lost: {detail}", now)
         if self._other_goes_on(attempt, now):
--- a/src/primrosescale/request/incoming.py
+++ b/src/primrosescale/request/incoming.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from primrosescale.request.content_fingerprint import content_fingerprint
+
 if TYPE_CHECKING:
     from primrosescale.version.routing_table import Route
 
@@ -107,6 +109,11 @@
     version: int
     traceparent: str = ""
 
+    @property
+    def fingerprint(self) -> int:
+        """Return the digest that all requests for the same have, whatever their id."""
+        return content_fingerprint(self.organisation, self.path, self.body)
+
     @property
     def give_up_at(self) -> float:
         """Return when the router answers at the latest, in seconds."""
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -415,6 +415,23 @@
         yield self.ask(text())
         self.assertFalse(limit.allows(0.1, reactor.seconds()))
 
+    @inlineCallbacks
+    def test_lines_of_lost_answers_tell_which_requests_asked_for_the_same(self):
+        yield self.start()
+        asked = ((b"r1", b"one"), (b"r2", b"one"), (b"r3", b"two"))
+        for rid, body in asked:
+            for script in self.scripts.values():
+                script.faults[:] = [EngineFault.RESET]
+            yield self.ask(text(b"/once/a", method=b"POST", body=body, rid=rid), b"\n")
+        for script in self.scripts.values():
+            script.faults.clear()
+        yield self.ask(text(b"/once/a", method=b"POST", body=b"two", rid=b"r4"))
+        lines = [said for event, said in self.events if event == "REQUEST_ENDED"]
+        first, second, third, whole = [line["fingerprint"] for line in lines]
+        self.assertEqual(first, second)
+        self.assertNotEqual(first, third)
+        self.assertIsNone(whole)
+
     @inlineCallbacks
     def test_the_line_of_a_request_holds_the_status_that_was_passed_on(self):
         yield self.start()
