--- /dev/null
+++ b/tests/support/entry_site.py
@@ -0,0 +1,167 @@
+"""Entry routers over loopback sockets, and what they are given to work with."""
+
+from __future__ import annotations
+
+import random
+
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Protocol
+
+from primrosescale.connection.endpoint import Endpoint
+from primrosescale.platform import records
+from primrosescale.platform.engine_calls import EngineCaches
+from primrosescale.platform.entry import PlatformRecords
+from primrosescale.platform.http_codec import PlatformCodec
+from primrosescale.platform.object_platform import ObjectPlatform
+from primrosescale.process.entry.entry_metrics import EntryMetrics
+from primrosescale.process.entry.entry_parts import EntryParts
+from primrosescale.process.entry.entry_settings import EntrySettings
+from primrosescale.process.entry.entry_settings import EntryWatches
+from primrosescale.process.entry.store_watch import WatchedPrefix
+from primrosescale.process.events import EventLog
+from primrosescale.request.repeat_budget import RepeatBounds
+
+LOOPBACK = "127.0.0.1"
+
+
+class Caller(Protocol):
+    """A raw connection to the router."""
+
+    def __init__(self):
+        self.data = b""
+        self.is_closed = False
+        self._waiting = []
+
+    def dataReceived(self, data):
+        self.data += data
+        self._look()
+
+    def connectionLost(self, reason=None):
+        self.is_closed = True
+        self._look()
+
+    def until(self, test):
+        done = Deferred()
+        self._waiting.append((test, done))
+        self._look()
+        return done
+
+    def _look(self):
+        for item in list(self._waiting):
+            if item[0](self):
+                self._waiting.remove(item)
+                item[1].callback(self)
+
+    def answered(self, ending=b""):
+        """Wait for an answer that ends with some bytes, or the close."""
+        return self.until(lambda c: c.is_closed or (c.data and c.data.endswith(ending)))
+
+
+def text(path=b"/plain/x", *, method=b"GET", headers=b"", body=b"", rid=b"r1"):
+    length = b"Content-Length: %d\r\n" % len(body) if body else b""
+    return (
+        b"%b %b HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer k1\r\n"
+        b"Primrosescale-Request-Id: %b\r\nPrimrosescale-Request-Deadline: 2000\r\n"
+        b"%b%b\r\n%b" % (method, path, rid, headers, length, body)
+    )
+
+
+def route(name, kind, service, **fields):
+    return {
+        "name": name,
+        "host": "desk.example",
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 1500,
+        "target_latency_ms": 300,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        **fields,
+    }
+
+
+def configuration(version=1, keys=("k1",)):
+    return {
+        "version": version,
+        "routes": [
+            route("plain", "safe", "portal"),
+            route("once", "unsafe", "portal", max_attempts=1),
+            route(
+                "story",
+                "streaming",
+                "model",
+                sticky=True,
+                resume_streams=True,
+                timeout_ms=12000,
+            ),
+            route("draft", "streaming", "model", sticky=True, max_attempts=1),
+        ],
+        "services": [{"name": "portal"}, {"name": "model", "engine": {"slots": 8}}],
+        "tenants": [{"name": "bakery", "api_keys": list(keys)}],
+        "limits": {"max_body_bytes": 5000, "idle_timeout_ms": 400},
+    }
+
+
+def target_entry(service, address, **fields):
+    """Return a target's entry with all fields that it must have."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "a",
+        "state": "ready",
+        "slots": 8,
+        **fields,
+    }
+
+
+def router_settings(name="r1", **fields):
+    """Return settings of a router whose ports the system chooses."""
+    values = {
+        "name": name,
+        "domain": "a",
+        # Addresses of their own, since the system chooses all ports.
+        "callers": Endpoint("127.0.0.2", 0),
+        "readiness": Endpoint("127.0.0.3", 0),
+        "metrics": Endpoint("127.0.0.4", 0),
+        "links": Endpoint("127.0.0.5", 0),
+        "reads_caches": False,
+        "drain": 2.0,
+        "revoke": 5.0,
+        "certain_for": 3.5,
+        "stop_within": 8.0,
+        "most_requests": 100,
+        "repeats": RepeatBounds(0.2, 10.0, 50.0),
+    }
+    return EntrySettings(**{**values, **fields})
+
+
+def router_watches(targets_wait=0.3):
+    """Return what a router follows in the store, with short waits."""
+    return EntryWatches(
+        configuration=WatchedPrefix(
+            records.CONFIGURATION, 0.3, reads_after_failure=True
+        ),
+        targets=WatchedPrefix(records.TARGETS, targets_wait),
+        routers=WatchedPrefix(records.ROUTERS, 0.3),
+    )
+
+
+def router_parts(store, name, events, reread, *, caches=None, early=None):
+    """Return what a router is built with; its events go to a list."""
+    log = EventLog(name)
+    log.emit = lambda event, **said: events.append((event.name, said))
+    return EntryParts(
+        reactor=reactor,
+        platform=ObjectPlatform(reactor, store, 0.5),
+        codec=PlatformCodec(),
+        decoder=PlatformRecords(),
+        log=log,
+        writer=None,
+        metrics=EntryMetrics(),
+        rng=random.Random(1),
+        caches=caches or EngineCaches(reactor),
+        reread=reread,
+        early=early,
+    )
