--- /dev/null
+++ b/tests/entry/test_harmful_requests.py
@@ -0,0 +1,172 @@
+"""A request that ends each target that begins to run it.
+
+What was seen: model engines ended one after the other, 25 in 80 s on a service of
+five, and each took the requests of a dozen other callers with it. Under each of
+them was a request for the same, sent again and again under ids of its own and by
+four routers.
+
+How it came about: its caller repeats it wherever it is let in, and the platform
+starts a new engine some seconds after one has ended.
+
+Cause: routers remembered what became of targets, never under which request, and
+told each other nothing of it. So each arrival was a request like any other.
+
+What proved it: here, over sockets, with four routers that know nothing of each
+other but their news, the same request reaches a target at each arrival. Line 202
+tells that the requests have one fingerprint.
+"""
+
+from __future__ import annotations
+
+from testtools.matchers import LessThan
+from twisted.internet import reactor
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.endpoints import connectProtocol
+from twisted.internet.task import deferLater
+
+from primrosescale.process.entry.entry_router import EntryRouter
+from primrosescale.standin.users_engine import EngineScript
+from primrosescale.standin.users_engine import UsersEngine
+from primrosescale.standin.users_store import UsersStore
+from support.entry_site import LOOPBACK
+from support.entry_site import Caller
+from support.entry_site import configuration
+from support.entry_site import router_parts
+from support.entry_site import router_settings
+from support.entry_site import router_watches
+from support.entry_site import target_entry
+from support.entry_site import text
+from support.live import DeploymentRunTest
+from support.live import LiveTest
+
+ROUTERS = 4
+TARGETS = 5
+HARMFUL = b"ends what runs it"
+# From the beginning of the work to the end of the target.
+WORK_SECONDS = 0.05
+# Until another target starts in its place, and until its entry is gone.
+START_SECONDS = 0.3
+LAPSE_SECONDS = 1.5
+# Targets that may end before a request is known for what it is, the seconds that
+# routers have to learn it from each other, and how often it may be sent after that.
+ENOUGH_ENDS = 3
+CONTACT_SECONDS = 3.0
+MOST_MORE = 3
+
+
+class HarmfulRequestTest(LiveTest):
+    run_tests_with = DeploymentRunTest.make_factory(timeout=60.0)
+
+    def setUp(self):
+        super().setUp()
+        self.store = UsersStore()
+        self.store.write("config", "main", configuration())
+        self.endpoint = self.serve(self.store)
+        self.started = 0
+        self.ends = []
+        self.arrivals = []
+        self.asked = 0
+        self.events = []
+        for service in ("model", "portal"):
+            for _ in range(TARGETS):
+                self.start_target(service)
+        self.routers = [self.start_router(f"r{n}") for n in range(ROUTERS)]
+
+    def start_router(self, name):
+        settings = router_settings(name)
+        parts = router_parts(self.endpoint, name, self.events, lambda: settings)
+        router = EntryRouter(settings, router_watches(), parts)
+        router.start()
+        self.addCleanup(router._close)
+        return router
+
+    def start_target(self, service):
+        self.started += 1
+        name = f"i-{self.started}"
+        script = EngineScript(name=name, events=4 if service == "model" else 0)
+        engine = UsersEngine(script)
+        port = reactor.listenTCP(0, engine, interface=LOOPBACK)
+        self.addCleanup(port.stopListening)
+        address = f"{LOOPBACK}:{port.getHost().port}"
+        self.store.write("servers", name, target_entry(service, address))
+
+        def arrived(arrival):
+            if arrival.body.startswith(HARMFUL):
+                self.arrivals.append((reactor.seconds(), arrival.body))
+                reactor.callLater(WORK_SECONDS, end, arrival.body)
+
+        def end(body):
+            if port.disconnected:
+                return
+            self.ends.append((reactor.seconds(), body))
+            port.stopListening()
+            engine.restart(None)
+            reactor.callLater(LAPSE_SECONDS, self.store.remove, "servers", name)
+            reactor.callLater(START_SECONDS, self.start_target, service)
+
+        script.on_arrival = arrived
+
+    @inlineCallbacks
+    def ask(self, router, path, body):
+        """Send a request under an id of its own; return the raw answer."""
+        self.asked += 1
+        bound = router.bound[router._settings.callers]
+        way = TCP4ClientEndpoint(reactor, bound.address, bound.port)
+        caller = yield connectProtocol(way, Caller())
+        headers = b"Connection: close\r\n"
+        rid = b"r%d" % self.asked
+        caller.transport.write(
+            text(path, method=b"POST", headers=headers, body=body, rid=rid)
+        )
+        yield caller.until(lambda c: c.is_closed)
+        return caller.data
+
+    @inlineCallbacks
+    def ask_in_turn(self, path, body, seconds):
+        """Send the same request to one router after the other for a while."""
+        until = reactor.seconds() + seconds
+        answers = []
+        while reactor.seconds() < until:
+            router = self.routers[self.asked % len(self.routers)]
+            answers.append((yield self.ask(router, path, body)))
+            yield deferLater(reactor, 0.1, lambda: None)
+        return answers
+
+    def sent_after_contact(self, body):
+        """Return how often it was sent once all routers should have known."""
+        ends = [at for at, ended_by in self.ends if ended_by == body]
+        self.assertThat(ENOUGH_ENDS - 1, LessThan(len(ends)))
+        known_at = ends[ENOUGH_ENDS - 1] + CONTACT_SECONDS
+        return sum(at > known_at and sent == body for at, sent in self.arrivals)
+
+    @inlineCallbacks
+    def settled(self):
+        """Wait until all routers serve and hear each other."""
+        for _ in range(500):
+            others = [len(router._news.others) for router in self.routers]
+            if all(r.is_ready for r in self.routers) and min(others) == ROUTERS - 1:
+                return
+            yield deferLater(reactor, 0.01, lambda: None)
+        self.fail("the routers did not settle")
+
+    @inlineCallbacks
+    def check(self, path):
+        yield self.settled()
+        yield self.ask_in_turn(path, HARMFUL, CONTACT_SECONDS + 4.0)
+        self.assertThat(self.sent_after_contact(HARMFUL), LessThan(MOST_MORE + 1))
+        for router in self.routers:
+            whole = yield self.ask(router, path, b"another of the same caller")
+            self.assertIn(b"HTTP/1.1 200", whole)
+
+    def test_a_stream_that_is_sent_again_by_its_caller(self):
+        return self.check(b"/draft/x")
+
+    def test_a_stream_that_may_go_on_elsewhere(self):
+        return self.check(b"/story/x")
+
+    def test_a_request_that_may_be_repeated(self):
+        return self.check(b"/plain/x")
+
+    def test_a_request_that_may_run_once(self):
+        return self.check(b"/once/x")
