--- a/tests/entry/test_harmful_requests.py
+++ b/tests/entry/test_harmful_requests.py
@@ -43,8 +43,10 @@
 ROUTERS = 4
 TARGETS = 5
 HARMFUL = b"ends what runs it"
-# From the beginning of the work to the end of the target.
+# From the beginning of the work to the end of the target, in the middle of its answer.
 WORK_SECONDS = 0.05
+ANSWER_SECONDS = 0.2
+EVENTS = 4
 # Until another target starts in its place, and until its entry is gone.
 START_SECONDS = 0.3
 LAPSE_SECONDS = 1.5
@@ -84,7 +86,9 @@
     def start_target(self, service):
         self.started += 1
         name = f"i-{self.started}"
-        script = EngineScript(name=name, events=4 if service == "model" else 0)
+        script = EngineScript(name=name, delay=ANSWER_SECONDS)
+        if service == "model":
+            script = EngineScript(name=name, events=EVENTS, gap=ANSWER_SECONDS / EVENTS)
         engine = UsersEngine(script)
         port = reactor.listenTCP(0, engine, interface=LOOPBACK)
         self.addCleanup(port.stopListening)
