--- a/src/primrosescale/connection/wire.thrift
+++ b/src/primrosescale/connection/wire.thrift
@@ -170,7 +170,15 @@
 /* Whose requests a message counts: the sender's own, those of all routers of its
  * failure domain, or those of all routers but the one that it is sent to. */
 enum NewsScope { ROUTER = 1, DOMAIN = 2, FLEET = 3 }
-/* "scope" is absent where all routers tell all. The loads of a message with a
+/* A target ended with a request on board; without "target" the request was answered
+ * whole, and earlier ends do not count. "fingerprint" is that of the request. */
+struct EndNews {
+  1: required i64 fingerprint, 2: required i32 age_ms, 3: optional i32 target
+}
+
+/* "ends" are passed on by relays; "held" are the ends for which the sender holds
+ * requests back, told again and again and not passed on.
+ * "scope" is absent where all routers tell all. The loads of a message with a
  * scope stand in "running", a byte a target in the order of the targets' short
  * names, where "targets_digest" is that of the receiver's list; else in "targets".
  * They are deflated where "is_packed" says so.
@@ -182,7 +190,8 @@
   9: required bool store_lost, 10: optional i64 targets_revision,
   11: optional NewsScope scope, 12: optional bool wants_fleet,
   13: optional i32 targets_digest, 14: optional binary running,
-  15: optional i32 age_ms, 16: optional i32 routers, 17: optional bool is_packed
+  15: optional i32 age_ms, 16: optional i32 routers, 17: optional bool is_packed,
+  18: optional list<EndNews> ends, 19: optional list<EndNews> held
 }
 
 /* What a router that has just started asks the others, and what one answers: the
--- a/src/primrosescale/connection/wire/ttypes.py
+++ b/src/primrosescale/connection/wire/ttypes.py
@@ -4223,6 +4223,102 @@
         return not (self == other)
 
 
+class EndNews(object):
+    """
+    Attributes:
+     - fingerprint
+     - age_ms
+     - target
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'age_ms',
+        'target',
+    )
+
+
+    def __init__(self, fingerprint=None, age_ms=None, target=None,):
+        self.fingerprint = fingerprint
+        self.age_ms = age_ms
+        self.target = target
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.fingerprint = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.target = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndNews')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.I64, 1)
+            oprot.writeI64(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.I32, 3)
+            oprot.writeI32(self.target)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.fingerprint is None:
+            raise TProtocolException(message='Required field fingerprint is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class RouterNews(object):
     """
     Attributes:
@@ -4243,6 +4339,8 @@
      - age_ms
      - routers
      - is_packed
+     - ends
+     - held
 
     """
 
@@ -4264,10 +4362,12 @@
         'age_ms',
         'routers',
         'is_packed',
+        'ends',
+        'held',
     )
 
 
-    def __init__(self, origin=None, incarnation=None, sequence=None, heard=None, version=None, knowledge_age_ms=None, targets=None, parts=None, store_lost=None, targets_revision=None, scope=None, wants_fleet=None, targets_digest=None, running=None, age_ms=None, routers=None, is_packed=None,):
+    def __init__(self, origin=None, incarnation=None, sequence=None, heard=None, version=None, knowledge_age_ms=None, targets=None, parts=None, store_lost=None, targets_revision=None, scope=None, wants_fleet=None, targets_digest=None, running=None, age_ms=None, routers=None, is_packed=None, ends=None, held=None,):
         self.origin = origin
         self.incarnation = incarnation
         self.sequence = sequence
@@ -4285,6 +4385,8 @@
         self.age_ms = age_ms
         self.routers = routers
         self.is_packed = is_packed
+        self.ends = ends
+        self.held = held
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4392,6 +4494,28 @@
                     self.is_packed = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.LIST:
+                    self.ends = []
+                    (_etype155, _size152) = iprot.readListBegin()
+                    for _i156 in range(_size152):
+                        _elem157 = EndNews()
+                        _elem157.read(iprot)
+                        self.ends.append(_elem157)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.LIST:
+                    self.held = []
+                    (_etype161, _size158) = iprot.readListBegin()
+                    for _i162 in range(_size158):
+                        _elem163 = EndNews()
+                        _elem163.read(iprot)
+                        self.held.append(_elem163)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4429,15 +4553,15 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter152 in self.targets:
-                iter152.write(oprot)
+            for iter164 in self.targets:
+                iter164.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter153 in self.parts:
-                iter153.write(oprot)
+            for iter165 in self.parts:
+                iter165.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_lost is not None:
@@ -4476,6 +4600,20 @@
             oprot.writeFieldBegin('is_packed', TType.BOOL, 17)
             oprot.writeBool(self.is_packed)
             oprot.writeFieldEnd()
+        if self.ends is not None:
+            oprot.writeFieldBegin('ends', TType.LIST, 18)
+            oprot.writeListBegin(TType.STRUCT, len(self.ends))
+            for iter166 in self.ends:
+                iter166.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.LIST, 19)
+            oprot.writeListBegin(TType.STRUCT, len(self.held))
+            for iter167 in self.held:
+                iter167.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4722,11 +4860,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype157, _size154) = iprot.readListBegin()
-                    for _i158 in range(_size154):
-                        _elem159 = CachedPart()
-                        _elem159.read(iprot)
-                        self.parts.append(_elem159)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = CachedPart()
+                        _elem173.read(iprot)
+                        self.parts.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4747,8 +4885,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter160 in self.parts:
-                iter160.write(oprot)
+            for iter174 in self.parts:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4818,11 +4956,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.caches = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = TargetCache()
-                        _elem166.read(iprot)
-                        self.caches.append(_elem166)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = TargetCache()
+                        _elem180.read(iprot)
+                        self.caches.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4848,8 +4986,8 @@
         if self.caches is not None:
             oprot.writeFieldBegin('caches', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.caches))
-            for iter167 in self.caches:
-                iter167.write(oprot)
+            for iter181 in self.caches:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_last is not None:
@@ -5096,11 +5234,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = Header()
-                        _elem173.read(iprot)
-                        self.headers.append(_elem173)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = Header()
+                        _elem187.read(iprot)
+                        self.headers.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5131,8 +5269,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter174 in self.headers:
-                iter174.write(oprot)
+            for iter188 in self.headers:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -5589,21 +5727,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = LedgerEntry()
-                        _elem180.read(iprot)
-                        self.entries.append(_elem180)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = LedgerEntry()
+                        _elem194.read(iprot)
+                        self.entries.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.sealed = []
-                    (_etype184, _size181) = iprot.readListBegin()
-                    for _i185 in range(_size181):
-                        _elem186 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.sealed.append(_elem186)
+                    (_etype198, _size195) = iprot.readListBegin()
+                    for _i199 in range(_size195):
+                        _elem200 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.sealed.append(_elem200)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5624,15 +5762,15 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter187 in self.entries:
-                iter187.write(oprot)
+            for iter201 in self.entries:
+                iter201.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sealed is not None:
             oprot.writeFieldBegin('sealed', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.sealed))
-            for iter188 in self.sealed:
-                oprot.writeString(iter188.encode('utf-8') if sys.version_info[0] == 2 else iter188)
+            for iter202 in self.sealed:
+                oprot.writeString(iter202.encode('utf-8') if sys.version_info[0] == 2 else iter202)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6057,6 +6195,13 @@
     (4, TType.I32, 'age_ms', None, None, ),  # 4
     (5, TType.LIST, 'before', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
+all_structs.append(EndNews)
+EndNews.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'fingerprint', None, None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+    (3, TType.I32, 'target', None, None, ),  # 3
+)
 all_structs.append(RouterNews)
 RouterNews.thrift_spec = (
     None,  # 0
@@ -6077,6 +6222,8 @@
     (15, TType.I32, 'age_ms', None, None, ),  # 15
     (16, TType.I32, 'routers', None, None, ),  # 16
     (17, TType.BOOL, 'is_packed', None, None, ),  # 17
+    (18, TType.LIST, 'ends', (TType.STRUCT, [EndNews, None], False), None, ),  # 18
+    (19, TType.LIST, 'held', (TType.STRUCT, [EndNews, None], False), None, ),  # 19
 )
 all_structs.append(CacheQuestion)
 CacheQuestion.thrift_spec = (
--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -54,6 +54,11 @@
             "Targets that started again under their names",
             registry=self._registry,
         )
+        self._ends = Counter(
+            "primrosescale_target_ends",
+            "Targets that ended with requests of this router on board",
+            registry=self._registry,
+        )
         self._refused_records = Counter(
             "primrosescale_refused_records",
             "Records of the store that could not be read, once a change",
@@ -93,6 +98,8 @@
                 ("peers", "Other routers heard of lately"),
                 ("news_age_seconds", "Age of the oldest load told by other routers"),
                 ("relay_rank", "Place among the relays of its domain; -1 for none"),
+                ("requests_held_back", "Requests that are not sent any more"),
+                ("requests_suspected", "Requests under which targets ended"),
                 ("is_ready", "Whether the balancer is told to send callers"),
                 ("log_lines_dropped", "Log lines left out"),
             )
@@ -151,6 +158,10 @@
         """Count a target that has started again."""
         self._restarts.inc()
 
+    def target_ended(self) -> None:
+        """Count a target that has ended with requests on board."""
+        self._ends.inc()
+
     def record_refused(self, kind: str) -> None:
         """Count a record of the store that cannot be read as it now stands.
 
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -21,6 +21,8 @@
 from primrosescale.process.entry.caller_site import CallerConnection
 from primrosescale.process.entry.caller_site import EntryFactory
 from primrosescale.process.entry.caller_site import EntryHandler
+from primrosescale.process.entry.harm_news import HarmNews
+from primrosescale.process.entry.harm_watch import EntryHarmWatch
 from primrosescale.process.entry.knowledge import Knowledge
 from primrosescale.process.entry.router_exchange import NewsExchange
 from primrosescale.process.entry.router_exchange import RouterRegistry
@@ -39,6 +41,7 @@
 from primrosescale.request.forwarded_call import ForwardedCall
 from primrosescale.request.freshness import Freshness
 from primrosescale.request.gate import Gate
+from primrosescale.request.harmful_requests import HarmfulRequests
 from primrosescale.request.hop import NO_HOP
 from primrosescale.request.part_directory import PartDirectory
 from primrosescale.request.repeat_budget import RepeatBudget
@@ -58,6 +61,7 @@
     from primrosescale.request.incoming import IncomingRequest
     from primrosescale.request.serving_target import ServingTarget
     from primrosescale.request.silence import Silence
+    from primrosescale.request.target_incarnation import TargetIncarnation
     from primrosescale.version.routing_table import CallerLimits
 
 OK = 200
@@ -89,6 +93,11 @@
 STOP_MARGIN_SECONDS = 0.5
 
 
+# What shows that a target has ended, besides a refused connection.
+GONE = "entry gone"
+STARTED_AGAIN = "started again"
+
+
 class EntryRouter(EntryHandler):
     """Accepts callers' requests and sends them to targets.
 
@@ -117,8 +126,12 @@
         freshness = Freshness(settings.revoke)
         self._caller = HttpTargetCaller(parts.reactor, parts.codec)
         self._directory = PartDirectory()
-        restarts = TargetRestarts(self._caller, self._directory, parts)
+        restarts = TargetRestarts(
+            self._caller, self._directory, parts, self._target_ended
+        )
         targets = TargetList(settings.drain, restarts.began)
+        self._harmful = HarmfulRequests(settings.harm)
+        harm_news = HarmNews(self._harmful, parts.log)
         self._news = RouterNews(
             settings.name,
             incarnation,
@@ -127,6 +140,7 @@
             freshness,
             settings.domain,
             settings.news,
+            harm_news,
         )
         self._registry = RouterRegistry(settings, incarnation, self._news, parts)
         shares = CacheShares(
@@ -156,6 +170,14 @@
             self._registry,
             lambda: self._news.asks_often(self._now()),
         )
+        self._harm = EntryHarmWatch(
+            self._harmful,
+            harm_news,
+            targets,
+            self._caller,
+            parts,
+            self._exchange.tell_soon,
+        )
         self._budgets: dict[str, RepeatBudget] = {}
         self._gate = Gate(self._knowledge.freshness, settings.certain_for, parts.rng)
         self._tools = ForwardTools(
@@ -177,6 +199,7 @@
             parts_changed=self._exchange.tell_soon,
             start_hop=self._start_hop,
             silence_judged=self._silence_judged,
+            harm=self._harm,
         )
         self._tracing: Tracing | None = None
         self._factory = EntryFactory(self, parts.reactor)
@@ -287,6 +310,7 @@
             self._knowledge.configure(settings)
             self._gate.configure(settings.certain_for)
             self._tools.configure(settings.forward, settings.choice)
+            self._harmful.configure(settings.harm)
             self._budgets.clear()
         if is_asked or is_changed:
             self._log.emit(Event.SETTINGS_RELOADED, is_changed=is_changed)
@@ -380,7 +404,7 @@
             outcome=outcome,
             status=call.status,
             fingerprint=(
-                fingerprint_text(request.fingerprint) if call.is_answer_lost else None
+                fingerprint_text(request.fingerprint) if call.is_suspect else None
             ),
             prompt_tokens=0 if request.prompt is None else request.prompt.prompt_tokens,
             took=round(now - request.received_at, 3),
@@ -423,6 +447,9 @@
             self._tracing = Tracing(self._log, 0.0, self._parts.rng)
         return self._tracing.start(name, traceparent, may_begin=False)
 
+    def _target_ended(self, former: TargetIncarnation) -> None:
+        self._harm.target_ended(former, STARTED_AGAIN, self._now())
+
     def _budget_of(self, service: str) -> RepeatBudget:
         budget = self._budgets.get(service)
         if budget is None:
@@ -456,6 +483,7 @@
         )
         for incarnation in self._knowledge.listed.forget_gone(now):
             self._directory.forget_target(incarnation)
+            self._harm.target_ended(incarnation, GONE, now)
             self._caller.forget(incarnation.name)
         self._note_readiness(now)
         dropped = self._parts.writer.take_dropped() if self._parts.writer else 0
@@ -544,6 +572,8 @@
             "news_age_seconds": self._news.age(now),
             "relay_rank": -1.0 if rank is None else rank,
             "store_calls": self._knowledge.store_calls,
+            "requests_held_back": len(self._harmful.held(now)),
+            "requests_suspected": len(self._harmful),
             "is_ready": float(self.is_ready),
             "log_lines_dropped": self._lines_dropped,
         }
--- a/src/primrosescale/process/entry/entry_settings.py
+++ b/src/primrosescale/process/entry/entry_settings.py
@@ -8,6 +8,7 @@
 
 from primrosescale.process.entry.news_paths import NewsSettings
 from primrosescale.request.forward_tools import ForwardSettings
+from primrosescale.request.harmful_requests import HarmSettings
 from primrosescale.request.target_choice import ChoiceSettings
 
 if TYPE_CHECKING:
@@ -55,6 +56,8 @@
         Weights of the choice of targets.
     news : NewsSettings
         How routers tell each other what they know.
+    harm : HarmSettings
+        When a request that ends targets is held back.
     """
 
     name: str
@@ -73,6 +76,7 @@
     forward: ForwardSettings = field(default_factory=ForwardSettings)
     choice: ChoiceSettings = field(default_factory=ChoiceSettings)
     news: NewsSettings = field(default_factory=NewsSettings)
+    harm: HarmSettings = field(default_factory=HarmSettings)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/primrosescale/process/entry/harm_news.py
@@ -0,0 +1,201 @@
+"""What routers tell each other of targets that ended with requests on board.
+
+Each end is told some times over, since a datagram may be lost. The ends for which
+requests are held back are told again and again, a few at a time, so that a router
+that starts, or that others could not reach for a while, holds the same ones back
+within seconds.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+from typing import Any
+
+from primrosescale.connection.wire import ttypes as wire
+from primrosescale.process.entry.load_codec import MILLISECONDS
+from primrosescale.process.events import Event
+from primrosescale.request.content_fingerprint import fingerprint_text
+from primrosescale.request.harmful_requests import TargetEnd
+from primrosescale.request.harmful_requests import WholeAnswer
+from primrosescale.request.lost_answers import BUFFERED_SECONDS
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from primrosescale.request.harmful_requests import HarmfulRequests
+    from primrosescale.request.target_state import TargetState
+
+# How often each end is told. One datagram in a thousand is lost, and three in a
+# hundred on a bad link.
+TIMES_TOLD = 3
+# Ends that wait to be told; the oldest make room.
+MOST_WAITING = 512
+# Ends in one message, at 20 bytes each.
+MOST_IN_MESSAGE = 12
+MOST_HELD_IN_MESSAGE = 8
+# Seconds between two messages with ends for which requests are held back.
+HELD_INTERVAL = 1.0
+
+
+class _Waiting:
+    """An end or an answer that is to be told."""
+
+    __slots__ = ("item", "times_left")
+
+    def __init__(self, item: TargetEnd | WholeAnswer) -> None:
+        self.item = item
+        self.times_left = TIMES_TOLD
+
+
+class HarmNews:
+    """Tells other routers of ends of targets and takes in theirs.
+
+    Parameters
+    ----------
+    requests : HarmfulRequests
+        What all reports amount to.
+    log : Any
+        Where events are told.
+    """
+
+    def __init__(self, requests: HarmfulRequests, log: Any) -> None:
+        self._requests = requests
+        self._log = log
+        self._waiting: deque[_Waiting] = deque(maxlen=MOST_WAITING)
+        self._held_at = 0.0
+        self._held_queue: deque[TargetEnd] = deque()
+        self._known_held: set[int] = set()
+
+    @property
+    def is_urgent(self) -> bool:
+        """Tell whether there is something that no router was told of yet."""
+        return bool(self._waiting) and self._waiting[0].times_left == TIMES_TOLD
+
+    def note(self, item: TargetEnd | WholeAnswer, now: float) -> bool:
+        """Take in what this router has seen, and tell the others of it.
+
+        Parameters
+        ----------
+        item : TargetEnd | WholeAnswer
+            The end or the answer.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether it changed anything.
+        """
+        if not self._take(item, "", now):
+            return False
+        # What was never told goes first.
+        self._waiting.appendleft(_Waiting(item))
+        return True
+
+    def ends(self, now: float) -> list[wire.EndNews]:
+        """Return what is to be told in the next message.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        list[wire.EndNews]
+            A few ends and answers; each comes some times.
+        """
+        count = min(MOST_IN_MESSAGE, len(self._waiting))
+        told = [self._waiting.popleft() for _ in range(count)]
+        for each in told:
+            each.times_left -= 1
+            if each.times_left:
+                self._waiting.append(each)
+        return [_end_news(each.item, now) for each in told]
+
+    def held(self, now: float) -> list[wire.EndNews]:
+        """Return some of the ends for which requests are held back here.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        list[wire.EndNews]
+            The next few of all in turn, once a second.
+        """
+        if now - self._held_at < HELD_INTERVAL:
+            return []
+        self._held_at = now
+        held = self._requests.held(now)
+        self._known_held.intersection_update(held)
+        if not self._held_queue:
+            for fingerprint in held:
+                self._held_queue.extend(self._requests.proof(fingerprint))
+        count = min(MOST_HELD_IN_MESSAGE, len(self._held_queue))
+        return [_end_news(self._held_queue.popleft(), now) for _ in range(count)]
+
+    def take(
+        self, message: wire.RouterNews, states: Mapping[int, TargetState], now: float
+    ) -> None:
+        """Take in what another router tells.
+
+        Parameters
+        ----------
+        message : wire.RouterNews
+            Its news.
+        states : Mapping[int, TargetState]
+            What is known of targets, by their short names.
+        now : float
+            Present time in seconds.
+        """
+        for told in self._readable(message):
+            at = now - max(0, told.age_ms) / MILLISECONDS
+            if told.target is None:
+                answer = WholeAnswer(told.fingerprint, at)
+                self._take(answer, message.origin, now)
+                continue
+            state = states.get(told.target)
+            if state is not None and state.heard_at > at + BUFFERED_SECONDS:
+                # It was cut off from the router that tells, and has not ended.
+                continue
+            end = TargetEnd(told.fingerprint, told.target, at)
+            self._take(end, message.origin, now)
+
+    def _readable(self, message: wire.RouterNews) -> Iterable[wire.EndNews]:
+        yield from message.ends or ()
+        yield from message.held or ()
+
+    def _take(self, item: TargetEnd | WholeAnswer, told_by: str, now: float) -> bool:
+        if isinstance(item, TargetEnd):
+            is_news = self._requests.take_end(item)
+        else:
+            is_news = self._requests.take_answer(item)
+        if is_news:
+            self._note_verdict(item.fingerprint, told_by, now)
+        return is_news
+
+    def _note_verdict(self, fingerprint: int, told_by: str, now: float) -> None:
+        """Log that a request is held back from now on, or no more."""
+        seconds = self._requests.held_for(fingerprint, now)
+        if bool(seconds) == (fingerprint in self._known_held):
+            return
+        event = Event.REQUEST_HELD_BACK if seconds else Event.REQUEST_CLEARED
+        self._known_held ^= {fingerprint}
+        self._log.emit(
+            event,
+            fingerprint=fingerprint_text(fingerprint),
+            ends=self._requests.ends_under(fingerprint),
+            seconds=round(seconds, 1),
+            told_by=told_by,
+        )
+
+
+def _end_news(item: TargetEnd | WholeAnswer, now: float) -> wire.EndNews:
+    age = max(0, round((now - item.at) * MILLISECONDS))
+    target = item.target if isinstance(item, TargetEnd) else None
+    return wire.EndNews(item.fingerprint, age, target)
--- a/src/primrosescale/process/entry/news_relay.py
+++ b/src/primrosescale/process/entry/news_relay.py
@@ -9,12 +9,16 @@
 
 from collections import deque
 from typing import TYPE_CHECKING
+from typing import Generic
+from typing import TypeVar
 
 from primrosescale.connection.wire.ttypes import NewsScope
 from primrosescale.process.entry.load_sum import LoadSum
 from primrosescale.process.entry.load_sum import sum_of
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from primrosescale.connection.wire import ttypes as wire
     from primrosescale.process.entry.news_paths import NewsPaths
     from primrosescale.process.entry.news_paths import NewsSettings
@@ -25,6 +29,9 @@
 # Parts in one message of a relay: 27 a second, 700 bytes to each router that it
 # tells. Loads, which grow old, do not wait for more of them.
 MOST_RELAYED_PARTS = 4
+# Ends of targets that wait to be passed on, and those in one message of a relay.
+MOST_WAITING_ENDS = 200
+MOST_RELAYED_ENDS = 8
 # Of two relays that tell of the same routers the one that counts more of them is
 # believed, for as long as it tells: a relay that has just become one knows few.
 BELIEVED_INTERVALS = 3
@@ -54,11 +61,13 @@
         The requests.
     parts : list[wire.PartNews]
         Where parts of prompts went.
+    ends : list[wire.EndNews]
+        Which targets ended with which requests on board.
     wants_fleet : bool
         Whether it is asked to tell of all routers.
     """
 
-    __slots__ = ("loads", "name", "parts", "scope", "wants_fleet")
+    __slots__ = ("ends", "loads", "name", "parts", "scope", "wants_fleet")
 
     def __init__(
         self,
@@ -66,6 +75,7 @@
         scope: NewsScope,
         loads: LoadSum,
         parts: list[wire.PartNews],
+        ends: list[wire.EndNews],
         *,
         wants_fleet: bool = False,
     ) -> None:
@@ -73,20 +83,62 @@
         self.scope = scope
         self.loads = loads
         self.parts = parts
+        self.ends = ends
         self.wants_fleet = wants_fleet
 
 
-class _WaitingPart:
-    """News of a part that is to be passed on."""
+Item = TypeVar("Item")
+
+
+class _Waiting(Generic[Item]):
+    """News that is to be passed on."""
 
-    __slots__ = ("is_of_domain", "origin", "part")
+    __slots__ = ("is_of_domain", "item", "origin")
 
-    def __init__(self, origin: str, part: wire.PartNews, *, is_of_domain: bool) -> None:
+    def __init__(self, origin: str, item: Item, *, is_of_domain: bool) -> None:
         self.origin = origin
-        self.part = part
+        self.item = item
         self.is_of_domain = is_of_domain
 
 
+class _PassedOn(Generic[Item]):
+    """News that waits to be passed on, the oldest first.
+
+    Parameters
+    ----------
+    most : int
+        How much may wait; the oldest makes room.
+    most_in_message : int
+        How much of it goes into one message.
+    """
+
+    __slots__ = ("_most_in_message", "_waiting")
+
+    def __init__(self, most: int, most_in_message: int) -> None:
+        self._most_in_message = most_in_message
+        self._waiting: deque[_Waiting[Item]] = deque(maxlen=most)
+
+    def add(self, origin: str, items: Iterable[Item], *, is_of_domain: bool) -> None:
+        """Have news wait that came from a router."""
+        for item in items:
+            self._waiting.append(_Waiting(origin, item, is_of_domain=is_of_domain))
+
+    def take(self) -> list[_Waiting[Item]]:
+        """Return what goes into the messages of this round."""
+        count = min(self._most_in_message, len(self._waiting))
+        return [self._waiting.popleft() for _ in range(count)]
+
+
+def _of_domain(waiting: list[_Waiting[Item]]) -> list[Item]:
+    """Return what other domains are told."""
+    return [each.item for each in waiting if each.is_of_domain]
+
+
+def _not_from(name: str, waiting: list[_Waiting[Item]]) -> list[Item]:
+    """Return what the router that some of it came from is told."""
+    return [each.item for each in waiting if each.origin != name]
+
+
 class NewsRelay:
     """Sums of others' requests, by router, by domain and of all.
 
@@ -112,7 +164,12 @@
         self._fleets: dict[str, _Word] = {}
         # Routers that ask this one to answer as a relay, and until when.
         self._askers: dict[str, float] = {}
-        self._waiting: deque[_WaitingPart] = deque(maxlen=MOST_WAITING_PARTS)
+        self._parts: _PassedOn[wire.PartNews] = _PassedOn(
+            MOST_WAITING_PARTS, MOST_RELAYED_PARTS
+        )
+        self._ends: _PassedOn[wire.EndNews] = _PassedOn(
+            MOST_WAITING_ENDS, MOST_RELAYED_ENDS
+        )
 
     def hear_from(
         self, message: wire.RouterNews, loads: LoadSum | None, now: float
@@ -138,8 +195,8 @@
             self._askers[origin] = now + self._settings.keep
         if not self._askers or message.scope == NewsScope.FLEET:
             return
-        for part in message.parts:
-            self._waiting.append(_WaitingPart(origin, part, is_of_domain=is_report))
+        self._parts.add(origin, message.parts, is_of_domain=is_report)
+        self._ends.add(origin, message.ends or (), is_of_domain=is_report)
 
     def hear(self, scope: NewsScope, origin: str, loads: LoadSum, now: float) -> None:
         """Take in what another router tells of requests.
@@ -210,6 +267,7 @@
         self,
         own: LoadSum,
         parts: list[wire.PartNews],
+        ends: list[wire.EndNews],
         now: float,
         *,
         is_urgent: bool,
@@ -222,6 +280,8 @@
             This router's own requests.
         parts : list[wire.PartNews]
             Where this router sent parts of prompts.
+        ends : list[wire.EndNews]
+            Which targets ended with which of its requests on board.
         now : float
             Present time in seconds.
         is_urgent : bool
@@ -232,8 +292,8 @@
         list[Telling]
             What each is told.
         """
-        for part in parts:
-            self._waiting.append(_WaitingPart(self._name, part, is_of_domain=True))
+        self._parts.add(self._name, parts, is_of_domain=True)
+        self._ends.add(self._name, ends, is_of_domain=True)
         teller = self._paths.teller(now)
         told = [
             Telling(
@@ -241,6 +301,7 @@
                 NewsScope.ROUTER,
                 own,
                 parts[-MOST_RELAYED_PARTS:],
+                ends,
                 wants_fleet=name == teller,
             )
             for name in self._paths.own_relays(now)
@@ -264,21 +325,30 @@
                 self._paths.asked(name, now)
         others.update(n for n in self._askers if not self._paths.is_own_domain(n))
         members = [name for name in self._askers if self._paths.is_own_domain(name)]
-        count = min(MOST_RELAYED_PARTS, len(self._waiting))
-        waiting = [self._waiting.popleft() for _ in range(count)]
+        parts = self._parts.take()
+        ends = self._ends.take()
         if not others and not members:
             return []
         reports = [word.loads for word in self._fresh(self._reports, now)]
         domain = sum_of([own, *reports], now)
-        of_domain = [item.part for item in waiting if item.is_of_domain]
-        told = [Telling(name, NewsScope.DOMAIN, domain, of_domain) for name in others]
+        told = [
+            Telling(name, NewsScope.DOMAIN, domain, _of_domain(parts), _of_domain(ends))
+            for name in others
+        ]
         fleet = sum_of([own, self._gathered(now)], now)
         for name in members:
             report = self._reports.get(name)
             is_counted = report is not None and self._is_fresh(report, now)
             loads = fleet.without(report.loads) if report and is_counted else fleet
-            parts = [item.part for item in waiting if item.origin != name]
-            told.append(Telling(name, NewsScope.FLEET, loads, parts))
+            told.append(
+                Telling(
+                    name,
+                    NewsScope.FLEET,
+                    loads,
+                    _not_from(name, parts),
+                    _not_from(name, ends),
+                )
+            )
         return told
 
     def _gathered(self, now: float) -> LoadSum:
--- a/src/primrosescale/process/entry/router_news.py
+++ b/src/primrosescale/process/entry/router_news.py
@@ -26,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from primrosescale.process.entry.harm_news import HarmNews
     from primrosescale.process.entry.load_sum import LoadSum
     from primrosescale.process.entry.news_relay import Telling
     from primrosescale.process.entry.other_router import OtherRouter
@@ -74,6 +75,9 @@
         Failure domain of this router.
     settings : NewsSettings | None
         Sizes and times; None for the usual ones.
+    harm : HarmNews | None
+        What is told of targets that ended with requests on board; None for
+        nothing.
     """
 
     def __init__(
@@ -85,8 +89,10 @@
         freshness: Freshness,
         domain: str = "",
         settings: NewsSettings | None = None,
+        harm: HarmNews | None = None,
     ) -> None:
         settings = settings or NewsSettings()
+        self._harm = harm
         self._settings = settings
         self._name = name
         self._incarnation = incarnation
@@ -123,7 +129,9 @@
     @property
     def is_urgent(self) -> bool:
         """Tell whether there is something that others should not wait for."""
-        return not self._paths.is_relayed or self._parts.has_unexpected
+        if not self._paths.is_relayed or self._parts.has_unexpected:
+            return True
+        return self._harm is not None and self._harm.is_urgent
 
     @property
     def others(self) -> list[OtherRouter]:
@@ -397,20 +405,25 @@
         is_relayed = self._paths.is_relayed
         take_uses = self._parts.take_unexpected if is_relayed else self._parts.take_news
         parts = [_part_news(use, now) for use in take_uses()]
+        ends = self._harm.ends(now) if self._harm else []
+        held = self._harm.held(now) if self._harm and not is_urgent else []
         if is_relayed:
             own = self._codec.own_sum(now, reaches_store=not is_store_lost)
-            told = self._relay.compose(own, parts, now, is_urgent=is_urgent)
+            told = self._relay.compose(own, parts, ends, now, is_urgent=is_urgent)
             if not is_urgent:
                 self._round_messages = len(told)
                 self._note_rank(now)
                 self._adopt_relayed(now)
-            return [self._summed(item, head, now) for item in told]
+            return [self._summed(item, head, held, now) for item in told]
         targets = self._codec.own_news(now)
         messages = []
         for peer in self._peers.values():
             message = self._message(peer, head, now)
             message.targets = targets
-            message.parts = parts[-MOST_PARTS:]
+            # Ends are few, and a datagram has room for as many parts less.
+            message.parts = parts[-(MOST_PARTS - len(ends) - len(held)) :]
+            message.ends = ends or None
+            message.held = held or None
             messages.append((peer.router, message))
         return messages
 
@@ -438,7 +451,7 @@
         )
 
     def _summed(
-        self, item: Telling, head: _Head, now: float
+        self, item: Telling, head: _Head, held: list[wire.EndNews], now: float
     ) -> tuple[OtherRouter, wire.RouterNews]:
         """Return the message for what a router is told by relays."""
         peer = self._peers[item.name]
@@ -446,6 +459,9 @@
         message.scope = item.scope
         message.wants_fleet = item.wants_fleet
         message.parts = item.parts
+        message.ends = item.ends or None
+        if item.scope != NewsScope.ROUTER:
+            message.held = held or None
         self._codec.write(item.loads, message, peer.targets_digest, now)
         return peer.router, message
 
@@ -483,6 +499,8 @@
         if message.scope == NewsScope.FLEET:
             self._adopt_relayed(now)
         self._take_parts(message, now)
+        if self._harm is not None:
+            self._harm.take(message, self._codec.keys.states, now)
         return True
 
     def _take_freshness(
--- a/src/primrosescale/process/entry/target_caller.py
+++ b/src/primrosescale/process/entry/target_caller.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from twisted.internet.error import ConnectionRefusedError  # noqa: A004
 from twisted.internet.protocol import Protocol
 from twisted.internet.protocol import connectionDone
 from twisted.web._newclient import Request
@@ -19,9 +20,12 @@
 from primrosescale.process.transport.http_bodies import body_producer
 from primrosescale.request.direct_port import Run
 from primrosescale.request.direct_port import TargetCaller
+from primrosescale.request.direct_port import TargetCheck
 from primrosescale.request.target_incarnation import TargetIncarnation
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from twisted.internet.defer import Deferred
     from twisted.python.failure import Failure
 
@@ -276,6 +280,30 @@
         run.start()
         return run
 
+    def check(
+        self, target: TargetIncarnation, on_check: Callable[[TargetCheck], None]
+    ) -> None:
+        """See whether a target takes connections; see `TargetCaller.check`."""
+        for life in self._lives.get(target.name, ()):
+            if life.incarnation == target:
+                self._check(life.pool, on_check)
+                return
+        on_check(TargetCheck.UNKNOWN)
+
+    def _check(
+        self, pool: ChannelPool, on_check: Callable[[TargetCheck], None]
+    ) -> None:
+        def opened(channel: TargetChannel) -> None:
+            # The next request needs one in place of the connection that was lost.
+            pool.give_back(channel, self._reactor.seconds())
+            on_check(TargetCheck.LIVES)
+
+        def not_opened(failure: Failure) -> None:
+            is_refused = failure.check(ConnectionRefusedError)
+            on_check(TargetCheck.ENDED if is_refused else TargetCheck.UNKNOWN)
+
+        pool.open().addCallbacks(opened, not_opened)
+
     def end_former(self, present: TargetIncarnation) -> None:
         """End what is under way at former lives; see `TargetCaller.end_former`."""
         former = [
--- a/src/primrosescale/process/entry/target_list.py
+++ b/src/primrosescale/process/entry/target_list.py
@@ -121,6 +121,21 @@
         """
         return self._known.get(name)
 
+    def is_listed(self, name: str) -> bool:
+        """Tell whether a target is known and its entry was not taken away.
+
+        Parameters
+        ----------
+        name : str
+            The target.
+
+        Returns
+        -------
+        bool
+            False for one that may have left.
+        """
+        return name in self._known and name not in self._vanished
+
     def of_service(self, service: str) -> list[TargetState]:
         """Return the targets of a service, those that are leaving too.
 
--- a/src/primrosescale/process/entry/target_restarts.py
+++ b/src/primrosescale/process/entry/target_restarts.py
@@ -8,10 +8,13 @@
 from primrosescale.process.events import Event
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from primrosescale.process.entry.entry_parts import EntryParts
     from primrosescale.process.entry.target_list import BegunLife
     from primrosescale.request.direct_port import TargetCaller
     from primrosescale.request.part_directory import PartDirectory
+    from primrosescale.request.target_incarnation import TargetIncarnation
 
 
 class TargetRestarts:
@@ -28,13 +31,20 @@
         Where parts of prompts are cached.
     parts : EntryParts
         What the router is built with.
+    on_end : Callable[[TargetIncarnation], None]
+        Told of each former life, after what was under way there.
     """
 
     def __init__(
-        self, caller: TargetCaller, directory: PartDirectory, parts: EntryParts
+        self,
+        caller: TargetCaller,
+        directory: PartDirectory,
+        parts: EntryParts,
+        on_end: Callable[[TargetIncarnation], None],
     ) -> None:
         self._caller = caller
         self._directory = directory
+        self._on_end = on_end
         self._reactor: Any = parts.reactor
         self._log = parts.log
         self._metrics = parts.metrics
@@ -70,3 +80,4 @@
             self._caller.end_former(life.present)
             if life.former is not None:
                 self._directory.forget_target(life.former)
+                self._on_end(life.former)
--- a/src/primrosescale/request/direct_port.py
+++ b/src/primrosescale/request/direct_port.py
@@ -9,6 +9,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from primrosescale.request.incoming import IncomingRequest
     from primrosescale.request.serving_target import ServingTarget
     from primrosescale.request.target_incarnation import TargetIncarnation
@@ -148,6 +150,14 @@
         """Take bytes again."""
 
 
+class TargetCheck(Enum):
+    """What a new connection to a target shows."""
+
+    LIVES = "connected"
+    ENDED = "connection refused"
+    UNKNOWN = "no answer"
+
+
 class TargetCaller(ABC):
     """Sends requests to targets."""
 
@@ -169,6 +179,20 @@
             The request at the target.
         """
 
+    @abstractmethod
+    def check(
+        self, target: TargetIncarnation, on_check: Callable[[TargetCheck], None]
+    ) -> None:
+        """See whether a target still takes connections.
+
+        Parameters
+        ----------
+        target : TargetIncarnation
+            The incarnation, one that requests were sent to.
+        on_check : Callable[[TargetCheck], None]
+            Told once what came of it, maybe before this returns.
+        """
+
     @abstractmethod
     def end_former(self, present: TargetIncarnation) -> None:
         """End what is under way at lives of a target that came before another.
@@ -189,6 +213,7 @@
     TARGETS_FULL = (503, "every target of the service declined")
     STALE = (503, "the configuration here is too old to accept keys")
     NO_CONFIGURATION = (503, "no configuration is known yet")
+    HELD_BACK = (503, "targets ended whenever they ran this request; it is held back")
     TOO_LATE = (503, "the time left is too short")
     ROUTER_FULL = (503, "this router has too many requests under way")
     TIMED_OUT_UNSENT = (503, "no target could be reached in time")
--- a/src/primrosescale/request/forward_tools.py
+++ b/src/primrosescale/request/forward_tools.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from primrosescale.ini.options import COUNT
 from primrosescale.ini.options import SECONDS
 from primrosescale.ini.options import option
+from primrosescale.request.harm_watch import Unwatched
 from primrosescale.request.hop import UntracedHop
 
 if TYPE_CHECKING:
@@ -17,6 +19,7 @@
     from primrosescale.clock import Clock
     from primrosescale.request.direct_port import Refusal
     from primrosescale.request.direct_port import TargetCaller
+    from primrosescale.request.harm_watch import HarmWatch
     from primrosescale.request.hop import Hop
     from primrosescale.request.incoming import IncomingRequest
     from primrosescale.request.part_directory import PartDirectory
@@ -149,6 +152,8 @@
         request without a trace context.
     silence_judged : Callable[[IncomingRequest, Silence], None]
         Told of each judgement on a silent target.
+    harm : HarmWatch
+        Knows which requests end targets.
     """
 
     settings: ForwardSettings
@@ -163,6 +168,7 @@
     parts_changed: Callable[[], None]
     start_hop: Callable[[str, str], Hop] = _untraced
     silence_judged: Callable[[IncomingRequest, Silence], None] = _unlogged
+    harm: HarmWatch = field(default_factory=Unwatched)
 
     def configure(self, settings: ForwardSettings, choice: ChoiceSettings) -> None:
         """Take in changed settings, for the calls under way too.
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -80,7 +80,7 @@
         self._tried = TriedTargets(request.route.max_targets)
         self._unreached = 0
         self._may_have_run = False
-        self._is_answer_lost = False
+        self._is_suspect = False
         self._status: int | None = None
         self._is_held_up = False
         self._is_over = False
@@ -106,9 +106,9 @@
         return self._status
 
     @property
-    def is_answer_lost(self) -> bool:
-        """Tell whether a target's answer was lost, be it that another came."""
-        return self._is_answer_lost
+    def is_suspect(self) -> bool:
+        """Tell whether an answer to it was lost, or it was held back."""
+        return self._is_suspect
 
     @property
     def first_byte_at(self) -> float | None:
@@ -187,7 +187,8 @@
         was_serving = attempt is self._pair.serving
         if self._other_goes_on(attempt, now):
             # The repeat is paid for already.
-            choice = None if was_serving else self._choose_sure(now)
+            may_ask = not was_serving and not self._held_for(now)
+            choice = self._choose_sure(now) if may_ask else None
             if choice is not None:
                 self._ask_besides(choice, now)
             return
@@ -201,6 +202,8 @@
         """Look at the head of an answer; see `AttemptListener.attempt_head`."""
         now = self._now()
         attempt.state.heard(now)
+        if not head.is_other_incarnation:
+            self._tools.harm.heard(attempt.state, now)
         if head.load is not None:
             attempt.state.reported(head.load, now)
         if head.is_not_run or head.is_other_incarnation:
@@ -246,6 +249,7 @@
         head = attempt.head
         if head is not None and head.status < FIRST_SERVER_ERROR:
             attempt.state.succeeded(now)
+            self._tools.harm.answered(self._request, now)
         if not self._relay.has_begun:
             self._pass_on(attempt, now)
         attempt.leave("answered", now, is_whole=True)
@@ -282,6 +286,9 @@
         if not self._has_time_left(now):
             self._fail(Refusal.TIMED_OUT_UNSENT)
             return
+        if self._held_for(now):
+            self._fail(Refusal.HELD_BACK)
+            return
         choice = self._choose(now)
         if choice is None:
             self._fail(Refusal.NO_TARGET)
@@ -378,10 +385,15 @@
         left = self._request.give_up_at - now
         return left >= self._tools.settings.shortest_time
 
-    def _may_repeat(self) -> bool:
+    def _may_repeat(self, now: float) -> bool:
         """Tell whether it may be sent again though it may have run."""
-        is_held_back = self._relay.is_stream or not self._relay.has_begun
-        return self._request.route.may_repeat and is_held_back
+        if not self._request.route.may_repeat or self._held_for(now):
+            return False
+        return self._relay.is_stream or not self._relay.has_begun
+
+    def _held_for(self, now: float) -> float:
+        """Return the seconds for which no target should run it."""
+        return self._tools.harm.held_for(self._request, now)
 
     def _spend(self, now: float) -> bool:
         budget = self._tools.budget_of(self._request.service)
@@ -396,7 +408,7 @@
         attempt.leave(f"declined with status {head.status}", now)
         if self._other_goes_on(attempt, now):
             return
-        choice = self._next_choice(now)
+        choice = None if self._held_for(now) else self._next_choice(now)
         if choice is None:
             self._fail(Refusal.TARGETS_FULL)
             return
@@ -404,12 +416,13 @@
 
     def _lost(self, attempt: TargetAttempt, detail: str, now: float) -> None:
         """Take in that the request may have run and its answer is lost."""
-        self._is_answer_lost = True
+        self._is_suspect = True
         attempt.state.failed(now)
         attempt.leave(f"lost: {detail}", now)
+        self._tools.harm.answer_lost(self._request, attempt.state, now)
         if self._other_goes_on(attempt, now):
             return
-        choice = self._next_choice(now) if self._may_repeat() else None
+        choice = self._next_choice(now) if self._may_repeat(now) else None
         if choice is None:
             self._fail(Refusal.CUT)
             return
@@ -427,7 +440,7 @@
             attempt.leave(outcome, now)
             return self._other_goes_on(attempt, now)
         # The failure is an answer that is there: not given up for a doubtful one.
-        choice = self._next_choice(now, is_sure=True) if self._may_repeat() else None
+        choice = self._next_choice(now, is_sure=True) if self._may_repeat(now) else None
         if choice is None:
             return False
         attempt.leave(outcome, now)
@@ -463,6 +476,11 @@
     def _refuse(self, refusal: Refusal) -> None:
         tools = self._tools
         come_back = tools.settings.come_back_after(refusal, tools.rng)
+        held_for = self._held_for(self._now())
+        if held_for and refusal.is_not_run:
+            # Whatever else kept it from being sent, it would not be sent sooner.
+            self._is_suspect = True
+            refusal, come_back = Refusal.HELD_BACK, held_for
         self._relay.refuse(refusal, come_back)
         self._end(f"refused: {refusal.name.lower()}")
 
@@ -567,7 +585,7 @@
         successor = self._pair.successor
         if successor is not None and not successor.state.is_avoided(now):
             return
-        if not self._may_repeat() or not self._has_time_left(now):
+        if not self._may_repeat(now) or not self._has_time_left(now):
             return
         choice = self._choose_sure(now)
         if choice is None:
--- /dev/null
+++ b/src/primrosescale/request/harm_watch.py
@@ -0,0 +1,91 @@
+"""What a forwarded call tells of targets that end under requests, and is told."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from primrosescale.request.incoming import IncomingRequest
+    from primrosescale.request.target_state import TargetState
+
+
+class HarmWatch(ABC):
+    """Learns which requests end targets from what becomes of all of them."""
+
+    @abstractmethod
+    def held_for(self, request: IncomingRequest, now: float) -> float:
+        """Return how long a request must not be sent to any target.
+
+        Parameters
+        ----------
+        request : IncomingRequest
+            The request.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        float
+            Seconds; 0 for one that may be sent.
+        """
+
+    @abstractmethod
+    def answer_lost(
+        self, request: IncomingRequest, state: TargetState, now: float
+    ) -> None:
+        """Handle that the answer to a request was lost.
+
+        Parameters
+        ----------
+        request : IncomingRequest
+            The request.
+        state : TargetState
+            What is known of the target where it was.
+        now : float
+            Present time in seconds.
+        """
+
+    @abstractmethod
+    def answered(self, request: IncomingRequest, now: float) -> None:
+        """Handle that a request was answered whole.
+
+        Parameters
+        ----------
+        request : IncomingRequest
+            The request.
+        now : float
+            Present time in seconds.
+        """
+
+    @abstractmethod
+    def heard(self, state: TargetState, now: float) -> None:
+        """Handle that an answer began to come from a target.
+
+        Parameters
+        ----------
+        state : TargetState
+            What is known of the target.
+        now : float
+            Present time in seconds.
+        """
+
+
+class Unwatched(HarmWatch):
+    """Holds nothing back."""
+
+    def held_for(self, request: IncomingRequest, now: float) -> float:
+        """Return 0; see `HarmWatch.held_for`."""
+        return 0.0
+
+    def answer_lost(
+        self, request: IncomingRequest, state: TargetState, now: float
+    ) -> None:
+        """Do nothing; see `HarmWatch.answer_lost`."""
+
+    def answered(self, request: IncomingRequest, now: float) -> None:
+        """Do nothing; see `HarmWatch.answered`."""
+
+    def heard(self, state: TargetState, now: float) -> None:
+        """Do nothing; see `HarmWatch.heard`."""
--- /dev/null
+++ b/src/primrosescale/request/lost_answers.py
@@ -0,0 +1,128 @@
+"""Answers that were lost, until it is known whether their target has ended.
+
+An answer is lost for many reasons: a link, a fault of the target with one request,
+a connection that was closed for its age. Only the end of the target speaks against
+the requests that were there.
+"""
+
+from __future__ import annotations
+
+# Seconds for which a lost answer waits to be explained. The entry of a target that
+# has ended goes after three heartbeats.
+WAIT_SECONDS = 8.0
+# Bytes that a target sent before it ended are read up to so many seconds later.
+BUFFERED_SECONDS = 0.2
+# Lost answers that wait, and targets whose end is remembered for those still to come.
+MOST_WAITING = 1024
+MOST_ENDED = 256
+
+
+class LostAnswers:
+    """Requests whose answer was lost, by the incarnation of the target."""
+
+    __slots__ = ("_ended", "_waiting")
+
+    def __init__(self) -> None:
+        self._waiting: dict[int, dict[int, float]] = {}
+        self._ended: dict[int, float] = {}
+
+    def lost(self, fingerprint: int, target: int, now: float) -> bool:
+        """Take in that an answer was lost.
+
+        Parameters
+        ----------
+        fingerprint : int
+            What the request asked for.
+        target : int
+            Short name of the target's incarnation.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether it is the first one that waits at this target.
+        """
+        self._forget_old(now)
+        waiting = self._waiting.setdefault(target, {})
+        is_first = not waiting
+        if len(waiting) < MOST_WAITING:
+            waiting[fingerprint] = now
+        return is_first
+
+    def has_ended(self, target: int, now: float) -> bool:
+        """Tell whether a target is known to have ended lately.
+
+        Parameters
+        ----------
+        target : int
+            Short name of its incarnation.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        bool
+            True for some seconds after its end.
+        """
+        return now - self._ended.get(target, -WAIT_SECONDS) < WAIT_SECONDS
+
+    def is_waiting(self, target: int, now: float) -> bool:
+        """Tell whether lost answers wait at a target.
+
+        Parameters
+        ----------
+        target : int
+            Short name of its incarnation.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether there are any.
+        """
+        self._forget_old(now)
+        return target in self._waiting
+
+    def ended(self, target: int, now: float) -> dict[int, float]:
+        """Take in that a target has ended.
+
+        Parameters
+        ----------
+        target : int
+            Short name of its incarnation.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        dict[int, float]
+            When the answers there were lost, by the requests' fingerprints.
+        """
+        self._forget_old(now)
+        self._ended.pop(target, None)
+        self._ended[target] = now
+        if len(self._ended) > MOST_ENDED:
+            del self._ended[next(iter(self._ended))]
+        return self._waiting.pop(target, {})
+
+    def lives(self, target: int) -> None:
+        """Take in that a target goes on.
+
+        Parameters
+        ----------
+        target : int
+            Short name of its incarnation.
+        """
+        self._waiting.pop(target, None)
+        self._ended.pop(target, None)
+
+    def _forget_old(self, now: float) -> None:
+        oldest = now - WAIT_SECONDS
+        for target in list(self._waiting):
+            waiting = self._waiting[target]
+            for fingerprint in [each for each, at in waiting.items() if at < oldest]:
+                del waiting[fingerprint]
+            if not waiting:
+                del self._waiting[target]
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -165,6 +165,7 @@
 
     def __init__(self):
         self.runs = []
+        self.checks = []
         self.unreachable = set()
         self.opening = set()
 
@@ -179,6 +180,9 @@
             observer.run_sent()
         return run
 
+    def check(self, target, on_check):
+        self.checks.append((target, on_check))
+
     def end_former(self, present):
         """End runs as the transport does, told in the same words."""
         for run in list(self.runs):
--- a/tools/generate_wire.py
+++ b/tools/generate_wire.py
@@ -94,6 +94,9 @@
     ("RouterNews", "age_ms"),
     ("RouterNews", "routers"),
     ("RouterNews", "is_packed"),
+    ("RouterNews", "ends"),
+    ("RouterNews", "held"),
+    ("EndNews", "target"),
 ]
 ENUM_FIELDS = {
     ("CallFailed", "outcome"): "Outcome",
