Held-back requests: innocent ones told apart, lone tries, and the account

Beside the incident's request a dozen harmless ones are on board of each target that ends. What was answered whole takes twice as many ends; ends that other requests or chance explain take one more, and such a suspect is tried by one router at a time. Relays pass an end on once.

--- a/src/primrosescale/connection/wire.thrift
+++ b/src/primrosescale/connection/wire.thrift
@@ -170,10 +170,12 @@
 /* Whose requests a message counts: the sender's own, those of all routers of its
  * failure domain, or those of all routers but the one that it is sent to. */
 enum NewsScope { ROUTER = 1, DOMAIN = 2, FLEET = 3 }
-/* A target ended with a request on board; without "target" the request was answered
- * whole, and earlier ends do not count. "fingerprint" is that of the request. */
+/* A target ended with a request on board. Without "target" the request was answered
+ * whole, and earlier ends do not count; or, with "is_try", it was sent to see whether
+ * its target ends, and is not to be sent besides. "fingerprint" is the request's. */
 struct EndNews {
-  1: required i64 fingerprint, 2: required i32 age_ms, 3: optional i32 target
+  1: required i64 fingerprint, 2: required i32 age_ms, 3: optional i32 target,
+  4: optional bool is_try
 }
 
 /* "ends" are passed on by relays; "held" are the ends for which the sender holds
--- a/src/primrosescale/connection/wire/ttypes.py
+++ b/src/primrosescale/connection/wire/ttypes.py
@@ -4229,6 +4229,7 @@
      - fingerprint
      - age_ms
      - target
+     - is_try
 
     """
 
@@ -4236,13 +4237,15 @@
         'fingerprint',
         'age_ms',
         'target',
+        'is_try',
     )
 
 
-    def __init__(self, fingerprint=None, age_ms=None, target=None,):
+    def __init__(self, fingerprint=None, age_ms=None, target=None, is_try=None,):
         self.fingerprint = fingerprint
         self.age_ms = age_ms
         self.target = target
+        self.is_try = is_try
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4268,6 +4271,11 @@
                     self.target = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_try = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4290,6 +4298,10 @@
             oprot.writeFieldBegin('target', TType.I32, 3)
             oprot.writeI32(self.target)
             oprot.writeFieldEnd()
+        if self.is_try is not None:
+            oprot.writeFieldBegin('is_try', TType.BOOL, 4)
+            oprot.writeBool(self.is_try)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6201,6 +6213,7 @@
     (1, TType.I64, 'fingerprint', None, None, ),  # 1
     (2, TType.I32, 'age_ms', None, None, ),  # 2
     (3, TType.I32, 'target', None, None, ),  # 3
+    (4, TType.BOOL, 'is_try', None, None, ),  # 4
 )
 all_structs.append(RouterNews)
 RouterNews.thrift_spec = (
--- a/src/primrosescale/process/entry/harm_news.py
+++ b/src/primrosescale/process/entry/harm_news.py
@@ -16,6 +16,7 @@
 from primrosescale.process.entry.load_codec import MILLISECONDS
 from primrosescale.process.events import Event
 from primrosescale.request.content_fingerprint import fingerprint_text
+from primrosescale.request.harmful_requests import LoneTry
 from primrosescale.request.harmful_requests import TargetEnd
 from primrosescale.request.harmful_requests import WholeAnswer
 from primrosescale.request.lost_answers import BUFFERED_SECONDS
@@ -39,12 +40,15 @@
 HELD_INTERVAL = 1.0
 
 
+Report = TargetEnd | WholeAnswer | LoneTry
+
+
 class _Waiting:
-    """An end or an answer that is to be told."""
+    """What is to be told."""
 
     __slots__ = ("item", "times_left")
 
-    def __init__(self, item: TargetEnd | WholeAnswer) -> None:
+    def __init__(self, item: Report) -> None:
         self.item = item
         self.times_left = TIMES_TOLD
 
@@ -73,13 +77,13 @@
         """Tell whether there is something that no router was told of yet."""
         return bool(self._waiting) and self._waiting[0].times_left == TIMES_TOLD
 
-    def note(self, item: TargetEnd | WholeAnswer, now: float) -> bool:
+    def note(self, item: Report, now: float) -> bool:
         """Take in what this router has seen, and tell the others of it.
 
         Parameters
         ----------
-        item : TargetEnd | WholeAnswer
-            The end or the answer.
+        item : Report
+            What it has seen.
         now : float
             Present time in seconds.
 
@@ -92,8 +96,17 @@
             return False
         # What was never told goes first.
         self._waiting.appendleft(_Waiting(item))
+        if isinstance(item, TargetEnd):
+            self._vouch(item)
         return True
 
+    def _vouch(self, end: TargetEnd) -> None:
+        """Tell of a whole answer that only this router may know of."""
+        answer = self._requests.last_answer(end.fingerprint)
+        is_told = any(each.item == answer for each in self._waiting)
+        if answer is not None and not is_told:
+            self._waiting.appendleft(_Waiting(answer))
+
     def ends(self, now: float) -> list[wire.EndNews]:
         """Return what is to be told in the next message.
 
@@ -105,7 +118,7 @@
         Returns
         -------
         list[wire.EndNews]
-            A few ends and answers; each comes some times.
+            A few of all; each comes some times.
         """
         count = min(MOST_IN_MESSAGE, len(self._waiting))
         told = [self._waiting.popleft() for _ in range(count)]
@@ -156,21 +169,24 @@
         for told in self._readable(message):
             at = now - max(0, told.age_ms) / MILLISECONDS
             if told.target is None:
-                answer = WholeAnswer(told.fingerprint, at)
-                self._take(answer, message.origin, now)
+                kind = LoneTry if told.is_try else WholeAnswer
+                self._take(kind(told.fingerprint, at), message.origin, now)
                 continue
             state = states.get(told.target)
             if state is not None and state.heard_at > at + BUFFERED_SECONDS:
                 # It was cut off from the router that tells, and has not ended.
                 continue
             end = TargetEnd(told.fingerprint, told.target, at)
-            self._take(end, message.origin, now)
+            if self._take(end, message.origin, now):
+                self._vouch(end)
 
     def _readable(self, message: wire.RouterNews) -> Iterable[wire.EndNews]:
         yield from message.ends or ()
         yield from message.held or ()
 
-    def _take(self, item: TargetEnd | WholeAnswer, told_by: str, now: float) -> bool:
+    def _take(self, item: Report, told_by: str, now: float) -> bool:
+        if isinstance(item, LoneTry):
+            return self._requests.take_try(item)
         if isinstance(item, TargetEnd):
             is_news = self._requests.take_end(item)
         else:
@@ -195,7 +211,8 @@
         )
 
 
-def _end_news(item: TargetEnd | WholeAnswer, now: float) -> wire.EndNews:
+def _end_news(item: Report, now: float) -> wire.EndNews:
     age = max(0, round((now - item.at) * MILLISECONDS))
     target = item.target if isinstance(item, TargetEnd) else None
-    return wire.EndNews(item.fingerprint, age, target)
+    is_try = isinstance(item, LoneTry) or None
+    return wire.EndNews(item.fingerprint, age, target, is_try)
--- a/src/primrosescale/process/entry/harm_watch.py
+++ b/src/primrosescale/process/entry/harm_watch.py
@@ -15,6 +15,7 @@
 from primrosescale.request.direct_port import TargetCheck
 from primrosescale.request.harm_watch import HarmWatch
 from primrosescale.request.harmful_requests import HarmfulRequests
+from primrosescale.request.harmful_requests import LoneTry
 from primrosescale.request.harmful_requests import TargetEnd
 from primrosescale.request.harmful_requests import WholeAnswer
 from primrosescale.request.lost_answers import BUFFERED_SECONDS
@@ -86,6 +87,13 @@
             return 0.0
         return self._requests.held_for(request.fingerprint, now)
 
+    def sent(self, request: IncomingRequest, now: float) -> None:
+        """Have others not try it besides; see `HarmWatch.sent`."""
+        if not self._requests.may_hold:
+            return
+        if self._news.note(LoneTry(request.fingerprint, now), now):
+            self._tell_soon()
+
     def answer_lost(
         self, request: IncomingRequest, state: TargetState, now: float
     ) -> None:
@@ -103,8 +111,7 @@
 
     def answered(self, request: IncomingRequest, now: float) -> None:
         """Clear the request; see `HarmWatch.answered`."""
-        if not len(self._requests):
-            return
+        self._requests.count_answer(now)
         if self._news.note(WholeAnswer(request.fingerprint, now), now):
             self._tell_soon()
 
@@ -159,6 +166,7 @@
         self._forget_old(now)
         self._ended[key] = now
         for fingerprint, at in on_board.items():
+            self._requests.count_end(now)
             self._news.note(TargetEnd(fingerprint, key, at), now)
         self._tell_soon()
 
--- a/src/primrosescale/process/entry/news_relay.py
+++ b/src/primrosescale/process/entry/news_relay.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections import deque
 from typing import TYPE_CHECKING
 from typing import Generic
@@ -18,6 +19,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Iterator
 
     from primrosescale.connection.wire import ttypes as wire
     from primrosescale.process.entry.news_paths import NewsPaths
@@ -31,7 +33,11 @@
 MOST_RELAYED_PARTS = 4
 # Ends of targets that wait to be passed on, and those in one message of a relay.
 MOST_WAITING_ENDS = 200
-MOST_RELAYED_ENDS = 8
+MOST_RELAYED_ENDS = 12
+# Seconds in which the same end is passed on once, however many routers tell of it,
+# and ends that are remembered for that.
+SAME_END_SECONDS = 5.0
+MOST_PASSED_ENDS = 2048
 # Of two relays that tell of the same routers the one that counts more of them is
 # believed, for as long as it tells: a relay that has just become one knows few.
 BELIEVED_INTERVALS = 3
@@ -129,6 +135,32 @@
         return [self._waiting.popleft() for _ in range(count)]
 
 
+class _PassedEnds:
+    """Which ends were passed on lately, so that none is again."""
+
+    __slots__ = ("_passed",)
+
+    def __init__(self) -> None:
+        self._passed: OrderedDict[tuple[int, int | None, bool | None], float] = (
+            OrderedDict()
+        )
+
+    def take_new(
+        self, ends: Iterable[wire.EndNews], now: float
+    ) -> Iterator[wire.EndNews]:
+        """Yield those that were not passed on lately, and take note of them."""
+        for end in ends:
+            key = (end.fingerprint, end.target, end.is_try)
+            passed_at = self._passed.get(key)
+            if passed_at is not None and now - passed_at < SAME_END_SECONDS:
+                continue
+            self._passed.pop(key, None)
+            self._passed[key] = now
+            if len(self._passed) > MOST_PASSED_ENDS:
+                self._passed.popitem(last=False)
+            yield end
+
+
 def _of_domain(waiting: list[_Waiting[Item]]) -> list[Item]:
     """Return what other domains are told."""
     return [each.item for each in waiting if each.is_of_domain]
@@ -170,6 +202,7 @@
         self._ends: _PassedOn[wire.EndNews] = _PassedOn(
             MOST_WAITING_ENDS, MOST_RELAYED_ENDS
         )
+        self._passed_ends = _PassedEnds()
 
     def hear_from(
         self, message: wire.RouterNews, loads: LoadSum | None, now: float
@@ -196,7 +229,8 @@
         if not self._askers or message.scope == NewsScope.FLEET:
             return
         self._parts.add(origin, message.parts, is_of_domain=is_report)
-        self._ends.add(origin, message.ends or (), is_of_domain=is_report)
+        ends = self._passed_ends.take_new(message.ends or (), now)
+        self._ends.add(origin, ends, is_of_domain=is_report)
 
     def hear(self, scope: NewsScope, origin: str, loads: LoadSum, now: float) -> None:
         """Take in what another router tells of requests.
@@ -293,7 +327,8 @@
             What each is told.
         """
         self._parts.add(self._name, parts, is_of_domain=True)
-        self._ends.add(self._name, ends, is_of_domain=True)
+        new_ends = self._passed_ends.take_new(ends, now)
+        self._ends.add(self._name, new_ends, is_of_domain=True)
         teller = self._paths.teller(now)
         told = [
             Telling(
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -165,6 +165,7 @@
         """Note where it went; see `AttemptListener.attempt_sent`."""
         now = self._now()
         self._tried.sent(attempt.incarnation)
+        self._tools.harm.sent(self._request, now)
         prompt = self._request.prompt
         if prompt is not None:
             is_news = self._tools.parts.note_own(
--- a/src/primrosescale/request/harm_watch.py
+++ b/src/primrosescale/request/harm_watch.py
@@ -31,6 +31,18 @@
             Seconds; 0 for one that may be sent.
         """
 
+    @abstractmethod
+    def sent(self, request: IncomingRequest, now: float) -> None:
+        """Handle that a request goes out to a target.
+
+        Parameters
+        ----------
+        request : IncomingRequest
+            The request.
+        now : float
+            Present time in seconds.
+        """
+
     @abstractmethod
     def answer_lost(
         self, request: IncomingRequest, state: TargetState, now: float
@@ -79,6 +91,9 @@
         """Return 0; see `HarmWatch.held_for`."""
         return 0.0
 
+    def sent(self, request: IncomingRequest, now: float) -> None:
+        """Do nothing; see `HarmWatch.sent`."""
+
     def answer_lost(
         self, request: IncomingRequest, state: TargetState, now: float
     ) -> None:
--- a/src/primrosescale/request/harmful_requests.py
+++ b/src/primrosescale/request/harmful_requests.py
@@ -4,8 +4,11 @@
 sent again and again, under new ids and at any entry host. Each end takes the
 requests of many other callers with it, which are on board of one target after the
 other as well where a service has few. So it counts under which content targets
-ended, by the reports of all routers, and sets the ends aside that another request
-explains better. A whole answer clears a request of all that was reported before.
+ended, by the reports of all routers, and waits for one end more where other requests
+explain them all better, or while targets end so often that chance may explain them.
+A whole answer clears a request of all that was reported before, and vouches for it:
+what always ends a target is never answered. A request that may or may not be harmful
+is tried alone: no other router sends it while one waits for what becomes of it.
 """
 
 from __future__ import annotations
@@ -13,18 +16,29 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 from itertools import islice
-from typing import TYPE_CHECKING
 
 from primrosescale.ini.options import COUNT
 from primrosescale.ini.options import SECONDS
 from primrosescale.ini.options import option
+from primrosescale.request.decaying_outcomes import DecayingOutcomes
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-
-# Ends after which a request is held back though another one may explain some of
-# them, beyond the number that suffices otherwise.
+# Ends that it takes besides where other requests or chance may explain the others.
 MORE_WHERE_EXPLAINED = 1
+# Part of requests that are on board of a target's end, above which chance explains
+# three ends under one of ten thousand requests.
+CHANCE_SHARE = 0.046
+# Seconds in which outcomes lose half of their weight in that part, and answers that
+# stand for the time before the first outcomes.
+CHANCE_HALF_LIFE = 10.0
+USUAL_ANSWERS = 100.0
+# Seconds in which a try shows whether its target ends.
+TRY_SECONDS = 2.0
+# How many times as many ends it takes for a request that was answered whole.
+VOUCHED_MULTIPLE = 2
+# Each further end makes the hold so many times as long: three tries in a day.
+HOLD_GROWTH = 12.0
+# Seconds for which an end counts.
+MEMORY_SECONDS = 172_800.0
 # Ends of one request that are remembered.
 MOST_ENDS = 16
 # The oldest of the remembered requests, of which the one with the fewest ends makes
@@ -44,21 +58,27 @@
     )
     hold: float = option(
         SECONDS,
-        "seconds for which it is held back at first, twice as long after each "
-        "further end; a target may have been repaired by then",
+        "seconds for which it is held back at first; then one try is let through, "
+        "since targets may have been repaired by then",
         300.0,
     )
     longest_hold: float = option(
         SECONDS,
-        "seconds for which it is held back at the most, and after which an end is "
-        "forgotten",
-        3600.0,
+        "seconds for which it is held back at the most after tries that ended "
+        "targets again",
+        43_200.0,
     )
     remembered: int = option(
         COUNT,
         "requests whose ends are remembered, at 1 kB each",
         4096,
     )
+    answered: int = option(
+        COUNT,
+        "requests whose whole answers are remembered, at 0.1 kB each; those asked "
+        "for again and again stay among them",
+        4096,
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +116,22 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class LoneTry:
+    """That a suspect request was sent to a target.
+
+    Parameters
+    ----------
+    fingerprint : int
+        What the request asked for.
+    at : float
+        When, in seconds.
+    """
+
+    fingerprint: int
+    at: float
+
+
 class _Evidence:
     """What is known of one request.
 
@@ -103,15 +139,18 @@
     ----------
     ends : dict[int, float]
         When targets ended under it, by target.
-    cleared_at : float
-        Up to when nothing that was reported counts.
+    answered_at : float
+        When it was last answered whole; 0 for never. No end before counts.
+    tried_at : float
+        When it was last sent as a suspect; 0 for never.
     """
 
-    __slots__ = ("cleared_at", "ends")
+    __slots__ = ("answered_at", "ends", "tried_at")
 
-    def __init__(self) -> None:
+    def __init__(self, answered_at: float) -> None:
         self.ends: dict[int, float] = {}
-        self.cleared_at = 0.0
+        self.answered_at = answered_at
+        self.tried_at = 0.0
 
     @property
     def last_end(self) -> float:
@@ -128,14 +167,24 @@
         When a request is held back.
     """
 
-    __slots__ = ("_at_target", "_enough", "_evidence", "_settings")
+    __slots__ = (
+        "_answered",
+        "_at_target",
+        "_enough",
+        "_evidence",
+        "_outcomes",
+        "_settings",
+    )
 
     def __init__(self, settings: HarmSettings) -> None:
         self._settings = settings
         # The one with the oldest news first.
         self._evidence: OrderedDict[int, _Evidence] = OrderedDict()
+        # When requests were answered whole here, the oldest first.
+        self._answered: OrderedDict[int, float] = OrderedDict()
         # Which requests were on board, by target.
         self._at_target: dict[int, set[int]] = {}
+        self._outcomes = DecayingOutcomes(CHANCE_HALF_LIFE, 0.0)
         # Requests with as many ends as it takes, explained or not.
         self._enough: set[int] = set()
 
@@ -179,7 +228,7 @@
         evidence = self._evidence.get(end.fingerprint)
         if evidence is None:
             evidence = self._begin(end.fingerprint)
-        if end.at <= evidence.cleared_at or end.target in evidence.ends:
+        if end.at <= evidence.answered_at or end.target in evidence.ends:
             return False
         self._forget_old_ends(end.fingerprint, evidence, end.at)
         evidence.ends[end.target] = end.at
@@ -200,16 +249,96 @@
         Returns
         -------
         bool
-            Whether anything spoke against the request.
+            Whether it was news of a request that something spoke against.
         """
+        self._remember_answer(answer)
         evidence = self._evidence.get(answer.fingerprint)
         if evidence is None:
             return False
-        evidence.cleared_at = max(evidence.cleared_at, answer.at)
+        is_first = not evidence.answered_at
+        evidence.answered_at = max(evidence.answered_at, answer.at)
         cleared = [t for t, at in evidence.ends.items() if at <= answer.at]
         for target in cleared:
             self._drop_end(answer.fingerprint, evidence, target)
-        return bool(cleared)
+        return is_first or bool(cleared)
+
+    def take_try(self, tried: LoneTry) -> bool:
+        """Take in that a suspect request was sent to a target.
+
+        Parameters
+        ----------
+        tried : LoneTry
+            The try.
+
+        Returns
+        -------
+        bool
+            Whether it was news of a request that is to be tried alone.
+        """
+        if not self.is_suspect(tried.fingerprint):
+            return False
+        evidence = self._evidence[tried.fingerprint]
+        is_news = tried.at > evidence.tried_at
+        evidence.tried_at = max(evidence.tried_at, tried.at)
+        return is_news
+
+    def is_suspect(self, fingerprint: int) -> bool:
+        """Tell whether a request is to be tried alone, unless it is held back.
+
+        Parameters
+        ----------
+        fingerprint : int
+            What it asks for.
+
+        Returns
+        -------
+        bool
+            True for one with as many ends as it takes, whatever explains them.
+        """
+        evidence = self._evidence.get(fingerprint)
+        return evidence is not None and len(evidence.ends) >= self._needed(evidence)
+
+    def last_answer(self, fingerprint: int) -> WholeAnswer | None:
+        """Return the last whole answer to a request that is remembered.
+
+        Parameters
+        ----------
+        fingerprint : int
+            What it asks for.
+
+        Returns
+        -------
+        WholeAnswer | None
+            None where none is.
+        """
+        at = self._answered.get(fingerprint)
+        return None if at is None else WholeAnswer(fingerprint, at)
+
+    def _remember_answer(self, answer: WholeAnswer) -> None:
+        before = self._answered.pop(answer.fingerprint, 0.0)
+        self._answered[answer.fingerprint] = max(before, answer.at)
+        if len(self._answered) > self._settings.answered:
+            self._answered.popitem(last=False)
+
+    def count_answer(self, now: float) -> None:
+        """Count a request that was answered whole here.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+        """
+        self._outcomes.add_good(now)
+
+    def count_end(self, now: float) -> None:
+        """Count a request of this router that was on board when a target ended.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+        """
+        self._outcomes.add_bad(now)
 
     def target_lives(self, target: int) -> None:
         """Take in that a target that was said to have ended has not.
@@ -238,12 +367,12 @@
             Seconds; 0 for one that may be sent.
         """
         evidence = self._evidence.get(fingerprint)
-        if evidence is None or not self._is_enough(fingerprint, evidence):
+        if evidence is None or len(evidence.ends) < self._needed(evidence):
             return 0.0
-        settings = self._settings
-        doublings = min(MOST_ENDS, len(evidence.ends) - settings.ends)
-        hold = min(settings.longest_hold, settings.hold * 2.0**doublings)
-        return max(0.0, evidence.last_end + hold - now)
+        until = evidence.tried_at + TRY_SECONDS
+        if self._is_enough(fingerprint, evidence, now):
+            until = max(until, evidence.last_end + self._hold(evidence))
+        return max(0.0, until - now)
 
     def ends_under(self, fingerprint: int) -> int:
         """Return how many targets are known to have ended under a request.
@@ -293,30 +422,47 @@
         if evidence is None:
             return []
         newest = sorted(evidence.ends.items(), key=lambda item: -item[1])
-        most = self._settings.ends + MORE_WHERE_EXPLAINED
+        most = self._needed(evidence) + MORE_WHERE_EXPLAINED
         return [TargetEnd(fingerprint, target, at) for target, at in newest[:most]]
 
-    def _is_enough(self, fingerprint: int, evidence: _Evidence) -> bool:
-        known = len(evidence.ends)
-        if known < self._settings.ends:
-            return False
-        if known >= self._settings.ends + MORE_WHERE_EXPLAINED:
-            return True
-        return not any(self._explaining(fingerprint, evidence))
+    def _hold(self, evidence: _Evidence) -> float:
+        settings = self._settings
+        tries = len(evidence.ends) - self._needed(evidence)
+        return min(settings.longest_hold, settings.hold * HOLD_GROWTH**tries)
 
-    def _explaining(self, fingerprint: int, evidence: _Evidence) -> Iterator[int]:
-        """Yield requests that were at the same ends and at more besides."""
-        for target in evidence.ends:
-            for other in self._at_target[target]:
-                more = len(self._evidence[other].ends) > len(evidence.ends)
-                if more and other != fingerprint:
-                    yield other
+    def _is_enough(self, fingerprint: int, evidence: _Evidence, now: float) -> bool:
+        more = len(evidence.ends) - self._needed(evidence)
+        if more >= MORE_WHERE_EXPLAINED:
+            return True
+        is_chance_enough = self._is_chance_enough(now)
+        return not is_chance_enough and not self._is_explained(fingerprint, evidence)
+
+    def _is_chance_enough(self, now: float) -> bool:
+        """Tell whether targets end so often that many requests see three ends."""
+        good, bad = self._outcomes.counts(now)
+        return bad > CHANCE_SHARE * (good + bad + USUAL_ANSWERS)
+
+    def _is_explained(self, fingerprint: int, evidence: _Evidence) -> bool:
+        """Tell whether at each end another request was that has seen more ends."""
+        return all(
+            any(
+                len(self._evidence[other].ends) > len(evidence.ends)
+                for other in self._at_target[target]
+                if other != fingerprint
+            )
+            for target in evidence.ends
+        )
+
+    def _needed(self, evidence: _Evidence) -> int:
+        multiple = VOUCHED_MULTIPLE if evidence.answered_at else 1
+        return multiple * self._settings.ends
 
     def _begin(self, fingerprint: int) -> _Evidence:
         if len(self._evidence) >= self._settings.remembered:
             oldest = list(islice(self._evidence, LEAVING))
             self._forget(min(oldest, key=lambda each: len(self._evidence[each].ends)))
-        evidence = self._evidence[fingerprint] = _Evidence()
+        evidence = _Evidence(self._answered.get(fingerprint, 0.0))
+        self._evidence[fingerprint] = evidence
         return evidence
 
     def _forget(self, fingerprint: int) -> None:
@@ -328,7 +474,7 @@
     def _forget_old_ends(
         self, fingerprint: int, evidence: _Evidence, now: float
     ) -> None:
-        oldest = now - self._settings.longest_hold
+        oldest = now - MEMORY_SECONDS
         old = [target for target, at in evidence.ends.items() if at < oldest]
         if len(evidence.ends) - len(old) >= MOST_ENDS:
             old.append(min(evidence.ends, key=evidence.ends.__getitem__))
--- /dev/null
+++ b/tests/request/test_lost_answers.py
@@ -0,0 +1,55 @@
+"""Answers that were lost, until it is known whether their target has ended."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+
+from primrosescale.request.lost_answers import MOST_ENDED
+from primrosescale.request.lost_answers import MOST_WAITING
+from primrosescale.request.lost_answers import WAIT_SECONDS
+from primrosescale.request.lost_answers import LostAnswers
+
+NOW = 1000.0
+
+
+class LostAnswersTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.lost = LostAnswers()
+
+    def test_the_first_one_at_a_target_asks_for_a_check(self):
+        self.assertTrue(self.lost.lost(1, 7, NOW))
+        self.assertFalse(self.lost.lost(2, 7, NOW))
+        self.assertTrue(self.lost.lost(1, 8, NOW))
+
+    def test_an_end_names_who_was_on_board_and_when(self):
+        self.lost.lost(1, 7, NOW)
+        self.lost.lost(2, 7, NOW + 0.1)
+        self.lost.lost(3, 8, NOW)
+        self.assertEqual({1: NOW, 2: NOW + 0.1}, self.lost.ended(7, NOW + 1))
+        self.assertEqual({}, self.lost.ended(7, NOW + 1))
+        self.assertTrue(self.lost.has_ended(7, NOW + 2))
+        self.assertFalse(self.lost.has_ended(8, NOW + 2))
+        self.assertFalse(self.lost.has_ended(7, NOW + 1 + WAIT_SECONDS))
+
+    def test_a_target_that_lives_explains_them_otherwise(self):
+        self.lost.lost(1, 7, NOW)
+        self.lost.lives(7)
+        self.assertFalse(self.lost.is_waiting(7, NOW))
+        self.assertEqual({}, self.lost.ended(7, NOW))
+        self.assertTrue(self.lost.lost(1, 9, NOW))
+
+    def test_they_wait_for_a_while_only(self):
+        self.lost.lost(1, 7, NOW)
+        self.assertTrue(self.lost.is_waiting(7, NOW + WAIT_SECONDS))
+        self.assertFalse(self.lost.is_waiting(7, NOW + WAIT_SECONDS + 0.1))
+        self.assertEqual({}, self.lost.ended(7, NOW + WAIT_SECONDS + 0.1))
+
+    def test_their_number_is_bounded(self):
+        for fingerprint in range(2 * MOST_WAITING):
+            self.lost.lost(fingerprint, 7, NOW)
+        self.assertEqual(MOST_WAITING, len(self.lost.ended(7, NOW)))
+        for target in range(2 * MOST_ENDED):
+            self.lost.ended(target, NOW)
+        self.assertFalse(self.lost.has_ended(0, NOW))
+        self.assertTrue(self.lost.has_ended(2 * MOST_ENDED - 1, NOW))
--- /dev/null
+++ b/tests/support/harm_fleet.py
@@ -0,0 +1,375 @@
+"""Entry routers before targets that end under some requests, on one clock.
+
+The pattern it plays: requests that end what runs them come again and again, at any
+router and under new ids, among those of many other callers. A target that ends takes
+all that it has in hand with it; another one starts in its place some seconds later.
+Routers are the product's own choice, attempts, news and watch; sockets, targets and
+callers are stand-ins.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from types import SimpleNamespace
+
+from primrosescale.process.entry.entry_metrics import EntryMetrics
+from primrosescale.process.entry.harm_news import HarmNews
+from primrosescale.process.entry.harm_watch import EntryHarmWatch
+from primrosescale.process.entry.router_news import RouterNews
+from primrosescale.request.direct_port import AnswerHead
+from primrosescale.request.direct_port import CallerSink
+from primrosescale.request.direct_port import Run
+from primrosescale.request.direct_port import TargetCaller
+from primrosescale.request.direct_port import TargetCheck
+from primrosescale.request.forward_tools import ForwardSettings
+from primrosescale.request.forward_tools import ForwardTools
+from primrosescale.request.forwarded_call import ForwardedCall
+from primrosescale.request.harmful_requests import HarmfulRequests
+from primrosescale.request.harmful_requests import HarmSettings
+from primrosescale.request.incoming import IncomingRequest
+from primrosescale.request.repeat_budget import RepeatBounds
+from primrosescale.request.repeat_budget import RepeatBudget
+from primrosescale.version.routing_table import Repeatability
+from primrosescale.version.routing_table import Route
+from primrosescale.version.routing_table import WeightedService
+from support.router_fleet import LINK_SECONDS
+from support.router_fleet import SERVICE
+from support.router_fleet import Fleet
+from support.router_fleet import FleetRouter
+
+HARMFUL = b"harmful "
+# Seconds of work after which a target ends, at the least and the most.
+ENDS_AFTER = (0.05, 0.4)
+# Seconds until the entry of a target that has ended is gone, and until another
+# target starts in its place.
+LAPSE_SECONDS = 3.3
+START_SECONDS = (2.5, 4.5)
+# Seconds that the work on other requests takes in the mean.
+WORK_SECONDS = 0.7
+DEADLINE_SECONDS = 6.0
+ROUTE = Route(
+    name="stories",
+    host="desk.example",
+    path_prefix="/stories/",
+    services=(WeightedService(SERVICE, 1.0),),
+    repeatability=Repeatability.IDEMPOTENT,
+    is_resumable=False,
+    has_prompt=False,
+    timeout=DEADLINE_SECONDS,
+    latency_objective=2.0,
+    gap_objective=0.0,
+    max_targets=3,
+    priority=1,
+    is_open=False,
+)
+
+
+class Sink(CallerSink):
+    """A caller that keeps what it was told at last."""
+
+    def __init__(self):
+        self.refusal = None
+        self.is_whole = False
+
+    def begin(self, head):
+        pass
+
+    def write(self, data):
+        pass
+
+    def finish(self):
+        self.is_whole = True
+
+    def break_off(self):
+        pass
+
+    def refuse(self, refusal, retry_after):
+        self.refusal = refusal
+
+
+class WorkingTarget:
+    """A target: what it has in hand."""
+
+    def __init__(self, name):
+        self.name = name
+        self.is_up = True
+        self.runs = {}
+
+
+class VirtualRun(Run):
+    """A request at one target."""
+
+    def __init__(self, fleet, sending, observer):
+        self.fleet = fleet
+        self.sending = sending
+        self.observer = observer
+        self.is_over = False
+
+    def begin(self):
+        self.target = self.fleet.working[self.sending.target.name]
+        if not self.target.is_up:
+            self.fleet.clock.callLater(LINK_SECONDS, self._not_sent)
+            return
+        self.observer.run_sent()
+        self.fleet.clock.callLater(LINK_SECONDS, self._arrive)
+
+    def _not_sent(self):
+        if not self.is_over:
+            self.is_over = True
+            self.observer.run_not_sent("refused")
+
+    def _arrive(self):
+        if not self.is_over:
+            self.fleet.arrived(self)
+
+    def done(self):
+        if self.is_over:
+            return
+        self.is_over = True
+        self.target.runs.pop(self, None)
+        request = self.sending.request
+        self.observer.run_head(
+            AnswerHead(
+                status=200,
+                headers=(),
+                request_id=request.request_id,
+                is_receipted=True,
+                is_not_run=False,
+                is_other_incarnation=False,
+                load=None,
+                length=4,
+            )
+        )
+        self.observer.run_data(b"done")
+        self.observer.run_done()
+
+    def cut(self):
+        if not self.is_over:
+            self.is_over = True
+            self.observer.run_cut("connection closed")
+
+    def cancel(self):
+        self.is_over = True
+        if hasattr(self, "target"):
+            self.target.runs.pop(self, None)
+
+    def pause(self):
+        pass
+
+    def resume(self):
+        pass
+
+
+class VirtualCaller(TargetCaller):
+    """Sends requests to the fleet's targets."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+
+    def send(self, sending, observer):
+        run = VirtualRun(self._fleet, sending, observer)
+        run.begin()
+        return run
+
+    def check(self, target, on_check):
+        self._fleet.clock.callLater(2 * LINK_SECONDS, self._checked, target, on_check)
+
+    def _checked(self, target, on_check):
+        is_up = self._fleet.working[target.name].is_up
+        on_check(TargetCheck.LIVES if is_up else TargetCheck.ENDED)
+
+    def end_former(self, present):
+        pass
+
+
+class HarmRouter(FleetRouter):
+    """A router with all that decides about its requests."""
+
+    def _build_news(self, incarnation):
+        self.events = self.fleet.events
+        log = SimpleNamespace(
+            emit=lambda event, **said: self.events.append((self.name, event, said))
+        )
+        self.requests = HarmfulRequests(self.fleet.harm_settings)
+        self.harm_news = HarmNews(self.requests, log)
+        self._watch_parts = SimpleNamespace(
+            reactor=self.fleet.clock, log=log, metrics=EntryMetrics()
+        )
+        return RouterNews(
+            self.name,
+            incarnation,
+            self.targets,
+            self.parts,
+            self.freshness,
+            self.domain,
+            self.fleet.settings,
+            self.harm_news,
+        )
+
+    def begin(self, incarnation):
+        super().begin(incarnation)
+        caller = VirtualCaller(self.fleet)
+        self.harm = EntryHarmWatch(
+            self.requests,
+            self.harm_news,
+            self.targets,
+            caller,
+            self._watch_parts,
+            self.exchange.tell_soon,
+        )
+        budget = RepeatBudget(RepeatBounds(0.2, 10.0, 60.0))
+        self.tools = ForwardTools(
+            settings=ForwardSettings(),
+            clock=self.fleet.clock,
+            rng=self.fleet.rng,
+            caller=caller,
+            chooser=self.chooser,
+            parts=self.parts,
+            states_of=self.targets.of_service,
+            budget_of=lambda _: budget,
+            routers=lambda: len(self.fleet.routers),
+            parts_changed=lambda: None,
+            harm=self.harm,
+        )
+
+
+class HarmFleet(Fleet):
+    """Routers, targets that end, and callers.
+
+    Parameters
+    ----------
+    routers, targets : int
+        How many.
+    rate : float
+        Harmless requests a second, of which a share has one popular content.
+    seed : int
+        Of all chance.
+    """
+
+    router_class = HarmRouter
+
+    def __init__(self, routers, targets, rate, seed, settings=None, domains=4):
+        self.harm_settings = HarmSettings()
+        self.events = []
+        self.working = {}
+        self.ids = 0
+        self.ends = {}
+        self.arrivals = {}
+        self.outcomes = Counter()
+        self.popular_share = 0.1
+        self.refused_harmless = 0
+        self.harmless = 0
+        super().__init__(routers, targets, domains, rate, seed, settings=settings)
+
+    def add_target(self, name, number, delay=lambda: 0.0):
+        self.working[name] = WorkingTarget(name)
+        self.next_number = number + 1
+        super().add_target(name, number, delay)
+
+    def begin(self):
+        """Let harmless callers come, once targets are listed."""
+        self.run(1.0)
+        self._harmless()
+
+    def _harmless(self):
+        self.clock.callLater(self.rng.expovariate(self.rate), self._harmless)
+        self.harmless += 1
+        if self.rng.random() < self.popular_share:
+            body = b"popular %d" % self.rng.randrange(3)
+        else:
+            body = b"%d" % self.rng.getrandbits(60)
+        organisation = f"org-{self.rng.randrange(20)}"
+        self.ask(body, organisation, self._harmless_ended)
+
+    def _harmless_ended(self, call, outcome, attempt=1):
+        self.outcomes[outcome] += 1
+        if outcome == "refused: held_back":
+            self.refused_harmless += 1
+        elif outcome != "answered" and attempt == 1:
+            # Its caller tries once more, as a new request.
+            request = call.request
+            self.clock.callLater(
+                self.rng.uniform(0.1, 0.5),
+                self.ask,
+                request.body,
+                request.organisation,
+                lambda *ended: self._harmless_ended(*ended, attempt=2),
+            )
+
+    def harm_again_and_again(self, body, rate, organisation="org-0"):
+        """Have a harmful request come from now on."""
+        self.clock.callLater(
+            self.rng.expovariate(rate),
+            self.harm_again_and_again,
+            body,
+            rate,
+            organisation,
+        )
+        self.ask(HARMFUL + body, organisation, lambda *_: None)
+
+    def ask(self, body, organisation, ended):
+        """Send a request to a router that is up."""
+        router = self.rng.choice([each for each in self.routers if each.is_up])
+        now = self.clock.seconds()
+        self.ids += 1
+        request = IncomingRequest(
+            request_id=f"r{self.ids}",
+            method=b"POST",
+            path=b"/stories/x",
+            headers=(),
+            body=body,
+            route=ROUTE,
+            service=SERVICE,
+            organisation=organisation,
+            priority=1,
+            prompt=None,
+            last_event=None,
+            received_at=now,
+            deadline=now + DEADLINE_SECONDS,
+            version=1,
+        )
+        ForwardedCall(request, Sink(), router.tools, ended).start(now)
+
+    def arrived(self, run):
+        """Have a target begin to work."""
+        target = run.target
+        if not target.is_up:
+            run.cut()
+            return
+        target.runs[run] = None
+        body = run.sending.request.body
+        if body.startswith(HARMFUL):
+            self.arrivals.setdefault(body, []).append(self.clock.seconds())
+            delay = self.rng.uniform(*ENDS_AFTER)
+            self.clock.callLater(delay, self.end_target, target, body)
+        else:
+            self.clock.callLater(self.rng.expovariate(1 / WORK_SECONDS), run.done)
+
+    def end_target(self, target, body=b""):
+        """Have a target end with all that it has in hand."""
+        if not target.is_up:
+            return
+        target.is_up = False
+        on_board, target.runs = list(target.runs), {}
+        for harmful in {run.sending.request.body for run in on_board} | {body}:
+            if harmful.startswith(HARMFUL):
+                self.ends.setdefault(harmful, []).append(self.clock.seconds())
+        for run in on_board:
+            self.clock.callLater(LINK_SECONDS, run.cut)
+        self.clock.callLater(LAPSE_SECONDS, self._lapse, target.name)
+        self.clock.callLater(self.rng.uniform(*START_SECONDS), self._start_another)
+
+    def _lapse(self, name):
+        for router in self.routers:
+            self._delist(router, name)
+
+    def _start_another(self):
+        self.add_target(f"target-{self.next_number}", self.next_number)
+
+    def sent_after(self, body, ends, seconds):
+        """Return how often a harmful request arrived after some ends and seconds."""
+        times = self.ends.get(HARMFUL + body, [])
+        if len(times) < ends:
+            return 0
+        known_at = times[ends - 1] + seconds
+        return sum(at > known_at for at in self.arrivals[HARMFUL + body])
--- a/tests/support/router_fleet.py
+++ b/tests/support/router_fleet.py
@@ -259,6 +259,8 @@
         Of all chance.
     """
 
+    router_class = FleetRouter
+
     def __init__(
         self, routers, targets, domains, rate, seed, kinds=DESK, settings=None
     ):
@@ -277,7 +279,7 @@
         self.is_settled = False
         self.over_by_target = {}
         self.routers = [
-            FleetRouter(number, f"domain-{number % domains}", self)
+            self.router_class(number, f"domain-{number % domains}", self)
             for number in range(routers)
         ]
         for number in range(targets):
--- a/tools/generate_wire.py
+++ b/tools/generate_wire.py
@@ -97,6 +97,7 @@
     ("RouterNews", "ends"),
     ("RouterNews", "held"),
     ("EndNews", "target"),
+    ("EndNews", "is_try"),
 ]
 ENUM_FIELDS = {
     ("CallFailed", "outcome"): "Outcome",
