What was answered before is not held back for a time in which all targets ended

A request that many callers ask for is on board of each target that a bad release ends. While targets end often no number of ends holds back what was answered whole before, and its hold does not grow. A harmful request is never answered whole.

--- a/src/primrosescale/request/harmful_requests.py
+++ b/src/primrosescale/request/harmful_requests.py
@@ -370,6 +370,8 @@
         if evidence is None or len(evidence.ends) < self._needed(evidence):
             return 0.0
         until = evidence.tried_at + TRY_SECONDS
+        if self._is_explained_by_storm(evidence, now):
+            return 0.0
         if self._is_enough(fingerprint, evidence, now):
             until = max(until, evidence.last_end + self._hold(evidence))
         return max(0.0, until - now)
@@ -427,7 +429,10 @@
 
     def _hold(self, evidence: _Evidence) -> float:
         settings = self._settings
-        tries = len(evidence.ends) - self._needed(evidence)
+        if evidence.answered_at:
+            # Its ends may be those of a time in which all targets ended.
+            return settings.hold
+        tries = len(evidence.ends) - settings.ends
         return min(settings.longest_hold, settings.hold * HOLD_GROWTH**tries)
 
     def _is_enough(self, fingerprint: int, evidence: _Evidence, now: float) -> bool:
@@ -437,6 +442,14 @@
         is_chance_enough = self._is_chance_enough(now)
         return not is_chance_enough and not self._is_explained(fingerprint, evidence)
 
+    def _is_explained_by_storm(self, evidence: _Evidence, now: float) -> bool:
+        """Tell whether it was answered before and all targets end often now.
+
+        What many callers ask for is on board of every target that ends, and would
+        be held back for minutes after the targets have recovered.
+        """
+        return bool(evidence.answered_at) and self._is_chance_enough(now)
+
     def _is_chance_enough(self, now: float) -> bool:
         """Tell whether targets end so often that many requests see three ends."""
         good, bad = self._outcomes.counts(now)
--- a/tests/request/test_harmful_requests.py
+++ b/tests/request/test_harmful_requests.py
@@ -74,6 +74,23 @@
         self.assertEqual(0.0, self.held_for(HARMLESS))
         self.end(5, HARMLESS)
         self.assertEqual(100.0, self.held_for(HARMLESS))
+        self.end(6, HARMLESS)
+        self.assertEqual(100.0, self.held_for(HARMLESS))
+
+    def test_a_popular_request_is_served_after_all_targets_ended_again_and_again(self):
+        for _ in range(50):
+            self.requests.count_answer(NOW)
+        self.answer(HARMLESS, at=NOW - 50)
+        for target in range(12):
+            self.end(target, HARMLESS, HARMFUL)
+            for _ in range(10):
+                self.requests.count_end(NOW)
+        self.assertEqual(0.0, self.held_for(HARMLESS))
+        self.assertGreater(self.held_for(HARMFUL), 0)
+        for _ in range(20):
+            self.requests.count_answer(NOW + 5)
+        self.answer(HARMLESS, at=NOW + 5)
+        self.assertEqual(0.0, self.held_for(HARMLESS, now=NOW + 60))
 
     def test_a_target_that_has_not_ended_speaks_against_nobody(self):
         for target in (1, 2, 3):
