The soak has requests that end targets, and a check that they are held back

--harmful N sends N of them again and again, each ending the model engine that begins to run it in the middle of its answer.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -27,7 +27,8 @@
 class Target:
     """One target: its program's stand-in, its link and its entry."""
 
-    def __init__(self, name, service, history, peers, rng):
+    def __init__(self, name, service, history, peers, rng, on_harm):
+        self._on_harm = on_harm
         self.service = service
         self.life = 0
         self.start = 0
@@ -64,6 +65,15 @@
         self._start()
         self.script.life.started_at = self.start
 
+    def end(self):
+        """End at once; what starts in its place is elsewhere."""
+        self.link.reset()
+        self.engine.restart(None)
+        self.link.close()
+        self._listener.stopListening()
+        self._listen()
+        self.begin()
+
     def restart(self, *, moves):
         """Start again under the same name, here or elsewhere."""
         self._history.ended[self.name, self.start] = reactor.seconds()
@@ -103,6 +113,12 @@
         name = arrival.headers.get(names.REQUEST_ID.lower(), b"").decode()
         if not name:
             return
+        harm = self._history.harm.get(arrival.body)
+        if harm is not None:
+            harm.arrivals.append((name, reactor.seconds()))
+            if arrival.has_run:
+                self._on_harm(self, harm)
+            return
         peers = [t for t in self._peers if t.service == self.service]
         mean = sum(t.script.running for t in peers) / len(peers)
         load = self.script.running
@@ -166,7 +182,7 @@
                 *(_route(f"v{number}", "safe", "portal") for number in kept),
             ],
             "services": [{"name": "portal"}, {"name": "model"}],
-            "tenants": [{"name": "bakery", "api_keys": list(self._keys)}],
+            "tenants": [{"name": "bakery", "api_keys": [*self._keys, "harm"]}],
             "limits": {"idle_timeout_ms": 4000},
         }
 
@@ -192,7 +208,8 @@
 class Backends:
     """The store with its entries, and all targets."""
 
-    def __init__(self, portals, models, history, rng):
+    def __init__(self, portals, models, history, rng, on_harm):
+        self._on_harm = on_harm
         self.store = UsersStore(reactor)
         self._history = history
         self._rng = rng
@@ -207,10 +224,15 @@
         for service, count in (("portal", portals), ("model", models)):
             for n in range(count):
                 name = f"{service}{n}"
-                self.targets.append(Target(name, service, history, self.targets, rng))
+                self.targets.append(self._target(name, service))
         for target in self.targets:
             self.list(target)
 
+    def _target(self, name, service):
+        return Target(
+            name, service, self._history, self.targets, self._rng, self._on_harm
+        )
+
     def list(self, target, state="ready"):
         """Write a target's entry."""
         self._closes(target)
@@ -231,6 +253,11 @@
         target.link.reset()
         target.begin()
 
+    def end(self, target):
+        """End a target at once; another starts in its place, elsewhere."""
+        self._closes(target)
+        target.end()
+
     def restart(self, target, *, moves):
         """Start a target again under its name; its entry stays as it is."""
         self._closes(target)
@@ -247,7 +274,7 @@
 
     def stranger(self, name, service):
         """Return a target that no good entry names."""
-        found = Target(name, service, self._history, self.targets, self._rng)
+        found = self._target(name, service)
         self._strangers.append(found)
         return found
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -21,6 +21,7 @@
 from soak.history import CUT
 from soak.history import LEFT
 from soak.history import Asked
+from soak.history import Harm
 
 CONNECT_TIMEOUT = 1
 # Seconds that a caller waits beyond its deadline before it leaves.
@@ -29,6 +30,8 @@
 LEAVES_EARLY = 0.04
 # Share of the prompts that begin a chat, with no part that an engine holds.
 NEW_CHATS = 0.4
+# The key of the callers whose request ends targets; it is never withdrawn.
+HARMFUL_KEY = b"harm"
 # What is asked for, how often, with which time limit in seconds.
 KINDS = {
     "plain": ("GET", "portal", 30, 1.5),
@@ -53,6 +56,63 @@
         self.ended.callback(bool(reason.check(ResponseDone)))
 
 
+class HarmfulCaller:
+    """Sends one request that ends targets, again and again, to any router."""
+
+    def __init__(self, body, rng, fleet, history):
+        self._body = body
+        self._rng = rng
+        self._fleet = fleet
+        self._harm = history.harm[body] = Harm()
+        self._is_stopped = False
+
+    def stop(self):
+        """Send no more."""
+        self._is_stopped = True
+
+    @inlineCallbacks
+    def run(self, pause):
+        """Send it until stopped, with pauses of about this length."""
+        while not self._is_stopped:
+            yield deferLater(reactor, pause * self._rng.uniform(0.3, 1.7), lambda: None)
+            try:
+                yield self._ask()
+            except Exception:  # noqa: BLE001 - it tries again elsewhere
+                continue
+
+    @inlineCallbacks
+    def _ask(self):
+        router = self._fleet.choose(self._rng)
+        way = TCP4ClientEndpoint(reactor, router.address, CALLERS_PORT, CONNECT_TIMEOUT)
+        connection = yield connectProtocol(way, _Closing())
+        name = f"h{len(self._harm.routers)}-{self._body.decode()}"
+        self._harm.routers[name] = router.name
+        connection.transport.write(
+            b"POST /draft/x HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\n"
+            b"%b: %b\r\n%b: 3000\r\n%b: Bearer %b\r\nContent-Length: %d\r\n\r\n%b"
+            % (
+                names.REQUEST_ID,
+                name.encode(),
+                names.TIME_LEFT,
+                names.AUTHORIZATION,
+                HARMFUL_KEY,
+                len(self._body),
+                self._body,
+            )
+        )
+        yield connection.closed
+
+
+class _Closing(Protocol):
+    """A connection whose answer does not matter."""
+
+    def __init__(self):
+        self.closed = Deferred()
+
+    def connectionLost(self, reason=None):
+        self.closed.callback(None)
+
+
 class Caller:
     """Sends one request after the other, each to a router that is ready."""
 
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -99,6 +99,17 @@
     is_alone: bool = True
 
 
+@dataclass
+class Harm:
+    """What became of the requests for one content that ends targets."""
+
+    # Routers that requests were sent to, by the requests' names.
+    routers: dict[str, str] = field(default_factory=dict)
+    # Names and times of those that came to a target.
+    arrivals: list[tuple[str, float]] = field(default_factory=list)
+    ends: list[float] = field(default_factory=list)
+
+
 @dataclass
 class History:
     """Everything the checks need."""
@@ -115,6 +126,8 @@
     # Entries of other writers; the target is what they name.
     foreign: list[Entry] = field(default_factory=list)
     silences: list[Silence] = field(default_factory=list)
+    # By content.
+    harm: dict[bytes, Harm] = field(default_factory=dict)
     own_ends: list[str] = field(default_factory=list)
     stops: list[tuple[str, int, float]] = field(default_factory=list)
     quiet_from: float | None = None
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -40,6 +40,11 @@
 AT_WORK_LEAST = {"portal": 40, "model": 30}
 # Time after which nothing of a life that has ended reaches a caller.
 LIFE_OVER = 1.0
+# Ends of targets under a request after which it is held back, the time in which
+# routers hear of them, and how many more it may reach.
+HARM_ENDS = 3
+HARM_HEARD = 3.0
+HARM_MORE = 3
 # Share of the requests that get to the neighbours of an entry that names nothing.
 NEIGHBOURS_SHARE = 0.5
 NEIGHBOURS_LEAST = 20
@@ -393,6 +398,7 @@
         "streams over a silence": len(streams),
         "at the only target": sum(1 for _, s in streams if s.is_alone),
         "silences": len(history.silences),
+        "targets ended by requests": sum(len(h.ends) for h in history.harm.values()),
         "restarts": len(history.ended),
         "good entries at a router": sum(1 for _ in _at_work(history)),
         "entries of other writers": len(history.foreign),
@@ -400,6 +406,23 @@
     }
 
 
+def harmful_requests_are_held_back(history):
+    """What ends targets reaches few more once routers had time to hear of it."""
+    for body, harm in history.harm.items():
+        ends = sorted(harm.ends)
+        if len(ends) < HARM_ENDS:
+            continue
+        known_at = ends[HARM_ENDS - 1] + HARM_HEARD
+        late = [
+            name
+            for name, at in harm.arrivals
+            if at > known_at
+            and history.is_calm(at - HARM_HEARD, at, {harm.routers[name]})
+        ]
+        if len(late) > HARM_MORE:
+            yield f"{body!r} reached {len(late)} more targets, {len(ends)} ended"
+
+
 def processes_stay(history):
     """No router ends by itself."""
     yield from history.own_ends
@@ -436,6 +459,7 @@
         "good entries": good_entries_get_work(history),
         "foreign entries": foreign_entries_get_no_work(history),
         "their neighbours": neighbours_keep_work(history),
+        "harmful requests": harmful_requests_are_held_back(history),
         "silence": silence_ends_no_answer(history),
         "processes": processes_stay(history),
         "recovery": service_recovers(history),
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -32,6 +32,7 @@
 from soak.backends import EVENTS
 from soak.backends import Backends
 from soak.callers import Caller
+from soak.callers import HarmfulCaller
 from soak.fault_proxy import LinkFault
 from soak.fleet import Fleet
 from soak.history import History
@@ -47,6 +48,11 @@
 # Seconds until a crashed target is back, and until its entry goes.
 BACK_AFTER = 1.5
 LAPSE_AFTER = 2.0
+# Seconds between two requests that end targets, of work on one until the end, which
+# comes before its answer is whole, and until another target has started instead.
+HARM_PAUSE = 0.5
+HARM_WORK = 0.1
+HARM_BACK_AFTER = 2.5
 # A planned stop takes this long at the most.
 STOP_SECONDS = 9.0
 QUIET_SECONDS = 12.0
@@ -76,7 +82,7 @@
 class Soak:
     """One run."""
 
-    def __init__(self, seed, routers, callers, folder, without=()):
+    def __init__(self, seed, routers, callers, folder, without=(), harmful=0):
         self._rng = random.Random(seed)
         # Of its own, so that what else the seed draws stays as it is.
         self._beside = random.Random(f"beside {seed}")
@@ -84,7 +90,9 @@
         self._is_lone = False
         self._strangers = 0
         self.history = History()
-        self._backends = Backends(PORTALS, MODELS, self.history, self._rng)
+        self._backends = Backends(
+            PORTALS, MODELS, self.history, self._rng, self._harmed
+        )
         self._fleet = Fleet(routers, folder, self._backends.store_port, self.history)
         self._operator = self._backends.operator
         self._callers = [
@@ -97,6 +105,15 @@
             )
             for n in range(callers)
         ]
+        self._harmful = [
+            HarmfulCaller(
+                b"harm%d" % n,
+                random.Random(f"harm {seed} {n}"),
+                self._fleet,
+                self.history,
+            )
+            for n in range(harmful)
+        ]
         self._ending = []
         # Longest time for which the machine kept this process from running:
         # callers seem to wait for longer by that.
@@ -112,11 +129,18 @@
         self._look()
         for caller in self._callers:
             caller.run(pause)
+        for caller in self._harmful:
+            caller.run(HARM_PAUSE)
         began = reactor.seconds()
         steps = schedule.draw(self._rng, seconds, self._beside, self._without)
+        if self._harmful:
+            # Routers that are all killed at once forget what they held back.
+            steps = [step for step in steps if step.kind != "kill_all"]
         for step in steps:
             yield self._wait(began + step.at - reactor.seconds())
             getattr(self, f"_{step.kind}")(step)
+        for caller in self._harmful:
+            caller.stop()
         yield self._wait(max(self._ending, default=0.0) - reactor.seconds())
         self.history.quiet_from = reactor.seconds()
         yield self._wait(QUIET_SECONDS)
@@ -283,6 +307,20 @@
         self._begin("crash", name, BACK_AFTER)
         self._later(target, BACK_AFTER, self._backends.list, target)
 
+    def _harmed(self, target, harm):
+        """Have a target end under a request that it has begun to run."""
+        self._later(
+            target, HARM_WORK * self._beside.uniform(0.2, 1.0), self._end, target, harm
+        )
+
+    def _end(self, target, harm):
+        name = target.name
+        harm.ends.append(reactor.seconds())
+        self._backends.end(target)
+        reactor.callLater(LAPSE_AFTER, self._backends.store.remove, "servers", name)
+        self._begin("end", name, HARM_BACK_AFTER)
+        self._later(target, HARM_BACK_AFTER, self._backends.list, target)
+
     def _drain(self, step):
         """Have a target leave as planned, and another take its address."""
         target = self._target(step)
@@ -421,6 +459,7 @@
     parser.add_argument(
         "--without", nargs="*", default=[], choices=list(schedule.BESIDE)
     )
+    parser.add_argument("--harmful", type=int, default=0, help="such requests")
     parser.add_argument("--keep", default="", help="folder for logs")
     arguments = parser.parse_args()
     folder = Path(arguments.keep or tempfile.mkdtemp(prefix="soak-"))
@@ -435,6 +474,7 @@
             arguments.callers,
             folder,
             arguments.without,
+            arguments.harmful,
         )
         # Also when the run is terminated.
         reactor.addSystemEventTrigger("before", "shutdown", soak.stop)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -10,6 +10,7 @@
 from soak.history import LEFT
 from soak.history import Asked
 from soak.history import Entry
+from soak.history import Harm
 from soak.history import History
 from soak.history import Ran
 from soak.history import Silence
@@ -103,6 +104,15 @@
         self.history.versions[-1].acked_at = 96.0
         self.assertEqual([], self.broken())
 
+    def test_a_harmful_request_that_reaches_many_targets(self):
+        harm = self.history.harm[b"x"] = Harm(ends=[100.0, 101.0, 102.0])
+        for number in range(8):
+            harm.routers[f"h{number}"] = "r0"
+            harm.arrivals.append((f"h{number}", 102.5 + number))
+        self.assertEqual(["harmful requests"], self.broken())
+        del harm.arrivals[-2:]
+        self.assertEqual([], self.broken())
+
     def test_work_for_a_target_that_leaves(self):
         self.history.draining["t0", 0] = 97.0
         self.put(asked(), ran())
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -19,8 +19,9 @@
 
 
 class SoakTest(TestCase):
-    def start(self, seed, seconds, without=()):
+    def start(self, seed, seconds, without=(), harmful=0):
         words = [f"--seed={seed}", f"--seconds={seconds}", "--routers=3"]
+        words += [f"--harmful={harmful}"]
         words += ["--without", *without]
         process = subprocess.Popen(
             [sys.executable, str(PROGRAM), *words, "--callers=15"],
@@ -47,9 +48,15 @@
     def test_restarts_and_foreign_entries_break_no_promise(self):
         self.break_no_promise({20261202: 10})
 
-    def break_no_promise(self, wanted, without=()):
+    def test_requests_that_end_targets_break_no_promise(self):
+        self.break_no_promise({20261204: 12}, harmful=2)
+
+    def break_no_promise(self, wanted, without=(), harmful=0):
         """Play seeds, each for so many seconds, at the same time."""
-        running = {s: self.start(s, time, without) for s, time in wanted.items()}
+        running = {
+            seed: self.start(seed, time, without, harmful)
+            for seed, time in wanted.items()
+        }
         for seed, process in running.items():
             said, _ = process.communicate(timeout=PATIENCE)
             self.assertEqual(0, process.returncode, said)
