--- a/src/primrosescale/process/entry/entry_settings.py
+++ b/src/primrosescale/process/entry/entry_settings.py
@@ -8,7 +8,7 @@
 
 from primrosescale.process.entry.news_paths import NewsSettings
 from primrosescale.request.forward_tools import ForwardSettings
-from primrosescale.request.harmful_requests import HarmSettings
+from primrosescale.request.harm_settings import HarmSettings
 from primrosescale.request.target_choice import ChoiceSettings
 
 if TYPE_CHECKING:
--- a/src/primrosescale/process/entry/harm_news.py
+++ b/src/primrosescale/process/entry/harm_news.py
@@ -16,9 +16,10 @@
 from primrosescale.process.entry.load_codec import MILLISECONDS
 from primrosescale.process.events import Event
 from primrosescale.request.content_fingerprint import fingerprint_text
-from primrosescale.request.harmful_requests import LoneTry
-from primrosescale.request.harmful_requests import TargetEnd
-from primrosescale.request.harmful_requests import WholeAnswer
+from primrosescale.request.harm_reports import HarmReport
+from primrosescale.request.harm_reports import LoneTry
+from primrosescale.request.harm_reports import TargetEnd
+from primrosescale.request.harm_reports import WholeAnswer
 from primrosescale.request.lost_answers import BUFFERED_SECONDS
 
 if TYPE_CHECKING:
@@ -40,15 +41,12 @@
 HELD_INTERVAL = 1.0
 
 
-Report = TargetEnd | WholeAnswer | LoneTry
-
-
 class _Waiting:
     """What is to be told."""
 
     __slots__ = ("item", "times_left")
 
-    def __init__(self, item: Report) -> None:
+    def __init__(self, item: HarmReport) -> None:
         self.item = item
         self.times_left = TIMES_TOLD
 
@@ -77,12 +75,12 @@
         """Tell whether there is something that no router was told of yet."""
         return bool(self._waiting) and self._waiting[0].times_left == TIMES_TOLD
 
-    def note(self, item: Report, now: float) -> bool:
+    def note(self, item: HarmReport, now: float) -> bool:
         """Take in what this router has seen, and tell the others of it.
 
         Parameters
         ----------
-        item : Report
+        item : HarmReport
             What it has seen.
         now : float
             Present time in seconds.
@@ -184,7 +182,7 @@
         yield from message.ends or ()
         yield from message.held or ()
 
-    def _take(self, item: Report, told_by: str, now: float) -> bool:
+    def _take(self, item: HarmReport, told_by: str, now: float) -> bool:
         if isinstance(item, LoneTry):
             return self._requests.take_try(item)
         if isinstance(item, TargetEnd):
@@ -211,7 +209,7 @@
         )
 
 
-def _end_news(item: Report, now: float) -> wire.EndNews:
+def _end_news(item: HarmReport, now: float) -> wire.EndNews:
     age = max(0, round((now - item.at) * MILLISECONDS))
     target = item.target if isinstance(item, TargetEnd) else None
     is_try = isinstance(item, LoneTry) or None
--- a/src/primrosescale/process/entry/harm_watch.py
+++ b/src/primrosescale/process/entry/harm_watch.py
@@ -13,11 +13,10 @@
 from primrosescale.process.entry.target_keys import target_key
 from primrosescale.process.events import Event
 from primrosescale.request.direct_port import TargetCheck
+from primrosescale.request.harm_reports import LoneTry
+from primrosescale.request.harm_reports import TargetEnd
+from primrosescale.request.harm_reports import WholeAnswer
 from primrosescale.request.harm_watch import HarmWatch
-from primrosescale.request.harmful_requests import HarmfulRequests
-from primrosescale.request.harmful_requests import LoneTry
-from primrosescale.request.harmful_requests import TargetEnd
-from primrosescale.request.harmful_requests import WholeAnswer
 from primrosescale.request.lost_answers import BUFFERED_SECONDS
 from primrosescale.request.lost_answers import LostAnswers
 
@@ -28,6 +27,7 @@
     from primrosescale.process.entry.harm_news import HarmNews
     from primrosescale.process.entry.target_list import TargetList
     from primrosescale.request.direct_port import TargetCaller
+    from primrosescale.request.harmful_requests import HarmfulRequests
     from primrosescale.request.incoming import IncomingRequest
     from primrosescale.request.target_incarnation import TargetIncarnation
     from primrosescale.request.target_state import TargetState
--- a/src/primrosescale/request/harmful_requests.py
+++ b/src/primrosescale/request/harmful_requests.py
@@ -14,13 +14,16 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass
 from itertools import islice
+from typing import TYPE_CHECKING
 
-from primrosescale.ini.options import COUNT
-from primrosescale.ini.options import SECONDS
-from primrosescale.ini.options import option
 from primrosescale.request.decaying_outcomes import DecayingOutcomes
+from primrosescale.request.harm_reports import LoneTry
+from primrosescale.request.harm_reports import TargetEnd
+from primrosescale.request.harm_reports import WholeAnswer
+
+if TYPE_CHECKING:
+    from primrosescale.request.harm_settings import HarmSettings
 
 # Ends that it takes besides where other requests or chance may explain the others.
 MORE_WHERE_EXPLAINED = 1
@@ -46,92 +49,6 @@
 LEAVING = 16
 
 
-@dataclass(frozen=True, slots=True)
-class HarmSettings:
-    """When a request is held back, and for how long."""
-
-    ends: int = option(
-        COUNT,
-        "targets that end under a request before it is held back; fewer would hold "
-        "back requests that were beside a harmful one twice",
-        3,
-    )
-    hold: float = option(
-        SECONDS,
-        "seconds for which it is held back at first; then one try is let through, "
-        "since targets may have been repaired by then",
-        300.0,
-    )
-    longest_hold: float = option(
-        SECONDS,
-        "seconds for which it is held back at the most after tries that ended "
-        "targets again",
-        43_200.0,
-    )
-    remembered: int = option(
-        COUNT,
-        "requests whose ends are remembered, at 1 kB each",
-        4096,
-    )
-    answered: int = option(
-        COUNT,
-        "requests whose whole answers are remembered, at 0.1 kB each; those asked "
-        "for again and again stay among them",
-        4096,
-    )
-
-
-@dataclass(frozen=True, slots=True)
-class TargetEnd:
-    """That a target ended with a request on board.
-
-    Parameters
-    ----------
-    fingerprint : int
-        What the request asked for.
-    target : int
-        Short name of the target's incarnation.
-    at : float
-        When it was seen, in seconds.
-    """
-
-    fingerprint: int
-    target: int
-    at: float
-
-
-@dataclass(frozen=True, slots=True)
-class WholeAnswer:
-    """That a request was answered whole.
-
-    Parameters
-    ----------
-    fingerprint : int
-        What the request asked for.
-    at : float
-        When, in seconds.
-    """
-
-    fingerprint: int
-    at: float
-
-
-@dataclass(frozen=True, slots=True)
-class LoneTry:
-    """That a suspect request was sent to a target.
-
-    Parameters
-    ----------
-    fingerprint : int
-        What the request asked for.
-    at : float
-        When, in seconds.
-    """
-
-    fingerprint: int
-    at: float
-
-
 class _Evidence:
     """What is known of one request.
 
--- a/tests/entry/test_harm_watch.py
+++ b/tests/entry/test_harm_watch.py
@@ -32,13 +32,13 @@
 from primrosescale.process.events import Event
 from primrosescale.request.direct_port import Refusal
 from primrosescale.request.direct_port import TargetCheck
+from primrosescale.request.harm_reports import LoneTry
+from primrosescale.request.harm_reports import TargetEnd
+from primrosescale.request.harm_reports import WholeAnswer
+from primrosescale.request.harm_settings import HarmSettings
 from primrosescale.request.harm_watch import HarmWatch
 from primrosescale.request.harmful_requests import TRY_SECONDS
 from primrosescale.request.harmful_requests import HarmfulRequests
-from primrosescale.request.harmful_requests import HarmSettings
-from primrosescale.request.harmful_requests import LoneTry
-from primrosescale.request.harmful_requests import TargetEnd
-from primrosescale.request.harmful_requests import WholeAnswer
 from primrosescale.request.lost_answers import WAIT_SECONDS
 
 NAMES = ("t1", "t2", "t3", "t4")
--- a/tests/request/test_harmful_requests.py
+++ b/tests/request/test_harmful_requests.py
@@ -6,12 +6,12 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
+from primrosescale.request.harm_reports import TargetEnd
+from primrosescale.request.harm_reports import WholeAnswer
+from primrosescale.request.harm_settings import HarmSettings
 from primrosescale.request.harmful_requests import HOLD_GROWTH
 from primrosescale.request.harmful_requests import MOST_ENDS
 from primrosescale.request.harmful_requests import HarmfulRequests
-from primrosescale.request.harmful_requests import HarmSettings
-from primrosescale.request.harmful_requests import TargetEnd
-from primrosescale.request.harmful_requests import WholeAnswer
 from support.drawn import drawn
 
 NOW = 1000.0
--- a/tests/support/harm_fleet.py
+++ b/tests/support/harm_fleet.py
@@ -24,8 +24,8 @@
 from primrosescale.request.forward_tools import ForwardSettings
 from primrosescale.request.forward_tools import ForwardTools
 from primrosescale.request.forwarded_call import ForwardedCall
+from primrosescale.request.harm_settings import HarmSettings
 from primrosescale.request.harmful_requests import HarmfulRequests
-from primrosescale.request.harmful_requests import HarmSettings
 from primrosescale.request.incoming import IncomingRequest
 from primrosescale.request.repeat_budget import RepeatBounds
 from primrosescale.request.repeat_budget import RepeatBudget
