--- a/src/primrosescale/request/harm_settings.py
+++ b/src/primrosescale/request/harm_settings.py
@@ -33,7 +33,7 @@
     )
     remembered: int = option(
         COUNT,
-        "requests whose ends are remembered, at 1 kB each",
+        "requests whose ends are remembered, at 1.4 kB each with three ends",
         4096,
     )
     answered: int = option(
