--- a/src/primrosescale/request/harmful_requests.py
+++ b/src/primrosescale/request/harmful_requests.py
@@ -363,9 +363,12 @@
         """Tell whether it was answered before and all targets end often now.
 
         What many callers ask for is on board of every target that ends, and would
-        be held back for minutes after the targets have recovered.
+        be held back for minutes after the targets have recovered. One whole answer
+        does not let it end targets without limit.
         """
-        return bool(evidence.answered_at) and self._is_chance_enough(now)
+        if not evidence.answered_at or len(evidence.ends) >= MOST_ENDS:
+            return False
+        return self._is_chance_enough(now)
 
     def _is_chance_enough(self, now: float) -> bool:
         """Tell whether targets end so often that many requests see three ends."""
--- a/tests/request/test_harmful_requests.py
+++ b/tests/request/test_harmful_requests.py
@@ -92,6 +92,15 @@
         self.answer(HARMLESS, at=NOW + 5)
         self.assertEqual(0.0, self.held_for(HARMLESS, now=NOW + 60))
 
+    def test_one_whole_answer_does_not_let_a_request_end_targets_without_limit(self):
+        self.answer(HARMFUL, at=NOW - 50)
+        for target in range(MOST_ENDS):
+            self.assertEqual(0.0, self.held_for())
+            self.end(target, HARMFUL)
+            for _ in range(20):
+                self.requests.count_end(NOW)
+        self.assertEqual(100.0, self.held_for())
+
     def test_a_target_that_has_not_ended_speaks_against_nobody(self):
         for target in (1, 2, 3):
             self.end(target, HARMFUL, HARMLESS)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -308,10 +308,17 @@
         self._later(target, BACK_AFTER, self._backends.list, target)
 
     def _harmed(self, target, harm):
-        """Have a target end under a request that it has begun to run."""
-        self._later(
-            target, HARM_WORK * self._beside.uniform(0.2, 1.0), self._end, target, harm
-        )
+        """Have a target end under a request that it has begun to run.
+
+        Whatever else is done to the target meanwhile, unless that ends the run.
+        """
+        life = target.script.life
+
+        def end():
+            if target.script.life is life:
+                self._end(target, harm)
+
+        reactor.callLater(HARM_WORK * self._beside.uniform(0.2, 1.0), end)
 
     def _end(self, target, harm):
         name = target.name
