A router that is let go stops its rounds of news before it closes their port

With one router there is nobody to tell, so no test had met it. The rounds stop first now; a test with one other router listed failed before.

--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -318,6 +318,8 @@
     def _close(self) -> None:
         """Let go of everything, whether or not the stop was planned."""
         cancel_timer(self._housekeeping)
+        # Its rounds would go on without a port to send from.
+        self._exchange.stop()
         for port in self._ports.values():
             port.stopListening()
         self._ports.clear()
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -306,6 +306,16 @@
         self.assertNotEqual(first, third)
         self.assertIsNone(whole)
 
+    @inlineCallbacks
+    def test_a_router_that_was_let_go_sends_no_more_news(self):
+        entry = {"address": "127.0.0.1", "port": 9, "domain": "a"}
+        self.store.write("routers", "r2", entry)
+        yield self.start()
+        yield self.eventually(lambda: bool(self.router._news.others))
+        self.router._close()
+        # A round that goes on after the port is closed ends in a logged error.
+        yield deferLater(reactor, 2 * self.router._news.interval, lambda: None)
+
     @inlineCallbacks
     def test_the_line_of_a_request_holds_the_status_that_was_passed_on(self):
         yield self.start()
