--- a/tests/entry/test_harmful_requests.py
+++ b/tests/entry/test_harmful_requests.py
@@ -57,6 +57,25 @@
 MOST_MORE = 3
 
 
+class WorkingTarget:
+    """A target that listens, and the processes that run there one after another."""
+
+    def __init__(self, test, service):
+        self.service = service
+        self.incarnation = 0
+        self.script = EngineScript(name=test.next_name(), delay=ANSWER_SECONDS)
+        if service == "model":
+            self.script.events = EVENTS
+            self.script.gap = ANSWER_SECONDS / EVENTS
+        self.script.on_arrival = lambda arrival: test.arrived(self, arrival)
+        self.engine = UsersEngine(self.script)
+        self.port = reactor.listenTCP(0, self.engine, interface=LOOPBACK)
+        self.number = self.port.getHost().port
+
+    def entry(self, **fields):
+        return target_entry(self.service, f"{LOOPBACK}:{self.number}", **fields)
+
+
 class HarmfulRequestTest(LiveTest):
     run_tests_with = DeploymentRunTest.make_factory(timeout=60.0)
 
@@ -84,32 +103,34 @@
         return router
 
     def start_target(self, service):
+        target = WorkingTarget(self, service)
+        self.addCleanup(target.port.stopListening)
+        self.store.write("servers", target.script.name, target.entry())
+
+    def next_name(self):
         self.started += 1
-        name = f"i-{self.started}"
-        script = EngineScript(name=name, delay=ANSWER_SECONDS)
-        if service == "model":
-            script = EngineScript(name=name, events=EVENTS, gap=ANSWER_SECONDS / EVENTS)
-        engine = UsersEngine(script)
-        port = reactor.listenTCP(0, engine, interface=LOOPBACK)
-        self.addCleanup(port.stopListening)
-        address = f"{LOOPBACK}:{port.getHost().port}"
-        self.store.write("servers", name, target_entry(service, address))
-
-        def arrived(arrival):
-            if arrival.body.startswith(HARMFUL):
-                self.arrivals.append((reactor.seconds(), arrival.body))
-                reactor.callLater(WORK_SECONDS, end, arrival.body)
-
-        def end(body):
-            if port.disconnected:
-                return
-            self.ends.append((reactor.seconds(), body))
-            port.stopListening()
-            engine.restart(None)
-            reactor.callLater(LAPSE_SECONDS, self.store.remove, "servers", name)
-            reactor.callLater(START_SECONDS, self.start_target, service)
+        return f"i-{self.started}"
 
-        script.on_arrival = arrived
+    def arrived(self, target, arrival):
+        if arrival.has_run and arrival.body.startswith(HARMFUL):
+            self.arrivals.append((reactor.seconds(), arrival.body))
+            incarnation = target.incarnation
+            reactor.callLater(WORK_SECONDS, self.end, target, incarnation, arrival.body)
+
+    def end(self, target, incarnation, body):
+        """Have a target end in the middle of its answer, if it has not ended."""
+        if target.incarnation == incarnation:
+            self.ends.append((reactor.seconds(), body))
+            target.incarnation += 1
+            self.replace(target)
+
+    def replace(self, target):
+        """Have the next process listen elsewhere."""
+        target.port.stopListening()
+        target.engine.restart(None)
+        name = target.script.name
+        reactor.callLater(LAPSE_SECONDS, self.store.remove, "servers", name)
+        reactor.callLater(START_SECONDS, self.start_target, target.service)
 
     @inlineCallbacks
     def ask(self, router, path, body):
