A harmful request is known though its target restarts in place

Cause: after a lost answer a connection that opens was taken for a sign that the target lives, and a whole answer cleared its request though the target ended under it. An answer that says that another target is there (421) counted as heard from the named one.

Now a connection proves nothing; a 421 shows the end; an answer to what was sent later shows life, only where each start has an id of its own. A whole answer counts once its target was heard from 0.25 s later, or after 5 s.

--- a/src/primrosescale/connection/wire.thrift
+++ b/src/primrosescale/connection/wire.thrift
@@ -172,10 +172,11 @@
 enum NewsScope { ROUTER = 1, DOMAIN = 2, FLEET = 3 }
 /* A target ended with a request on board. Without "target" the request was answered
  * whole, and earlier ends do not count; or, with "is_try", it was sent to see whether
- * its target ends, and is not to be sent besides. "fingerprint" is the request's. */
+ * its target ends, and is not to be sent besides. "fingerprint" is the request's;
+ * "was_answered" tells that the target had answered it just before. */
 struct EndNews {
   1: required i64 fingerprint, 2: required i32 age_ms, 3: optional i32 target,
-  4: optional bool is_try
+  4: optional bool is_try, 5: optional bool was_answered
 }
 
 /* "ends" are passed on by relays; "held" are the ends for which the sender holds
--- a/src/primrosescale/connection/wire/ttypes.py
+++ b/src/primrosescale/connection/wire/ttypes.py
@@ -4230,6 +4230,7 @@
      - age_ms
      - target
      - is_try
+     - was_answered
 
     """
 
@@ -4238,14 +4239,16 @@
         'age_ms',
         'target',
         'is_try',
+        'was_answered',
     )
 
 
-    def __init__(self, fingerprint=None, age_ms=None, target=None, is_try=None,):
+    def __init__(self, fingerprint=None, age_ms=None, target=None, is_try=None, was_answered=None,):
         self.fingerprint = fingerprint
         self.age_ms = age_ms
         self.target = target
         self.is_try = is_try
+        self.was_answered = was_answered
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4276,6 +4279,11 @@
                     self.is_try = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.was_answered = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4302,6 +4310,10 @@
             oprot.writeFieldBegin('is_try', TType.BOOL, 4)
             oprot.writeBool(self.is_try)
             oprot.writeFieldEnd()
+        if self.was_answered is not None:
+            oprot.writeFieldBegin('was_answered', TType.BOOL, 5)
+            oprot.writeBool(self.was_answered)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6246,6 +6258,7 @@
     (2, TType.I32, 'age_ms', None, None, ),  # 2
     (3, TType.I32, 'target', None, None, ),  # 3
     (4, TType.BOOL, 'is_try', None, None, ),  # 4
+    (5, TType.BOOL, 'was_answered', None, None, ),  # 5
 )
 all_structs.append(RouterNews)
 RouterNews.thrift_spec = (
--- a/src/primrosescale/process/entry/harm_news.py
+++ b/src/primrosescale/process/entry/harm_news.py
@@ -23,6 +23,7 @@
 from primrosescale.request.lost_answers import BUFFERED_SECONDS
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Mapping
 
@@ -69,6 +70,8 @@
         self._held_at = 0.0
         self._held_queue: deque[TargetEnd] = deque()
         self._known_held: set[int] = set()
+        # Told of each end that another router saw.
+        self.on_end: Callable[[TargetEnd, float], None] = lambda *_: None
 
     @property
     def is_urgent(self) -> bool:
@@ -174,9 +177,11 @@
             if state is not None and state.heard_at > at + BUFFERED_SECONDS:
                 # It was cut off from the router that tells, and has not ended.
                 continue
-            end = TargetEnd(told.fingerprint, told.target, at)
+            was_answered = bool(told.was_answered)
+            end = TargetEnd(told.fingerprint, told.target, at, was_answered)
             if self._take(end, message.origin, now):
                 self._vouch(end)
+                self.on_end(end, now)
 
     def _readable(self, message: wire.RouterNews) -> Iterable[wire.EndNews]:
         yield from message.ends or ()
@@ -211,6 +216,10 @@
 
 def _end_news(item: HarmReport, now: float) -> wire.EndNews:
     age = max(0, round((now - item.at) * MILLISECONDS))
-    target = item.target if isinstance(item, TargetEnd) else None
+    if isinstance(item, TargetEnd):
+        was_answered = item.was_answered or None
+        return wire.EndNews(
+            item.fingerprint, age, item.target, was_answered=was_answered
+        )
     is_try = isinstance(item, LoneTry) or None
-    return wire.EndNews(item.fingerprint, age, target, is_try)
+    return wire.EndNews(item.fingerprint, age, is_try=is_try)
--- a/src/primrosescale/process/entry/harm_watch.py
+++ b/src/primrosescale/process/entry/harm_watch.py
@@ -1,8 +1,11 @@
 """Finds out which targets ended, and so which requests are harmful.
 
-An answer that was lost says little. A new connection to the target says whether it
-has ended: the host of one that has refuses it at once. What cannot be told so is
-told by the list of targets some seconds later.
+An answer that was lost says little, and so does a whole one whose target ends just
+after. A new connection that is refused says that the target has ended; one that is
+taken says nothing, since the next process may listen at the same address. An answer
+to a request that was sent later says that it lives, as long as a start has an id of
+its own; that another target answers in its place says that it has ended. What cannot
+be told so is told by the list of targets some seconds later.
 """
 
 from __future__ import annotations
@@ -13,6 +16,8 @@
 from primrosescale.process.entry.target_keys import target_key
 from primrosescale.process.events import Event
 from primrosescale.request.direct_port import TargetCheck
+from primrosescale.request.fresh_answers import FreshAnswer
+from primrosescale.request.fresh_answers import FreshAnswers
 from primrosescale.request.harm_reports import LoneTry
 from primrosescale.request.harm_reports import TargetEnd
 from primrosescale.request.harm_reports import WholeAnswer
@@ -23,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from primrosescale.clock import Timer
     from primrosescale.process.entry.entry_parts import EntryParts
     from primrosescale.process.entry.harm_news import HarmNews
     from primrosescale.process.entry.target_list import TargetList
@@ -36,6 +42,10 @@
 CHECK_PAUSE = 0.01
 # A check that brought no answer is made again, as long as lost answers wait.
 RECHECK_PAUSE = 1.0
+# Between two looks at which whole answers have been proved by now.
+PROOF_PAUSE = 0.25
+# How it shows that another target listens at the address of one.
+REPLACED = "another in its place"
 # A target that sends so soon after its end has not ended; later it may have started
 # again under its name before the list tells it.
 STILL_LIVES_SECONDS = 1.0
@@ -77,7 +87,12 @@
         self._log = parts.log
         self._metrics = parts.metrics
         self._tell_soon = tell_soon
+        news.on_end = self._told_of_end
         self._lost = LostAnswers()
+        self._fresh = FreshAnswers()
+        self._proving: Timer | None = None
+        # Targets that a connection is being opened to.
+        self._checking: set[int] = set()
         # When targets were seen to end here, by their short names.
         self._ended: dict[int, float] = {}
 
@@ -105,26 +120,44 @@
         key = target_key(*target)
         fingerprint = request.fingerprint
         if self._lost.has_ended(key, now):
-            self._note_ends({fingerprint: now}, key, now)
-        elif self._lost.lost(fingerprint, key, now):
-            self._reactor.callLater(CHECK_PAUSE, self._check, target)
+            self._note_ends([TargetEnd(fingerprint, key, now)], now)
+        else:
+            self._lost.lost(fingerprint, key, now)
+            self._check_soon(target, key)
 
-    def answered(self, request: IncomingRequest, now: float) -> None:
-        """Clear the request; see `HarmWatch.answered`."""
+    def answered(
+        self, request: IncomingRequest, state: TargetState, now: float
+    ) -> None:
+        """Have it clear the request once it is proved; see `HarmWatch.answered`."""
         self._requests.count_answer(now)
-        if self._news.note(WholeAnswer(request.fingerprint, now), now):
-            self._tell_soon()
+        key = target_key(*state.incarnation)
+        self._fresh.add(FreshAnswer(request.fingerprint, key, now, state))
+        if self._proving is None:
+            self._proving = self._reactor.callLater(PROOF_PAUSE, self._prove)
 
-    def heard(self, state: TargetState, now: float) -> None:
+    def heard(self, state: TargetState, sent_at: float, now: float) -> None:
         """Take in that the target lives; see `HarmWatch.heard`."""
-        if not self._ended:
+        if not state.incarnation.is_named_by_id or not (self._ended or len(self._lost)):
             return
         key = target_key(*state.incarnation)
+        self._lost.lived(key, sent_at)
         ended_at = self._ended.get(key)
         if ended_at is None:
             return
         if BUFFERED_SECONDS < now - ended_at < STILL_LIVES_SECONDS:
-            self._lives(key)
+            self._ended.pop(key)
+            self._requests.target_lives(key)
+
+    def replaced(self, state: TargetState, now: float) -> None:
+        """Take in that the target has ended; see `HarmWatch.replaced`."""
+        if not state.target.is_draining:
+            self.target_ended(state.incarnation, REPLACED, now)
+
+    def unreached(self, state: TargetState, now: float) -> None:
+        """See whether the target has ended; see `HarmWatch.unreached`."""
+        if not state.target.is_draining:
+            target = state.incarnation
+            self._check_soon(target, target_key(*target))
 
     def target_ended(self, target: TargetIncarnation, how: str, now: float) -> None:
         """Take in that an incarnation of a target has ended.
@@ -139,41 +172,81 @@
             Present time in seconds.
         """
         key = target_key(*target)
-        on_board = self._lost.ended(key, now)
-        if not on_board:
+        lost = self._lost.ended(key, now)
+        ends = [TargetEnd(each, key, at) for each, at in lost.items()]
+        lost_at = min(lost.values(), default=None)
+        answered = self._answered_before_end(key, lost_at, now)
+        ends += [end for end in answered if end.fingerprint not in lost]
+        if not ends:
             return
         self._metrics.target_ended()
         self._log.emit(
-            Event.TARGET_ENDED, target=target.name, on_board=len(on_board), how=how
+            Event.TARGET_ENDED, target=target.name, on_board=len(ends), how=how
         )
-        self._note_ends(on_board, key, now)
+        self._forget_old(now)
+        self._ended[key] = now
+        self._note_ends(ends, now)
 
-    def _check(self, target: TargetIncarnation) -> None:
-        now = self._reactor.seconds()
-        if self._lost.is_waiting(target_key(*target), now):
-            self._caller.check(target, lambda found: self._checked(target, found))
+    def _told_of_end(self, end: TargetEnd, now: float) -> None:
+        """Take in that another router lost an answer when a target ended.
 
-    def _checked(self, target: TargetIncarnation, found: TargetCheck) -> None:
+        What this router had on board there it finds out itself; a whole answer just
+        before is the only one that nothing else would remind it of.
+        """
+        self._note_ends(self._answered_before_end(end.target, end.at, now), now)
+
+    def _answered_before_end(
+        self, key: int, lost_at: float | None, now: float
+    ) -> list[TargetEnd]:
+        """Return the requests that a target answered just before it ended, once."""
+        ends = []
+        for answer in self._fresh.take_at(key):
+            if answer.is_just_before(lost_at):
+                end = TargetEnd(answer.fingerprint, key, answer.at, was_answered=True)
+                ends.append(end)
+            else:
+                self._clear(answer, now)
+        return ends
+
+    def _check_soon(self, target: TargetIncarnation, key: int) -> None:
+        if key not in self._checking:
+            self._checking.add(key)
+            self._reactor.callLater(CHECK_PAUSE, self._check, target, key)
+
+    def _check(self, target: TargetIncarnation, key: int) -> None:
         now = self._reactor.seconds()
-        if found is TargetCheck.ENDED:
-            self.target_ended(target, found.value, now)
-        elif found is TargetCheck.LIVES:
-            self._lives(target_key(*target))
+        if self._lost.is_waiting(key, now) or self._fresh.has_any(key):
+            self._caller.check(target, lambda found: self._checked(target, key, found))
         else:
-            self._reactor.callLater(RECHECK_PAUSE, self._check, target)
+            self._checking.discard(key)
 
-    def _note_ends(self, on_board: dict[int, float], key: int, now: float) -> None:
-        self._forget_old(now)
-        self._ended[key] = now
-        for fingerprint, at in on_board.items():
-            self._requests.count_end(now)
-            self._news.note(TargetEnd(fingerprint, key, at), now)
-        self._tell_soon()
+    def _checked(self, target: TargetIncarnation, key: int, found: TargetCheck) -> None:
+        if found is TargetCheck.UNKNOWN:
+            self._reactor.callLater(RECHECK_PAUSE, self._check, target, key)
+            return
+        self._checking.discard(key)
+        if found is TargetCheck.ENDED:
+            self.target_ended(target, found.value, self._reactor.seconds())
 
-    def _lives(self, key: int) -> None:
-        self._lost.lives(key)
-        self._ended.pop(key, None)
-        self._requests.target_lives(key)
+    def _prove(self) -> None:
+        """Take in whole answers that prove something by now."""
+        now = self._reactor.seconds()
+        for answer in self._fresh.take_proved(now):
+            self._clear(answer, now)
+        self._proving = None
+        if len(self._fresh):
+            self._proving = self._reactor.callLater(PROOF_PAUSE, self._prove)
+
+    def _clear(self, answer: FreshAnswer, now: float) -> None:
+        if self._news.note(WholeAnswer(answer.fingerprint, answer.at), now):
+            self._tell_soon()
+
+    def _note_ends(self, ends: list[TargetEnd], now: float) -> None:
+        for end in ends:
+            self._requests.count_end(now)
+            self._news.note(end, now)
+        if ends:
+            self._tell_soon()
 
     def _forget_old(self, now: float) -> None:
         oldest = now - STILL_LIVES_SECONDS
--- a/src/primrosescale/process/entry/target_caller.py
+++ b/src/primrosescale/process/entry/target_caller.py
@@ -296,7 +296,7 @@
         def opened(channel: TargetChannel) -> None:
             # The next request needs one in place of the connection that was lost.
             pool.give_back(channel, self._reactor.seconds())
-            on_check(TargetCheck.LIVES)
+            on_check(TargetCheck.CONNECTED)
 
         def not_opened(failure: Failure) -> None:
             is_refused = failure.check(ConnectionRefusedError)
--- a/src/primrosescale/request/direct_port.py
+++ b/src/primrosescale/request/direct_port.py
@@ -156,7 +156,8 @@
 class TargetCheck(Enum):
     """What a new connection to a target shows."""
 
-    LIVES = "connected"
+    # Somebody listens there; it may be another incarnation, or a proxy.
+    CONNECTED = "connected"
     ENDED = "connection refused"
     UNKNOWN = "no answer"
 
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -184,6 +184,7 @@
         """Try another target; see `AttemptListener.attempt_not_sent`."""
         now = self._now()
         attempt.state.unreachable(now)
+        self._tools.harm.unreached(attempt.state, now)
         attempt.leave(f"not sent: {detail}", now)
         self._tried.not_sent(attempt.incarnation)
         was_serving = attempt is self._pair.serving
@@ -203,14 +204,17 @@
     def attempt_head(self, attempt: TargetAttempt, head: AnswerHead) -> None:
         """Look at the head of an answer; see `AttemptListener.attempt_head`."""
         now = self._now()
+        if head.is_other_incarnation:
+            self._tools.harm.replaced(attempt.state, now)
+            self._declined(attempt, head, now)
+            return
         attempt.state.heard(now)
-        if not head.is_other_incarnation:
-            self._tools.harm.heard(attempt.state, now)
+        self._tools.harm.heard(attempt.state, attempt.began_at, now)
         if head.load is not None:
             attempt.state.reported(head.load, now)
-        if head.cold_for is not None and not head.is_other_incarnation:
+        if head.cold_for is not None:
             attempt.state.told_cold(head.cold_for, now)
-        if head.is_not_run or head.is_other_incarnation:
+        if head.is_not_run:
             self._declined(attempt, head, now)
             return
         self._may_have_run = True
@@ -253,7 +257,7 @@
         head = attempt.head
         if head is not None and head.status < FIRST_SERVER_ERROR:
             attempt.state.succeeded(now)
-            self._tools.harm.answered(self._request, now)
+            self._tools.harm.answered(self._request, attempt.state, now)
         if not self._relay.has_begun:
             self._pass_on(attempt, now)
         attempt.leave("answered", now, is_whole=True)
--- a/src/primrosescale/request/harm_reports.py
+++ b/src/primrosescale/request/harm_reports.py
@@ -17,11 +17,14 @@
         Short name of the target's incarnation.
     at : float
         When it was seen, in seconds.
+    was_answered : bool
+        Whether the target had answered the request whole just before.
     """
 
     fingerprint: int
     target: int
     at: float
+    was_answered: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primrosescale/request/harm_watch.py
+++ b/src/primrosescale/request/harm_watch.py
@@ -60,21 +60,51 @@
         """
 
     @abstractmethod
-    def answered(self, request: IncomingRequest, now: float) -> None:
+    def answered(
+        self, request: IncomingRequest, state: TargetState, now: float
+    ) -> None:
         """Handle that a request was answered whole.
 
         Parameters
         ----------
         request : IncomingRequest
             The request.
+        state : TargetState
+            What is known of the target that answered.
         now : float
             Present time in seconds.
         """
 
     @abstractmethod
-    def heard(self, state: TargetState, now: float) -> None:
+    def heard(self, state: TargetState, sent_at: float, now: float) -> None:
         """Handle that an answer began to come from a target.
 
+        Parameters
+        ----------
+        state : TargetState
+            What is known of the target.
+        sent_at : float
+            When its request was sent there at the earliest, in seconds.
+        now : float
+            Present time in seconds.
+        """
+
+    @abstractmethod
+    def replaced(self, state: TargetState, now: float) -> None:
+        """Handle that another target answered at the address of one.
+
+        Parameters
+        ----------
+        state : TargetState
+            What is known of the one that was expected.
+        now : float
+            Present time in seconds.
+        """
+
+    @abstractmethod
+    def unreached(self, state: TargetState, now: float) -> None:
+        """Handle that nothing could be sent to a target.
+
         Parameters
         ----------
         state : TargetState
@@ -99,8 +129,16 @@
     ) -> None:
         """Do nothing; see `HarmWatch.answer_lost`."""
 
-    def answered(self, request: IncomingRequest, now: float) -> None:
+    def answered(
+        self, request: IncomingRequest, state: TargetState, now: float
+    ) -> None:
         """Do nothing; see `HarmWatch.answered`."""
 
-    def heard(self, state: TargetState, now: float) -> None:
+    def heard(self, state: TargetState, sent_at: float, now: float) -> None:
         """Do nothing; see `HarmWatch.heard`."""
+
+    def replaced(self, state: TargetState, now: float) -> None:
+        """Do nothing; see `HarmWatch.replaced`."""
+
+    def unreached(self, state: TargetState, now: float) -> None:
+        """Do nothing; see `HarmWatch.unreached`."""
--- a/src/primrosescale/request/harmful_requests.py
+++ b/src/primrosescale/request/harmful_requests.py
@@ -38,6 +38,8 @@
 TRY_SECONDS = 2.0
 # How many times as many ends it takes for a request that was answered whole.
 VOUCHED_MULTIPLE = 2
+# How many more where targets answered it whole and ended just after.
+MORE_AFTER_ANSWERS = 2
 # Each further end makes the hold so many times as long: three tries in a day.
 HOLD_GROWTH = 12.0
 # Seconds for which an end counts.
@@ -60,14 +62,17 @@
         When it was last answered whole; 0 for never. No end before counts.
     tried_at : float
         When it was last sent as a suspect; 0 for never.
+    ended_after_answer : bool
+        Whether some of the targets had answered it just before they ended.
     """
 
-    __slots__ = ("answered_at", "ends", "tried_at")
+    __slots__ = ("answered_at", "ended_after_answer", "ends", "tried_at")
 
     def __init__(self, answered_at: float) -> None:
         self.ends: dict[int, float] = {}
         self.answered_at = answered_at
         self.tried_at = 0.0
+        self.ended_after_answer = False
 
     @property
     def last_end(self) -> float:
@@ -149,6 +154,7 @@
             return False
         self._forget_old_ends(end.fingerprint, evidence, end.at)
         evidence.ends[end.target] = end.at
+        evidence.ended_after_answer |= end.was_answered
         self._at_target.setdefault(end.target, set()).add(end.fingerprint)
         self._evidence.move_to_end(end.fingerprint)
         if len(evidence.ends) >= self._settings.ends:
@@ -342,7 +348,11 @@
             return []
         newest = sorted(evidence.ends.items(), key=lambda item: -item[1])
         most = self._needed(evidence) + MORE_WHERE_EXPLAINED
-        return [TargetEnd(fingerprint, target, at) for target, at in newest[:most]]
+        was_answered = evidence.ended_after_answer
+        return [
+            TargetEnd(fingerprint, target, at, was_answered)
+            for target, at in newest[:most]
+        ]
 
     def _hold(self, evidence: _Evidence) -> float:
         settings = self._settings
@@ -387,8 +397,10 @@
         )
 
     def _needed(self, evidence: _Evidence) -> int:
-        multiple = VOUCHED_MULTIPLE if evidence.answered_at else 1
-        return multiple * self._settings.ends
+        if evidence.answered_at:
+            return VOUCHED_MULTIPLE * self._settings.ends
+        more = MORE_AFTER_ANSWERS if evidence.ended_after_answer else 0
+        return self._settings.ends + more
 
     def _begin(self, fingerprint: int) -> _Evidence:
         if len(self._evidence) >= self._settings.remembered:
--- a/src/primrosescale/request/lost_answers.py
+++ b/src/primrosescale/request/lost_answers.py
@@ -26,7 +26,11 @@
         self._waiting: dict[int, dict[int, float]] = {}
         self._ended: dict[int, float] = {}
 
-    def lost(self, fingerprint: int, target: int, now: float) -> bool:
+    def __len__(self) -> int:
+        """Return at how many targets lost answers wait."""
+        return len(self._waiting)
+
+    def lost(self, fingerprint: int, target: int, now: float) -> None:
         """Take in that an answer was lost.
 
         Parameters
@@ -37,18 +41,11 @@
             Short name of the target's incarnation.
         now : float
             Present time in seconds.
-
-        Returns
-        -------
-        bool
-            Whether it is the first one that waits at this target.
         """
         self._forget_old(now)
         waiting = self._waiting.setdefault(target, {})
-        is_first = not waiting
         if len(waiting) < MOST_WAITING:
             waiting[fingerprint] = now
-        return is_first
 
     def has_ended(self, target: int, now: float) -> bool:
         """Tell whether a target is known to have ended lately.
@@ -107,16 +104,22 @@
             del self._ended[next(iter(self._ended))]
         return self._waiting.pop(target, {})
 
-    def lives(self, target: int) -> None:
-        """Take in that a target goes on.
+    def lived(self, target: int, at: float) -> None:
+        """Take in that a target was there at some time: no answer before ended it.
 
         Parameters
         ----------
         target : int
             Short name of its incarnation.
+        at : float
+            When, in seconds.
         """
-        self._waiting.pop(target, None)
         self._ended.pop(target, None)
+        waiting = self._waiting.get(target, {})
+        for fingerprint in [each for each, lost in waiting.items() if lost < at]:
+            del waiting[fingerprint]
+        if not waiting:
+            self._waiting.pop(target, None)
 
     def _forget_old(self, now: float) -> None:
         oldest = now - WAIT_SECONDS
--- a/src/primrosescale/request/target_incarnation.py
+++ b/src/primrosescale/request/target_incarnation.py
@@ -25,6 +25,11 @@
     name: str
     started_at: int | None = None
 
+    @property
+    def is_named_by_id(self) -> bool:
+        """Tell whether no other start can have its name: starts are not told."""
+        return self.started_at is None
+
     def is_followed_by(self, other: TargetIncarnation) -> bool:
         """Tell whether another life of the target came after this one.
 
--- a/tests/entry/test_harm_fleet.py
+++ b/tests/entry/test_harm_fleet.py
@@ -46,6 +46,12 @@
             fleet = self.fleet(4, 5, 50.0, seed)
             self.check_after(fleet, self.harm(fleet, 1, 3.0), 40)
 
+    def test_one_request_that_is_answered_before_its_target_ends(self):
+        for seed in range(4):
+            fleet = self.fleet(4, 8, 50.0, seed)
+            fleet.answers_first = True
+            self.check_after(fleet, self.harm(fleet, 1, 1.0), 40)
+
     def test_one_request_that_comes_seldom(self):
         for seed in range(5):
             fleet = self.fleet(4, 5, 30.0, seed)
--- a/tests/entry/test_harm_watch.py
+++ b/tests/entry/test_harm_watch.py
@@ -25,6 +25,7 @@
 from primrosescale.process.entry.harm_news import TIMES_TOLD
 from primrosescale.process.entry.harm_news import HarmNews
 from primrosescale.process.entry.harm_watch import CHECK_PAUSE
+from primrosescale.process.entry.harm_watch import PROOF_PAUSE
 from primrosescale.process.entry.harm_watch import RECHECK_PAUSE
 from primrosescale.process.entry.harm_watch import EntryHarmWatch
 from primrosescale.process.entry.target_keys import target_key
@@ -32,6 +33,8 @@
 from primrosescale.process.events import Event
 from primrosescale.request.direct_port import Refusal
 from primrosescale.request.direct_port import TargetCheck
+from primrosescale.request.fresh_answers import LONGEST_WAIT
+from primrosescale.request.fresh_answers import PROOF_SECONDS
 from primrosescale.request.harm_reports import LoneTry
 from primrosescale.request.harm_reports import TargetEnd
 from primrosescale.request.harm_reports import WholeAnswer
@@ -41,7 +44,9 @@
 from primrosescale.request.harmful_requests import HarmfulRequests
 from primrosescale.request.lost_answers import WAIT_SECONDS
 
-NAMES = ("t1", "t2", "t3", "t4")
+NAMES = tuple(f"t{number}" for number in range(1, 8))
+# Targets that may end just after they answered a request until it is held back.
+ANSWERED_ENDS = 6
 
 
 class Log:
@@ -109,13 +114,117 @@
         [said] = self.log.of(Event.TARGET_ENDED)
         self.assertEqual(("t1", 1), (said["target"], said["on_board"]))
 
+    def heard(self, name, after):
+        """Have an answer come to a request that was sent some time ago."""
+        now = self.clock.seconds()
+        self.targets.state(name).heard(now)
+        self.watch.heard(self.targets.state(name), now - after, now)
+
+    def gone(self, *names):
+        for name in names:
+            incarnation = self.targets.state(name).incarnation
+            self.watch.target_ended(incarnation, "entry gone", self.clock.seconds())
+
     def test_a_lost_answer_of_a_target_that_lives_says_nothing(self):
         for name in NAMES:
             self.lose(name)
-            self.find(TargetCheck.LIVES)
+            self.find(TargetCheck.CONNECTED)
+            self.clock.advance(0.1)
+            self.heard(name, 0.05)
+        self.gone(*NAMES)
         self.assertEqual(0, self.ends())
         self.assertEqual(0.0, self.held_for())
 
+    def test_a_connection_alone_does_not_show_that_it_lives(self):
+        self.lose("t1")
+        self.find(TargetCheck.CONNECTED)
+        self.clock.advance(3.0)
+        self.gone("t1")
+        self.assertEqual(1, self.ends())
+
+    def test_nor_does_an_answer_to_what_was_sent_before(self):
+        self.lose("t1")
+        self.clock.advance(0.1)
+        self.heard("t1", 0.5)
+        self.gone("t1")
+        self.assertEqual(1, self.ends())
+
+    def test_nor_does_an_answer_where_starts_are_told_beside_the_name(self):
+        self.targets.put(target("t1", started_at=1), START)
+        self.lose("t1")
+        self.clock.advance(0.1)
+        self.heard("t1", 0.05)
+        self.gone("t1")
+        self.assertEqual(1, self.ends())
+
+    def test_another_one_in_its_place_shows_that_it_has_ended(self):
+        for name in ("t1", "t2", "t3"):
+            self.lose(name)
+            self.find(TargetCheck.CONNECTED)
+            self.watch.replaced(self.targets.state(name), self.clock.seconds())
+        self.assertEqual(3, self.ends())
+        self.assertGreater(self.held_for(), 0)
+        self.assertEqual(
+            {"another in its place"},
+            {said["how"] for said in self.log.of(Event.TARGET_ENDED)},
+        )
+
+    def test_a_later_loss_at_the_same_target_is_checked_too(self):
+        self.lose("t1", request(body=b"another"))
+        self.find(TargetCheck.CONNECTED)
+        self.clock.advance(1.0)
+        self.lose("t1")
+        self.assertEqual(2, len(self.caller.checks))
+        self.find(TargetCheck.ENDED)
+        self.assertEqual(1, self.ends())
+
+    def answer(self, name):
+        state = self.targets.state(name)
+        state.heard(self.clock.seconds())
+        self.watch.answered(self.request, state, self.clock.seconds())
+
+    def test_targets_that_end_just_after_their_answers_end_under_it(self):
+        for _ in range(200):
+            # Targets do not end often otherwise.
+            self.requests.count_answer(START)
+        for name in NAMES[:ANSWERED_ENDS]:
+            self.answer(name)
+            self.clock.advance(0.05)
+            self.watch.unreached(self.targets.state(name), self.clock.seconds())
+            self.clock.advance(CHECK_PAUSE)
+            self.find(TargetCheck.ENDED)
+        self.assertEqual(ANSWERED_ENDS, self.ends())
+        self.assertGreater(self.held_for(), 0)
+
+    def test_one_that_ends_long_after_an_answer_does_not_end_under_it(self):
+        self.answer("t1")
+        self.clock.advance(PROOF_SECONDS)
+        self.lose("t1", request(body=b"another"))
+        self.find(TargetCheck.ENDED)
+        self.assertEqual(0, self.ends())
+
+    def test_an_answer_counts_once_its_target_is_heard_from_later(self):
+        self.answer("t1")
+        self.clock.advance(PROOF_SECONDS)
+        self.assertIsNone(self.requests.last_answer(self.request.fingerprint))
+        self.heard("t1", 0.0)
+        self.clock.advance(PROOF_PAUSE)
+        self.assertIsNotNone(self.requests.last_answer(self.request.fingerprint))
+        self.gone("t1")
+        self.assertEqual(0, self.ends())
+
+    def test_an_answer_counts_once_an_end_would_be_known(self):
+        self.answer("t1")
+        self.clock.advance(LONGEST_WAIT)
+        self.clock.advance(PROOF_PAUSE)
+        self.assertIsNotNone(self.requests.last_answer(self.request.fingerprint))
+
+    def test_nothing_is_proved_on_and_on(self):
+        self.answer("t1")
+        self.clock.advance(LONGEST_WAIT)
+        self.clock.advance(PROOF_PAUSE)
+        self.assertEqual([], self.clock.getDelayedCalls())
+
     def test_many_lost_answers_of_one_target_take_one_check(self):
         for number in range(20):
             self.lose("t1", request(body=b"%d" % number))
@@ -156,21 +265,24 @@
         self.end("t1", "t2", "t3")
         self.assertGreater(self.held_for(), 0)
         self.clock.advance(0.5)
-        self.watch.heard(self.targets.state("t3"), self.clock.seconds())
+        self.heard("t3", 0.1)
         self.assertEqual(2, self.ends())
         self.assertEqual(0.0, self.held_for())
 
     def test_what_it_sent_before_its_end_is_no_sign_of_life(self):
         self.end("t1")
         self.clock.advance(0.1)
-        self.watch.heard(self.targets.state("t1"), self.clock.seconds())
+        self.heard("t1", 0.05)
         self.assertEqual(1, self.ends())
 
     def test_it_says_when_a_request_is_held_back_and_when_no_more(self):
         self.end("t1", "t2", "t3")
         [said] = self.log.of(Event.REQUEST_HELD_BACK)
         self.assertEqual((3, ""), (said["ends"], said["told_by"]))
-        self.watch.answered(self.request, self.clock.seconds())
+        self.answer("t4")
+        self.clock.advance(PROOF_SECONDS)
+        self.heard("t4", 0.0)
+        self.clock.advance(PROOF_PAUSE)
         self.assertEqual(1, len(self.log.of(Event.REQUEST_CLEARED)))
         self.assertEqual(0.0, self.held_for())
 
@@ -297,10 +409,16 @@
     def answer_lost(self, request, state, now):
         self.lost.append(state.target.name)
 
-    def answered(self, request, now):
+    def answered(self, request, state, now):
         self.whole.append(request.request_id)
 
-    def heard(self, state, now):
+    def heard(self, state, sent_at, now):
+        pass
+
+    def replaced(self, state, now):
+        self.lost.append(f"{state.target.name} replaced")
+
+    def unreached(self, state, now):
         pass
 
 
@@ -332,6 +450,14 @@
         self.assertEqual(Refusal.HELD_BACK, sink.refusal)
         self.assertEqual(120.0, sink.retry_after)
 
+    def test_another_target_in_its_place_is_told_and_not_taken_for_it(self):
+        self.desk.call(request(LOOKUP))
+        state = self.desk.state(self.desk.caller.last.name)
+        self.desk.pass_time(0.2)
+        self.desk.caller.last.answer(status=421, is_other_incarnation=True)
+        self.assertEqual([f"{state.target.name} replaced"], self.watch.lost)
+        self.assertEqual(START, state.heard_at)
+
     def test_the_target_of_each_lost_answer_is_told(self):
         self.desk.call(request())
         self.assertEqual(["r1"], self.watch.out)
--- a/tests/entry/test_harmful_requests.py
+++ b/tests/entry/test_harmful_requests.py
@@ -105,7 +105,10 @@
     def start_target(self, service):
         target = WorkingTarget(self, service)
         self.addCleanup(target.port.stopListening)
-        self.store.write("servers", target.script.name, target.entry())
+        self.store.write("servers", target.script.name, self.first_entry(target))
+
+    def first_entry(self, target):
+        return target.entry()
 
     def next_name(self):
         self.started += 1
--- a/tests/entry/test_restart_in_place.py
+++ b/tests/entry/test_restart_in_place.py
@@ -64,6 +64,9 @@
 class SameNameTest(HarmfulRequestTest):
     """The next process has the same id and address, and tells a later start."""
 
+    def first_entry(self, target):
+        return target.entry(born=FIRST_START)
+
     def replace(self, target):
         start = FIRST_START + target.incarnation
         target.engine.restart(start)
--- a/tests/request/test_lost_answers.py
+++ b/tests/request/test_lost_answers.py
@@ -17,10 +17,12 @@
         super().setUp()
         self.lost = LostAnswers()
 
-    def test_the_first_one_at_a_target_asks_for_a_check(self):
-        self.assertTrue(self.lost.lost(1, 7, NOW))
-        self.assertFalse(self.lost.lost(2, 7, NOW))
-        self.assertTrue(self.lost.lost(1, 8, NOW))
+    def test_it_counts_the_targets_where_answers_were_lost(self):
+        self.lost.lost(1, 7, NOW)
+        self.lost.lost(2, 7, NOW)
+        self.assertEqual(1, len(self.lost))
+        self.lost.lost(1, 8, NOW)
+        self.assertEqual(2, len(self.lost))
 
     def test_an_end_names_who_was_on_board_and_when(self):
         self.lost.lost(1, 7, NOW)
@@ -34,10 +36,15 @@
 
     def test_a_target_that_lives_explains_them_otherwise(self):
         self.lost.lost(1, 7, NOW)
-        self.lost.lives(7)
+        self.lost.lived(7, NOW + 0.1)
         self.assertFalse(self.lost.is_waiting(7, NOW))
         self.assertEqual({}, self.lost.ended(7, NOW))
-        self.assertTrue(self.lost.lost(1, 9, NOW))
+
+    def test_only_what_was_lost_before_is_explained_so(self):
+        self.lost.lost(1, 7, NOW)
+        self.lost.lost(2, 7, NOW + 1)
+        self.lost.lived(7, NOW + 0.5)
+        self.assertEqual({2: NOW + 1}, self.lost.ended(7, NOW + 1))
 
     def test_they_wait_for_a_while_only(self):
         self.lost.lost(1, 7, NOW)
--- a/tests/support/harm_fleet.py
+++ b/tests/support/harm_fleet.py
@@ -40,6 +40,8 @@
 HARMFUL = b"harmful "
 # Seconds of work after which a target ends, at the least and the most.
 ENDS_AFTER = (0.05, 0.4)
+# The same after an answer.
+ENDS_AFTER_ANSWER = (0.03, 0.1)
 # Seconds until the entry of a target that has ended is gone, and until another
 # target starts in its place.
 LAPSE_SECONDS = 3.3
@@ -176,7 +178,7 @@
 
     def _checked(self, target, on_check):
         is_up = self._fleet.working[target.name].is_up
-        on_check(TargetCheck.LIVES if is_up else TargetCheck.ENDED)
+        on_check(TargetCheck.CONNECTED if is_up else TargetCheck.ENDED)
 
     def end_former(self, present):
         pass
@@ -259,6 +261,8 @@
         self.popular_share = 0.1
         self.refused_harmless = 0
         self.harmless = 0
+        # Whether harmful requests are answered whole before their target ends.
+        self.answers_first = False
         super().__init__(routers, targets, domains, rate, seed, settings=settings)
 
     def add_target(self, name, number, delay=lambda: 0.0):
@@ -341,6 +345,9 @@
         if body.startswith(HARMFUL):
             self.arrivals.setdefault(body, []).append(self.clock.seconds())
             delay = self.rng.uniform(*ENDS_AFTER)
+            if self.answers_first:
+                run.done()
+                delay = self.rng.uniform(*ENDS_AFTER_ANSWER)
             self.clock.callLater(delay, self.end_target, target, body)
         else:
             self.clock.callLater(self.rng.expovariate(1 / WORK_SECONDS), run.done)
--- a/tools/generate_wire.py
+++ b/tools/generate_wire.py
@@ -100,6 +100,7 @@
     ("RouterNews", "evacuated_revision"),
     ("EndNews", "target"),
     ("EndNews", "is_try"),
+    ("EndNews", "was_answered"),
 ]
 ENUM_FIELDS = {
     ("CallFailed", "outcome"): "Outcome",
