Requests of routes and organisations with allowed regions stay there

Routes and organisations may name the regions whose targets may get their requests. Nobody read the field. Now new requests, repeats, resumed streams, requests beside a silent target and copies of prompts keep to them; both bind where both are told. A version that names an unknown region is refused with its name, and the one before stays in force. A target of a domain whose region is not told gets none of them.

--- a/src/primrosescale/platform/entry.py
+++ b/src/primrosescale/platform/entry.py
@@ -31,6 +31,7 @@
 
 if TYPE_CHECKING:
     import socket
+    from collections.abc import Collection
     from random import Random
 
     from primrosescale.process.entry.other_router import OtherRouter
@@ -77,11 +78,20 @@
 
 
 class PlatformRecords(RecordDecoder):
-    """Translates the platform's records; see `RecordDecoder`."""
+    """Translates the platform's records; see `RecordDecoder`.
+
+    Parameters
+    ----------
+    regions : Collection[str]
+        The regions that there are; empty where they are not known.
+    """
+
+    def __init__(self, regions: Collection[str] = ()) -> None:
+        self._regions = frozenset(regions)
 
     def table(self, stored: StoredObject) -> RoutingTable:
         """Return a routing table; see `RecordDecoder.table`."""
-        return records.decode_routing_table(stored)
+        return records.decode_routing_table(stored, self._regions)
 
     def target(self, stored: StoredObject) -> ServingTarget:
         """Return a target; see `RecordDecoder.target`."""
@@ -133,7 +143,7 @@
         reactor=reactor,
         platform=ObjectPlatform(reactor, host.store, STORE_TIMEOUT),
         codec=PlatformCodec(),
-        decoder=PlatformRecords(),
+        decoder=PlatformRecords(host.regions.values()),
         log=log,
         writer=writer,
         metrics=EntryMetrics(),
@@ -191,6 +201,7 @@
     return EntrySettings(
         name=host.name,
         domain=host.domain,
+        regions=host.regions,
         callers=host.callers,
         readiness=host.readiness,
         metrics=metrics,
--- a/src/primrosescale/platform/host_settings.py
+++ b/src/primrosescale/platform/host_settings.py
@@ -87,6 +87,8 @@
         IP number of the host.
     domain : str
         Failure domain of the host.
+    regions : dict[str, str]
+        The region of each failure domain.
     callers : Endpoint | None
         Where callers connect.
     readiness : Endpoint | None
@@ -106,6 +108,7 @@
     name: str
     address: str
     domain: str
+    regions: dict[str, str]
     callers: Endpoint | None
     readiness: Endpoint | None
     first_internal_port: int
@@ -194,6 +197,7 @@
         name=str(fields["node_name"]),
         address=str(fields["ip"]),
         domain=str(fields["zone"]),
+        regions={str(k): str(v) for k, v in (fields.get("zones") or {}).items()},
         callers=_optional_endpoint(listen.get("front")),
         readiness=_optional_endpoint(listen.get("ready")),
         first_internal_port=int(ports[0]),
--- a/src/primrosescale/platform/records.py
+++ b/src/primrosescale/platform/records.py
@@ -19,6 +19,8 @@
 from primrosescale.version.routing_table import WeightedService
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from primrosescale.process.transport.platform import StoredObject
 
 CONFIGURATION = "config/main"
@@ -63,7 +65,9 @@
 REMEDY_ROUTER = "its router writes it again; what it said last holds until then"
 
 
-def decode_routing_table(stored: StoredObject) -> RoutingTable:
+def decode_routing_table(
+    stored: StoredObject, regions: Collection[str] = ()
+) -> RoutingTable:
     """Return the routing table that the operator wrote.
 
     One odd field makes the version unreadable as a whole: with a route or a key
@@ -73,6 +77,8 @@
     ----------
     stored : StoredObject
         The object that holds the newest version.
+    regions : Collection[str]
+        The regions that there are; empty where they are not known.
 
     Returns
     -------
@@ -89,9 +95,9 @@
         reader.require(field)
     return RoutingTable(
         reader.whole("version"),
-        [_route(item) for item in reader.children("routes")],
+        [_route(item, regions) for item in reader.children("routes")],
         [_service(item) for item in reader.children("services")],
-        _keys(reader),
+        _keys(reader, regions),
         _limits(reader.child("limits")),
     )
 
@@ -159,7 +165,7 @@
     return OtherRouter(record_name(stored, REMEDY_ROUTER), endpoint, domain)
 
 
-def _route(item: FieldReader) -> Route:
+def _route(item: FieldReader, regions: Collection[str]) -> Route:
     timeout = item.number_or("timeout_ms", 60000, LONGEST_TIME) * MILLISECOND
     objective = item.number_or("target_latency_ms", 0, LONGEST_TIME) * MILLISECOND
     prefix = item.text("path_prefix", LONGEST_IN_HEAD)
@@ -180,9 +186,22 @@
         max_targets=max(1, item.whole_or("max_attempts", 1, MOST_TARGETS)),
         priority=item.whole_or("priority", 5, LOWEST_RANK),
         is_open=item.flag_or("skip_auth", absent=False),
+        allowed_regions=_allowed_regions(item, regions),
     )
 
 
+def _allowed_regions(item: FieldReader, regions: Collection[str]) -> frozenset[str]:
+    """Return where requests may go.
+
+    With an unknown region taken in they might go nowhere, or anywhere.
+    """
+    allowed = frozenset(item.texts("allowed_regions", LONGEST_IN_HEAD))
+    unknown = sorted(allowed.difference(regions)) if regions else []
+    if unknown:
+        item.refuse("allowed_regions", f"no region {unknown[0]!a} is known")
+    return allowed
+
+
 def _services(route: FieldReader) -> tuple[WeightedService, ...]:
     """Return where a route leads."""
     parts = route.children("split")
@@ -208,14 +227,15 @@
     )
 
 
-def _keys(table: FieldReader) -> dict[str, Organisation]:
+def _keys(table: FieldReader, regions: Collection[str]) -> dict[str, Organisation]:
     keys: dict[str, Organisation] = {}
     # Without the list no caller needs a key: only a version that leaves it out
     # says so.
     table.refuse_null("tenants")
     for item in table.children("tenants"):
         rank = item.whole("priority", LOWEST_RANK) if item.has("priority") else None
-        owner = Organisation(item.text("name"), rank)
+        allowed = _allowed_regions(item, regions)
+        owner = Organisation(item.text("name"), rank, allowed)
         for key in item.texts("api_keys", LONGEST_IN_HEAD):
             keys[key] = owner
     return keys
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -212,6 +212,7 @@
             silence_judged=self._silence_judged,
             harm=self._harm,
             cold=self._cold,
+            regions=settings.regions,
         )
         self._tracing: Tracing | None = None
         self._factory = EntryFactory(self, parts.reactor)
@@ -322,6 +323,7 @@
             self._knowledge.configure(settings)
             self._gate.configure(settings.certain_for)
             self._tools.configure(settings.forward, settings.choice)
+            self._tools.regions = settings.regions
             self._harmful.configure(settings.harm)
             self._cold.configure(settings.cold)
             self._budgets.clear()
--- a/src/primrosescale/process/entry/entry_settings.py
+++ b/src/primrosescale/process/entry/entry_settings.py
@@ -61,6 +61,8 @@
         When a request that ends targets is held back.
     cold : ColdSettings
         How far targets that have just started may be loaded.
+    regions : dict[str, str]
+        The region of each failure domain.
     """
 
     name: str
@@ -81,6 +83,7 @@
     news: NewsSettings = field(default_factory=NewsSettings)
     harm: HarmSettings = field(default_factory=HarmSettings)
     cold: ColdSettings = field(default_factory=ColdSettings)
+    regions: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/primrosescale/request/forward_tools.py
+++ b/src/primrosescale/request/forward_tools.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
     from random import Random
 
     from primrosescale.clock import Clock
@@ -163,6 +164,8 @@
         Knows which requests end targets.
     cold : ColdTargets | None
         Counts what cold targets are sent; None where no target is ever cold.
+    regions : Mapping[str, str]
+        The region of each failure domain.
     """
 
     settings: ForwardSettings
@@ -179,6 +182,7 @@
     silence_judged: Callable[[IncomingRequest, Silence], None] = _unlogged
     harm: HarmWatch = field(default_factory=Unwatched)
     cold: ColdTargets | None = None
+    regions: Mapping[str, str] = field(default_factory=dict)
 
     def configure(self, settings: ForwardSettings, choice: ChoiceSettings) -> None:
         """Take in changed settings, for the calls under way too.
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -356,7 +356,12 @@
         )
 
     def _states(self) -> Sequence[TargetState]:
-        return self._tools.states_of(self._request.service)
+        states = self._tools.states_of(self._request.service)
+        allowed = self._request.allowed_regions
+        if allowed is None:
+            return states
+        region_of = self._tools.regions.get
+        return [state for state in states if region_of(state.target.domain) in allowed]
 
     def _choose_sure(self, now: float) -> Choice | None:
         """Return a target that nothing speaks against."""
--- a/src/primrosescale/request/gate.py
+++ b/src/primrosescale/request/gate.py
@@ -125,6 +125,7 @@
         if not head.request_id:
             return Refusal.NO_REQUEST_ID
         name, priority = "", route.priority
+        bounds = [route.allowed_regions]
         if table.has_keys and not route.is_open:
             organisation = table.organisation(head.key)
             if organisation is None:
@@ -132,6 +133,7 @@
             if not self._freshness.allows_keys(now):
                 return Refusal.STALE
             name = organisation.name
+            bounds.append(organisation.allowed_regions)
             if organisation.priority is not None:
                 priority = organisation.priority
         wait = route.timeout if head.time_left is None else head.time_left
@@ -151,6 +153,7 @@
             deadline=now + wait,
             version=table.version,
             traceparent=head.traceparent,
+            allowed_regions=_allowed_by_all(bounds),
         )
 
     def _if_certain(self, refusal: Refusal, now: float) -> Refusal:
@@ -164,3 +167,9 @@
             return route.services[0].service
         weights = [item.weight for item in route.services]
         return self._rng.choices(route.services, weights)[0].service
+
+
+def _allowed_by_all(bounds: list[frozenset[str]]) -> frozenset[str] | None:
+    """Return the regions that all bounds allow; None where none of them says."""
+    told = [regions for regions in bounds if regions]
+    return frozenset.intersection(*told) if told else None
--- a/src/primrosescale/request/incoming.py
+++ b/src/primrosescale/request/incoming.py
@@ -91,6 +91,8 @@
         Version of the configuration it was accepted under.
     traceparent : str
         Trace context of the caller; empty for none.
+    allowed_regions : frozenset[str] | None
+        Regions whose targets may get it; None for all.
     """
 
     request_id: str
@@ -108,6 +110,7 @@
     deadline: float
     version: int
     traceparent: str = ""
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def fingerprint(self) -> int:
--- a/src/primrosescale/version/routing_table.py
+++ b/src/primrosescale/version/routing_table.py
@@ -71,6 +71,8 @@
         Rank of its requests; 0 is the most urgent.
     is_open : bool
         Whether no key is needed.
+    allowed_regions : frozenset[str]
+        Regions whose targets may get its requests; empty for all.
     """
 
     name: str
@@ -86,6 +88,7 @@
     max_targets: int
     priority: int
     is_open: bool
+    allowed_regions: frozenset[str] = frozenset()
 
     @property
     def may_repeat(self) -> bool:
@@ -136,10 +139,13 @@
         Unique name.
     priority : int | None
         Rank of its requests, which goes before that of the route.
+    allowed_regions : frozenset[str]
+        Regions whose targets may get its requests; empty for all.
     """
 
     name: str
     priority: int | None
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/tests/entry/test_allowed_regions.py
@@ -0,0 +1,151 @@
+"""Routes and organisations whose requests may go to some regions only."""
+
+from __future__ import annotations
+
+import json
+import random
+from dataclasses import replace
+
+from testtools import TestCase
+
+from entry.fakes import LOOKUP
+from entry.fakes import START
+from entry.fakes import STREAM
+from entry.fakes import Desk
+from entry.fakes import event
+from entry.fakes import head
+from entry.fakes import life
+from entry.fakes import prompt
+from entry.fakes import request
+from entry.fakes import target
+from primrosescale.platform.exceptions import RecordError
+from primrosescale.platform.records import decode_routing_table
+from primrosescale.process.transport.platform import StoredObject
+from primrosescale.request.direct_port import Refusal
+from primrosescale.request.freshness import Freshness
+from primrosescale.request.gate import CallerHead
+from primrosescale.request.gate import Gate
+from primrosescale.request.part_directory import PartUse
+from primrosescale.version.routing_table import Organisation
+from primrosescale.version.routing_table import RoutingTable
+from support.entry_site import configuration
+
+REGIONS = {"a": "north", "b": "north", "c": "south"}
+NORTH = frozenset({"north"})
+SOUTH = frozenset({"south"})
+
+
+class AllowedByTest(TestCase):
+    def allowed(self, of_route, of_organisation):
+        table = RoutingTable(
+            1,
+            [replace(LOOKUP, allowed_regions=of_route)],
+            [],
+            {"k1": Organisation("bakery", None, of_organisation)},
+            None,
+        )
+        freshness = Freshness(5.0)
+        freshness.answered(START)
+        caller = CallerHead(
+            method=b"GET",
+            path=b"/lookup/x",
+            host="desk.example",
+            request_id="r1",
+            key="k1",
+            time_left=1.0,
+            prompt=None,
+            last_event=None,
+            headers=(),
+        )
+        judged = Gate(freshness, 3.0, random.Random(1)).judge(caller, b"", table, START)
+        return judged.allowed_regions
+
+    def test_either_binds_and_both_do_where_both_are_told(self):
+        none = frozenset()
+        self.assertIsNone(self.allowed(none, none))
+        self.assertEqual(NORTH, self.allowed(NORTH, none))
+        self.assertEqual(SOUTH, self.allowed(none, SOUTH))
+        self.assertEqual(SOUTH, self.allowed(NORTH | SOUTH, SOUTH))
+        self.assertEqual(none, self.allowed(NORTH, SOUTH))
+
+
+class AllowedRegionsOfTableTest(TestCase):
+    def decode(self, route=None, organisation=None, regions=("north", "south")):
+        fields = configuration()
+        if route is not None:
+            fields["routes"][0]["allowed_regions"] = route
+        if organisation is not None:
+            fields["tenants"][0]["allowed_regions"] = organisation
+        stored = StoredObject("config/main", 1, json.dumps(fields).encode())
+        return decode_routing_table(stored, regions)
+
+    def test_they_are_read(self):
+        table = self.decode(["north"], ["south", "north"])
+        found = table.route("desk.example", "/plain/x").allowed_regions
+        self.assertEqual(NORTH, found)
+        self.assertEqual(NORTH | SOUTH, table.organisation("k1").allowed_regions)
+
+    def test_an_unknown_one_is_an_error_and_the_version_is_not_taken(self):
+        for wrong in ({"route": ["east"]}, {"organisation": ["north", "east"]}):
+            error = self.assertRaises(RecordError, self.decode, **wrong)
+            self.assertIn("east", str(error))
+            self.assertIn("allowed_regions", str(error))
+
+    def test_odd_ones_are_errors(self):
+        for odd in ("north", [7], [""], {"north": 1}):
+            self.assertRaises(RecordError, self.decode, odd)
+
+    def test_where_regions_are_not_known_none_is_unknown(self):
+        table = self.decode(["east"], regions=())
+        found = table.route("desk.example", "/plain/x").allowed_regions
+        self.assertEqual(frozenset({"east"}), found)
+
+
+class AllowedCallTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        targets = [
+            target(f"{kind}{n}", service, domain=domain)
+            for kind, service in (("p", "portal"), ("m", "model"))
+            for n, domain in enumerate("abc", 1)
+        ]
+        self.desk = Desk([*targets, target("m9", domain="unknown")])
+        self.desk.tools.regions = REGIONS
+
+    def test_requests_go_to_allowed_targets_only(self):
+        for _ in range(20):
+            self.desk.call(request(LOOKUP, allowed_regions=SOUTH))
+            self.assertEqual("p3", self.desk.caller.last.name)
+
+    def test_nor_do_repeats_go_elsewhere(self):
+        _, sink = self.desk.call(request(LOOKUP, allowed_regions=SOUTH))
+        self.desk.caller.last.observer.run_cut("reset")
+        self.assertEqual(1, len(self.desk.caller.runs))
+        self.assertIs(Refusal.CUT, sink.refusal)
+
+    def test_nor_does_the_rest_of_a_stream(self):
+        self.desk.call(request(STREAM, allowed_regions=NORTH))
+        first = self.desk.caller.last
+        first.observer.run_head(head())
+        first.observer.run_data(event(1))
+        first.observer.run_cut("reset")
+        names = {run.name for run in self.desk.caller.runs}
+        self.assertEqual({"m1", "m2"}, names)
+
+    def test_nor_is_a_prompt_copied_from_elsewhere(self):
+        wanted = prompt(("tariffs", 10000), ("chat", 900))
+        self.desk.parts.note(PartUse("tariffs", life("m3"), 10000, START))
+        self.desk.call(request(STREAM, allowed_regions=NORTH, prompt=wanted))
+        self.assertIsNone(self.desk.caller.last.sending.fetch_from)
+
+    def test_a_target_of_an_unknown_domain_gets_none(self):
+        for region in ("north", "south"):
+            allowed = frozenset({region})
+            for _ in range(20):
+                self.desk.call(request(STREAM, allowed_regions=allowed))
+                self.assertNotEqual("m9", self.desk.caller.last.name)
+
+    def test_where_no_region_is_allowed_it_is_refused_at_once(self):
+        _, sink = self.desk.call(request(LOOKUP, allowed_regions=frozenset()))
+        self.assertIs(Refusal.NO_TARGET, sink.refusal)
+        self.assertEqual([], self.desk.caller.runs)
