The soak has evacuated domains and cold targets, with a check of each

Domains are evacuated for longer than the bound and their engines may be cold after it, engines become cold while they serve and say so up to 2 s late, or come back together; in a series of its own (--domains), beside the other faults. Checked: nothing runs in an evacuated domain after 5 s, and no cold engine gets more than 20 in any second, whoever sends it.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -13,6 +13,7 @@
 from primrosescale.standin.users_store import UsersStore
 from primrosescale.standin.users_store import foreign_entries
 from soak.fault_proxy import FaultProxy
+from soak.history import Cold
 from soak.history import Entry
 from soak.history import Ran
 from soak.history import Version
@@ -20,6 +21,12 @@
 LOOPBACK = "127.0.0.1"
 EVENTS = 8
 SLOTS = 16
+# Failure domains of the targets, in turn.
+DOMAINS = "ab"
+# Requests a second that a cold model engine bears, and how long it is cold.
+COLD_RATE = 10.0
+COLD_SECONDS = 3.0
+MILLISECONDS = 1000
 # Versions whose route is still there: the newest two.
 KEPT_VERSIONS = 2
 
@@ -27,8 +34,10 @@
 class Target:
     """One target: its program's stand-in, its link and its entry."""
 
-    def __init__(self, name, service, history, peers, rng, on_harm):
+    def __init__(self, name, service, history, peers, rng, on_harm, domain="a"):
         self._on_harm = on_harm
+        self.domain = domain
+        self.cold_until = 0.0
         self.service = service
         self.life = 0
         self.start = 0
@@ -95,15 +104,25 @@
         return {
             "service": self.service,
             "address": f"{LOOPBACK}:{self.link.port}",
-            "zone": "a",
+            "zone": self.domain,
             "version": "1.4",
             "state": state,
             "slots": SLOTS,
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": self._cold_left(),
             "sequence": self.script.life.sequence,
             "born": self.start,
         }
 
+    def chill(self, seconds):
+        """Become cold for a while, from now on."""
+        now = reactor.seconds()
+        self.cold_until = now + seconds
+        self._history.cold.append(Cold(self.name, self.start, now, now + seconds))
+
+    def _cold_left(self):
+        left = self.cold_until - reactor.seconds()
+        return max(0, round(left * MILLISECONDS))
+
     def foreign(self, how):
         """Return an entry of another writer that names it, by a number below 1."""
         found = list(foreign_entries(self.entry()).values())
@@ -133,6 +152,7 @@
                 load,
                 mean,
                 self.start,
+                self.domain,
             )
         )
 
@@ -144,8 +164,11 @@
 class Operator:
     """Writes versions: a route of its own each, and keys that come and go."""
 
-    def __init__(self, store, history):
+    def __init__(self, store, history, *, is_cold=False):
         self._store = store
+        self._model = {"name": "model"}
+        if is_cold:
+            self._model |= {"cold_per_s": COLD_RATE, "cold_start_s": COLD_SECONDS}
         self._history = history
         self.number = 0
         self._keys = ["k0", "k1", "k2"]
@@ -181,7 +204,7 @@
                 _route("draft", "streaming", "model"),
                 *(_route(f"v{number}", "safe", "portal") for number in kept),
             ],
-            "services": [{"name": "portal"}, {"name": "model"}],
+            "services": [{"name": "portal"}, self._model],
             "tenants": [{"name": "bakery", "api_keys": [*self._keys, "harm"]}],
             "limits": {"idle_timeout_ms": 4000},
         }
@@ -208,7 +231,7 @@
 class Backends:
     """The store with its entries, and all targets."""
 
-    def __init__(self, portals, models, history, rng, on_harm):
+    def __init__(self, portals, models, history, rng, on_harm, *, is_cold=False):
         self._on_harm = on_harm
         self.store = UsersStore(reactor)
         self._history = history
@@ -220,19 +243,34 @@
         self._listener = reactor.listenTCP(0, self._site, interface=LOOPBACK)
         self.store_port = self._listener.getHost().port
         self.targets = []
-        self.operator = Operator(self.store, history)
+        self.operator = Operator(self.store, history, is_cold=is_cold)
         for service, count in (("portal", portals), ("model", models)):
             for n in range(count):
                 name = f"{service}{n}"
-                self.targets.append(self._target(name, service))
+                domain = DOMAINS[n % len(DOMAINS)]
+                self.targets.append(self._target(name, service, domain))
         for target in self.targets:
             self.list(target)
 
-    def _target(self, name, service):
+    def _target(self, name, service, domain="a"):
         return Target(
-            name, service, self._history, self.targets, self._rng, self._on_harm
+            name,
+            service,
+            self._history,
+            self.targets,
+            self._rng,
+            self._on_harm,
+            domain,
         )
 
+    def of_domain(self, domain):
+        """Return the model engines of a failure domain."""
+        return [
+            target
+            for target in self.targets
+            if target.service == "model" and target.domain == domain
+        ]
+
     def list(self, target, state="ready"):
         """Write a target's entry."""
         self._closes(target)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -33,6 +33,9 @@
     "budget_window_s": 10,
     "budget_extra": 30,
     "cap_x": 2,
+    "evac_ms": 5000,
+    "cold_over": 1.5,
+    "cold_slack": 5,
 }
 
 
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -55,6 +55,7 @@
     mean: float = 0.0
     # Start of the life of the target that it reached.
     start: int = 0
+    domain: str = ""
 
 
 @dataclass
@@ -88,6 +89,25 @@
     until: float = inf
 
 
+@dataclass
+class Evacuation:
+    """A time in which targets of a failure domain should get no requests."""
+
+    domain: str
+    at: float
+    until: float = inf
+
+
+@dataclass
+class Cold:
+    """A time in which a life of a target was cold."""
+
+    target: str
+    start: int
+    at: float
+    until: float
+
+
 @dataclass
 class Silence:
     """A time in which a target sent nothing to anyone and lost nothing."""
@@ -125,6 +145,8 @@
     listed: list[Entry] = field(default_factory=list)
     # Entries of other writers; the target is what they name.
     foreign: list[Entry] = field(default_factory=list)
+    evacuations: list[Evacuation] = field(default_factory=list)
+    cold: list[Cold] = field(default_factory=list)
     silences: list[Silence] = field(default_factory=list)
     # By content.
     harm: dict[bytes, Harm] = field(default_factory=dict)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -22,6 +22,9 @@
 IN_FORCE = 2.0
 NEVER_BACK = 0.25
 STOP_GRACE = 8.0
+EVACUATED = 5.0
+# Requests that a cold model engine may get in a second.
+COLD_MOST = 20
 # What the callers' own clock may be off by: both ends are one process.
 SLACK = 0.1
 BUDGET_RATIO = 0.2
@@ -400,12 +403,59 @@
         "silences": len(history.silences),
         "targets ended by requests": sum(len(h.ends) for h in history.harm.values()),
         "restarts": len(history.ended),
+        "evacuations": len(history.evacuations),
+        "runs in evacuated domains": sum(1 for _ in _in_evacuated(history)),
+        "cold targets": len(history.cold),
+        "runs at cold targets": sum(
+            len(_runs_while_cold(history, cold)) for cold in history.cold
+        ),
         "good entries at a router": sum(1 for _ in _at_work(history)),
         "entries of other writers": len(history.foreign),
         "their neighbours at a router": sum(1 for _ in _beside_foreign(history)),
     }
 
 
+def evacuated_domains_get_no_work(history):
+    """A target of a failure domain that was evacuated gets nothing after the bound."""
+    for run, evacuation, late in _in_evacuated(history):
+        if late > EVACUATED + SLACK:
+            yield f"{run.name} reached {run.target} {late:.2f} s after {evacuation.at}"
+
+
+def _in_evacuated(history):
+    """Return each run in an evacuated domain, and how late it was sent there."""
+    for evacuation in history.evacuations:
+        for run in history.ran:
+            asked = history.asked.get(run.name)
+            if run.domain != evacuation.domain or asked is None or not run.has_run:
+                continue
+            if not evacuation.at < run.at < evacuation.until:
+                continue
+            scopes = {asked.router, "store", f"store of {asked.router}"}
+            if history.is_calm(evacuation.at, run.at, scopes):
+                yield run, evacuation, run.at - evacuation.at
+
+
+def cold_targets_get_their_rate(history):
+    """A cold target gets no more in any second than it bears, whoever sends it."""
+    for cold in history.cold:
+        times = _runs_while_cold(history, cold)
+        for first, last in zip(times, times[COLD_MOST:], strict=False):
+            if last - first < 1.0:
+                yield f"{cold.target} got over {COLD_MOST} in the second of {first:.2f}"
+                break
+
+
+def _runs_while_cold(history, cold):
+    return sorted(
+        run.at
+        for run in history.ran
+        if (run.target, run.start) == (cold.target, cold.start)
+        and run.has_run
+        and cold.at <= run.at <= cold.until
+    )
+
+
 def harmful_requests_are_held_back(history):
     """What ends targets reaches few more once routers had time to hear of it."""
     for body, harm in history.harm.items():
@@ -459,6 +509,8 @@
         "good entries": good_entries_get_work(history),
         "foreign entries": foreign_entries_get_no_work(history),
         "their neighbours": neighbours_keep_work(history),
+        "evacuated domains": evacuated_domains_get_no_work(history),
+        "cold targets": cold_targets_get_their_rate(history),
         "harmful requests": harmful_requests_are_held_back(history),
         "silence": silence_ends_no_answer(history),
         "processes": processes_stay(history),
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -24,6 +24,9 @@
 # Drawn in a series of their own beside the others, in the same spells.
 BESIDE = {"reborn": 3, "foreign": 3, "lone_silence": 1}
 BESIDE_PAUSE = 1.5
+# What happens to failure domains, in a series of its own where it is asked for.
+DOMAINS = {"evacuate": 3, "chill": 2, "cold_return": 2}
+DOMAINS_PAUSE = 4.0
 PLANNED = {"term": 3, "term_two": 1, "hup": 2, "change": 4, "withdraw": 3, "drain": 2}
 
 
@@ -58,6 +61,17 @@
     return sorted(steps, key=lambda step: step.at)
 
 
+def draw_domains(rng, seconds):
+    """Return what happens to failure domains in a soak, in order."""
+    steps = []
+    at = rng.uniform(0.5, 2.0)
+    while at < seconds:
+        kind = rng.choices(list(DOMAINS), list(DOMAINS.values()))[0]
+        steps.append(Step(at, kind, rng.uniform(0.5, 5.0), rng.random(), rng.random()))
+        at += rng.expovariate(1 / DOMAINS_PAUSE)
+    return steps
+
+
 def _first_series(rng, seconds):
     steps = []
     at = rng.uniform(1.0, 2.0)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -29,12 +29,15 @@
 from primrosescale.standin.users_store import StoreFault
 from soak import promises
 from soak import schedule
+from soak.backends import COLD_SECONDS
+from soak.backends import DOMAINS
 from soak.backends import EVENTS
 from soak.backends import Backends
 from soak.callers import Caller
 from soak.callers import HarmfulCaller
 from soak.fault_proxy import LinkFault
 from soak.fleet import Fleet
+from soak.history import Evacuation
 from soak.history import History
 from soak.history import Silence
 from soak.history import Trouble
@@ -59,6 +62,11 @@
 # A leaving target goes on serving for the time in which it may get work.
 LEAVES_AFTER = 2.4
 BURST = 12
+# A domain is evacuated for so much longer than the time in which that must be known.
+EVACUATED_LEAST = 5.5
+# Share of evacuations after which engines are cold, and how late they may say so.
+COLD_AFTER = 0.7
+TOLD_LATE = 2.0
 # How a target starts again under its name.
 RESTARTS = ("at once", "told late", "moved", "moved, told late", "twice", "older after")
 RESTARTS += ("while the store lags",)
@@ -82,7 +90,9 @@
 class Soak:
     """One run."""
 
-    def __init__(self, seed, routers, callers, folder, without=(), harmful=0):
+    def __init__(
+        self, seed, routers, callers, folder, without=(), harmful=0, *, domains=False
+    ):
         self._rng = random.Random(seed)
         # Of its own, so that what else the seed draws stays as it is.
         self._beside = random.Random(f"beside {seed}")
@@ -91,8 +101,9 @@
         self._strangers = 0
         self.history = History()
         self._backends = Backends(
-            PORTALS, MODELS, self.history, self._rng, self._harmed
+            PORTALS, MODELS, self.history, self._rng, self._harmed, is_cold=domains
         )
+        self._domains = random.Random(f"domains {seed}") if domains else None
         self._fleet = Fleet(routers, folder, self._backends.store_port, self.history)
         self._operator = self._backends.operator
         self._callers = [
@@ -133,6 +144,9 @@
             caller.run(HARM_PAUSE)
         began = reactor.seconds()
         steps = schedule.draw(self._rng, seconds, self._beside, self._without)
+        if self._domains is not None:
+            steps += schedule.draw_domains(self._domains, seconds)
+            steps.sort(key=lambda step: step.at)
         if self._harmful:
             # Routers that are all killed at once forget what they held back.
             steps = [step for step in steps if step.kind != "kill_all"]
@@ -328,6 +342,58 @@
         self._begin("end", name, HARM_BACK_AFTER)
         self._later(target, HARM_BACK_AFTER, self._backends.list, target)
 
+    def _domain(self, step):
+        return DOMAINS[int(step.pick * len(DOMAINS))]
+
+    def _evacuate(self, step):
+        """Have a domain get nothing for a while; its engines may be cold after it."""
+        domain = self._domain(step)
+        now = reactor.seconds()
+        if any(each.until > now for each in self.history.evacuations):
+            return
+        evacuation = Evacuation(domain, now)
+        self.history.evacuations.append(evacuation)
+        self._backends.store.write("evacuations", domain, {})
+        lasts = EVACUATED_LEAST + step.lasts
+
+        def take_back():
+            evacuation.until = reactor.seconds()
+            self._backends.store.remove("evacuations", domain)
+            if step.how < COLD_AFTER:
+                for target in self._backends.of_domain(domain):
+                    self._chill_one(target, step.how)
+
+        self._begin("evacuate", f"domain {domain}", lasts, take_back)
+        for target in self._backends.targets:
+            if target.domain == domain:
+                self._begin("evacuate", target.name, lasts)
+
+    def _chill(self, step):
+        """Have an engine be cold again, while it serves."""
+        models = [t for t in self._backends.targets if t.service == "model"]
+        target = models[int(step.pick * len(models))]
+        self._chill_one(target, step.how)
+
+    def _chill_one(self, target, how):
+        """Have an engine be cold, and say so in the store somewhat later."""
+        target.chill(COLD_SECONDS)
+        if not self._is_draining(target):
+            self._later(target, how * TOLD_LATE, self._backends.list, target)
+
+    def _cold_return(self, step):
+        """Have the engines of a domain end, and come back together, cold."""
+        store = self._backends.store
+        for target in self._backends.of_domain(self._domain(step)):
+            name = target.name
+            self._backends.crash(target)
+            reactor.callLater(LAPSE_AFTER, store.remove, "servers", name)
+            self._begin("cold return", name, BACK_AFTER)
+            self._later(target, BACK_AFTER, self._come_back, target)
+
+    def _come_back(self, target):
+        target.chill(COLD_SECONDS)
+        self._backends.list(target)
+
     def _drain(self, step):
         """Have a target leave as planned, and another take its address."""
         target = self._target(step)
@@ -467,6 +533,9 @@
         "--without", nargs="*", default=[], choices=list(schedule.BESIDE)
     )
     parser.add_argument("--harmful", type=int, default=0, help="such requests")
+    parser.add_argument(
+        "--domains", action="store_true", help="evacuations and cold engines too"
+    )
     parser.add_argument("--keep", default="", help="folder for logs")
     arguments = parser.parse_args()
     folder = Path(arguments.keep or tempfile.mkdtemp(prefix="soak-"))
@@ -482,6 +551,7 @@
             folder,
             arguments.without,
             arguments.harmful,
+            domains=arguments.domains,
         )
         # Also when the run is terminated.
         reactor.addSystemEventTrigger("before", "shutdown", soak.stop)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -9,7 +9,9 @@
 from soak.history import CUT
 from soak.history import LEFT
 from soak.history import Asked
+from soak.history import Cold
 from soak.history import Entry
+from soak.history import Evacuation
 from soak.history import Harm
 from soak.history import History
 from soak.history import Ran
@@ -293,3 +295,60 @@
             self.history.ran.clear()
             self.put_stream(**fields)
             self.assertEqual([], self.broken(), fields)
+
+
+class DomainsTest(PromisesTest):
+    def evacuate(self, until=120.0):
+        self.history.evacuations.append(Evacuation("a", 100.0, until))
+
+    def late(self):
+        return list(promises.evacuated_domains_get_no_work(self.history))
+
+    def test_what_reaches_an_evacuated_domain_late_is_found(self):
+        self.evacuate()
+        self.put(asked(), ran(at=104.9, domain="a"))
+        self.assertEqual([], self.late())
+        self.put(ran(at=105.2, domain="a"))
+        self.assertEqual(1, len(self.late()))
+
+    def test_other_domains_and_what_comes_after_the_return_are_not(self):
+        self.evacuate(until=110.0)
+        self.put(asked(), ran(at=106.0, domain="b"), ran(at=110.1, domain="a"))
+        self.assertEqual([], self.late())
+
+    def test_nor_is_what_another_target_in_its_place_did_not_run(self):
+        self.evacuate()
+        self.put(asked(), ran(at=106.0, domain="a", has_run=False))
+        self.assertEqual([], self.late())
+
+    def test_nor_is_a_router_that_lost_the_store(self):
+        self.evacuate()
+        self.put(asked(), ran(at=106.0, domain="a"))
+        self.history.troubles.append(Trouble("cut", "store of r0", 101.0, 104.0))
+        self.assertEqual([], self.late())
+
+    def over(self):
+        return list(promises.cold_targets_get_their_rate(self.history))
+
+    def chill(self, start=0):
+        self.history.cold.append(Cold("t0", start, 100.0, 103.0))
+
+    def test_a_cold_target_that_gets_too_much_in_a_second_is_found(self):
+        self.chill()
+        for n in range(promises.COLD_MOST):
+            self.put(ran(at=101.0 + n * 0.04))
+        self.assertEqual([], self.over())
+        self.put(ran(at=101.9))
+        self.assertEqual(1, len(self.over()))
+
+    def test_what_is_spread_is_not(self):
+        self.chill()
+        for n in range(55):
+            self.put(ran(at=100.0 + n * 0.053))
+        self.assertEqual([], self.over())
+
+    def test_nor_what_another_life_of_it_gets_or_what_comes_when_it_is_warm(self):
+        self.chill(start=7)
+        for n in range(60):
+            self.put(ran(at=101.0 + n * 0.01), ran(at=103.01, start=7))
+        self.assertEqual([], self.over())
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -19,9 +19,10 @@
 
 
 class SoakTest(TestCase):
-    def start(self, seed, seconds, without=(), harmful=0):
+    def start(self, seed, seconds, without=(), harmful=0, *, domains=False):
         words = [f"--seed={seed}", f"--seconds={seconds}", "--routers=3"]
         words += [f"--harmful={harmful}"]
+        words += ["--domains"] * domains
         words += ["--without", *without]
         process = subprocess.Popen(
             [sys.executable, str(PROGRAM), *words, "--callers=15"],
@@ -51,10 +52,13 @@
     def test_requests_that_end_targets_break_no_promise(self):
         self.break_no_promise({20261204: 12}, harmful=2)
 
-    def break_no_promise(self, wanted, without=(), harmful=0):
+    def test_evacuations_and_cold_targets_break_no_promise(self):
+        self.break_no_promise({20261205: 15}, domains=True)
+
+    def break_no_promise(self, wanted, without=(), harmful=0, *, domains=False):
         """Play seeds, each for so many seconds, at the same time."""
         running = {
-            seed: self.start(seed, time, without, harmful)
+            seed: self.start(seed, time, without, harmful, domains=domains)
             for seed, time in wanted.items()
         }
         for seed, process in running.items():
