--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -74,13 +74,14 @@
         self._start()
         self.script.life.started_at = self.start
 
-    def end(self):
-        """End at once; what starts in its place is elsewhere."""
+    def end(self, *, moves):
+        """End at once; what starts in its place is elsewhere or here at once."""
         self.link.reset()
         self.engine.restart(None)
-        self.link.close()
-        self._listener.stopListening()
-        self._listen()
+        if moves:
+            self.link.close()
+            self._listener.stopListening()
+            self._listen()
         self.begin()
 
     def restart(self, *, moves):
@@ -291,10 +292,10 @@
         target.link.reset()
         target.begin()
 
-    def end(self, target):
-        """End a target at once; another starts in its place, elsewhere."""
+    def end(self, target, *, moves):
+        """End a target at once; another starts in its place."""
         self._closes(target)
-        target.end()
+        target.end(moves=moves)
 
     def restart(self, target, *, moves):
         """Start a target again under its name; its entry stays as it is."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -56,6 +56,8 @@
 HARM_PAUSE = 0.5
 HARM_WORK = 0.1
 HARM_BACK_AFTER = 2.5
+# Share of these that start elsewhere; the others do so where the former one was.
+MOVES_SHARE = 0.5
 # A planned stop takes this long at the most.
 STOP_SECONDS = 9.0
 QUIET_SECONDS = 12.0
@@ -337,7 +339,7 @@
     def _end(self, target, harm):
         name = target.name
         harm.ends.append(reactor.seconds())
-        self._backends.end(target)
+        self._backends.end(target, moves=self._beside.random() < MOVES_SHARE)
         reactor.callLater(LAPSE_AFTER, self._backends.store.remove, "servers", name)
         self._begin("end", name, HARM_BACK_AFTER)
         self._later(target, HARM_BACK_AFTER, self._backends.list, target)
