Soak: a target of an evacuated domain need not get work

The trace: domain b evacuated from 113.1 to 123.0, portal1-2 of it listed at 117.1. Troubles of a domain now count for all entries in it; entries of other domains are judged as before.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -278,6 +278,7 @@
         if state == "ready":
             now = reactor.seconds()
             entry = Entry(target.name, target.service, target.start, now)
+            entry.domain = target.domain
             self._history.listed.append(entry)
         self.store.write("servers", target.name, target.entry(state))
 
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -87,6 +87,12 @@
     start: int
     at: float
     until: float = inf
+    domain: str = ""
+
+    @property
+    def scopes(self):
+        """Return whose troubles touch it: its target's and its failure domain's."""
+        return {self.target, f"domain {self.domain}"}
 
 
 @dataclass
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -293,7 +293,7 @@
     began = (
         max(trouble.began, entry.at)
         for trouble in history.troubles
-        if trouble.scope == entry.target
+        if trouble.scope in entry.scopes
         and (trouble.ended is None or trouble.ended > entry.at)
     )
     return min([entry.until, *began])
@@ -343,7 +343,7 @@
             and good.target != entry.target
             and good.at < entry.at
             and good.until >= entry.until
-            and history.is_calm(entry.at, entry.until, {good.target})
+            and history.is_calm(entry.at, entry.until, good.scopes)
         }
         # There has to be something beside it that may get work.
         if not others:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -366,9 +366,6 @@
                     self._chill_one(target, step.how)
 
         self._begin("evacuate", f"domain {domain}", lasts, take_back)
-        for target in self._backends.targets:
-            if target.domain == domain:
-                self._begin("evacuate", target.name, lasts)
 
     def _chill(self, step):
         """Have an engine be cold again, while it serves."""
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -327,6 +327,21 @@
         self.history.troubles.append(Trouble("cut", "store of r0", 101.0, 104.0))
         self.assertEqual([], self.late())
 
+    def test_a_target_of_an_evacuated_domain_may_get_no_work(self):
+        for number in range(60):
+            at = 100.0 + number / 10
+            self.put(asked(f"a{number}", sent_at=at, ended_at=at + 0.1))
+            self.put(ran(f"a{number}", at + 0.05, target="t1"))
+        entry = Entry("t0", "portal", 2, 95.0, domain="a")
+        self.history.listed.append(entry)
+        due = list(promises.good_entries_get_work(self.history))
+        self.assertEqual(1, len(due))
+        # Listed while it was evacuated, under a name of its own.
+        self.history.troubles.append(Trouble("evacuate", "domain a", 93.0, 110.0))
+        self.assertEqual([], list(promises.good_entries_get_work(self.history)))
+        entry.domain = "b"
+        self.assertEqual(due, list(promises.good_entries_get_work(self.history)))
+
     def over(self):
         return list(promises.cold_targets_get_their_rate(self.history))
 
