JSON that anybody may have written is read in one place

Answers of the store and records each had the quick parser, the lenient one behind it and the refusal of what is no number; both call read_json.

--- a/src/primrosescale/platform/field_reader.py
+++ b/src/primrosescale/platform/field_reader.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import json
 import re
 from ipaddress import AddressValueError
 from ipaddress import IPv4Address
@@ -23,6 +22,7 @@
 from primrosescale.connection.endpoint import Endpoint
 from primrosescale.ini.options import HIGHEST_PORT
 from primrosescale.platform.exceptions import RecordError
+from primrosescale.platform.json_reader import read_json
 
 if TYPE_CHECKING:
     from primrosescale.process.transport.platform import StoredObject
@@ -40,21 +40,6 @@
 _ABSENT = object()
 
 
-def _fields_of(value: bytes) -> Any:
-    try:
-        return orjson.loads(value)
-    except ValueError:
-        # For what it reads besides, and for its reasons.
-        return _DECODER.decode(value.decode())
-
-
-def _refuse_constant(text: str) -> NoReturn:
-    raise ValueError(f"{text} is no number of JSON")
-
-
-_DECODER = json.JSONDecoder(parse_constant=_refuse_constant)
-
-
 class RecordReading(NamedTuple):
     """What holds for a whole record while its fields are read.
 
@@ -139,7 +124,7 @@
         try:
             fields = stored.fields
             if fields is None:
-                fields = _fields_of(stored.value)
+                fields = read_json(stored.value)
         except UnicodeDecodeError as error:
             raise RecordError(stored.key, "", "no UTF-8", remedy) from error
         except ValueError as error:
--- a/src/primrosescale/platform/store_answer.py
+++ b/src/primrosescale/platform/store_answer.py
@@ -13,10 +13,10 @@
 import re
 from typing import TYPE_CHECKING
 from typing import Any
-from typing import NoReturn
 
 import orjson
 
+from primrosescale.platform.json_reader import read_json
 from primrosescale.process.exceptions import PlatformUnavailableError
 from primrosescale.process.transport.platform import StoredObject
 
@@ -58,22 +58,14 @@
         When it is no object.
     """
     try:
-        fields = orjson.loads(body)
-    except ValueError:
-        # Stricter than the other parser, which reads what may be read at all.
-        fields = _read_leniently(body)
+        fields = read_json(body)
+    except (ValueError, RecursionError):
+        fields = _taken_apart(body)
     if not isinstance(fields, dict):
         raise PlatformUnavailableError("odd answer: not an object")
     return fields
 
 
-def _read_leniently(body: bytes) -> Any:
-    try:
-        return _read(body)
-    except (ValueError, RecursionError):
-        return _taken_apart(body)
-
-
 def stored_object(kind: str, item: Any, *, deleted: Any = False) -> StoredObject:
     """Return an object of an answer.
 
@@ -193,7 +185,7 @@
             name: (
                 [_object_taken_apart(part) for part in _parts(value)]
                 if name in _LISTS
-                else _read(value)
+                else read_json(value)
             )
             for name, value in _members(body)
         }
@@ -205,7 +197,7 @@
 def _object_taken_apart(text: bytes) -> Any:
     """Return an object or event; members that cannot be read stay bytes."""
     try:
-        return _read(text)
+        return read_json(text)
     except (ValueError, RecursionError):
         pass
     try:
@@ -218,18 +210,9 @@
     }
 
 
-def _read(text: bytes) -> Any:
-    return json.loads(text.decode(), parse_constant=_refuse_constant)
-
-
-def _refuse_constant(text: str) -> NoReturn:
-    # Written again it would be another value.
-    raise ValueError(f"{text} is no number of JSON")
-
-
 def _read_or_bytes(text: bytes) -> Any:
     try:
-        return _read(text)
+        return read_json(text)
     except (ValueError, RecursionError):
         return text
 
@@ -240,7 +223,7 @@
         sign = _SIGN.match(part)
         if sign is None:
             raise ValueError("a member without a name")
-        name = _read(sign.group())
+        name = read_json(sign.group())
         rest = part[sign.end() :].lstrip()
         if not isinstance(name, str) or not rest.startswith(b":"):
             raise ValueError("a member without a value")
