--- a/src/primrosescale/process/entry/knowledge.py
+++ b/src/primrosescale/process/entry/knowledge.py
@@ -153,6 +153,7 @@
         self._log = parts.log
         self._decoder = parts.decoder
         self._platform = parts.platform
+        self._rng = parts.rng
         self._table: RoutingTable | None = None
         self._is_behind = False
         self._on_complete: Callable[[], None] | None = None
@@ -181,32 +182,19 @@
         self._told_version = 0
         self._version_lag = _Lag(VERSION_PATIENCE)
         self._list_lag = _Lag(watches.targets.rest + LIST_PATIENCE)
-        self._watches = [
-            StoreWatch(
-                parts.platform,
-                watched,
-                handler,
-                parts.reactor,
-                parts.rng,
-                self._broken,
-                wait,
-                leaves_asking,
-            )
-            for watched, handler, wait, leaves_asking in (
-                (
-                    watches.configuration,
-                    self._handler,
-                    self._configuration_wait,
-                    lambda: False,
-                ),
-                (watches.targets, self._listed, None, self._is_lost),
-                (watches.routers, routers, None, self._is_lost),
-            )
-        ]
-        self._targets_watch = self._watches[1]
+        self._watches: list[StoreWatch] = []
+        self._follow(watches.configuration, self._handler, self._configuration_wait)
+        self._targets_watch = self._follow_lists(watches.targets, self._listed)
+        self._follow_lists(watches.routers, routers)
         self._evacuations: ListedEvacuations | None = None
         if watches.evacuations is not None and evacuations is not None:
-            self._follow_evacuations(watches.evacuations, evacuations, parts)
+            self._evacuations = ListedEvacuations(
+                evacuations,
+                lambda: watch.revision,
+                self._now,
+                self._look_complete,
+            )
+            watch = self._follow_lists(watches.evacuations, self._evacuations)
 
     @property
     def freshness(self) -> Freshness:
@@ -312,25 +300,31 @@
         for watch in self._watches:
             watch.renew()
 
-    def _follow_evacuations(
-        self, watched: WatchedPrefix, evacuations: Evacuations, parts: EntryParts
-    ) -> None:
-        self._evacuations = ListedEvacuations(
-            evacuations,
-            lambda: watch.revision,
-            self._now,
-            self._look_complete,
-        )
+    def _follow_lists(
+        self, watched: WatchedPrefix, handler: WatchHandler
+    ) -> StoreWatch:
+        """Follow what the watch of the configuration asks a lost store for too."""
+        return self._follow(watched, handler, leaves_asking=self._is_lost)
+
+    def _follow(
+        self,
+        watched: WatchedPrefix,
+        handler: WatchHandler,
+        wait: Callable[[], float] | None = None,
+        leaves_asking: Callable[[], bool] = lambda: False,
+    ) -> StoreWatch:
         watch = StoreWatch(
-            parts.platform,
+            self._platform,
             watched,
-            self._evacuations,
-            parts.reactor,
-            parts.rng,
+            handler,
+            self._reactor,
+            self._rng,
             self._broken,
-            leaves_asking=self._is_lost,
+            wait,
+            leaves_asking,
         )
         self._watches.append(watch)
+        return watch
 
     def _is_old(self, now: float) -> bool:
         age = self._freshness.age(now)
--- a/src/primrosescale/process/entry/listed_evacuations.py
+++ b/src/primrosescale/process/entry/listed_evacuations.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from primrosescale.process.entry.store_watch import WatchHandler
+from primrosescale.process.entry.target_list import STORE
 from primrosescale.request.evacuations import EvacuationList
 
 if TYPE_CHECKING:
@@ -14,9 +15,6 @@
     from primrosescale.process.transport.platform import StoredObject
     from primrosescale.request.evacuations import Evacuations
 
-# Who tells of these.
-STORE = "store"
-
 
 class ListedEvacuations(WatchHandler):
     """Takes entries of the store's list of evacuations into `Evacuations`.
--- a/src/primrosescale/process/entry/target_list.py
+++ b/src/primrosescale/process/entry/target_list.py
@@ -28,7 +28,7 @@
 # Part of the time in which a leaving target may still get work that is used
 # for one whose entry is gone.
 HOLD_SHARE = 0.8
-# Who tells of a target.
+# Who tells of a target, and of evacuations.
 STORE = "store"
 TARGET = "target"
 
