The time until a cold target has room is worked out once a refusal

It was worked out three times, each over all targets of the service: to see whether the request may wait, why it is refused, and what its caller is told. TargetState.is_cold said what cold_until says, and had one caller.

--- a/src/primrosescale/request/cold_targets.py
+++ b/src/primrosescale/request/cold_targets.py
@@ -121,7 +121,7 @@
             Whether what it is sent is counted.
         """
         service = self._bounded(state)
-        return service is not None and state.is_cold(now, service.cold_seconds)
+        return service is not None and now < state.cold_until(service.cold_seconds)
 
     def allows(self, state: TargetState, now: float) -> bool:
         """Tell whether a request may be sent to a target now.
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -300,9 +300,8 @@
         choice = self._choose(now)
         if choice is not None:
             self._serve_from(choice, now)
-        elif not self._waits_for_room(now):
-            is_cold = self._room_in(now) is not None
-            self._fail(Refusal.TARGETS_COLD if is_cold else Refusal.NO_TARGET)
+        else:
+            self._serve_once_there_is_room(now)
 
     def _room_in(self, now: float) -> float | None:
         """Return after how long a target that is cold now may take it.
@@ -316,18 +315,21 @@
         left = [state for state in states if state.incarnation not in excluded]
         return self._tools.cold.shortest_wait(left, now) or None
 
-    def _waits_for_room(self, now: float) -> bool:
-        """Wait for a cold target to have room, if it may still serve in time."""
+    def _serve_once_there_is_room(self, now: float) -> None:
+        """Wait for a cold target, or refuse it with the time until there is room."""
         room_in = self._room_in(now)
         if room_in is None:
-            return False
-        patience = self._tools.settings.cold_patience
-        latest = self._request.received_at
-        latest += patience * self._request.route.latency_objective
-        if now + room_in > min(latest, self._request.give_up_at):
-            return False
-        self._room = self._tools.clock.callLater(room_in, self._look_for_room)
-        return True
+            self._fail(Refusal.NO_TARGET)
+        elif now + room_in <= self._latest_start():
+            self._room = self._tools.clock.callLater(room_in, self._look_for_room)
+        else:
+            self._fail(Refusal.TARGETS_COLD, room_in)
+
+    def _latest_start(self) -> float:
+        """Return until when waiting for a cold target may still serve in time."""
+        objective = self._request.route.latency_objective
+        patience = self._tools.settings.cold_patience * objective
+        return min(self._request.received_at + patience, self._request.give_up_at)
 
     def _look_for_room(self) -> None:
         self._room = None
@@ -510,21 +512,20 @@
         if left is not None:
             self._tried.spare(left.incarnation)
 
-    def _fail(self, refusal: Refusal) -> None:
+    def _fail(self, refusal: Refusal, come_back: float | None = None) -> None:
         """End without an answer, and say "not run" only when that is so."""
         if self._relay.has_begun:
             self._relay.break_off()
             self._end(f"broken_off: {refusal.name.lower()}")
             return
         if self._may_have_run and refusal.is_not_run:
-            refusal = Refusal.CUT
-        self._refuse(refusal)
+            refusal, come_back = Refusal.CUT, None
+        self._refuse(refusal, come_back)
 
-    def _refuse(self, refusal: Refusal) -> None:
+    def _refuse(self, refusal: Refusal, come_back: float | None = None) -> None:
         tools = self._tools
-        come_back = tools.settings.come_back_after(refusal, tools.rng)
-        if refusal is Refusal.TARGETS_COLD:
-            come_back = self._room_in(self._now()) or come_back
+        if come_back is None:
+            come_back = tools.settings.come_back_after(refusal, tools.rng)
         held_for = self._held_for(self._now())
         if held_for and refusal.is_not_run:
             # Whatever else kept it from being sent, it would not be sent sooner.
--- a/src/primrosescale/request/target_state.py
+++ b/src/primrosescale/request/target_state.py
@@ -228,23 +228,6 @@
         """
         return max(self._cold_until, self._returned_at + cold_seconds)
 
-    def is_cold(self, now: float, cold_seconds: float) -> bool:
-        """Tell whether it may be cold.
-
-        Parameters
-        ----------
-        now : float
-            Present time in seconds.
-        cold_seconds : float
-            Seconds for which a target of its service is cold after a start.
-
-        Returns
-        -------
-        bool
-            True while it should be sent little.
-        """
-        return now < self.cold_until(cold_seconds)
-
     def may_be_copied_from(self, now: float, grace: float) -> bool:
         """Tell whether other targets may copy what it has read.
 
