--- a/src/primrosescale/request/harmful_requests.py
+++ b/src/primrosescale/request/harmful_requests.py
@@ -6,9 +6,10 @@
 other as well where a service has few. So it counts under which content targets
 ended, by the reports of all routers, and waits for one end more where other requests
 explain them all better, or while targets end so often that chance may explain them.
-A whole answer clears a request of all that was reported before, and vouches for it:
-what always ends a target is never answered. A request that may or may not be harmful
-is tried alone: no other router sends it while one waits for what becomes of it.
+A whole answer whose target lived on clears a request of all that was reported before,
+and vouches for it; one whose target ended just after counts as an end. A request that
+may or may not be harmful is tried alone: no other router sends it while one waits for
+what becomes of it.
 """
 
 from __future__ import annotations
--- a/src/primrosescale/request/lost_answers.py
+++ b/src/primrosescale/request/lost_answers.py
@@ -115,17 +115,15 @@
             When, in seconds.
         """
         self._ended.pop(target, None)
+        self._drop_before(target, at)
+
+    def _forget_old(self, now: float) -> None:
+        for target in list(self._waiting):
+            self._drop_before(target, now - WAIT_SECONDS)
+
+    def _drop_before(self, target: int, at: float) -> None:
         waiting = self._waiting.get(target, {})
         for fingerprint in [each for each, lost in waiting.items() if lost < at]:
             del waiting[fingerprint]
         if not waiting:
             self._waiting.pop(target, None)
-
-    def _forget_old(self, now: float) -> None:
-        oldest = now - WAIT_SECONDS
-        for target in list(self._waiting):
-            waiting = self._waiting[target]
-            for fingerprint in [each for each, at in waiting.items() if at < oldest]:
-                del waiting[fingerprint]
-            if not waiting:
-                del self._waiting[target]
