--- a/benchmarks/cold_shares.py
+++ b/benchmarks/cold_shares.py
@@ -41,6 +41,10 @@
     def own(self, router, target):
         """Return this router's requests a second."""
 
+    def counter(self, router):
+        """Return by whose count the router goes: its own."""
+        return router
+
 
 class RingOfTokens(Way):
     """Each token belongs to one router by a ring: the way of the product."""
@@ -100,6 +104,9 @@
     def own(self, router, target):
         return TOKENS
 
+    def counter(self, router):
+        return 0
+
 
 def play(way, routers, load, seed):
     """Return the share that found a target, and the most in a second."""
@@ -113,7 +120,7 @@
         router = rng.randrange(routers)
         asked += 1
         for target in rng.sample(range(TARGETS), TARGETS):
-            key = (0 if way.name == OneCounter.name else router, target)
+            key = (way.counter(router), target)
             if key not in own:
                 own[key] = way.own(router, target)
             lately = sent[key]
--- a/tests/entry/test_evacuations.py
+++ b/tests/entry/test_evacuations.py
@@ -12,8 +12,6 @@
 from testtools import TestCase
 from twisted.internet import reactor
 from twisted.internet.defer import inlineCallbacks
-from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.endpoints import connectProtocol
 from twisted.internet.task import deferLater
 
 from entry.fakes import FRAGILE_STREAM
@@ -48,7 +46,7 @@
 from primrosescale.standin.users_engine import UsersEngine
 from primrosescale.standin.users_store import UsersStore
 from support.entry_site import LOOPBACK
-from support.entry_site import Caller
+from support.entry_site import ask
 from support.entry_site import configuration
 from support.entry_site import router_parts
 from support.entry_site import router_settings
@@ -368,16 +366,10 @@
             yield deferLater(reactor, 0.01, lambda: None)
         self.fail("it did not come about")
 
-    @inlineCallbacks
     def ask(self, router):
         self.asked += 1
-        bound = router.bound[router._settings.callers]
-        way = TCP4ClientEndpoint(reactor, bound.address, bound.port)
-        caller = yield connectProtocol(way, Caller())
-        rid = b"r%d" % self.asked
-        caller.transport.write(text(headers=b"Connection: close\r\n", rid=rid))
-        yield caller.until(lambda c: c.is_closed)
-        return caller.data
+        headers = b"Connection: close\r\n"
+        return ask(router, text(headers=headers, rid=b"r%d" % self.asked))
 
     @inlineCallbacks
     def ask_for(self, seconds):
--- a/tests/entry/test_harmful_requests.py
+++ b/tests/entry/test_harmful_requests.py
@@ -21,8 +21,6 @@
 from testtools.matchers import LessThan
 from twisted.internet import reactor
 from twisted.internet.defer import inlineCallbacks
-from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.endpoints import connectProtocol
 from twisted.internet.task import deferLater
 
 from primrosescale.process.entry.entry_router import EntryRouter
@@ -30,7 +28,7 @@
 from primrosescale.standin.users_engine import UsersEngine
 from primrosescale.standin.users_store import UsersStore
 from support.entry_site import LOOPBACK
-from support.entry_site import Caller
+from support.entry_site import ask
 from support.entry_site import configuration
 from support.entry_site import router_parts
 from support.entry_site import router_settings
@@ -135,20 +133,14 @@
         reactor.callLater(LAPSE_SECONDS, self.store.remove, "servers", name)
         reactor.callLater(START_SECONDS, self.start_target, target.service)
 
-    @inlineCallbacks
     def ask(self, router, path, body):
         """Send a request under an id of its own; return the raw answer."""
         self.asked += 1
-        bound = router.bound[router._settings.callers]
-        way = TCP4ClientEndpoint(reactor, bound.address, bound.port)
-        caller = yield connectProtocol(way, Caller())
         headers = b"Connection: close\r\n"
         rid = b"r%d" % self.asked
-        caller.transport.write(
-            text(path, method=b"POST", headers=headers, body=body, rid=rid)
+        return ask(
+            router, text(path, method=b"POST", headers=headers, body=body, rid=rid)
         )
-        yield caller.until(lambda c: c.is_closed)
-        return caller.data
 
     @inlineCallbacks
     def ask_in_turn(self, path, body, seconds):
--- a/tests/support/entry_site.py
+++ b/tests/support/entry_site.py
@@ -6,6 +6,9 @@
 
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.endpoints import connectProtocol
 from twisted.internet.protocol import Protocol
 
 from primrosescale.connection.endpoint import Endpoint
@@ -58,6 +61,17 @@
         return self.until(lambda c: c.is_closed or (c.data and c.data.endswith(ending)))
 
 
+@inlineCallbacks
+def ask(router, request):
+    """Send a request on a connection of its own that it closes; return the answer."""
+    bound = router.bound[router._settings.callers]
+    way = TCP4ClientEndpoint(reactor, bound.address, bound.port)
+    caller = yield connectProtocol(way, Caller())
+    caller.transport.write(request)
+    yield caller.until(lambda c: c.is_closed)
+    return caller.data
+
+
 def text(path=b"/plain/x", *, method=b"GET", headers=b"", body=b"", rid=b"r1"):
     length = b"Content-Length: %d\r\n" % len(body) if body else b""
     return (
