--- a/src/primrosescale/platform/http_codec.py
+++ b/src/primrosescale/platform/http_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from twisted.web.http_headers import Headers
@@ -32,6 +33,7 @@
 NOT_RUN = b"Primrosescale-Not-Executed"
 # Milliseconds for which the target stays cold.
 COLD_LEFT = b"Primrosescale-Cold-Remaining"
+LEAVING = b"Server-Leaving"
 PRIORITY = b"Primrosescale-Request-Priority"
 FETCH_FROM = b"Kv-Fetch"
 LAST_EVENT = b"Last-Event-Id"
@@ -42,6 +44,10 @@
 TRACE_CONTEXT = b"traceparent"
 
 OTHER_INCARNATION = 421
+UNAVAILABLE = 503
+# Seconds. A longer rest is shortened to this: a target that asks for a year has
+# made a mistake, and is asked again some time.
+LONGEST_REST = 600.0
 
 # Headers of one connection, and what a Connection header names besides.
 CONNECTION_HEADERS = frozenset(
@@ -143,6 +149,8 @@
             load=_load(_first(headers, LOAD)),
             length=length,
             cold_for=None if cold_left is None else cold_left * MILLISECOND,
+            is_leaving=b"1" in headers.getRawHeaders(LEAVING, []),
+            rest=_rest(status, headers),
         )
 
     def refusal_headers(
@@ -165,6 +173,20 @@
     return values[0].decode("latin-1").strip() if values else ""
 
 
+def _rest(status: int, headers: Headers) -> float | None:
+    """Return the seconds for which a target that turned a request away wants none.
+
+    The longest of several values counts. What is no number above 0, such as a
+    date, asks for nothing.
+    """
+    if status != UNAVAILABLE:
+        return None
+    values = headers.getRawHeaders(RETRY_AFTER, [])
+    asked = [_number(value.decode("latin-1").strip()) for value in values]
+    longest = max((rest for rest in asked if rest and not math.isnan(rest)), default=0)
+    return min(longest, LONGEST_REST) or None
+
+
 def _number(text: str) -> float | None:
     try:
         return max(0.0, float(text)) if text else None
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -437,6 +437,8 @@
                     "is_home": item.is_home,
                     "passed_cold": item.passed_cold,
                     "fetched_from": item.fetched_from,
+                    "said_leaving": item.said_leaving,
+                    "asked_rest": item.asked_rest,
                     "outcome": item.outcome,
                 }
                 for item in call.attempts
--- a/src/primrosescale/request/direct_port.py
+++ b/src/primrosescale/request/direct_port.py
@@ -72,6 +72,10 @@
         Bytes of the body, when known.
     cold_for : float | None
         Seconds for which the target stays cold, when it tells.
+    is_leaving : bool
+        Whether the target says that it leaves.
+    rest : float | None
+        Seconds for which the target wants no requests, when it asks for that.
     """
 
     status: int
@@ -83,6 +87,8 @@
     load: LoadReport | None
     length: int | None
     cold_for: float | None = None
+    is_leaving: bool = False
+    rest: float | None = None
 
 
 class RunObserver(ABC):
--- a/src/primrosescale/request/target_attempt.py
+++ b/src/primrosescale/request/target_attempt.py
@@ -49,6 +49,10 @@
         Seconds; None while it runs.
     passed_cold : int
         Cold targets that were passed over.
+    said_leaving : bool
+        Whether its answer said that the target leaves.
+    asked_rest : float | None
+        Seconds for which its answer asked for no more requests.
     """
 
     target: str
@@ -61,6 +65,8 @@
     outcome: str = RUNNING
     ended_at: float | None = None
     passed_cold: int = 0
+    said_leaving: bool = False
+    asked_rest: float | None = None
 
 
 class AttemptListener(ABC):
@@ -347,8 +353,11 @@
 
     def run_head(self, head: AnswerHead) -> None:
         """Tell of the head; see `RunObserver.run_head`."""
-        if not self._is_over:
-            self._listener.attempt_head(self, head)
+        if self._is_over:
+            return
+        self._record.said_leaving = head.is_leaving
+        self._record.asked_rest = head.rest
+        self._listener.attempt_head(self, head)
 
     def run_data(self, data: bytes) -> None:
         """Tell of bytes; see `RunObserver.run_data`."""
--- a/src/primrosescale/standin/users_engine.py
+++ b/src/primrosescale/standin/users_engine.py
@@ -146,6 +146,12 @@
         Where it says that it is healthy; empty for nowhere.
     on_arrival : Callable[[Arrival], None] | None
         Told of each request, once it is decided whether it runs.
+    is_leaving : bool
+        Whether its answers say that it leaves.
+    rest : float | None
+        Seconds without requests that it asks for when it declines one.
+    is_resting : bool
+        Whether it declines all requests.
     life : EngineLife
         What belongs to its present life.
     """
@@ -162,6 +168,9 @@
     receipt: bytes = RECEIPT
     health_path: bytes = b""
     on_arrival: Callable[[Arrival], None] | None = None
+    is_leaving: bool = False
+    rest: float | None = None
+    is_resting: bool = False
     life: EngineLife = field(default_factory=EngineLife)
 
     @property
@@ -253,6 +262,8 @@
         self._receipt = self._script.receipt
         self._script.arrivals.append(self._arrival)
         fault = self._script.faults.pop(0) if self._script.faults else None
+        if self._script.is_resting:
+            fault = EngineFault.DECLINE
         expected = self._arrival.headers.get(names.EXPECTED_INCARNATION.lower())
         is_other = expected is not None and expected.decode() != self._script.name
         self._is_working = not is_other and fault is not EngineFault.DECLINE
@@ -286,6 +297,9 @@
             self._end()
         elif fault is EngineFault.DECLINE:
             self.responseHeaders.setRawHeaders(names.NOT_RUN, [b"1"])
+            if self._script.rest is not None:
+                rest = b"%g" % self._script.rest
+                self.responseHeaders.setRawHeaders(names.RETRY_AFTER, [rest])
             self._head(FULL, fault)
             self._end()
         elif fault is not EngineFault.SILENT:
@@ -363,6 +377,8 @@
         if fault is not EngineFault.NO_RECEIPT:
             self.responseHeaders.setRawHeaders(names.RECEIPT, [self._receipt])
         self.responseHeaders.setRawHeaders(names.LOAD, [b"1,0,8"])
+        if self._script.is_leaving:
+            self.responseHeaders.setRawHeaders(names.LEAVING, [b"1"])
         if length is not None:
             self.responseHeaders.setRawHeaders(b"Content-Length", [b"%d" % length])
         self.write(b"")
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -19,6 +19,7 @@
 from primrosescale.platform.exceptions import BootFileError
 from primrosescale.platform.exceptions import RecordError
 from primrosescale.platform.host_settings import read_host_settings
+from primrosescale.platform.http_codec import LONGEST_REST
 from primrosescale.platform.http_codec import PlatformCodec
 from primrosescale.platform.records import decode_router
 from primrosescale.platform.records import decode_routing_table
@@ -293,6 +294,33 @@
         self.assertIn(b"content-encoding", names)
         self.assertNotIn(b"keep-alive", names)
 
+    def answer(self, status=200, **headers):
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        return self.codec.answer_head(status, Headers(named), None)
+
+    def test_a_target_says_that_it_leaves_in_any_answer(self):
+        for status in (200, 404, 500, 503):
+            self.assertTrue(self.answer(status, Server_Leaving=["1"]).is_leaving)
+        for value in ("0", "", "yes", "11"):
+            self.assertFalse(self.answer(Server_Leaving=[value]).is_leaving)
+        self.assertFalse(self.answer().is_leaving)
+
+    def test_a_target_that_turns_a_request_away_may_ask_for_rest(self):
+        self.assertEqual(3.0, self.answer(503, Retry_After=["3"]).rest)
+        self.assertEqual(0.25, self.answer(503, Retry_After=[" 0.25 "]).rest)
+        self.assertIsNone(self.answer(503).rest)
+        for status in (200, 429, 500, 504):
+            self.assertIsNone(self.answer(status, Retry_After=["3"]).rest)
+
+    def test_odd_rests_are_bounded_or_none(self):
+        for value in ("-1", "0", "nan", "-inf", "", "soon", "3 s", "\xff"):
+            self.assertIsNone(self.answer(503, Retry_After=[value]).rest, value)
+        date = "Wed, 21 Oct 2026 07:28:00 GMT"
+        self.assertIsNone(self.answer(503, Retry_After=[date]).rest)
+        for value in ("1e9", "inf", "1e999"):
+            self.assertEqual(LONGEST_REST, self.answer(503, Retry_After=[value]).rest)
+        self.assertEqual(5.0, self.answer(503, Retry_After=["2", "5", "odd"]).rest)
+
     def test_a_refusal_says_when_to_come_back(self):
         headers = dict(self.codec.refusal_headers(Refusal.STALE, "r1", 0.4))
         self.assertEqual(b"0.40", headers[b"Retry-After"])
