--- /dev/null
+++ b/tests/entry/test_leaving_answers.py
@@ -0,0 +1,192 @@
+"""A target that says in its answers that it leaves, while its entry says ready.
+
+What was seen: the store was away when a target began to leave. Its answers said so,
+and for eleven seconds all routers went on sending it requests.
+
+Cause: routers took from the store's list alone that a target leaves.
+"""
+
+from __future__ import annotations
+
+from testtools import TestCase
+from twisted.internet import reactor
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import deferLater
+
+from entry.fakes import CONFIRMATION
+from entry.fakes import FRAGILE_STREAM
+from entry.fakes import LOOKUP
+from entry.fakes import STREAM
+from entry.fakes import Desk
+from entry.fakes import event
+from entry.fakes import head
+from entry.fakes import request
+from entry.fakes import target
+from primrosescale.process.entry.entry_router import EntryRouter
+from primrosescale.request.direct_port import Refusal
+from primrosescale.standin.users_engine import EngineScript
+from primrosescale.standin.users_engine import UsersEngine
+from primrosescale.standin.users_store import UsersStore
+from support.entry_site import LOOPBACK
+from support.entry_site import ask
+from support.entry_site import configuration
+from support.entry_site import router_parts
+from support.entry_site import router_settings
+from support.entry_site import router_watches
+from support.entry_site import target_entry
+from support.entry_site import text
+from support.live import DeploymentRunTest
+from support.live import LiveTest
+
+# Seconds after which a leaving target must get no new work, as routers are told.
+DRAIN = 0.5
+
+
+class LeavingAnswerTest(TestCase):
+    """Requests of each kind after one answer of their target said that it leaves."""
+
+    def desk(self, route, count=3):
+        service = route.services[0].service
+        return Desk([target(f"m{n}", service) for n in range(1, count + 1)])
+
+    def leave(self, desk, route, status=200, **said):
+        """Have the target of a first request say that it leaves; return its name."""
+        desk.call(request(route))
+        run = desk.caller.last
+        run.observer.run_head(head(status, is_leaving=True, **said))
+        return run.name
+
+    def sent_to(self, desk, route, count=20):
+        before = len(desk.caller.runs)
+        for _ in range(count):
+            desk.call(request(route, now=desk.clock.seconds()))
+        return {run.name for run in desk.caller.runs[before:]}
+
+    # Guards against requests to a target whose entry does not tell yet that it leaves.
+    def test_nothing_new_is_sent_there(self):
+        for route in (LOOKUP, CONFIRMATION, STREAM, FRAGILE_STREAM):
+            desk = self.desk(route)
+            left = self.leave(desk, route)
+            self.assertNotIn(left, self.sent_to(desk, route))
+            desk.pass_time(30.0, step=1.0)
+            self.assertNotIn(left, self.sent_to(desk, route))
+
+    # Guards against reading the header in answers of success alone.
+    def test_failures_and_declined_requests_say_it_too(self):
+        for status, said in ((500, {}), (404, {}), (503, {"is_not_run": True})):
+            desk = self.desk(LOOKUP)
+            left = self.leave(desk, LOOKUP, status, **said)
+            self.assertNotIn(left, self.sent_to(desk, LOOKUP))
+
+    # Guards against a stream that goes on at a target that leaves.
+    def test_a_cut_stream_goes_on_elsewhere(self):
+        desk = self.desk(STREAM)
+        left = self.leave(desk, STREAM)
+        desk.call(request(STREAM, now=desk.clock.seconds()))
+        run = desk.caller.last
+        run.observer.run_head(head())
+        run.observer.run_data(event(1))
+        run.observer.run_cut("reset")
+        self.assertNotIn(desk.caller.last.name, {left, run.name})
+
+    # Guards against reading what another incarnation says of itself.
+    def test_another_incarnation_s_word_is_not_the_target_s(self):
+        desk = self.desk(LOOKUP, count=1)
+        self.leave(desk, LOOKUP, 421, is_not_run=True, is_other_incarnation=True)
+        desk.restart("m1", 1_790_000_000_000)
+        self.assertEqual({"m1"}, self.sent_to(desk, LOOKUP, count=1))
+
+    # Guards against holding a later start to what the former one said.
+    def test_it_holds_for_that_incarnation_alone(self):
+        desk = self.desk(LOOKUP, count=1)
+        self.leave(desk, LOOKUP)
+        self.assertEqual(set(), self.sent_to(desk, LOOKUP, count=3))
+        desk.restart("m1", 1_790_000_000_000)
+        self.assertEqual({"m1"}, self.sent_to(desk, LOOKUP, count=1))
+
+    # Guards against requests that wait for the last target of a service that leaves.
+    def test_a_request_without_another_target_is_refused_at_once(self):
+        desk = self.desk(LOOKUP, count=1)
+        self.leave(desk, LOOKUP)
+        _, sink = desk.call(request(LOOKUP, now=desk.clock.seconds()))
+        self.assertEqual(Refusal.NO_TARGET, sink.refusal)
+
+
+class LeavingTargetTest(LiveTest):
+    """A router, a store and two targets over sockets."""
+
+    run_tests_with = DeploymentRunTest.make_factory(timeout=60.0)
+
+    def setUp(self):
+        super().setUp()
+        self.store = UsersStore()
+        self.store.write("config", "main", configuration())
+        endpoint = self.serve(self.store)
+        self.scripts = {name: EngineScript(name=name) for name in ("i-1", "i-2")}
+        self.entries = {}
+        for name, script in self.scripts.items():
+            port = reactor.listenTCP(0, UsersEngine(script), interface=LOOPBACK)
+            self.addCleanup(port.stopListening)
+            address = f"{LOOPBACK}:{port.getHost().port}"
+            self.entries[name] = target_entry("portal", address)
+            self.store.write("servers", name, self.entries[name])
+        self.events = []
+        self.asked = 0
+        settings = router_settings("r0", drain=DRAIN)
+        parts = router_parts(endpoint, "r0", self.events, lambda: settings)
+        self.router = EntryRouter(settings, router_watches(), parts)
+        self.router.start()
+        self.addCleanup(self.router._close)
+
+    @inlineCallbacks
+    def until(self, test):
+        for _ in range(800):
+            if test():
+                return
+            yield deferLater(reactor, 0.01, lambda: None)
+        self.fail("it did not come about")
+
+    @inlineCallbacks
+    def ask_for(self, seconds):
+        until = reactor.seconds() + seconds
+        while reactor.seconds() < until:
+            self.asked += 1
+            headers = b"Connection: close\r\n"
+            answer = yield ask(
+                self.router, text(headers=headers, rid=b"r%d" % self.asked)
+            )
+            self.assertIn(b"HTTP/1.1 200", answer)
+            yield deferLater(reactor, 0.01, lambda: None)
+
+    @inlineCallbacks
+    def leave(self, name):
+        """Have a target say that it leaves until an answer was passed on."""
+        yield self.until(lambda: self.router.is_ready)
+        yield self.until(lambda: len(self.router._knowledge.targets) == 2)
+        self.scripts[name].is_leaving = True
+        seen = len(self.scripts[name].arrivals)
+        while len(self.scripts[name].arrivals) == seen:
+            yield self.ask_for(0.01)
+
+    # Guards against requests to a target whose entry stands as ready.
+    @inlineCallbacks
+    def test_an_entry_that_says_ready_does_not_count(self):
+        yield self.leave("i-1")
+        yield self.ask_for(DRAIN)
+        self.scripts["i-1"].arrivals.clear()
+        yield self.ask_for(0.3)
+        self.store.write("servers", "i-1", {**self.entries["i-1"], "slots": 9})
+        yield self.ask_for(0.3)
+        self.assertEqual([], self.scripts["i-1"].arrivals)
+
+    # Guards against forgetting it with an entry that lapses and is written again.
+    @inlineCallbacks
+    def test_an_entry_that_lapses_and_returns_does_not_count(self):
+        yield self.leave("i-1")
+        self.store.remove("servers", "i-1")
+        yield self.until(lambda: len(self.router._knowledge.targets) == 1)
+        self.scripts["i-1"].arrivals.clear()
+        self.store.write("servers", "i-1", self.entries["i-1"])
+        yield self.until(lambda: len(self.router._knowledge.targets) == 2)
+        yield self.ask_for(0.3)
+        self.assertEqual([], self.scripts["i-1"].arrivals)
