A target that says in an answer that it leaves gets no new requests

Callers' requests went to a model engine for eleven seconds after its answers had said that it leaves; it could have ended under them.

Answers are now taken in by the target's state: one that says that its target leaves ends its new, repeated and resumed requests, whatever the status, for that incarnation alone. Statements outlive the entry, since entries lapse and are written again as ready while the store is away, and no entry revokes them.

--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -97,6 +97,7 @@
                 ("knowledge_age_seconds", "Age of the newest answer of the store"),
                 ("targets", "Targets known"),
                 ("cold_targets", "Targets that are taken to be cold"),
+                ("leaving_targets", "Targets that leave, by entry or answer"),
                 ("evacuated_domains", "Failure domains that get no requests"),
                 ("caller_connections", "Connections of callers"),
                 ("requests_under_way", "Requests under way"),
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -59,6 +59,7 @@
     from primrosescale.process.entry.entry_settings import EntrySettings
     from primrosescale.process.entry.entry_settings import EntryWatches
     from primrosescale.process.tracing import Tracing
+    from primrosescale.request.direct_port import AnswerHead
     from primrosescale.request.evacuations import EvacuationList
     from primrosescale.request.gate import CallerHead
     from primrosescale.request.hop import Hop
@@ -66,6 +67,7 @@
     from primrosescale.request.serving_target import ServingTarget
     from primrosescale.request.silence import Silence
     from primrosescale.request.target_incarnation import TargetIncarnation
+    from primrosescale.request.target_state import TargetState
     from primrosescale.version.routing_table import CallerLimits
     from primrosescale.version.routing_table import Service
 
@@ -210,6 +212,7 @@
             parts_changed=self._exchange.tell_soon,
             start_hop=self._start_hop,
             silence_judged=self._silence_judged,
+            statement_made=self._statement_made,
             harm=self._harm,
             cold=self._cold,
             regions=settings.regions,
@@ -457,6 +460,17 @@
             verdict=silence.verdict.value,
         )
 
+    def _statement_made(
+        self, request: IncomingRequest, state: TargetState, head: AnswerHead
+    ) -> None:
+        self._log.emit(
+            Event.TARGET_SAID,
+            target=state.target.name,
+            request=request.request_id,
+            status=head.status,
+            is_leaving=head.is_leaving,
+        )
+
     def _start_hop(self, name: str, traceparent: str) -> Hop:
         """Start a hop; the library for it is loaded for the first traced one."""
         if not traceparent:
@@ -611,6 +625,9 @@
                 self._cold.is_cold(state, now)
                 for state in self._knowledge.targets.states
             ),
+            "leaving_targets": sum(
+                state.is_leaving for state in self._knowledge.targets.states
+            ),
             "evacuated_domains": len(self._evacuations.domains),
             "caller_connections": self._factory.open_channels,
             "requests_under_way": len(self._calls),
--- a/src/primrosescale/process/entry/target_list.py
+++ b/src/primrosescale/process/entry/target_list.py
@@ -17,6 +17,7 @@
 from typing import TYPE_CHECKING
 
 from primrosescale.request.target_state import TargetState
+from primrosescale.request.target_statements import KeptStatements
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -69,6 +70,7 @@
         "_generation",
         "_known",
         "_on_life",
+        "_statements",
         "_unreadable",
         "_vanished",
     )
@@ -82,6 +84,7 @@
         self._evacuated: frozenset[str] = frozenset()
         self._known: dict[str, TargetState] = {}
         self._vanished: dict[str, float] = {}
+        self._statements = KeptStatements()
         self._unreadable: dict[str, TargetState] = {}
 
     def __len__(self) -> int:
@@ -206,7 +209,8 @@
         now: float,
         told_by: str,
     ) -> None:
-        self._known[target.name] = state = TargetState(target, now)
+        said = self._statements.take_back(target.incarnation)
+        self._known[target.name] = state = TargetState(target, now, said)
         self._apply_evacuation(state, now)
         self._generation += 1
         if self._on_life is not None:
@@ -286,7 +290,7 @@
         if known is None or name in self._vanished:
             return False
         held_until = gone_at
-        if not known.target.is_draining:
+        if not known.is_leaving:
             held_until += self._drain * HOLD_SHARE
         self._vanished[name] = held_until
         return True
@@ -308,8 +312,10 @@
         for name in gone:
             del self._vanished[name]
             self._generation += 1
-        known, unreadable = self._known, self._unreadable
-        return [
-            (known if name in known else unreadable).pop(name).incarnation
-            for name in gone
-        ]
+        return [self._forget(name) for name in gone]
+
+    def _forget(self, name: str) -> TargetIncarnation:
+        """Forget a target, but for what it said of itself."""
+        state = self._known.pop(name, None) or self._unreadable.pop(name)
+        self._statements.keep(state.incarnation, state.statements)
+        return state.incarnation
--- a/src/primrosescale/request/forward_tools.py
+++ b/src/primrosescale/request/forward_tools.py
@@ -19,6 +19,7 @@
 
     from primrosescale.clock import Clock
     from primrosescale.request.cold_targets import ColdTargets
+    from primrosescale.request.direct_port import AnswerHead
     from primrosescale.request.direct_port import Refusal
     from primrosescale.request.direct_port import TargetCaller
     from primrosescale.request.harm_watch import HarmWatch
@@ -125,6 +126,10 @@
     pass
 
 
+def _unheeded(_: IncomingRequest, __: TargetState, ___: AnswerHead) -> None:
+    pass
+
+
 def _untraced(_: str, traceparent: str) -> Hop:
     return UntracedHop(traceparent)
 
@@ -160,6 +165,9 @@
         request without a trace context.
     silence_judged : Callable[[IncomingRequest, Silence], None]
         Told of each judgement on a silent target.
+    statement_made : Callable[[IncomingRequest, TargetState, AnswerHead], None]
+        Told when the answer to a request says something new of what its target
+        may be given.
     harm : HarmWatch
         Knows which requests end targets.
     cold : ColdTargets | None
@@ -180,6 +188,9 @@
     parts_changed: Callable[[], None]
     start_hop: Callable[[str, str], Hop] = _untraced
     silence_judged: Callable[[IncomingRequest, Silence], None] = _unlogged
+    statement_made: Callable[[IncomingRequest, TargetState, AnswerHead], None] = (
+        _unheeded
+    )
     harm: HarmWatch = field(default_factory=Unwatched)
     cold: ColdTargets | None = None
     regions: Mapping[str, str] = field(default_factory=dict)
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -208,12 +208,9 @@
             self._tools.harm.replaced(attempt.state, now)
             self._declined(attempt, head, now)
             return
-        attempt.state.heard(now)
+        if attempt.state.answered(head, now):
+            self._tools.statement_made(self._request, attempt.state, head)
         self._tools.harm.heard(attempt.state, attempt.began_at, now)
-        if head.load is not None:
-            attempt.state.reported(head.load, now)
-        if head.cold_for is not None:
-            attempt.state.told_cold(head.cold_for, now)
         if head.is_not_run:
             self._declined(attempt, head, now)
             return
--- a/src/primrosescale/request/target_state.py
+++ b/src/primrosescale/request/target_state.py
@@ -14,9 +14,11 @@
 from typing import TYPE_CHECKING
 
 from primrosescale.request.decaying_outcomes import DecayingOutcomes
+from primrosescale.request.target_statements import TargetStatements
 from primrosescale.request.told_counts import ToldCounts
 
 if TYPE_CHECKING:
+    from primrosescale.request.direct_port import AnswerHead
     from primrosescale.request.serving_target import ServingTarget
     from primrosescale.request.target_incarnation import TargetIncarnation
 
@@ -74,6 +76,8 @@
         The target.
     now : float
         Present time in seconds.
+    statements : TargetStatements | None
+        What this life of it said of itself while it was listed before.
     """
 
     __slots__ = (
@@ -91,6 +95,7 @@
         "_report_at",
         "_returned_at",
         "_since",
+        "_statements",
         "_target",
         "_told",
         "_told_bad",
@@ -98,8 +103,14 @@
         "_waited_for_since",
     )
 
-    def __init__(self, target: ServingTarget, now: float) -> None:
+    def __init__(
+        self,
+        target: ServingTarget,
+        now: float,
+        statements: TargetStatements | None = None,
+    ) -> None:
         self._target = target
+        self._statements = statements or TargetStatements()
         self._incarnation = target.incarnation
         self._since = now
         self._own = 0
@@ -148,7 +159,17 @@
     @property
     def takes_work(self) -> bool:
         """Tell whether it gets new requests: it neither leaves nor is evacuated."""
-        return not self._target.is_draining and self._evacuated_at is None
+        return not self.is_leaving and self._evacuated_at is None
+
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether it leaves, by its entry or by an answer of its own."""
+        return self._target.is_draining or self._statements.is_leaving
+
+    @property
+    def statements(self) -> TargetStatements:
+        """Return what it said of itself."""
+        return self._statements
 
     @property
     def slots(self) -> int:
@@ -285,6 +306,28 @@
         if self._own <= self._held_up:
             self._waited_for_since = now
 
+    def answered(self, head: AnswerHead, now: float) -> bool:
+        """Take in what the head of an answer of its own says of it.
+
+        Parameters
+        ----------
+        head : AnswerHead
+            The head.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether it says something new that bears on what it may be given.
+        """
+        self.heard(now)
+        if head.load is not None:
+            self.reported(head.load, now)
+        if head.cold_for is not None:
+            self.told_cold(head.cold_for, now)
+        return self._statements.take(head)
+
     def heard(self, now: float) -> None:
         """Take in that bytes came from it.
 
