A target that asks for a rest gets nothing from the router until it is over

Two of five model engines turned requests of one router away and asked for 3 s of rest; it sent them 12 more within 2 s, and their callers were refused. What a 503 asked for was not read: the declined request counted as one failure among others, which prompts that the target held outweighed. Nor would there have been anything else to do when all targets rest: two routers sent 39 to 42 requests in half a second to each of three such targets.

The rest is now taken in with the answer, for that incarnation, until the latest end that was asked for. Requests of each kind, repeats, resumed streams and those beside a silent target pass it over; where all rest, callers are refused at once and told to return after the first rest, by times that are spread. After it the target gets one request and two more for each that it answers, so that what was turned away does not come back as one.

Ruled out: nowhere else to go (three engines took 53 requests in those seconds), and requests that were under way (accepted over a second later).

--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -48,6 +48,11 @@
             "Requests sent to a target while cold ones were passed over",
             registry=self._registry,
         )
+        self._rest_passes = Counter(
+            "primrosescale_rest_passes",
+            "Requests sent to a target while resting ones were passed over",
+            registry=self._registry,
+        )
         self._silences = Counter(
             "primrosescale_silences",
             "Judgements on targets that sent nothing",
@@ -98,6 +103,7 @@
                 ("targets", "Targets known"),
                 ("cold_targets", "Targets that are taken to be cold"),
                 ("leaving_targets", "Targets that leave, by entry or answer"),
+                ("resting_targets", "Targets that asked for a rest"),
                 ("evacuated_domains", "Failure domains that get no requests"),
                 ("caller_connections", "Connections of callers"),
                 ("requests_under_way", "Requests under way"),
@@ -147,6 +153,8 @@
             self._attempts.labels(attempt.target).inc()
             if attempt.passed_cold:
                 self._cold_passes.inc()
+            if attempt.passed_resting:
+                self._rest_passes.inc()
             if request.prompt is not None:
                 self._prompts.labels(
                     "home" if attempt.is_home else "elsewhere",
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -439,6 +439,7 @@
                     "cached_tokens": item.held,
                     "is_home": item.is_home,
                     "passed_cold": item.passed_cold,
+                    "passed_resting": item.passed_resting,
                     "fetched_from": item.fetched_from,
                     "said_leaving": item.said_leaving,
                     "asked_rest": item.asked_rest,
@@ -469,6 +470,7 @@
             request=request.request_id,
             status=head.status,
             is_leaving=head.is_leaving,
+            rest=head.rest,
         )
 
     def _start_hop(self, name: str, traceparent: str) -> Hop:
@@ -628,6 +630,10 @@
             "leaving_targets": sum(
                 state.is_leaving for state in self._knowledge.targets.states
             ),
+            "resting_targets": sum(
+                state.statements.is_resting(now)
+                for state in self._knowledge.targets.states
+            ),
             "evacuated_domains": len(self._evacuations.domains),
             "caller_connections": self._factory.open_channels,
             "requests_under_way": len(self._calls),
--- a/src/primrosescale/request/cold_targets.py
+++ b/src/primrosescale/request/cold_targets.py
@@ -21,7 +21,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterable
 
     from primrosescale.request.router_shares import RouterShares
     from primrosescale.request.target_state import TargetState
@@ -170,24 +169,6 @@
             return warm_in
         return min(warm_in, sent[-own] + WINDOW_SECONDS - now)
 
-    def shortest_wait(self, states: Iterable[TargetState], now: float) -> float | None:
-        """Return after how long a request may be sent to one of some targets.
-
-        Parameters
-        ----------
-        states : Iterable[TargetState]
-            The targets.
-        now : float
-            Present time in seconds.
-
-        Returns
-        -------
-        float | None
-            Seconds; None where none of them takes work.
-        """
-        waits = [self.wait(state, now) for state in states if state.takes_work]
-        return min(waits, default=None)
-
     def sent(self, state: TargetState, now: float) -> None:
         """Count a request that goes out.
 
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -300,28 +300,43 @@
         else:
             self._serve_once_there_is_room(now)
 
-    def _room_in(self, now: float) -> float | None:
-        """Return after how long a target that is cold now may take it.
-
-        None where none takes work, or some may be sent requests now.
-        """
-        if self._tools.cold is None:
-            return None
+    def _serve_once_there_is_room(self, now: float) -> None:
+        """Wait for a target, or refuse it with the time until there is room."""
         states = self._states()
         excluded = self._tried.excluded(states)
         left = [state for state in states if state.incarnation not in excluded]
-        return self._tools.cold.shortest_wait(left, now) or None
-
-    def _serve_once_there_is_room(self, now: float) -> None:
-        """Wait for a cold target, or refuse it with the time until there is room."""
-        room_in = self._room_in(now)
-        if room_in is None:
+        room_in = self._room_in(left, now)
+        if not room_in:
             self._fail(Refusal.NO_TARGET)
         elif now + room_in <= self._latest_start():
             self._room = self._tools.clock.callLater(room_in, self._look_for_room)
+        elif all(state.statements.is_limited for state in left if state.takes_work):
+            self._fail_while_all_rest(room_in)
         else:
             self._fail(Refusal.TARGETS_COLD, room_in)
 
+    def _room_in(self, states: Sequence[TargetState], now: float) -> float | None:
+        """Return after how long one of some targets may take it.
+
+        None where none takes work.
+        """
+        cold = self._tools.cold
+        waits = [
+            max(
+                state.statements.wait(now),
+                0.0 if cold is None else cold.wait(state, now),
+            )
+            for state in states
+            if state.takes_work
+        ]
+        return min(waits, default=None)
+
+    def _fail_while_all_rest(self, room_in: float) -> None:
+        """Refuse it until after the first rest, by times that are spread."""
+        refusal = Refusal.TARGETS_RESTING
+        spread = self._tools.settings.come_back_after(refusal, self._tools.rng) or 0.0
+        self._fail(refusal, room_in + spread)
+
     def _latest_start(self) -> float:
         """Return until when waiting for a cold target may still serve in time."""
         objective = self._request.route.latency_objective
@@ -380,6 +395,7 @@
             choice.is_home,
             source.target.name if source is not None else "",
             passed_cold=choice.passed_cold,
+            passed_resting=choice.passed_resting,
         )
         self._attempts.append(record)
         self._tried.engage(choice.state.incarnation)
@@ -455,10 +471,14 @@
         if self._other_goes_on(attempt, now):
             return
         choice = None if self._held_for(now) else self._next_choice(now)
-        if choice is None:
-            self._fail(Refusal.TARGETS_FULL)
+        if choice is not None:
+            self._serve_from(choice, now)
             return
-        self._serve_from(choice, now)
+        room_in = self._room_in(self._states(), now)
+        if room_in and attempt.state.statements.is_resting(now):
+            self._fail_while_all_rest(room_in)
+        else:
+            self._fail(Refusal.TARGETS_FULL)
 
     def _lost(self, attempt: TargetAttempt, detail: str, now: float) -> None:
         """Take in that the request may have run and its answer is lost."""
--- a/src/primrosescale/request/target_attempt.py
+++ b/src/primrosescale/request/target_attempt.py
@@ -49,6 +49,8 @@
         Seconds; None while it runs.
     passed_cold : int
         Cold targets that were passed over.
+    passed_resting : int
+        Targets that were passed over since they had asked for a rest.
     said_leaving : bool
         Whether its answer said that the target leaves.
     asked_rest : float | None
@@ -65,6 +67,7 @@
     outcome: str = RUNNING
     ended_at: float | None = None
     passed_cold: int = 0
+    passed_resting: int = 0
     said_leaving: bool = False
     asked_rest: float | None = None
 
--- a/src/primrosescale/request/target_choice.py
+++ b/src/primrosescale/request/target_choice.py
@@ -120,6 +120,8 @@
         Mean of the service.
     passed_cold : int
         Targets that may be sent nothing now, since they are cold.
+    passed_resting : int
+        Targets that may be sent nothing now, since they asked for a rest.
     """
 
     state: TargetState
@@ -130,6 +132,7 @@
     load_age: float
     mean: float
     passed_cold: int = 0
+    passed_resting: int = 0
 
 
 class _Loads:
@@ -232,6 +235,7 @@
             state.takes_work
             and state.incarnation not in tried
             and not state.is_avoided(now)
+            and not state.statements.wait(now)
             and self._allows(state, now)
             for state in states
         )
@@ -265,7 +269,8 @@
         if not serving:
             return None
         untried = [state for state in serving if state.incarnation not in tried]
-        open_ones = [state for state in untried if self._allows(state, now)]
+        rested = [s for s in untried if not s.statements.wait(now)]
+        open_ones = [state for state in rested if self._allows(state, now)]
         usable = [state for state in open_ones if not state.is_avoided(now)]
         usable = usable or open_ones
         if not usable:
@@ -277,8 +282,10 @@
             choice = self._choose_plain(bounded, loads, now)
         else:
             choice = self._choose_for(prompt, states, bounded, loads, now)
-        passed = len(untried) - len(open_ones)
-        return replace(choice, passed_cold=passed) if passed else choice
+        cold, resting = len(rested) - len(open_ones), len(untried) - len(rested)
+        if not cold and not resting:
+            return choice
+        return replace(choice, passed_cold=cold, passed_resting=resting)
 
     def _bound(self, loads: _Loads) -> float:
         """Return the load that is allowed; the request itself counts into the mean."""
--- a/src/primrosescale/request/target_state.py
+++ b/src/primrosescale/request/target_state.py
@@ -278,6 +278,7 @@
         """
         self._wait_from(now)
         self._own += 1
+        self._statements.sent(now)
 
     def ended(self) -> None:
         """Count a request that is no longer there."""
@@ -326,7 +327,7 @@
             self.reported(head.load, now)
         if head.cold_for is not None:
             self.told_cold(head.cold_for, now)
-        return self._statements.take(head)
+        return self._statements.take(head, self.slots, now)
 
     def heard(self, now: float) -> None:
         """Take in that bytes came from it.
--- a/src/primrosescale/request/target_statements.py
+++ b/src/primrosescale/request/target_statements.py
@@ -1,7 +1,8 @@
 """What a target says of itself in its answers, which no entry of a list revokes.
 
-The pattern it answers: the store is away, or its entry comes late, and a target's own
-answers are the only word of what it may be given.
+The patterns it answers: the store is away, or its entry comes late, and a target's own
+answers are the only word of what it may be given; and a target that is overloaded
+asks for some seconds without requests, while all that it turned away waits to return.
 """
 
 from __future__ import annotations
@@ -14,38 +15,124 @@
 
 # Targets that are no longer listed whose statements are kept; those kept first go.
 MOST_KEPT = 1000
+# Seconds after which a rested target is asked again that has not answered the
+# requests sent to it since its rest.
+ASK_AGAIN_SECONDS = 1.0
+# Seconds until it is worth looking again at a target that has got, for now, all the
+# requests it may have.
+LOOK_AGAIN_SECONDS = 0.05
+# Requests that each answer after a rest makes room for.
+ROOM_PER_ANSWER = 2
 
 
 class TargetStatements:
-    """What one incarnation of a target has said of itself."""
+    """What one incarnation of a target has said of itself.
 
-    __slots__ = ("_is_leaving",)
+    After a rest it gets one request, and two more for each that it answers, until
+    that is as many as it runs at once.
+    """
+
+    __slots__ = ("_is_leaving", "_rests_until", "_room", "_sent_at")
 
     def __init__(self) -> None:
         self._is_leaving = False
+        self._rests_until = 0.0
+        # Requests it may get since its last rest; None for any number.
+        self._room: int | None = None
+        self._sent_at = 0.0
 
     @property
     def is_leaving(self) -> bool:
         """Tell whether it has said that it leaves; it cannot take that back."""
         return self._is_leaving
 
-    def take(self, head: AnswerHead) -> bool:
+    @property
+    def is_limited(self) -> bool:
+        """Tell whether it rests, or rested lately, so that it may get few requests."""
+        return self._room is not None
+
+    def is_resting(self, now: float) -> bool:
+        """Tell whether it wants no requests now.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        bool
+            True until the end of its rest.
+        """
+        return now < self._rests_until
+
+    def wait(self, now: float) -> float:
+        """Return after how long a request may be sent there.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        float
+            Seconds; 0 for now.
+        """
+        if self._room is None:
+            return 0.0
+        if now < self._rests_until:
+            return self._rests_until - now
+        if self._room > 0 or now - self._sent_at >= ASK_AGAIN_SECONDS:
+            return 0.0
+        return LOOK_AGAIN_SECONDS
+
+    def sent(self, now: float) -> None:
+        """Take in that a request is sent there.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+        """
+        if self._room is not None:
+            self._room = max(0, self._room - 1)
+            self._sent_at = now
+
+    def take(self, head: AnswerHead, slots: int, now: float) -> bool:
         """Take in the head of an answer.
 
         Parameters
         ----------
         head : AnswerHead
             The head, of an answer of this incarnation.
+        slots : int
+            Requests that it runs at once.
+        now : float
+            Present time in seconds.
 
         Returns
         -------
         bool
             Whether it says something new that bears on what it may be given.
         """
-        if self._is_leaving or not head.is_leaving:
-            return False
-        self._is_leaving = True
-        return True
+        is_news = head.is_leaving and not self._is_leaving
+        self._is_leaving = self._is_leaving or head.is_leaving
+        if head.rest is not None:
+            is_news = is_news or now >= self._rests_until
+            self._rests_until = max(self._rests_until, now + head.rest)
+            self._room = 1
+        elif not head.is_not_run:
+            self._make_room(slots, now)
+        return is_news
+
+    def _make_room(self, slots: int, now: float) -> None:
+        """Take in an answer that may be one to a request since the rest."""
+        if self._room is None or now < self._rests_until:
+            return
+        self._room += ROOM_PER_ANSWER
+        if self._room > slots:
+            self._room = None
 
 
 class KeptStatements:
@@ -75,7 +162,7 @@
         statements : TargetStatements
             What it said.
         """
-        if not statements.is_leaving:
+        if not statements.is_leaving and not statements.is_limited:
             return
         self._kept[incarnation] = statements
         if len(self._kept) > MOST_KEPT:
