--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -435,6 +435,7 @@
                     "after": round(item.began_at - request.received_at, 3),
                     "until": round((item.ended_at or now) - request.received_at, 3),
                     "load": item.load,
+                    "mean": item.mean,
                     "load_age": _told_age(item.load_age),
                     "cached_tokens": item.held,
                     "is_home": item.is_home,
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -390,6 +390,7 @@
             choice.state.target.name,
             now,
             round(choice.load, 1),
+            round(choice.mean, 1),
             choice.load_age,
             choice.held,
             choice.is_home,
--- a/src/primrosescale/request/target_attempt.py
+++ b/src/primrosescale/request/target_attempt.py
@@ -35,6 +35,8 @@
         Seconds.
     load : float
         Requests there by the best knowledge.
+    mean : float
+        Mean load that the target's was held against.
     load_age : float
         How old the knowledge of other routers' requests was, in seconds.
     held : int
@@ -60,6 +62,7 @@
     target: str
     began_at: float
     load: float
+    mean: float
     load_age: float
     held: int
     is_home: bool
