Targets that stay are held to the mean of all that still run while others leave

A service was scaled in to one of 27 engines; within two seconds that one got 265 requests, 36 times the mean of those that still ran, and turned nine in ten away. Routers held loads against the mean of the targets that may get work, which was the load of that one; 29 of them added their own to it by news 0.4 s old; and with no target within the bound the least loaded was taken.

Targets that leave now count into the mean while they are known to run: while their entries say so, 3 s after an answer said so, and one and a half times the drain time after an entry went without notice, unless answers of theirs were lost (a crash is no leave). Where those that stay would be over the bound with what all had, each router keeps to its own share of it, by the ring that divides the rate of cold targets, so that no news is needed; what exceeds it is refused at once (targets_crowded).

Not changed: once the others are gone the one that stays is sent all again.

--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -204,6 +204,8 @@
                 lambda: self._news.age(self._now()),
                 lambda: self._news.is_relayed,
                 self._cold.allows,
+                targets.unlisted_of,
+                self._shares.own_tokens,
             ),
             parts=self._directory,
             states_of=targets.of_service,
--- a/src/primrosescale/process/entry/target_list.py
+++ b/src/primrosescale/process/entry/target_list.py
@@ -29,6 +29,9 @@
 # Part of the time in which a leaving target may still get work that is used
 # for one whose entry is gone.
 HOLD_SHARE = 0.8
+# Multiple of that time for which a target is taken to run on whose entry went
+# without notice.
+RUNS_ON_MULTIPLE = 1.5
 # Who tells of a target, and of evacuations.
 STORE = "store"
 TARGET = "target"
@@ -71,6 +74,7 @@
         "_known",
         "_on_life",
         "_statements",
+        "_unlisted",
         "_unreadable",
         "_vanished",
     )
@@ -85,6 +89,8 @@
         self._known: dict[str, TargetState] = {}
         self._vanished: dict[str, float] = {}
         self._statements = KeptStatements()
+        # Targets whose entries went without notice, with until when they may run.
+        self._unlisted: dict[str, tuple[TargetState, float]] = {}
         self._unreadable: dict[str, TargetState] = {}
 
     def __len__(self) -> int:
@@ -163,6 +169,22 @@
             return listed
         return found
 
+    def unlisted_of(self, service: str) -> list[TargetState]:
+        """Return the targets of a service whose entries went, and that may still run.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+
+        Returns
+        -------
+        list[TargetState]
+            Their states, also of those that are forgotten.
+        """
+        found = (state for state, _ in self._unlisted.values())
+        return [state for state in found if state.target.service == service]
+
     def put(self, target: ServingTarget, now: float, told_by: str = STORE) -> bool:
         """Take in what was told of a target.
 
@@ -192,6 +214,7 @@
             if told.is_followed_by(known.incarnation):
                 return False
         self._vanished.pop(target.name, None)
+        self._unlisted.pop(target.name, None)
         self._take_up(target.name)
         if known is None or known.incarnation.is_followed_by(told):
             self._begin(target, known, now, told_by)
@@ -292,6 +315,8 @@
         held_until = gone_at
         if not known.is_leaving:
             held_until += self._drain * HOLD_SHARE
+            runs_until = gone_at + self._drain * RUNS_ON_MULTIPLE
+            self._unlisted[name] = (known, runs_until)
         self._vanished[name] = held_until
         return True
 
@@ -308,6 +333,9 @@
         list[TargetIncarnation]
             The lives of the forgotten.
         """
+        ended = [name for name, (_, until) in self._unlisted.items() if now >= until]
+        for name in ended:
+            del self._unlisted[name]
         gone = [name for name, until in self._vanished.items() if now >= until]
         for name in gone:
             del self._vanished[name]
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -307,7 +307,8 @@
         left = [state for state in states if state.incarnation not in excluded]
         room_in = self._room_in(left, now)
         if not room_in:
-            self._fail(Refusal.NO_TARGET)
+            crowded = left and self._tools.chooser.is_crowded(states, now)
+            self._fail(Refusal.TARGETS_CROWDED if crowded else Refusal.NO_TARGET)
         elif now + room_in <= self._latest_start():
             self._room = self._tools.clock.callLater(room_in, self._look_for_room)
         elif all(state.statements.is_limited for state in left if state.takes_work):
--- a/src/primrosescale/request/target_choice.py
+++ b/src/primrosescale/request/target_choice.py
@@ -136,20 +136,41 @@
 
 
 class _Loads:
-    """Loads of the targets that serve, at the moment of one choice."""
+    """Loads of the targets of a service, at the moment of one choice.
 
-    __slots__ = ("_by_name", "age", "mean", "serving")
+    Parameters
+    ----------
+    serving : Sequence[TargetState]
+        Targets that take work.
+    departing : Sequence[TargetState]
+        Targets that get nothing new any more and end what they have.
+    age : float
+        How old the knowledge of others' requests is, in seconds.
+    now : float
+        Present time in seconds.
+    """
+
+    __slots__ = ("_by_name", "_total", "age", "mean", "serving", "targets")
 
-    def __init__(self, serving: Sequence[TargetState], age: float, now: float) -> None:
+    def __init__(
+        self,
+        serving: Sequence[TargetState],
+        departing: Sequence[TargetState],
+        age: float,
+        now: float,
+    ) -> None:
         self._by_name = {state.target.name: state.load(now) for state in serving}
+        self._total = sum(self._by_name.values())
+        self._total += sum(state.load(now) for state in departing)
         self.serving = serving
         self.age = age
-        self.mean = sum(self._by_name.values()) / len(serving)
+        self.targets = len(serving) + len(departing)
+        self.mean = self._total / self.targets
 
     @property
-    def targets(self) -> int:
-        """Return how many targets serve."""
-        return len(self.serving)
+    def mean_without_departing(self) -> float:
+        """Return the mean that targets have once those that depart are gone."""
+        return self._total / len(self.serving)
 
     @property
     def is_old(self) -> bool:
@@ -181,6 +202,11 @@
     allows : Callable[[TargetState, float], bool]
         Returns whether a request may be sent to a target now, however little it
         has to do.
+    unlisted_of : Callable[[str], Sequence[TargetState]]
+        Returns targets of a service whose entries are gone and that may still run.
+    own_share : Callable[[str, int, float], int]
+        Returns how many of the requests that all routers together may have at a
+        target are this router's, by the target's name and their number.
     """
 
     def __init__(
@@ -191,6 +217,8 @@
         news_age: Callable[[], float] | None = None,
         relies_on_homes: Callable[[], bool] = lambda: False,
         allows: Callable[[TargetState, float], bool] = lambda *_: True,
+        unlisted_of: Callable[[str], Sequence[TargetState]] = lambda _: (),
+        own_share: Callable[[str, int, float], int] = lambda _, requests, __: requests,
     ) -> None:
         self._settings = settings
         self._parts = parts
@@ -198,6 +226,8 @@
         self._news_age = news_age
         self._relies_on_homes = relies_on_homes
         self._allows = allows
+        self._unlisted_of = unlisted_of
+        self._own_share = own_share
 
     def configure(self, settings: ChoiceSettings) -> None:
         """Take in changed weights.
@@ -275,8 +305,11 @@
         usable = usable or open_ones
         if not usable:
             return None
-        age = 0.0 if self._news_age is None else self._news_age()
-        loads = _Loads(serving, age, now)
+        loads = self._loads(states, serving, now)
+        if self._is_crowded_by(loads):
+            usable = [state for state in usable if self._has_room(state, loads, now)]
+            if not usable:
+                return None
         bounded = self._within_bound(usable, loads)
         if prompt is None:
             choice = self._choose_plain(bounded, loads, now)
@@ -287,6 +320,58 @@
             return choice
         return replace(choice, passed_cold=cold, passed_resting=resting)
 
+    def is_crowded(self, states: Sequence[TargetState], now: float) -> bool:
+        """Tell whether those that take work cannot hold what departing ones had.
+
+        Parameters
+        ----------
+        states : Sequence[TargetState]
+            Targets of the service.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether what each router may send them is limited to its share.
+        """
+        serving = [state for state in states if state.takes_work]
+        return bool(serving) and self._is_crowded_by(self._loads(states, serving, now))
+
+    def _loads(
+        self, states: Sequence[TargetState], serving: Sequence[TargetState], now: float
+    ) -> _Loads:
+        age = 0.0 if self._news_age is None else self._news_age()
+        return _Loads(serving, self._departing(states, serving, now), age, now)
+
+    def _departing(
+        self, states: Sequence[TargetState], serving: Sequence[TargetState], now: float
+    ) -> list[TargetState]:
+        """Return targets that get nothing new and are known to run still."""
+        found = []
+        if len(serving) < len(states):
+            found = [state for state in states if state.is_departing(now)]
+        for state in self._unlisted_of(states[0].target.service):
+            if state.seems_sound(now) and not any(state is item for item in serving):
+                found.append(state)
+        return found
+
+    def _is_crowded_by(self, loads: _Loads) -> bool:
+        if loads.targets == len(loads.serving):
+            return False
+        return loads.mean_without_departing > self._bound(loads)
+
+    def _has_room(self, state: TargetState, loads: _Loads, now: float) -> bool:
+        """Tell whether this router may send to one of the few that stay.
+
+        All routers would find room there at once, so each keeps to its own share.
+        """
+        bound = self._bound(loads)
+        if loads.of(state) + 1 > bound:
+            return False
+        own = self._own_share(state.target.name, int(bound), now)
+        return state.own_running < own
+
     def _bound(self, loads: _Loads) -> float:
         """Return the load that is allowed; the request itself counts into the mean."""
         mean = loads.mean + 1 / loads.targets
--- a/src/primrosescale/request/target_state.py
+++ b/src/primrosescale/request/target_state.py
@@ -39,6 +39,12 @@
 # reading a long prompt keeps one silent for about as long, so that silence is a
 # reason to ask others, no proof that a target is lost.
 SILENT_SECONDS = 0.45
+# Seconds for which a target is taken to run on that says in its answers that it
+# leaves, while its entry does not.
+DEPARTING_SECONDS = 3.0
+# Share of failures from which on a target whose entry is gone is taken to have
+# crashed: what it had was lost.
+CRASHED_SHARE = 0.25
 # A late answer is worth half of one in time.
 LATE_WEIGHT = 0.5
 # Pseudo-outcomes that hold a target to be good before it was tried.
@@ -166,6 +172,38 @@
         """Tell whether it leaves, by its entry or by an answer of its own."""
         return self._target.is_draining or self._statements.is_leaving
 
+    def is_departing(self, now: float) -> bool:
+        """Tell whether it leaves and is known to run still.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        bool
+            True while its entry says so, and for a while after an answer did.
+        """
+        if self._target.is_draining:
+            return True
+        return now - self._statements.leaving_since < DEPARTING_SECONDS
+
+    def seems_sound(self, now: float) -> bool:
+        """Tell whether nothing known of it speaks for its having crashed.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        bool
+            False for one that is avoided, or of which answers were lost lately.
+        """
+        return not self.is_avoided(now) and self.failure_share(now) < CRASHED_SHARE
+
     @property
     def statements(self) -> TargetStatements:
         """Return what it said of itself."""
--- a/src/primrosescale/request/target_statements.py
+++ b/src/primrosescale/request/target_statements.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -32,10 +33,10 @@
     that is as many as it runs at once.
     """
 
-    __slots__ = ("_is_leaving", "_rests_until", "_room", "_sent_at")
+    __slots__ = ("_leaving_since", "_rests_until", "_room", "_sent_at")
 
     def __init__(self) -> None:
-        self._is_leaving = False
+        self._leaving_since = -math.inf
         self._rests_until = 0.0
         # Requests it may get since its last rest; None for any number.
         self._room: int | None = None
@@ -44,7 +45,12 @@
     @property
     def is_leaving(self) -> bool:
         """Tell whether it has said that it leaves; it cannot take that back."""
-        return self._is_leaving
+        return self._leaving_since > -math.inf
+
+    @property
+    def leaving_since(self) -> float:
+        """Return when it first said that it leaves, in seconds; long ago for never."""
+        return self._leaving_since
 
     @property
     def is_limited(self) -> bool:
@@ -116,8 +122,9 @@
         bool
             Whether it says something new that bears on what it may be given.
         """
-        is_news = head.is_leaving and not self._is_leaving
-        self._is_leaving = self._is_leaving or head.is_leaving
+        is_news = head.is_leaving and not self.is_leaving
+        if is_news:
+            self._leaving_since = now
         if head.rest is not None:
             is_news = is_news or now >= self._rests_until
             self._rests_until = max(self._rests_until, now + head.rest)
--- a/tests/support/router_fleet.py
+++ b/tests/support/router_fleet.py
@@ -24,6 +24,7 @@
 from primrosescale.request.incoming import Prompt
 from primrosescale.request.incoming import PromptPart
 from primrosescale.request.part_directory import PartDirectory
+from primrosescale.request.router_shares import RouterShares
 from primrosescale.request.serving_target import ServingTarget
 from primrosescale.request.target_choice import ChoiceSettings
 from primrosescale.request.target_choice import TargetChooser
@@ -201,6 +202,7 @@
         self.targets = TargetList(2.0)
         self.parts = PartDirectory()
         self.freshness = Freshness(5.0)
+        self.router_shares = RouterShares(self.name)
         self.news = self._build_news(incarnation)
         self.shares = CacheShares(
             self.name,
@@ -224,6 +226,8 @@
             random.Random(f"{self.number} {incarnation}"),
             lambda: self.news.age(clock.seconds()),
             lambda: self.news.is_relayed,
+            unlisted_of=self.targets.unlisted_of,
+            own_share=self.router_shares.own_tokens,
         )
 
     def _build_news(self, incarnation):
@@ -290,8 +294,11 @@
             self.clock.callLater(delay, router.exchange.startProtocol)
 
     def list_routers(self, router):
+        now = self.clock.seconds()
         for other in self.routers:
-            router.news.put(other.as_listed(), self.clock.seconds())
+            router.news.put(other.as_listed(), now)
+        names = frozenset(other.name for other in self.routers)
+        router.router_shares.list_routers(names, now, was_listed=True)
 
     def add_target(self, name, number, delay=lambda: 0.0):
         """List a target, which each router hears of at a time of its own."""
