--- a/src/primrosescale/standin/users_engine.py
+++ b/src/primrosescale/standin/users_engine.py
@@ -278,6 +278,8 @@
             return
         body = json.dumps(words).encode()
         self.responseHeaders.setRawHeaders(INCARNATION, [self._script.name.encode()])
+        if self._script.is_leaving:
+            self.responseHeaders.setRawHeaders(names.LEAVING, [b"1"])
         self.responseHeaders.setRawHeaders(b"Content-Type", [b"application/json"])
         self.responseHeaders.setRawHeaders(b"Content-Length", [b"%d" % len(body)])
         self.write(body)
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -16,6 +16,7 @@
 from soak.history import Cold
 from soak.history import Entry
 from soak.history import Ran
+from soak.history import Rest
 from soak.history import Version
 
 LOOPBACK = "127.0.0.1"
@@ -97,6 +98,7 @@
 
     def _start(self):
         self.turn += 1
+        self.script.is_leaving = self.script.is_resting = False
         self.start = max(int(time.time() * 1000), self.start + 1)
         self.script.receipt = f"{self.name}/{self.start}".encode()
 
@@ -139,6 +141,9 @@
             if arrival.has_run:
                 self._on_harm(self, harm)
             return
+        if self.script.is_resting:
+            now, rest = reactor.seconds(), self.script.rest
+            self._history.rests.append(Rest(self.name, self.start, name, now, rest))
         peers = [t for t in self._peers if t.service == self.service]
         mean = sum(t.script.running for t in peers) / len(peers)
         load = self.script.running
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -229,6 +229,8 @@
         ].decode()
         signature = response.headers.getRawHeaders(names.RECEIPT) or [b""]
         asked.signed = signature[0].decode()
+        if response.headers.hasHeader(names.LEAVING):
+            asked.left_at = reactor.seconds()
         collected = _Body()
         response.deliverBody(collected)
         is_whole = yield collected.ended
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -36,6 +36,8 @@
     is_new: bool = True
     # Target and life that signed the answer.
     signed: str = ""
+    # When the head of an answer came that says that its target leaves.
+    left_at: float | None = None
 
     @property
     def may_repeat(self):
@@ -125,6 +127,18 @@
     is_alone: bool = True
 
 
+@dataclass
+class Rest:
+    """That a target turned a request away and asked its router for a rest."""
+
+    target: str
+    start: int
+    # The request that was turned away.
+    name: str
+    at: float
+    seconds: float
+
+
 @dataclass
 class Harm:
     """What became of the requests for one content that ends targets."""
@@ -154,6 +168,7 @@
     evacuations: list[Evacuation] = field(default_factory=list)
     cold: list[Cold] = field(default_factory=list)
     silences: list[Silence] = field(default_factory=list)
+    rests: list[Rest] = field(default_factory=list)
     # By content.
     harm: dict[bytes, Harm] = field(default_factory=dict)
     own_ends: list[str] = field(default_factory=list)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -23,6 +23,9 @@
 NEVER_BACK = 0.25
 STOP_GRACE = 8.0
 EVACUATED = 5.0
+# From when on a rest counts, and the requests of one router that may come in it.
+REST_BEGINS = 0.5
+REST_MOST = 2
 # Requests that a cold model engine may get in a second.
 COLD_MOST = 20
 # What the callers' own clock may be off by: both ends are one process.
@@ -405,6 +408,8 @@
         "restarts": len(history.ended),
         "evacuations": len(history.evacuations),
         "runs in evacuated domains": sum(1 for _ in _in_evacuated(history)),
+        "answers that said that a target leaves": len(_first_leaving_answers(history)),
+        "rests asked for": sum(1 for _ in _in_rests(history)),
         "cold targets": len(history.cold),
         "runs at cold targets": sum(
             len(_runs_while_cold(history, cold)) for cold in history.cold
@@ -456,6 +461,70 @@
     )
 
 
+def leaving_answers_end_work(history):
+    """A router that passed on that a target leaves sends it nothing after the bound."""
+    first = _first_leaving_answers(history)
+    for run in history.ran:
+        asked = history.asked.get(run.name)
+        if asked is None:
+            continue
+        told_at = first.get((run.target, run.start, asked.router, asked.life))
+        if told_at is None or asked.sent_at - told_at <= DRAIN + SLACK:
+            continue
+        if history.is_calm(told_at, run.at, {asked.router}):
+            late = asked.sent_at - told_at
+            yield f"{run.name} reached {run.target} {late:.2f} s after its own notice"
+
+
+def _first_leaving_answers(history):
+    """Return when each router first passed on that a life of a target leaves."""
+    first = {}
+    for asked in history.asked.values():
+        if asked.left_at is None or not asked.signed:
+            continue
+        target, _, start = asked.signed.rpartition("/")
+        key = (target, int(start), asked.router, asked.life)
+        first[key] = min(asked.left_at, first.get(key, asked.left_at))
+    return first
+
+
+def rests_are_kept(history):
+    """A router sends next to nothing to a target that asked it for a rest."""
+    for rest, router, came in _in_rests(history):
+        if len(came) > REST_MOST:
+            since = f"a rest from {rest.at:.2f}"
+            yield f"{rest.target} got {len(came)} of {router} in {since}"
+
+
+def _in_rests(history):
+    """Return each rest, its router, and the requests that came from it meanwhile."""
+    by_target = {}
+    for run in history.ran:
+        by_target.setdefault((run.target, run.start), []).append(run)
+    for rest in history.rests:
+        asker = history.asked.get(rest.name)
+        if asker is None:
+            continue
+        until = rest.at + rest.seconds
+        came = [
+            run
+            for run in by_target.get((rest.target, rest.start), ())
+            if rest.at + REST_BEGINS < run.at < until - SLACK
+            and run.name in history.asked
+            and history.asked[run.name].router == asker.router
+            and history.asked[run.name].life == asker.life
+        ]
+        is_linked = not any(
+            trouble.scope == rest.target
+            and trouble.kind.startswith("link")
+            and trouble.began <= until
+            and (trouble.ended is None or trouble.ended >= rest.at)
+            for trouble in history.troubles
+        )
+        if is_linked and history.is_calm(rest.at, until, {asker.router}):
+            yield rest, asker.router, came
+
+
 def harmful_requests_are_held_back(history):
     """What ends targets reaches few more once routers had time to hear of it."""
     for body, harm in history.harm.items():
@@ -511,6 +580,8 @@
         "their neighbours": neighbours_keep_work(history),
         "evacuated domains": evacuated_domains_get_no_work(history),
         "cold targets": cold_targets_get_their_rate(history),
+        "leaving answers": leaving_answers_end_work(history),
+        "rests": rests_are_kept(history),
         "harmful requests": harmful_requests_are_held_back(history),
         "silence": silence_ends_no_answer(history),
         "processes": processes_stay(history),
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -27,6 +27,9 @@
 # What happens to failure domains, in a series of its own where it is asked for.
 DOMAINS = {"evacuate": 3, "chill": 2, "cold_return": 2}
 DOMAINS_PAUSE = 4.0
+# What targets say in their answers, in a series of its own where it is asked for.
+STATEMENTS = {"say_leaving": 3, "ask_rest": 4, "all_ask_rest": 1}
+STATEMENTS_PAUSE = 3.0
 PLANNED = {"term": 3, "term_two": 1, "hup": 2, "change": 4, "withdraw": 3, "drain": 2}
 
 
@@ -63,12 +66,21 @@
 
 def draw_domains(rng, seconds):
     """Return what happens to failure domains in a soak, in order."""
+    return _draw_alone(rng, seconds, DOMAINS, DOMAINS_PAUSE)
+
+
+def draw_statements(rng, seconds):
+    """Return when targets say in a soak that they leave or want rest, in order."""
+    return _draw_alone(rng, seconds, STATEMENTS, STATEMENTS_PAUSE)
+
+
+def _draw_alone(rng, seconds, kinds, pause):
     steps = []
     at = rng.uniform(0.5, 2.0)
     while at < seconds:
-        kind = rng.choices(list(DOMAINS), list(DOMAINS.values()))[0]
+        kind = rng.choices(list(kinds), list(kinds.values()))[0]
         steps.append(Step(at, kind, rng.uniform(0.5, 5.0), rng.random(), rng.random()))
-        at += rng.expovariate(1 / DOMAINS_PAUSE)
+        at += rng.expovariate(1 / pause)
     return steps
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -84,6 +84,11 @@
 # How long an engine that reads a long prompt sends nothing, in seconds.
 SILENT_LEAST = 0.3
 SILENT_MOST = 1.5
+# Share of targets that say that they leave whose entries lapse and return meanwhile.
+LAPSES_SHARE = 0.4
+# Seconds of rest that targets ask for.
+REST_LEAST = 0.7
+REST_MOST = 4.0
 UNFINISHED = 2
 # How often the soak looks whether it was itself held up, in seconds.
 LOOK_EVERY = 0.05
@@ -93,7 +98,16 @@
     """One run."""
 
     def __init__(
-        self, seed, routers, callers, folder, without=(), harmful=0, *, domains=False
+        self,
+        seed,
+        routers,
+        callers,
+        folder,
+        without=(),
+        harmful=0,
+        *,
+        domains=False,
+        statements=False,
     ):
         self._rng = random.Random(seed)
         # Of its own, so that what else the seed draws stays as it is.
@@ -106,6 +120,7 @@
             PORTALS, MODELS, self.history, self._rng, self._harmed, is_cold=domains
         )
         self._domains = random.Random(f"domains {seed}") if domains else None
+        self._statements = random.Random(f"said {seed}") if statements else None
         self._fleet = Fleet(routers, folder, self._backends.store_port, self.history)
         self._operator = self._backends.operator
         self._callers = [
@@ -148,7 +163,9 @@
         steps = schedule.draw(self._rng, seconds, self._beside, self._without)
         if self._domains is not None:
             steps += schedule.draw_domains(self._domains, seconds)
-            steps.sort(key=lambda step: step.at)
+        if self._statements is not None:
+            steps += schedule.draw_statements(self._statements, seconds)
+        steps.sort(key=lambda step: step.at)
         if self._harmful:
             # Routers that are all killed at once forget what they held back.
             steps = [step for step in steps if step.kind != "kill_all"]
@@ -451,6 +468,50 @@
         self._backends.restart(target, moves=False)
         self._backends.list(target)
 
+    def _say_leaving(self, step):
+        """Have a target say that it leaves while its entry is ready, and then leave."""
+        target = self._target(step)
+        if self._is_draining(target) or target.script.is_leaving:
+            return
+        target.turn += 1
+        target.script.is_leaving = True
+        turn = target.turn
+        # Its entry may lapse meanwhile and be written again.
+        if step.how < LAPSES_SHARE:
+            self._later(target, step.how, self._backends.delist, target)
+            self._later(target, LAPSE_AFTER, self._backends.list, target)
+
+        def leave():
+            if target.turn == turn:
+                self._backends.delist(target)
+                target.begin()
+                self._backends.list(target)
+
+        self._begin("says leaving", target.name, LEAVES_AFTER + step.lasts, leave)
+
+    def _ask_rest(self, step):
+        """Have a target turn all requests away for a while and ask for rest."""
+        self._rest_one(self._target(step), step)
+
+    def _all_ask_rest(self, step):
+        """Have all targets of a service do so."""
+        service = self._target(step).service
+        for target in self._backends.targets:
+            if target.service == service:
+                self._rest_one(target, step)
+
+    def _rest_one(self, target, step):
+        script = target.script
+        script.rest = REST_LEAST + step.how * (REST_MOST - REST_LEAST)
+        script.is_resting = True
+
+        def end():
+            script.is_resting = False
+
+        reactor.callLater(step.lasts, end)
+        # Routers may keep away until the end of a rest that was asked for last.
+        self._begin("asks for rest", target.name, step.lasts + script.rest)
+
     def _foreign(self, step):
         """Have another writer put an entry there, or in the place of a good one."""
         target = self._target(step)
@@ -535,6 +596,11 @@
     parser.add_argument(
         "--domains", action="store_true", help="evacuations and cold engines too"
     )
+    parser.add_argument(
+        "--statements",
+        action="store_true",
+        help="targets that say that they leave or want rest too",
+    )
     parser.add_argument("--keep", default="", help="folder for logs")
     arguments = parser.parse_args()
     folder = Path(arguments.keep or tempfile.mkdtemp(prefix="soak-"))
@@ -551,6 +617,7 @@
             arguments.without,
             arguments.harmful,
             domains=arguments.domains,
+            statements=arguments.statements,
         )
         # Also when the run is terminated.
         reactor.addSystemEventTrigger("before", "shutdown", soak.stop)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -15,6 +15,7 @@
 from soak.history import Harm
 from soak.history import History
 from soak.history import Ran
+from soak.history import Rest
 from soak.history import Silence
 from soak.history import Trouble
 from soak.history import Version
@@ -342,6 +343,57 @@
         entry.domain = "b"
         self.assertEqual(due, list(promises.good_entries_get_work(self.history)))
 
+    def test_work_for_a_target_after_its_own_notice(self):
+        self.put(asked(left_at=100.1, **LIVES), ran(start=1))
+        late = 100.1 + promises.DRAIN + promises.SLACK
+        self.put(asked("b", sent_at=late, ended_at=late + 1), ran("b", late, start=1))
+        self.assertEqual([], self.broken())
+        self.put(asked("c", sent_at=late + 1, ended_at=late + 2))
+        self.put(ran("c", late + 1.1, start=1))
+        self.assertEqual(["leaving answers"], self.broken())
+
+    def test_another_router_life_or_target_has_not_passed_it_on(self):
+        self.put(asked(left_at=100.1, **LIVES), ran(start=1))
+        for n, fields in enumerate(({"router": "r1"}, {"life": 2})):
+            self.put(asked(f"b{n}", sent_at=105.0, ended_at=105.2, **fields))
+            self.put(ran(f"b{n}", 105.1, start=1))
+        self.put(asked("c", sent_at=105.0, ended_at=105.2), ran("c", 105.1, start=2))
+        self.assertEqual([], self.broken())
+
+    def test_a_pause_of_the_router_excuses_it(self):
+        self.put(asked(left_at=100.1, **LIVES), ran(start=1))
+        self.put(asked("b", sent_at=105.0, ended_at=105.2), ran("b", 105.1, start=1))
+        self.assertEqual(["leaving answers"], self.broken())
+        self.history.troubles.append(Trouble("pause", "r0", 102.0, 103.0))
+        self.assertEqual([], self.broken())
+
+    def rest(self, at=100.0, seconds=3.0):
+        self.put(asked("turned", sent_at=at), ran("turned", at, has_run=False))
+        self.history.rests.append(Rest("t0", 0, "turned", at, seconds))
+
+    def test_more_than_two_requests_in_a_rest(self):
+        self.rest()
+        for n, at in enumerate((100.4, 100.6, 102.0, 103.1)):
+            self.put(asked(f"b{n}", sent_at=at, ended_at=at + 0.2), ran(f"b{n}", at))
+        self.assertEqual([], self.broken())
+        self.put(asked("c", sent_at=101.0, ended_at=101.2), ran("c", 101.1))
+        self.assertEqual(["rests"], self.broken())
+
+    def test_of_other_routers_any_number_may_come_in_a_rest(self):
+        self.rest()
+        for n in range(9):
+            self.put(asked(f"b{n}", sent_at=101.0, ended_at=101.2, router="r1"))
+            self.put(ran(f"b{n}", 101.1))
+        self.assertEqual([], self.broken())
+
+    def test_a_link_that_held_requests_back_excuses_them(self):
+        self.rest()
+        for n in range(9):
+            self.put(asked(f"b{n}", sent_at=101.0, ended_at=101.2), ran(f"b{n}", 101.1))
+        self.assertEqual(["rests"], self.broken())
+        self.history.troubles.append(Trouble("link delay", "t0", 99.0, 100.2))
+        self.assertEqual([], self.broken())
+
     def over(self):
         return list(promises.cold_targets_get_their_rate(self.history))
 
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -29,6 +29,11 @@
         self.assertEqual(sorted(steps, key=lambda step: step.at), steps)
         self.assertEqual(steps, schedule.draw_domains(random.Random(8), SECONDS))
 
+    def test_statements_have_a_series_of_their_own(self):
+        steps = schedule.draw_statements(random.Random(8), SECONDS)
+        self.assertEqual(set(schedule.STATEMENTS), {step.kind for step in steps})
+        self.assertEqual(steps, schedule.draw_statements(random.Random(8), SECONDS))
+
     def test_what_is_left_out_is_not_drawn(self):
         steps = self.draw(random.Random(8), ["foreign", "lone_silence"])
         drawn = {step.kind for step in steps} & set(schedule.BESIDE)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -19,10 +19,10 @@
 
 
 class SoakTest(TestCase):
-    def start(self, seed, seconds, without=(), harmful=0, *, domains=False):
+    def start(self, seed, seconds, without=(), harmful=0, *, more=()):
         words = [f"--seed={seed}", f"--seconds={seconds}", "--routers=3"]
         words += [f"--harmful={harmful}"]
-        words += ["--domains"] * domains
+        words += [f"--{series}" for series in more]
         words += ["--without", *without]
         process = subprocess.Popen(
             [sys.executable, str(PROGRAM), *words, "--callers=15"],
@@ -53,12 +53,15 @@
         self.break_no_promise({20261204: 12}, harmful=2)
 
     def test_evacuations_and_cold_targets_break_no_promise(self):
-        self.break_no_promise({20261205: 15}, domains=True)
+        self.break_no_promise({20261205: 15}, more=["domains"])
 
-    def break_no_promise(self, wanted, without=(), harmful=0, *, domains=False):
+    def test_targets_that_leave_or_rest_by_their_answers_break_no_promise(self):
+        self.break_no_promise({20261206: 15}, more=["statements"])
+
+    def break_no_promise(self, wanted, without=(), harmful=0, *, more=()):
         """Play seeds, each for so many seconds, at the same time."""
         running = {
-            seed: self.start(seed, time, without, harmful, domains=domains)
+            seed: self.start(seed, time, without, harmful, more=more)
             for seed, time in wanted.items()
         }
         for seed, process in running.items():
