What a target may be given is put together in one place

Entries, answers, evacuations, cold rates and silence were combined in the choice of a target, in the request that found none, and again in the metrics. TargetRoom does it for all three; behaviour is as before, by the same tests.

--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -104,6 +104,7 @@
                 ("cold_targets", "Targets that are taken to be cold"),
                 ("leaving_targets", "Targets that leave, by entry or answer"),
                 ("resting_targets", "Targets that asked for a rest"),
+                ("suspect_targets", "Targets that could not be reached, or are silent"),
                 ("evacuated_domains", "Failure domains that get no requests"),
                 ("caller_connections", "Connections of callers"),
                 ("requests_under_way", "Requests under way"),
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -4,6 +4,7 @@
 
 import math
 import socket
+from collections import Counter
 from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
@@ -51,6 +52,8 @@
 from primrosescale.request.repeat_budget import RepeatBudget
 from primrosescale.request.router_shares import RouterShares
 from primrosescale.request.target_choice import TargetChooser
+from primrosescale.request.target_room import Standing
+from primrosescale.request.target_room import TargetRoom
 
 if TYPE_CHECKING:
     from collections.abc import Generator
@@ -142,6 +145,7 @@
         self._evacuations = Evacuations(self._domains_evacuated)
         self._shares = RouterShares(settings.name)
         self._cold = ColdTargets(settings.cold, self._shares, self._service)
+        self._room = TargetRoom(self._cold)
         self._harmful = HarmfulRequests(settings.harm)
         harm_news = HarmNews(self._harmful, parts.log)
         self._news = RouterNews(
@@ -206,7 +210,7 @@
                 parts.rng,
                 lambda: self._news.age(self._now()),
                 lambda: self._news.is_relayed,
-                self._cold.allows,
+                self._room,
                 targets.unlisted_of,
                 self._shares.own_tokens,
             ),
@@ -219,7 +223,7 @@
             silence_judged=self._silence_judged,
             statement_made=self._statement_made,
             harm=self._harm,
-            cold=self._cold,
+            room=self._room,
             regions=settings.regions,
         )
         self._tracing: Tracing | None = None
@@ -626,6 +630,9 @@
         table = self._knowledge.table
         age = self._knowledge.freshness.age(now)
         rank = self._news.relay_rank(now)
+        standings = Counter(
+            self._room.standing(state, now) for state in self._knowledge.targets.states
+        )
         values: dict[str, float] = {
             "version": 0 if table is None else table.version,
             "knowledge_age_seconds": -1.0 if age is None else age,
@@ -634,13 +641,9 @@
                 self._cold.is_cold(state, now)
                 for state in self._knowledge.targets.states
             ),
-            "leaving_targets": sum(
-                state.is_leaving for state in self._knowledge.targets.states
-            ),
-            "resting_targets": sum(
-                state.statements.is_resting(now)
-                for state in self._knowledge.targets.states
-            ),
+            "leaving_targets": standings[Standing.LEAVING],
+            "resting_targets": standings[Standing.RESTING],
+            "suspect_targets": standings[Standing.SUSPECT],
             "evacuated_domains": len(self._evacuations.domains),
             "caller_connections": self._factory.open_channels,
             "requests_under_way": len(self._calls),
--- a/src/primrosescale/request/forward_tools.py
+++ b/src/primrosescale/request/forward_tools.py
@@ -11,6 +11,7 @@
 from primrosescale.ini.options import option
 from primrosescale.request.harm_watch import Unwatched
 from primrosescale.request.hop import UntracedHop
+from primrosescale.request.target_room import TargetRoom
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -18,7 +19,6 @@
     from random import Random
 
     from primrosescale.clock import Clock
-    from primrosescale.request.cold_targets import ColdTargets
     from primrosescale.request.direct_port import AnswerHead
     from primrosescale.request.direct_port import Refusal
     from primrosescale.request.direct_port import TargetCaller
@@ -170,8 +170,8 @@
         may be given.
     harm : HarmWatch
         Knows which requests end targets.
-    cold : ColdTargets | None
-        Counts what cold targets are sent; None where no target is ever cold.
+    room : TargetRoom
+        Says what each target may be given.
     regions : Mapping[str, str]
         The region of each failure domain.
     """
@@ -192,7 +192,7 @@
         _unheeded
     )
     harm: HarmWatch = field(default_factory=Unwatched)
-    cold: ColdTargets | None = None
+    room: TargetRoom = field(default_factory=TargetRoom)
     regions: Mapping[str, str] = field(default_factory=dict)
 
     def configure(self, settings: ForwardSettings, choice: ChoiceSettings) -> None:
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -305,7 +305,7 @@
         states = self._states()
         excluded = self._tried.excluded(states)
         left = [state for state in states if state.incarnation not in excluded]
-        room_in = self._room_in(left, now)
+        room_in = self._tools.room.shortest_wait(left, now)
         if not room_in:
             crowded = left and self._tools.chooser.is_crowded(states, now)
             self._fail(Refusal.TARGETS_CROWDED if crowded else Refusal.NO_TARGET)
@@ -316,22 +316,6 @@
         else:
             self._fail(Refusal.TARGETS_COLD, room_in)
 
-    def _room_in(self, states: Sequence[TargetState], now: float) -> float | None:
-        """Return after how long one of some targets may take it.
-
-        None where none takes work.
-        """
-        cold = self._tools.cold
-        waits = [
-            max(
-                state.statements.wait(now),
-                0.0 if cold is None else cold.wait(state, now),
-            )
-            for state in states
-            if state.takes_work
-        ]
-        return min(waits, default=None)
-
     def _fail_while_all_rest(self, room_in: float) -> None:
         """Refuse it until after the first rest, by times that are spread."""
         refusal = Refusal.TARGETS_RESTING
@@ -415,8 +399,7 @@
             needs_new_connection=self._needs_new_connection(attempt, now),
             traceparent=attempt.traceparent,
         )
-        if self._tools.cold is not None:
-            self._tools.cold.sent(attempt.state, now)
+        self._tools.room.sent(attempt.state, now)
         attempt.begin(self._tools.caller, sending, now)
 
     def _needs_new_connection(self, attempt: TargetAttempt, now: float) -> bool:
@@ -476,7 +459,7 @@
         if choice is not None:
             self._serve_from(choice, now)
             return
-        room_in = self._room_in(self._states(), now)
+        room_in = self._tools.room.shortest_wait(self._states(), now)
         if room_in and attempt.state.statements.is_resting(now):
             self._fail_while_all_rest(room_in)
         else:
--- a/src/primrosescale/request/target_choice.py
+++ b/src/primrosescale/request/target_choice.py
@@ -24,6 +24,7 @@
 from primrosescale.request.prompt_homes import home_of
 from primrosescale.request.prompt_homes import known_home
 from primrosescale.request.prompt_homes import shared_tokens
+from primrosescale.request.target_room import TargetRoom
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -199,9 +200,8 @@
     relies_on_homes : Callable[[], bool]
         Returns whether routers are so many that they tell each other only of
         prompts that are elsewhere than at their homes.
-    allows : Callable[[TargetState, float], bool]
-        Returns whether a request may be sent to a target now, however little it
-        has to do.
+    room : TargetRoom | None
+        Says which targets may be sent a request now; None where none ever waits.
     unlisted_of : Callable[[str], Sequence[TargetState]]
         Returns targets of a service whose entries are gone and that may still run.
     own_share : Callable[[str, int, float], int]
@@ -216,7 +216,7 @@
         rng: Random,
         news_age: Callable[[], float] | None = None,
         relies_on_homes: Callable[[], bool] = lambda: False,
-        allows: Callable[[TargetState, float], bool] = lambda *_: True,
+        room: TargetRoom | None = None,
         unlisted_of: Callable[[str], Sequence[TargetState]] = lambda _: (),
         own_share: Callable[[str, int, float], int] = lambda _, requests, __: requests,
     ) -> None:
@@ -225,7 +225,7 @@
         self._rng = rng
         self._news_age = news_age
         self._relies_on_homes = relies_on_homes
-        self._allows = allows
+        self._room = room or TargetRoom()
         self._unlisted_of = unlisted_of
         self._own_share = own_share
 
@@ -265,8 +265,7 @@
             state.takes_work
             and state.incarnation not in tried
             and not state.is_avoided(now)
-            and not state.statements.wait(now)
-            and self._allows(state, now)
+            and not self._room.wait(state, now)
             for state in states
         )
 
@@ -299,10 +298,9 @@
         if not serving:
             return None
         untried = [state for state in serving if state.incarnation not in tried]
-        rested = [s for s in untried if not s.statements.wait(now)]
-        open_ones = [state for state in rested if self._allows(state, now)]
-        usable = [state for state in open_ones if not state.is_avoided(now)]
-        usable = usable or open_ones
+        found = self._room.open(untried, now)
+        usable = [state for state in found.states if not state.is_avoided(now)]
+        usable = usable or found.states
         if not usable:
             return None
         loads = self._loads(states, serving, now)
@@ -315,10 +313,9 @@
             choice = self._choose_plain(bounded, loads, now)
         else:
             choice = self._choose_for(prompt, states, bounded, loads, now)
-        cold, resting = len(rested) - len(open_ones), len(untried) - len(rested)
-        if not cold and not resting:
+        if not found.cold and not found.resting:
             return choice
-        return replace(choice, passed_cold=cold, passed_resting=resting)
+        return replace(choice, passed_cold=found.cold, passed_resting=found.resting)
 
     def is_crowded(self, states: Sequence[TargetState], now: float) -> bool:
         """Tell whether those that take work cannot hold what departing ones had.
--- a/tests/request/test_cold_targets.py
+++ b/tests/request/test_cold_targets.py
@@ -29,6 +29,7 @@
 from primrosescale.request.router_shares import RouterShares
 from primrosescale.request.target_choice import ChoiceSettings
 from primrosescale.request.target_choice import TargetChooser
+from primrosescale.request.target_room import TargetRoom
 from primrosescale.request.target_state import TargetState
 from primrosescale.version.routing_table import Service
 
@@ -309,9 +310,10 @@
     def count_for(self, name, routers):
         router = Router(name, names(routers), START)
         tools = self.desk.tools
-        tools.cold = router.cold
+        self.cold = router.cold
+        tools.room = TargetRoom(router.cold)
         tools.chooser = TargetChooser(
-            ChoiceSettings(), self.desk.parts, tools.rng, allows=router.cold.allows
+            ChoiceSettings(), self.desk.parts, tools.rng, room=tools.room
         )
 
     def chill(self, *targets, seconds=COLD_SECONDS):
@@ -384,7 +386,7 @@
         run = self.desk.caller.last
         run.observer.run_head(head(cold_for=2.0))
         now = self.desk.clock.seconds()
-        self.assertTrue(self.desk.tools.cold.is_cold(self.desk.state(run.name), now))
+        self.assertTrue(self.cold.is_cold(self.desk.state(run.name), now))
 
     def test_without_patience_it_is_refused_where_it_could_have_waited(self):
         self.desk.tools.settings = ForwardSettings(cold_patience=0.0)
