An agent keeps the rest that its target asks for

The agent now takes and starts no calls until the rest is over and tells routers when that is; what waits is started then. Retry-After is read in one place for both ways of running.

--- a/src/primrosescale/platform/http_codec.py
+++ b/src/primrosescale/platform/http_codec.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 from twisted.web.http_headers import Headers
@@ -13,6 +12,7 @@
 from primrosescale.request.gate import CallerHead
 from primrosescale.request.incoming import Prompt
 from primrosescale.request.incoming import PromptPart
+from primrosescale.request.retry_after import asked_rest
 from primrosescale.request.target_state import LoadReport
 
 if TYPE_CHECKING:
@@ -44,10 +44,6 @@
 TRACE_CONTEXT = b"traceparent"
 
 OTHER_INCARNATION = 421
-UNAVAILABLE = 503
-# Seconds. A longer rest is shortened to this: a target that asks for a year has
-# made a mistake, and is asked again some time.
-LONGEST_REST = 600.0
 
 # Headers of one connection, and what a Connection header names besides.
 CONNECTION_HEADERS = frozenset(
@@ -150,7 +146,7 @@
             length=length,
             cold_for=None if cold_left is None else cold_left * MILLISECOND,
             is_leaving=b"1" in headers.getRawHeaders(LEAVING, []),
-            rest=_rest(status, headers),
+            rest=asked_rest(status, _all(headers, RETRY_AFTER)),
         )
 
     def refusal_headers(
@@ -168,25 +164,16 @@
         return headers
 
 
+def _all(headers: Headers, name: bytes) -> list[str]:
+    values = headers.getRawHeaders(name, [])
+    return [value.decode("latin-1").strip() for value in values]
+
+
 def _first(headers: Headers, name: bytes) -> str:
     values = headers.getRawHeaders(name)
     return values[0].decode("latin-1").strip() if values else ""
 
 
-def _rest(status: int, headers: Headers) -> float | None:
-    """Return the seconds for which a target that turned a request away wants none.
-
-    The longest of several values counts. What is no number above 0, such as a
-    date, asks for nothing.
-    """
-    if status != UNAVAILABLE:
-        return None
-    values = headers.getRawHeaders(RETRY_AFTER, [])
-    asked = [_number(value.decode("latin-1").strip()) for value in values]
-    longest = max((rest for rest in asked if rest and not math.isnan(rest)), default=0)
-    return min(longest, LONGEST_REST) or None
-
-
 def _number(text: str) -> float | None:
     try:
         return max(0.0, float(text)) if text else None
--- a/src/primrosescale/process/daemons/agent_core.py
+++ b/src/primrosescale/process/daemons/agent_core.py
@@ -416,6 +416,8 @@
         self._start_next()
 
     def _judge(self, call: AgentCall, is_answered: bool, now: float) -> None:
+        if call.asked_rest is not None:
+            self._admission.rest(call.asked_rest, now)
         if is_answered and call.status < FIRST_SERVER_ERROR:
             self._health.succeeded(now)
             return
--- a/src/primrosescale/request/agent_call.py
+++ b/src/primrosescale/request/agent_call.py
@@ -16,6 +16,7 @@
 from primrosescale.request.answer_buffer import AnswerBuffer
 from primrosescale.request.answer_check import digest_of
 from primrosescale.request.exceptions import AnswerCutError
+from primrosescale.request.retry_after import asked_rest
 from primrosescale.request.target_port import TargetReceiver
 
 if TYPE_CHECKING:
@@ -29,6 +30,7 @@
     from primrosescale.request.target_port import TargetRun
 
 MILLISECONDS = 1000
+RETRY_AFTER = "retry-after"
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +97,7 @@
     """
 
     __slots__ = (
+        "_asked_rest",
         "_buffer",
         "_cached",
         "_call",
@@ -141,6 +144,7 @@
         self._phase = CallPhase.WAITING
         self._buffer = AnswerBuffer(settings.window, settings.keep)
         self._head: wire.AnswerHead | None = None
+        self._asked_rest: float | None = None
         self._head_sent = False
         self._cached = 0
         self._failure: wire.CallFailed | None = None
@@ -213,6 +217,11 @@
         """Return the answer's HTTP status; 0 before it has come."""
         return 0 if self._head is None else self._head.status
 
+    @property
+    def asked_rest(self) -> float | None:
+        """Return for how many seconds the target wants no more calls, if it says so."""
+        return self._asked_rest
+
     def begin_claim(self, claim: Claim) -> None:
         """Note that the call's key is being claimed.
 
@@ -320,6 +329,8 @@
             return
         name = self._name
         self._head = wire.AnswerHead(name.router, name.number, status, headers)
+        values = [h.value for h in headers if h.name.lower() == RETRY_AFTER]
+        self._asked_rest = asked_rest(status, values)
 
     def target_data(self, data: bytes) -> None:
         """Take in bytes of the answer from the target."""
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -19,7 +19,6 @@
 from primrosescale.platform.exceptions import BootFileError
 from primrosescale.platform.exceptions import RecordError
 from primrosescale.platform.host_settings import read_host_settings
-from primrosescale.platform.http_codec import LONGEST_REST
 from primrosescale.platform.http_codec import PlatformCodec
 from primrosescale.platform.records import decode_router
 from primrosescale.platform.records import decode_routing_table
@@ -27,6 +26,7 @@
 from primrosescale.process.transport.platform import StoredObject
 from primrosescale.request.direct_port import Refusal
 from primrosescale.request.direct_port import Sending
+from primrosescale.request.retry_after import LONGEST_REST
 from primrosescale.version.routing_table import Repeatability
 
 SOURCE = Path(__file__).resolve().parent.parent.parent / "src/primrosescale"
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -169,3 +169,21 @@
         world.run(3)
         self.assertEqual(holders, [world.history.runs[-1].target])
         self.assertEqual([], world.faults())
+
+    # Guards against calls that an agent hands to a target in the rest it asked for.
+    def test_a_target_that_asks_for_a_rest_gets_nothing_until_it_is_over(self):
+        world = World(routers=2, agents=2)
+        for target in world.targets.values():
+            target.mode = "rest"
+        began = world.clock.seconds()
+        for number in range(30):
+            world.submit(f"r{1 + number % 2}", f"c{number}")
+            world.run(0.1)
+        runs = [run for run in world.history.runs if run.at - began > 0.5]
+        self.assertEqual([], [run.call for run in runs])
+        for target in world.targets.values():
+            target.mode = "good"
+        world.run(3)
+        world.submit("r1", "later")
+        world.run(3)
+        self.assertEqual("whole", world.history.calls["later"].outcome)
--- a/tests/request/test_admission.py
+++ b/tests/request/test_admission.py
@@ -197,3 +197,27 @@
             if number % 4 == 0:
                 health.failed(number * 0.01)
         self.assertFalse(health.is_closed)
+
+
+class RestingTargetTest(TestCase):
+    """A target that turned a call away and asked its agent for a rest."""
+
+    # Guards against calls to a target in the rest that it asked for.
+    def test_nothing_is_taken_or_started_until_it_is_over(self):
+        admission = make()
+        admission.offer(call("early"), 0.0)
+        admission.rest(3.0, 0.0)
+        refused = admission.offer(call(), 1.0)
+        self.assertEqual(Reason.TARGET_UNHEALTHY, refused.reason)
+        self.assertEqual(2.0, refused.retry_after)
+        self.assertEqual([], admission.start_next(2.9))
+        self.assertTrue(admission.offer(call(), 3.0).is_admitted)
+        self.assertEqual(2, len(admission.start_next(3.0)))
+
+    # Guards against a rest that is shortened by a later, shorter one.
+    def test_the_latest_end_counts(self):
+        admission = make()
+        admission.rest(3.0, 0.0)
+        admission.rest(0.5, 1.0)
+        self.assertFalse(admission.offer(call(), 2.9).is_admitted)
+        self.assertTrue(admission.offer(call(), 3.0).is_admitted)
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -41,6 +41,11 @@
 from support.memory_network import MemoryNetwork
 
 STEP = 0.01
+# Heads of a target's answers by its mode.
+FAILURES = {
+    "error": (500, []),
+    "rest": (503, [wire.Header("Retry-After", "3")]),
+}
 SIGNING = Ed25519PrivateKey.from_private_bytes(b"k" * 32)
 PUBLIC = base64.b64encode(SIGNING.public_key().public_bytes_raw()).decode()
 BUNDLE = """
@@ -201,9 +206,9 @@
             run.is_over = True
             run.receiver.target_failed(Outcome.UNKNOWN, "target died")
             return
-        if self.mode == "error":
+        if self.mode in FAILURES:
             run.is_over = True
-            run.receiver.target_head(500, [])
+            run.receiver.target_head(*FAILURES[self.mode])
             run.receiver.target_done(0)
             return
         data = expected_body(name)
