--- a/tests/entry/test_asked_rest.py
+++ b/tests/entry/test_asked_rest.py
@@ -24,20 +24,8 @@
 from entry.fakes import head
 from entry.fakes import request
 from entry.fakes import target
-from primrosescale.process.entry.entry_router import EntryRouter
 from primrosescale.standin.users_engine import EngineScript
-from primrosescale.standin.users_engine import UsersEngine
-from primrosescale.standin.users_store import UsersStore
-from support.entry_site import LOOPBACK
-from support.entry_site import ask
-from support.entry_site import configuration
-from support.entry_site import router_parts
-from support.entry_site import router_settings
-from support.entry_site import router_watches
-from support.entry_site import target_entry
-from support.entry_site import text
-from support.live import DeploymentRunTest
-from support.live import LiveTest
+from support.router_site import RouterSiteTest
 
 # Seconds after the answer from which on the rest is counted.
 REST_BEGINS = 0.5
@@ -166,53 +154,24 @@
         self.assertEqual(1, len(self.send(desk, LOOKUP)[0]))
 
 
-class RestingFleetTest(LiveTest):
+class RestingFleetTest(RouterSiteTest):
     """Routers, a store and targets over sockets, while callers come without a pause."""
 
-    run_tests_with = DeploymentRunTest.make_factory(timeout=60.0)
-
     def setUp(self):
         super().setUp()
-        self.store = UsersStore()
-        self.store.write("config", "main", configuration())
-        self.endpoint = self.serve(self.store)
-        self.events = []
-        self.asked = 0
         self.statuses = []
         self.scripts = {}
         for number in range(3):
-            name = f"i-{number}"
-            script = EngineScript(name=name, rest=1.5)
-            port = reactor.listenTCP(0, UsersEngine(script), interface=LOOPBACK)
-            self.addCleanup(port.stopListening)
-            address = f"{LOOPBACK}:{port.getHost().port}"
-            self.store.write("servers", name, target_entry("portal", address))
-            self.scripts[name] = script
+            script = EngineScript(name=f"i-{number}", rest=1.5)
+            self.start_target(script)
+            self.scripts[script.name] = script
         self.routers = [self.start_router(f"r{n}") for n in range(2)]
 
-    def start_router(self, name):
-        settings = router_settings(name)
-        parts = router_parts(self.endpoint, name, self.events, lambda: settings)
-        router = EntryRouter(settings, router_watches(), parts)
-        router.start()
-        self.addCleanup(router._close)
-        return router
-
-    @inlineCallbacks
-    def until(self, test):
-        for _ in range(800):
-            if test():
-                return
-            yield deferLater(reactor, 0.01, lambda: None)
-        self.fail("it did not come about")
-
     @inlineCallbacks
     def callers(self, router, seconds):
         until = reactor.seconds() + seconds
         while reactor.seconds() < until:
-            self.asked += 1
-            headers = b"Connection: close\r\n"
-            answer = yield ask(router, text(headers=headers, rid=b"r%d" % self.asked))
+            answer = yield self.ask(router)
             self.statuses.append((reactor.seconds(), answer[9:12]))
             yield deferLater(reactor, 0.02, lambda: None)
 
@@ -223,12 +182,7 @@
 
     @inlineCallbacks
     def watch(self, resting):
-        yield self.until(
-            lambda: all(
-                router.is_ready and len(router._knowledge.targets) == 3
-                for router in self.routers
-            )
-        )
+        yield self.until(lambda: all(self.knows(router, 3) for router in self.routers))
         yield self.ask_all(0.3)
         for name in resting:
             script = self.scripts[name]
--- a/tests/entry/test_leaving_answers.py
+++ b/tests/entry/test_leaving_answers.py
@@ -26,7 +26,6 @@
 from primrosescale.connection.codec import decode
 from primrosescale.connection.codec import encode
 from primrosescale.connection.endpoint import Endpoint
-from primrosescale.process.entry.entry_router import EntryRouter
 from primrosescale.process.entry.leaving_news import LeavingNews
 from primrosescale.process.entry.news_paths import NewsSettings
 from primrosescale.process.entry.other_router import OtherRouter
@@ -38,18 +37,8 @@
 from primrosescale.request.freshness import Freshness
 from primrosescale.request.part_directory import PartDirectory
 from primrosescale.standin.users_engine import EngineScript
-from primrosescale.standin.users_engine import UsersEngine
-from primrosescale.standin.users_store import UsersStore
 from support.entry_site import LOOPBACK
-from support.entry_site import ask
-from support.entry_site import configuration
-from support.entry_site import router_parts
-from support.entry_site import router_settings
-from support.entry_site import router_watches
-from support.entry_site import target_entry
-from support.entry_site import text
-from support.live import DeploymentRunTest
-from support.live import LiveTest
+from support.router_site import RouterSiteTest
 
 # Seconds after which a leaving target must get no new work, as routers are told.
 DRAIN = 0.5
@@ -238,57 +227,29 @@
         self.assertIn("m199", sides["r1"].leaving)
 
 
-class LeavingTargetTest(LiveTest):
+class LeavingTargetTest(RouterSiteTest):
     """A router, a store and two targets over sockets."""
 
-    run_tests_with = DeploymentRunTest.make_factory(timeout=60.0)
-
     def setUp(self):
         super().setUp()
-        self.store = UsersStore()
-        self.store.write("config", "main", configuration())
-        endpoint = self.serve(self.store)
         self.scripts = {name: EngineScript(name=name) for name in ("i-1", "i-2")}
-        self.entries = {}
-        for name, script in self.scripts.items():
-            port = reactor.listenTCP(0, UsersEngine(script), interface=LOOPBACK)
-            self.addCleanup(port.stopListening)
-            address = f"{LOOPBACK}:{port.getHost().port}"
-            self.entries[name] = target_entry("portal", address)
-            self.store.write("servers", name, self.entries[name])
-        self.events = []
-        self.asked = 0
-        settings = router_settings("r0", drain=DRAIN)
-        parts = router_parts(endpoint, "r0", self.events, lambda: settings)
-        self.router = EntryRouter(settings, router_watches(), parts)
-        self.router.start()
-        self.addCleanup(self.router._close)
-
-    @inlineCallbacks
-    def until(self, test):
-        for _ in range(800):
-            if test():
-                return
-            yield deferLater(reactor, 0.01, lambda: None)
-        self.fail("it did not come about")
+        self.entries = {
+            name: self.start_target(script) for name, script in self.scripts.items()
+        }
+        self.router = self.start_router("r0", drain=DRAIN)
 
     @inlineCallbacks
     def ask_for(self, seconds):
         until = reactor.seconds() + seconds
         while reactor.seconds() < until:
-            self.asked += 1
-            headers = b"Connection: close\r\n"
-            answer = yield ask(
-                self.router, text(headers=headers, rid=b"r%d" % self.asked)
-            )
+            answer = yield self.ask(self.router)
             self.assertIn(b"HTTP/1.1 200", answer)
             yield deferLater(reactor, 0.01, lambda: None)
 
     @inlineCallbacks
     def leave(self, name):
         """Have a target say that it leaves until an answer was passed on."""
-        yield self.until(lambda: self.router.is_ready)
-        yield self.until(lambda: len(self.router._knowledge.targets) == 2)
+        yield self.until(lambda: self.knows(self.router, 2))
         self.scripts[name].is_leaving = True
         seen = len(self.scripts[name].arrivals)
         while len(self.scripts[name].arrivals) == seen:
@@ -310,9 +271,9 @@
     def test_an_entry_that_lapses_and_returns_does_not_count(self):
         yield self.leave("i-1")
         self.store.remove("servers", "i-1")
-        yield self.until(lambda: len(self.router._knowledge.targets) == 1)
+        yield self.until(lambda: self.knows(self.router, 1))
         self.scripts["i-1"].arrivals.clear()
         self.store.write("servers", "i-1", self.entries["i-1"])
-        yield self.until(lambda: len(self.router._knowledge.targets) == 2)
+        yield self.until(lambda: self.knows(self.router, 2))
         yield self.ask_for(0.3)
         self.assertEqual([], self.scripts["i-1"].arrivals)
