--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -159,9 +159,14 @@
                 mean,
                 self.start,
                 self.domain,
+                self._is_misdirected(arrival),
             )
         )
 
+    def _is_misdirected(self, arrival):
+        wanted = arrival.headers.get(names.EXPECTED_INCARNATION.lower(), b"")
+        return wanted.decode() not in {"", self.name}
+
     def close(self):
         self.link.close()
         self._listener.stopListening()
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -58,6 +58,8 @@
     # Start of the life of the target that it reached.
     start: int = 0
     domain: str = ""
+    # Whether it was meant for a former target at the address, which says so.
+    is_misdirected: bool = False
 
 
 @dataclass
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -256,6 +256,10 @@
         self.history.foreign.append(entry)
         self.put(asked(), ran())
         self.assertEqual(["foreign entries"], self.broken())
+        # Sent by the entry of the target before it at that address.
+        self.history.ran[-1].is_misdirected = True
+        self.assertEqual([], self.broken())
+        self.history.ran[-1].is_misdirected = False
         for changed in ({"at": 98.5}, {"until": 100.05}):
             was = {name: getattr(entry, name) for name in changed}
             vars(entry).update(changed)
@@ -343,6 +347,14 @@
         entry.domain = "b"
         self.assertEqual(due, list(promises.good_entries_get_work(self.history)))
 
+    def test_what_was_meant_for_a_former_target_is_no_work_for_a_leaving_one(self):
+        self.history.draining["t0", 0] = 100.0
+        self.put(asked(sent_at=103.0, ended_at=103.2))
+        self.put(ran(at=103.1, has_run=False))
+        self.assertEqual(["leaving targets"], self.broken())
+        self.history.ran[-1].is_misdirected = True
+        self.assertEqual([], self.broken())
+
     def test_work_for_a_target_after_its_own_notice(self):
         self.put(asked(left_at=100.1, **LIVES), ran(start=1))
         late = 100.1 + promises.DRAIN + promises.SLACK
