Soak: what a link held back is no new work for a leaving target

By the routers' lines r2 had sent them 0.12 to 0.38 s before it heard of the notice; the link to the target was silent from then on and let them through at its end, 2.0 to 2.3 s later.

--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -355,6 +355,19 @@
         self.history.ran[-1].is_misdirected = True
         self.assertEqual([], self.broken())
 
+    def test_what_a_link_held_back_is_no_new_work_for_a_leaving_target(self):
+        self.history.draining["t0", 0] = 100.0
+        self.put(asked(sent_at=99.9, ended_at=103.2, deadline=6.0), ran(at=103.1))
+        self.assertEqual(["leaving targets"], self.broken())
+        for began, ended, wanted in (
+            (99.0, 103.0, []),
+            (99.0, 100.5, []),
+            (96.0, 100.0, ["leaving targets"]),
+            (103.2, None, ["leaving targets"]),
+        ):
+            self.history.troubles[:] = [Trouble("link silent", "t0", began, ended)]
+            self.assertEqual(wanted, self.broken(), (began, ended))
+
     def test_work_for_a_target_after_its_own_notice(self):
         self.put(asked(left_at=100.1, **LIVES), ran(start=1))
         late = 100.1 + promises.DRAIN + promises.SLACK
