Tests of evacuations over sockets use the routers and targets that others use

Store, targets, routers, the wait and the caller stood again in test_evacuations.py line by line beside support/router_site.py. Assertions, bounds and waits are as they were.

--- a/tests/entry/test_evacuations.py
+++ b/tests/entry/test_evacuations.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from testtools import TestCase
 from twisted.internet import reactor
 from twisted.internet.defer import inlineCallbacks
@@ -29,7 +31,6 @@
 from primrosescale.connection.codec import encode
 from primrosescale.connection.endpoint import Endpoint
 from primrosescale.platform import records
-from primrosescale.process.entry.entry_router import EntryRouter
 from primrosescale.process.entry.news_paths import NewsSettings
 from primrosescale.process.entry.other_router import OtherRouter
 from primrosescale.process.entry.router_news import RouterNews
@@ -43,18 +44,9 @@
 from primrosescale.request.part_directory import PartUse
 from primrosescale.request.target_choice import ChoiceSettings
 from primrosescale.standin.users_engine import EngineScript
-from primrosescale.standin.users_engine import UsersEngine
-from primrosescale.standin.users_store import UsersStore
 from support.entry_site import LOOPBACK
-from support.entry_site import ask
-from support.entry_site import configuration
-from support.entry_site import router_parts
-from support.entry_site import router_settings
 from support.entry_site import router_watches
-from support.entry_site import target_entry
-from support.entry_site import text
-from support.live import DeploymentRunTest
-from support.live import LiveTest
+from support.router_site import RouterSiteTest
 
 # Seconds within which routers that reach the store must have acted.
 KNOWN_WITHIN = 1.0
@@ -313,63 +305,29 @@
         self.assertIsNone(message.evacuated_revision)
 
 
-class EvacuationTest(LiveTest):
+class EvacuationTest(RouterSiteTest):
     """Routers, a store and targets of two domains over sockets."""
 
-    run_tests_with = DeploymentRunTest.make_factory(timeout=60.0)
-
     def setUp(self):
         super().setUp()
-        self.store = UsersStore()
-        self.store.write("config", "main", configuration())
-        self.endpoint = self.serve(self.store)
         self.arrivals = []
-        self.events = []
-        self.asked = 0
         for domain in ("a", "b"):
-            self.start_target(domain)
-        self.routers = [self.start_router("r0"), self.start_router("r1")]
-
-    def start_target(self, domain):
-        engine = UsersEngine(
-            EngineScript(
-                name=f"i-{domain}",
-                on_arrival=lambda _: self.arrivals.append((reactor.seconds(), domain)),
-            )
-        )
-        port = reactor.listenTCP(0, engine, interface=LOOPBACK)
-        self.addCleanup(port.stopListening)
-        address = f"{LOOPBACK}:{port.getHost().port}"
-        entry = target_entry("portal", address, zone=domain)
-        self.store.write("servers", f"i-{domain}", entry)
-
-    def start_router(self, name):
-        settings = router_settings(name)
-        parts = router_parts(self.endpoint, name, self.events, lambda: settings)
-        watches = router_watches()
-        watches = type(watches)(
-            configuration=watches.configuration,
-            targets=watches.targets,
-            routers=watches.routers,
-            evacuations=WatchedPrefix(records.EVACUATIONS, 5.0),
+            self.start_target_of(domain)
+        self.routers = [self.start_follower("r0"), self.start_follower("r1")]
+
+    def start_target_of(self, domain):
+        script = EngineScript(
+            name=f"i-{domain}",
+            on_arrival=lambda _: self.arrivals.append((reactor.seconds(), domain)),
         )
-        router = EntryRouter(settings, watches, parts)
-        router.start()
-        self.addCleanup(router._close)
-        return router
+        self.start_target(script, zone=domain)
 
-    @inlineCallbacks
-    def until(self, test):
-        for _ in range(800):
-            if test():
-                return
-            yield deferLater(reactor, 0.01, lambda: None)
-        self.fail("it did not come about")
-
-    def ask(self, router):
-        self.asked += 1
-        headers = b"Connection: close\r\n"
-        return ask(router, text(headers=headers, rid=b"r%d" % self.asked))
+    def start_follower(self, name):
+        """Start a router that follows the evacuations."""
+        evacuations = WatchedPrefix(records.EVACUATIONS, 5.0)
+        return self.start_router(
+            name, replace(router_watches(), evacuations=evacuations)
+        )
 
     @inlineCallbacks
     def ask_for(self, seconds):
@@ -404,7 +362,7 @@
     @inlineCallbacks
     def test_a_router_that_starts_meanwhile_sends_nothing_there(self):
         self.store.write("evacuations", "a", {})
-        late = self.start_router("r2")
+        late = self.start_follower("r2")
         self.routers = [late]
         yield self.until(lambda: late.is_ready)
         yield self.ask_for(0.5)
--- a/tests/support/router_site.py
+++ b/tests/support/router_site.py
@@ -34,19 +34,19 @@
         self.events = []
         self.asked = 0
 
-    def start_target(self, script):
+    def start_target(self, script, **fields):
         """Have a plain target listen and be listed; return its entry."""
         port = reactor.listenTCP(0, UsersEngine(script), interface=LOOPBACK)
         self.addCleanup(port.stopListening)
         address = f"{LOOPBACK}:{port.getHost().port}"
-        entry = target_entry("portal", address)
+        entry = target_entry("portal", address, **fields)
         self.store.write("servers", script.name, entry)
         return entry
 
-    def start_router(self, name, **fields):
+    def start_router(self, name, watches=None, **fields):
         settings = router_settings(name, **fields)
         parts = router_parts(self.endpoint, name, self.events, lambda: settings)
-        router = EntryRouter(settings, router_watches(), parts)
+        router = EntryRouter(settings, watches or router_watches(), parts)
         router.start()
         self.addCleanup(router._close)
         return router
