Tests that start programs draw ports that no other socket takes

The test drew 12 ports by bind to 0, closed them, and its programs listened there up to two seconds later, beside three other files of tests whose sockets the system gives such ports.

With one of the ports taken beforehand, each of the twelve in turn: the service's and the agent's fail at that line, three of the router's and the platform's at other lines, the six that nobody uses hold.

A failure shows what the processes wrote. Assertions and waits are as they were.

--- a/tests/adapter/test_start.py
+++ b/tests/adapter/test_start.py
@@ -15,6 +15,8 @@
 
 from testtools import TestCase
 
+from support.ports import free_ports
+
 LOOPBACK = "127.0.0.1"
 # Runs the program and sends it a signal whenever it loads anything but itself.
 SIGNALS_AT_EACH_IMPORT = """
@@ -41,8 +43,7 @@
         taken = socket.create_server((LOOPBACK, 0))
         self.addCleanup(taken.close)
         self.taken = taken.getsockname()[1]
-        with socket.create_server((LOOPBACK, 0)) as probe:
-            self.free = probe.getsockname()[1]
+        self.free, self.also_free = free_ports(2)
 
     def write(self, callers, readiness):
         fields = {
@@ -114,8 +115,7 @@
         self.assertEqual(os.EX_CONFIG, done.returncode, done.stderr)
 
     def test_signals_that_come_while_it_is_loaded_are_not_its_end(self):
-        with socket.create_server((LOOPBACK, 0)) as probe:
-            self.write(self.free, probe.getsockname()[1])
+        self.write(self.free, self.also_free)
         child = self.start_program()
         self.addCleanup(self.wait_for_port(self.free).close)
         child.send_signal(signal.SIGHUP)
--- a/tests/process/test_processes.py
+++ b/tests/process/test_processes.py
@@ -15,20 +15,15 @@
 
 from testtools import TestCase
 
+from support.ports import free_ports
+
 ROOT = Path(__file__).resolve().parents[2]
 RIGA = ROOT / "settings/riga"
 PATIENCE = 60.0
+LOG_END = 4000
 OLD_PORTS = (8010, 8011, 8012, 8020, 8021, 8022, 8030, 8031, 8032, 8070, 8201, 8251)
 
 
-def free_ports(count):
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        return [probe.getsockname()[1] for probe in probes]
-
-
 class ProcessesTest(TestCase):
     def setUp(self):
         super().setUp()
@@ -51,6 +46,14 @@
                 child.kill()
             child.wait()
 
+    def output(self):
+        """Return what became of each process and the end of what it wrote."""
+        told = []
+        for name, child in self.children.items():
+            log = (self.folder / f"{name}.log").read_text(errors="replace")
+            told.append(f"{name}, status {child.poll()}:\n{log[-LOG_END:]}")
+        return "\n".join(told)
+
     def start(self, role, name):
         log = (self.folder / f"{name}.log").open("wb")
         self.addCleanup(log.close)
@@ -102,7 +105,7 @@
                 if check():
                     return
             time.sleep(0.05)
-        self.fail("the processes did not come up")
+        self.fail(f"the processes did not come up\n{self.output()}")
 
     def test_from_a_callers_request_to_a_target_and_back(self):
         self.start("platform", "platform")
