A target that said that it is cold is cold whatever its entry says

Callers of a cold target met its end under more than it bears: an entry that was written again for another reason, or that lapsed and came back, made a target warm that had said in its answers a second before that it is cold for five.

It is kept among the target's other statements now, which outlive its entry and are revoked by a later answer alone; the entry can only make the time longer.

--- a/src/primrosescale/process/entry/target_list.py
+++ b/src/primrosescale/process/entry/target_list.py
@@ -340,10 +340,10 @@
         for name in gone:
             del self._vanished[name]
             self._generation += 1
-        return [self._forget(name) for name in gone]
+        return [self._forget(name, now) for name in gone]
 
-    def _forget(self, name: str) -> TargetIncarnation:
+    def _forget(self, name: str, now: float) -> TargetIncarnation:
         """Forget a target, but for what it said of itself."""
         state = self._known.pop(name, None) or self._unreadable.pop(name)
-        self._statements.keep(state.incarnation, state.statements)
+        self._statements.keep(state.incarnation, state.statements, now)
         return state.incarnation
--- a/src/primrosescale/request/target_state.py
+++ b/src/primrosescale/request/target_state.py
@@ -261,7 +261,7 @@
         self._returned_at = max(self._returned_at, now)
 
     def told_cold(self, cold_for: float, now: float) -> None:
-        """Take in how long the target says that it stays cold.
+        """Take in how long its entry says that it stays cold.
 
         Parameters
         ----------
@@ -285,7 +285,8 @@
         float
             Time in seconds.
         """
-        return max(self._cold_until, self._returned_at + cold_seconds)
+        told = max(self._cold_until, self._statements.cold_until)
+        return max(told, self._returned_at + cold_seconds)
 
     def may_be_copied_from(self, now: float, grace: float) -> bool:
         """Tell whether other targets may copy what it has read.
@@ -363,8 +364,6 @@
         self.heard(now)
         if head.load is not None:
             self.reported(head.load, now)
-        if head.cold_for is not None:
-            self.told_cold(head.cold_for, now)
         return self._statements.take(head, self.slots, now)
 
     def heard(self, now: float) -> None:
--- a/src/primrosescale/request/target_statements.py
+++ b/src/primrosescale/request/target_statements.py
@@ -33,9 +33,10 @@
     that is as many as it runs at once.
     """
 
-    __slots__ = ("_leaving_since", "_rests_until", "_room", "_sent_at")
+    __slots__ = ("_cold_until", "_leaving_since", "_rests_until", "_room", "_sent_at")
 
     def __init__(self) -> None:
+        self._cold_until = -math.inf
         self._leaving_since = -math.inf
         self._rests_until = 0.0
         # Requests it may get since its last rest; None for any number.
@@ -52,6 +53,11 @@
         """Return when it first said that it leaves, in seconds; long ago for never."""
         return self._leaving_since
 
+    @property
+    def cold_until(self) -> float:
+        """Return until when it is cold, in seconds; long ago where it did not say."""
+        return self._cold_until
+
     @property
     def is_limited(self) -> bool:
         """Tell whether it rests, or rested lately, so that it may get few requests."""
@@ -75,6 +81,21 @@
         self._leaving_since = now
         return True
 
+    def is_in_force(self, now: float) -> bool:
+        """Tell whether anything it said still bears on what it may be given.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        bool
+            False where nothing is lost by forgetting it.
+        """
+        return self.is_leaving or self.is_limited or now < self._cold_until
+
     def is_resting(self, now: float) -> bool:
         """Tell whether it wants no requests now.
 
@@ -140,6 +161,8 @@
         bool
             Whether it says something new that bears on what it may be given.
         """
+        if head.cold_for is not None:
+            self._cold_until = now + head.cold_for
         is_news = head.is_leaving and self.hear_leaving(now)
         if head.rest is not None:
             is_news = is_news or now >= self._rests_until
@@ -174,7 +197,7 @@
         return len(self._kept)
 
     def keep(
-        self, incarnation: TargetIncarnation, statements: TargetStatements
+        self, incarnation: TargetIncarnation, statements: TargetStatements, now: float
     ) -> None:
         """Keep what a target said whose entry is gone.
 
@@ -184,8 +207,10 @@
             The target.
         statements : TargetStatements
             What it said.
+        now : float
+            Present time in seconds.
         """
-        if not statements.is_leaving and not statements.is_limited:
+        if not statements.is_in_force(now):
             return
         self._kept[incarnation] = statements
         if len(self._kept) > MOST_KEPT:
--- a/tests/request/test_cold_targets.py
+++ b/tests/request/test_cold_targets.py
@@ -20,6 +20,7 @@
 from entry.fakes import head
 from entry.fakes import request
 from entry.fakes import target
+from primrosescale.process.entry.target_list import TargetList
 from primrosescale.request.cold_targets import WINDOW_SECONDS
 from primrosescale.request.cold_targets import ColdSettings
 from primrosescale.request.cold_targets import ColdTargets
@@ -244,6 +245,13 @@
         self.assertEqual(0, self.tokens(0.5, 1.5, 0.0))
 
 
+def listed(entry):
+    """Return a list of targets with one entry."""
+    targets = TargetList(drain=2.0)
+    targets.put(entry, START)
+    return targets
+
+
 class ColdKnowledgeTest(TestCase):
     def setUp(self):
         super().setUp()
@@ -284,6 +292,32 @@
         state.told_cold(0.0, START + 9.5)
         self.assertTrue(self.is_cold(state, START + 10))
 
+    # Guards against more than a cold target bears, sent once its entry is rewritten
+    # for another reason, or comes late.
+    def test_an_entry_that_is_written_again_does_not_revoke_an_answer(self):
+        targets = listed(target("m1"))
+        targets.state("m1").answered(head(cold_for=5.0), START)
+        targets.put(target("m1", slots=9), START + 1)
+        self.assertTrue(self.is_cold(targets.state("m1"), START + 4.9))
+        self.assertFalse(self.is_cold(targets.state("m1"), START + 5.0))
+
+    # Guards against the same while the store is away and comes back.
+    def test_an_entry_that_lapses_and_returns_does_not_revoke_an_answer(self):
+        targets = listed(target("m1"))
+        targets.state("m1").answered(head(cold_for=9.0), START)
+        targets.remove("m1", START)
+        targets.forget_gone(START + 5)
+        self.assertIsNone(targets.state("m1"))
+        targets.put(target("m1"), START + 6)
+        self.assertTrue(self.is_cold(targets.state("m1"), START + 8.9))
+        self.assertFalse(self.is_cold(targets.state("m1"), START + 9.0))
+
+    def test_a_later_answer_counts(self):
+        state = TargetState(target("m1"), START)
+        state.answered(head(cold_for=5.0), START)
+        state.answered(head(cold_for=0.0), START + 1)
+        self.assertFalse(self.is_cold(state, START + 1))
+
     def test_targets_of_a_service_without_a_rate_never_are(self):
         state = TargetState(target("p1", "portal", warming_for=9.0), START)
         self.assertFalse(self.is_cold(state, START))
--- a/tests/request/test_target_statements.py
+++ b/tests/request/test_target_statements.py
@@ -143,21 +143,21 @@
 
     def test_they_are_given_back_once_for_that_incarnation_alone(self):
         kept = KeptStatements()
-        kept.keep(life("m1", 5), self.leaving())
+        kept.keep(life("m1", 5), self.leaving(), START)
         self.assertFalse(kept.take_back(life("m1", 6)).is_leaving)
         self.assertTrue(kept.take_back(life("m1", 5)).is_leaving)
         self.assertFalse(kept.take_back(life("m1", 5)).is_leaving)
 
     def test_nothing_is_kept_of_targets_that_said_nothing(self):
         kept = KeptStatements()
-        kept.keep(life("m1"), TargetStatements())
+        kept.keep(life("m1"), TargetStatements(), START)
         self.assertEqual(0, len(kept))
 
     # Guards against a memory that grows with each target that ever left.
     def test_those_kept_first_make_room(self):
         kept = KeptStatements()
         for number in range(MOST_KEPT + 10):
-            kept.keep(life(f"m{number}"), self.leaving())
+            kept.keep(life(f"m{number}"), self.leaving(), START)
         self.assertEqual(MOST_KEPT, len(kept))
         self.assertFalse(kept.take_back(life("m0")).is_leaving)
         self.assertTrue(kept.take_back(life(f"m{MOST_KEPT + 9}")).is_leaving)
