Choice: cold targets are looked up once a choice, not once a target

A choice asked for the service of each target anew, and for three properties to learn whether one takes work. ColdTargets.allows() is gone; the tests that asked it ask wait() and open(). benchmarks/choice_cost.py measures a choice.

--- /dev/null
+++ b/benchmarks/choice_cost.py
@@ -0,0 +1,124 @@
+"""Microseconds of the choice of a target, with all that may keep one from work.
+
+    python benchmarks/choice_cost.py
+
+One service, as a router of a fleet knows it: other routers' loads and outcomes are
+told, some targets are cold, prompts lie on some of them. Shown: the best of some
+rounds, for a request without a prompt, one with a prompt, and one that is repeated.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import random
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
+
+from primrosescale.connection.endpoint import Endpoint
+from primrosescale.process.entry.target_list import TargetList
+from primrosescale.request.cold_targets import ColdSettings
+from primrosescale.request.cold_targets import ColdTargets
+from primrosescale.request.incoming import Prompt
+from primrosescale.request.incoming import PromptPart
+from primrosescale.request.part_directory import PartDirectory
+from primrosescale.request.part_directory import PartUse
+from primrosescale.request.router_shares import RouterShares
+from primrosescale.request.serving_target import ServingTarget
+from primrosescale.request.target_choice import ChoiceSettings
+from primrosescale.request.target_choice import TargetChooser
+from primrosescale.request.target_room import TargetRoom
+from primrosescale.version.routing_table import Service
+
+SIZES = (4, 28, 100)
+ROUTERS = 30
+ROUNDS = 9
+CHOICES = 2000
+NOW = 1000.0
+SEED = 5
+
+
+class Router:
+    """What one router knows of a service."""
+
+    def __init__(self, targets):
+        rng = random.Random(SEED)
+        self.targets = TargetList(2.0)
+        for number in range(targets):
+            endpoint = Endpoint("127.0.0.1", 9000 + number)
+            entry = ServingTarget(
+                name=f"t{number}",
+                endpoint=endpoint,
+                service="model",
+                domain="a",
+                slots=64,
+            )
+            self.targets.put(entry, NOW)
+        self.parts = PartDirectory()
+        for state in self.targets.states:
+            self.tell(state, rng)
+        service = Service(
+            name="model", slots=64, cache_tokens=0, cold_rate=10.0, cold_seconds=5.0
+        )
+        shares = RouterShares("r0")
+        shares.list_routers(
+            frozenset(f"r{n}" for n in range(ROUTERS)), NOW, was_listed=True
+        )
+        cold = ColdTargets(ColdSettings(), shares, lambda _: service)
+        self.chooser = TargetChooser(
+            ChoiceSettings(),
+            self.parts,
+            random.Random(SEED),
+            lambda: 0.3,
+            room=TargetRoom(cold),
+            unlisted_of=self.targets.unlisted_of,
+        )
+        parts = (PromptPart("tariffs", 10_000), PromptPart("chat", 900))
+        self.prompt = Prompt(parts, 10_900, 100, "m")
+
+    def tell(self, state, rng):
+        for router in range(1, ROUTERS):
+            state.hear_router(f"r{router}", rng.randrange(3), NOW + 99)
+            state.hear_outcomes(f"r{router}", rng.random(), 0.01, NOW + 99)
+        if rng.random() < 0.2:
+            self.parts.note(PartUse("tariffs", state.incarnation, 10_000, NOW))
+        if rng.random() < 0.1:
+            state.told_cold(9.0, NOW)
+
+    def choose(self, prompt, tried=frozenset()):
+        states = self.targets.of_service("model")
+        return self.chooser.choose(states, tried, prompt, NOW + 1)
+
+
+def cost(act):
+    """Return the microseconds of an act, by the best of some rounds."""
+    best = float("inf")
+    for _ in range(ROUNDS):
+        began = time.process_time()
+        for _ in range(CHOICES):
+            act()
+        best = min(best, time.process_time() - began)
+    return 1e6 * best / CHOICES
+
+
+def costs(size):
+    """Return the microseconds of the three kinds of choice."""
+    router = Router(size)
+    tried = frozenset([router.targets.state("t0").incarnation])
+    return (
+        cost(lambda: router.choose(None)),
+        cost(lambda: router.choose(router.prompt)),
+        cost(lambda: router.choose(None, tried)),
+    )
+
+
+def main():
+    print("targets | plain | prompt | repeated")
+    for size in SIZES:
+        plain, prompt, repeated = costs(size)
+        print(f"{size:7} | {plain:5.1f} | {prompt:6.1f} | {repeated:8.1f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/primrosescale/request/cold_targets.py
+++ b/src/primrosescale/request/cold_targets.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from primrosescale.request.router_shares import RouterShares
     from primrosescale.request.target_state import TargetState
@@ -122,22 +123,25 @@
         service = self._bounded(state)
         return service is not None and now < state.cold_until(service.cold_seconds)
 
-    def allows(self, state: TargetState, now: float) -> bool:
-        """Tell whether a request may be sent to a target now.
+    def open(self, states: Sequence[TargetState], now: float) -> list[TargetState]:
+        """Return those of some targets that may be sent a request now.
 
         Parameters
         ----------
-        state : TargetState
-            The target.
+        states : Sequence[TargetState]
+            Targets of one service.
         now : float
             Present time in seconds.
 
         Returns
         -------
-        bool
-            True for one that is not cold.
+        list[TargetState]
+            Those that are not cold, and cold ones that bear another request.
         """
-        return self.wait(state, now) == 0
+        service = self._bounded(states[0]) if states else None
+        if service is None:
+            return list(states)
+        return [state for state in states if not self._wait(state, service, now)]
 
     def wait(self, state: TargetState, now: float) -> float:
         """Return how long a request to a target has to wait.
@@ -155,8 +159,9 @@
             Seconds; at the most until the target is warm.
         """
         service = self._bounded(state)
-        if service is None:
-            return 0.0
+        return 0.0 if service is None else self._wait(state, service, now)
+
+    def _wait(self, state: TargetState, service: Service, now: float) -> float:
         warm_in = state.cold_until(service.cold_seconds) - now
         if warm_in <= 0:
             return 0.0
--- a/src/primrosescale/request/target_choice.py
+++ b/src/primrosescale/request/target_choice.py
@@ -298,9 +298,9 @@
         if not serving:
             return None
         untried = [state for state in serving if state.incarnation not in tried]
-        found = self._room.open(untried, now)
-        usable = [state for state in found.states if not state.is_avoided(now)]
-        usable = usable or found.states
+        allowed = self._room.open(untried, now)
+        usable = [state for state in allowed.states if not state.is_avoided(now)]
+        usable = usable or allowed.states
         if not usable:
             return None
         loads = self._loads(states, serving, now)
@@ -313,9 +313,9 @@
             choice = self._choose_plain(bounded, loads, now)
         else:
             choice = self._choose_for(prompt, states, bounded, loads, now)
-        if not found.cold and not found.resting:
+        if not allowed.cold and not allowed.resting:
             return choice
-        return replace(choice, passed_cold=found.cold, passed_resting=found.resting)
+        return replace(choice, passed_cold=allowed.cold, passed_resting=allowed.resting)
 
     def is_crowded(self, states: Sequence[TargetState], now: float) -> bool:
         """Tell whether those that take work cannot hold what departing ones had.
@@ -345,13 +345,13 @@
         self, states: Sequence[TargetState], serving: Sequence[TargetState], now: float
     ) -> list[TargetState]:
         """Return targets that get nothing new and are known to run still."""
-        found = []
+        departing = []
         if len(serving) < len(states):
-            found = [state for state in states if state.is_departing(now)]
+            departing = [state for state in states if state.is_departing(now)]
         for state in self._unlisted_of(states[0].target.service):
             if state.seems_sound(now) and not any(state is item for item in serving):
-                found.append(state)
-        return found
+                departing.append(state)
+        return departing
 
     def _is_crowded_by(self, loads: _Loads) -> bool:
         if loads.targets == len(loads.serving):
--- a/src/primrosescale/request/target_room.py
+++ b/src/primrosescale/request/target_room.py
@@ -94,7 +94,7 @@
         Parameters
         ----------
         states : Sequence[TargetState]
-            Targets that take work.
+            Targets of one service that take work.
         now : float
             Present time in seconds.
 
@@ -104,9 +104,7 @@
             Those that need not be waited for.
         """
         rested = [state for state in states if not state.statements.wait(now)]
-        warm = rested
-        if self._cold is not None:
-            warm = [state for state in rested if self._cold.allows(state, now)]
+        warm = rested if self._cold is None else self._cold.open(rested, now)
         return OpenTargets(warm, len(rested) - len(warm), len(states) - len(rested))
 
     def wait(self, state: TargetState, now: float) -> float:
--- a/src/primrosescale/request/target_state.py
+++ b/src/primrosescale/request/target_state.py
@@ -165,7 +165,9 @@
     @property
     def takes_work(self) -> bool:
         """Tell whether it gets new requests: it neither leaves nor is evacuated."""
-        return not self.is_leaving and self._evacuated_at is None
+        if self._evacuated_at is not None or self._target.is_draining:
+            return False
+        return not self._statements.is_leaving
 
     @property
     def is_leaving(self) -> bool:
@@ -285,8 +287,11 @@
         float
             Time in seconds.
         """
-        told = max(self._cold_until, self._statements.cold_until)
-        return max(told, self._returned_at + cold_seconds)
+        return max(
+            self._cold_until,
+            self._statements.cold_until,
+            self._returned_at + cold_seconds,
+        )
 
     def may_be_copied_from(self, now: float, grace: float) -> bool:
         """Tell whether other targets may copy what it has read.
--- a/tests/request/test_cold_targets.py
+++ b/tests/request/test_cold_targets.py
@@ -90,7 +90,7 @@
             self.rng.shuffle(routers)
             for router in routers:
                 for state in self.states:
-                    if router.cold.allows(state, self.now):
+                    if not router.cold.wait(state, self.now):
                         router.cold.sent(state, self.now)
                         self.arrivals[state.target.name].append(self.now)
             self.now += self.step
@@ -321,7 +321,8 @@
     def test_targets_of_a_service_without_a_rate_never_are(self):
         state = TargetState(target("p1", "portal", warming_for=9.0), START)
         self.assertFalse(self.is_cold(state, START))
-        self.assertTrue(self.router.cold.allows(state, START))
+        self.assertEqual(0, self.router.cold.wait(state, START))
+        self.assertEqual([state], self.router.cold.open([state], START))
 
     def test_what_was_sent_while_it_was_warm_counts(self):
         router = Router("r0", names(1), START)
@@ -329,8 +330,9 @@
         for _ in range(12):
             router.cold.sent(state, START + 1.0)
         state.told_cold(3.0, START + 1.1)
-        self.assertFalse(router.cold.allows(state, START + 1.2))
-        self.assertTrue(router.cold.allows(state, START + 1.0 + WINDOW_SECONDS))
+        self.assertNotEqual(0, router.cold.wait(state, START + 1.2))
+        self.assertEqual([], router.cold.open([state], START + 1.2))
+        self.assertEqual(0, router.cold.wait(state, START + 1.0 + WINDOW_SECONDS))
 
 
 class ColdCallTest(TestCase):
