One time for which a target is taken to end what it has

It was 3 s for one that says in its answers that it leaves, and 1.5 times the drain bound for one whose entry went: 3 s where the bound is 2, 4.5 where it is 3. How long requests run does not depend on that bound.

--- a/src/primrosescale/process/entry/target_list.py
+++ b/src/primrosescale/process/entry/target_list.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from primrosescale.request.target_state import RUNS_ON_SECONDS
 from primrosescale.request.target_state import TargetState
 from primrosescale.request.target_statements import KeptStatements
 
@@ -29,9 +30,6 @@
 # Part of the time in which a leaving target may still get work that is used
 # for one whose entry is gone.
 HOLD_SHARE = 0.8
-# Multiple of that time for which a target is taken to run on whose entry went
-# without notice.
-RUNS_ON_MULTIPLE = 1.5
 # Who tells of a target, and of evacuations.
 STORE = "store"
 TARGET = "target"
@@ -315,8 +313,7 @@
         held_until = gone_at
         if not known.is_leaving:
             held_until += self._drain * HOLD_SHARE
-            runs_until = gone_at + self._drain * RUNS_ON_MULTIPLE
-            self._unlisted[name] = (known, runs_until)
+            self._unlisted[name] = (known, gone_at + RUNS_ON_SECONDS)
         self._vanished[name] = held_until
         return True
 
--- a/src/primrosescale/request/target_state.py
+++ b/src/primrosescale/request/target_state.py
@@ -39,9 +39,9 @@
 # reading a long prompt keeps one silent for about as long, so that silence is a
 # reason to ask others, no proof that a target is lost.
 SILENT_SECONDS = 0.45
-# Seconds for which a target is taken to run on that says in its answers that it
-# leaves, while its entry does not.
-DEPARTING_SECONDS = 3.0
+# Seconds for which a target is taken to end what it has, after it said in an answer
+# that it leaves, or after its entry went without notice.
+RUNS_ON_SECONDS = 3.0
 # Share of failures from which on a target whose entry is gone is taken to have
 # crashed: what it had was lost.
 CRASHED_SHARE = 0.25
@@ -189,7 +189,7 @@
         """
         if self._target.is_draining:
             return True
-        return now - self._statements.leaving_since < DEPARTING_SECONDS
+        return now - self._statements.leaving_since < RUNS_ON_SECONDS
 
     def seems_sound(self, now: float) -> bool:
         """Tell whether nothing known of it speaks for its having crashed.
