--- a/src/primrosescale/platform/http_codec.py
+++ b/src/primrosescale/platform/http_codec.py
@@ -13,6 +13,7 @@
 from primrosescale.request.incoming import Prompt
 from primrosescale.request.incoming import PromptPart
 from primrosescale.request.retry_after import asked_rest
+from primrosescale.request.retry_after import is_odd_rest
 from primrosescale.request.target_state import LoadReport
 
 if TYPE_CHECKING:
@@ -130,6 +131,7 @@
     ) -> AnswerHead:
         """Return what a target's head says; see `EntryCodec.answer_head`."""
         cold_left = _number(_first(headers, COLD_LEFT))
+        rests = _all(headers, RETRY_AFTER)
         return AnswerHead(
             status=status,
             headers=tuple(
@@ -146,7 +148,8 @@
             length=length,
             cold_for=None if cold_left is None else cold_left * MILLISECOND,
             is_leaving=b"1" in headers.getRawHeaders(LEAVING, []),
-            rest=asked_rest(status, _all(headers, RETRY_AFTER)),
+            rest=asked_rest(status, rests),
+            is_rest_odd=is_odd_rest(status, rests),
         )
 
     def refusal_headers(
--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -53,6 +53,11 @@
             "Requests sent to a target while resting ones were passed over",
             registry=self._registry,
         )
+        self._odd_rests = Counter(
+            "primrosescale_odd_rests",
+            "Answers whose Retry-After had to be bounded, or could not be read",
+            registry=self._registry,
+        )
         self._silences = Counter(
             "primrosescale_silences",
             "Judgements on targets that sent nothing",
@@ -156,6 +161,8 @@
                 self._cold_passes.inc()
             if attempt.passed_resting:
                 self._rest_passes.inc()
+            if attempt.is_rest_odd:
+                self._odd_rests.inc()
             if request.prompt is not None:
                 self._prompts.labels(
                     "home" if attempt.is_home else "elsewhere",
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -454,6 +454,7 @@
                     "fetched_from": item.fetched_from,
                     "said_leaving": item.said_leaving,
                     "asked_rest": item.asked_rest,
+                    "is_rest_odd": item.is_rest_odd,
                     "outcome": item.outcome,
                 }
                 for item in call.attempts
--- a/src/primrosescale/request/direct_port.py
+++ b/src/primrosescale/request/direct_port.py
@@ -76,6 +76,8 @@
         Whether the target says that it leaves.
     rest : float | None
         Seconds for which the target wants no requests, when it asks for that.
+    is_rest_odd : bool
+        Whether it asks in a way that had to be bounded, or could not be read.
     """
 
     status: int
@@ -89,6 +91,7 @@
     cold_for: float | None = None
     is_leaving: bool = False
     rest: float | None = None
+    is_rest_odd: bool = False
 
 
 class RunObserver(ABC):
--- a/src/primrosescale/request/retry_after.py
+++ b/src/primrosescale/request/retry_after.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Sequence
 
 UNAVAILABLE = 503
 # Seconds. A longer rest is shortened to this: a target that asks for a year has
@@ -37,9 +38,34 @@
     return min(max(map(_seconds, values), default=0.0), LONGEST_REST) or None
 
 
+def is_odd_rest(status: int, values: Sequence[str]) -> bool:
+    """Tell whether a rest was asked for in another way than one plain number.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of the target's answer.
+    values : Sequence[str]
+        Values of the answer's Retry-After headers.
+
+    Returns
+    -------
+    bool
+        True for several values, and for one that is no number, negative, or longer
+        than `LONGEST_REST`.
+    """
+    if status != UNAVAILABLE or not values:
+        return False
+    return len(values) > 1 or not 0 <= _number(values[0]) <= LONGEST_REST
+
+
 def _seconds(text: str) -> float:
+    seconds = _number(text)
+    return 0.0 if math.isnan(seconds) else max(0.0, seconds)
+
+
+def _number(text: str) -> float:
     try:
-        seconds = float(text)
+        return float(text)
     except ValueError:
-        return 0.0
-    return 0.0 if math.isnan(seconds) else max(0.0, seconds)
+        return math.nan
--- a/src/primrosescale/request/target_attempt.py
+++ b/src/primrosescale/request/target_attempt.py
@@ -57,6 +57,8 @@
         Whether its answer said that the target leaves.
     asked_rest : float | None
         Seconds for which its answer asked for no more requests.
+    is_rest_odd : bool
+        Whether it asked in a way that had to be bounded, or could not be read.
     """
 
     target: str
@@ -73,6 +75,7 @@
     passed_resting: int = 0
     said_leaving: bool = False
     asked_rest: float | None = None
+    is_rest_odd: bool = False
 
 
 class AttemptListener(ABC):
@@ -363,6 +366,7 @@
             return
         self._record.said_leaving = head.is_leaving
         self._record.asked_rest = head.rest
+        self._record.is_rest_odd = head.is_rest_odd
         self._listener.attempt_head(self, head)
 
     def run_data(self, data: bytes) -> None:
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -321,6 +321,17 @@
             self.assertEqual(LONGEST_REST, self.answer(503, Retry_After=[value]).rest)
         self.assertEqual(5.0, self.answer(503, Retry_After=["2", "5", "odd"]).rest)
 
+    def test_odd_rests_are_marked(self):
+        for value in ("0", "0.5", "600"):
+            found = self.answer(503, Retry_After=[value])
+            self.assertFalse(found.is_rest_odd, value)
+        for value in ("-1", "nan", "inf", "601", "", "soon"):
+            found = self.answer(503, Retry_After=[value])
+            self.assertTrue(found.is_rest_odd, value)
+        self.assertTrue(self.answer(503, Retry_After=["2", "5"]).is_rest_odd)
+        self.assertFalse(self.answer(503).is_rest_odd)
+        self.assertFalse(self.answer(429, Retry_After=["soon"]).is_rest_odd)
+
     def test_a_refusal_says_when_to_come_back(self):
         headers = dict(self.codec.refusal_headers(Refusal.STALE, "r1", 0.4))
         self.assertEqual(b"0.40", headers[b"Retry-After"])
--- a/tests/entry/test_asked_rest.py
+++ b/tests/entry/test_asked_rest.py
@@ -154,6 +154,14 @@
         self.assertEqual(1, len(self.send(desk, LOOKUP)[0]))
 
 
+    def test_a_rest_that_cannot_be_read_is_told_with_its_attempt(self):
+        desk = self.desk(LOOKUP)
+        call, _ = desk.call(request(LOOKUP))
+        run = desk.caller.last
+        run.observer.run_head(head(503, is_not_run=True, is_rest_odd=True))
+        self.assertEqual([True, False], [a.is_rest_odd for a in call.attempts])
+
+
 class RestingFleetTest(RouterSiteTest):
     """Routers, a store and targets over sockets, while callers come without a pause."""
 
