--- a/tests/entry/test_asked_rest.py
+++ b/tests/entry/test_asked_rest.py
@@ -153,7 +153,6 @@
         desk.restart("m1", 1_790_000_000_000)
         self.assertEqual(1, len(self.send(desk, LOOKUP)[0]))
 
-
     def test_a_rest_that_cannot_be_read_is_told_with_its_attempt(self):
         desk = self.desk(LOOKUP)
         call, _ = desk.call(request(LOOKUP))
