--- a/tests/adapter/test_start.py
+++ b/tests/adapter/test_start.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 import time
+import tomllib
 from pathlib import Path
 
 from testtools import TestCase
@@ -32,6 +33,17 @@
 runpy.run_module("primrosescale.platform", run_name="__main__")
 """
 PATIENCE = 60.0
+SYSTEM = Path(__file__).resolve().parents[2] / "deploy/system.toml"
+
+
+def ignore_reloads():
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
+def is_open(port):
+    with contextlib.suppress(OSError), socket.create_connection((LOOPBACK, port), 1.0):
+        return True
+    return False
 
 
 class StartTest(TestCase):
@@ -59,13 +71,18 @@
         }
         self.boot.write_text(json.dumps(fields))
 
-    def start_program(self):
+    def start_program(self, options=(), **more):
         child = subprocess.Popen(
-            [sys.executable, "-m", "primrosescale.platform"],
-            env={**os.environ, "PRIMROSESCALE_BOOT": str(self.boot)},
+            [sys.executable, *options, "-m", "primrosescale.platform"],
+            env={
+                **os.environ,
+                "PRIMROSESCALE_BOOT": str(self.boot),
+                "PYTHONPATH": os.pathsep.join(sys.path),
+            },
             stdout=subprocess.PIPE,
             stderr=subprocess.PIPE,
             text=True,
+            **more,
         )
         self.addCleanup(child.wait)
         self.addCleanup(child.kill)
@@ -123,3 +140,32 @@
         said, _ = child.communicate(timeout=PATIENCE)
         self.assertEqual(0, child.returncode)
         self.assertIn("process_stopped", said)
+
+    # Guards against libraries that are found only by way of the site module, which
+    # takes half of the time in which a signal ends a starting process.
+    def test_it_runs_without_the_site_module_as_deployed(self):
+        run = tomllib.loads(SYSTEM.read_text())["roles"]["router"]["run"].split()
+        options = run[1 : run.index("-m")]
+        self.assertIn("-S", options)
+        self.write(self.free, self.also_free)
+        child = self.start_program(options)
+        self.addCleanup(self.wait_for_port(self.also_free).close)
+        child.send_signal(signal.SIGTERM)
+        said, _ = child.communicate(timeout=PATIENCE)
+        self.assertEqual(0, child.returncode)
+        self.assertIn("process_stopped", said)
+
+    # Guards against the end of a router that is told to reload while the interpreter
+    # starts, where whatever starts it has the signal ignored, as operators are told.
+    def test_reloads_from_the_first_moment_are_not_its_end_where_they_are_ignored(self):
+        self.write(self.free, self.also_free)
+        child = self.start_program(preexec_fn=ignore_reloads)
+        until = time.monotonic() + PATIENCE
+        while not is_open(self.also_free) and time.monotonic() < until:
+            child.send_signal(signal.SIGHUP)
+            time.sleep(0.001)
+        self.assertIsNone(child.poll())
+        child.send_signal(signal.SIGTERM)
+        said, _ = child.communicate(timeout=PATIENCE)
+        self.assertEqual(0, child.returncode)
+        self.assertIn("process_stopped", said)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -115,8 +115,12 @@
         self.life += 1
         self.misses = 0
         self._child = subprocess.Popen(
-            [sys.executable, "-OO", "-m", "primrosescale.platform"],
-            env={**os.environ, "PRIMROSESCALE_BOOT": str(self._boot)},
+            [sys.executable, "-S", "-OO", "-m", "primrosescale.platform"],
+            env={
+                **os.environ,
+                "PRIMROSESCALE_BOOT": str(self._boot),
+                "PYTHONPATH": os.pathsep.join(sys.path),
+            },
             stdout=self._log,
             stderr=self._log,
         )
