--- a/src/primrosescale/connection/target_channel.py
+++ b/src/primrosescale/connection/target_channel.py
@@ -243,7 +243,7 @@
 
 
 class ChannelPool:
-    """Opens connections to one life of a target and keeps idle ones.
+    """Opens connections to one incarnation of a target and keeps idle ones.
 
     Parameters
     ----------
--- a/src/primrosescale/process/entry/cache_learning.py
+++ b/src/primrosescale/process/entry/cache_learning.py
@@ -166,7 +166,7 @@
         return reading.addCallbacks(self._learn, failed, callbackArgs=(target,))
 
     def _learn(self, held: HeldParts, target: ServingTarget) -> None:
-        """Take in what a target told; it may be of an earlier or a later life."""
+        """Take in what a target told; it may be of another incarnation."""
         now = self._reactor.seconds()
         told = target.incarnation
         if held.started_at is not None:
@@ -182,7 +182,7 @@
             )
             self._targets.put(begun, now, told_by=TARGET)
         elif state is None or state.incarnation != told:
-            detail = f"not of the life that is known: start {told.started_at}"
+            detail = f"not of the incarnation that is known: start {told.started_at}"
             self._log.emit(Event.CACHE_NOT_READ, target=target.name, detail=detail)
             return
         for part in held.parts:
--- a/src/primrosescale/process/entry/listed_targets.py
+++ b/src/primrosescale/process/entry/listed_targets.py
@@ -119,7 +119,7 @@
         Returns
         -------
         list[TargetIncarnation]
-            Their last known lives.
+            Their last known incarnations.
         """
         gone = self._targets.forget_gone(now)
         for incarnation in gone:
--- a/src/primrosescale/process/entry/other_router.py
+++ b/src/primrosescale/process/entry/other_router.py
@@ -92,14 +92,14 @@
         Parameters
         ----------
         incarnation : int
-            Number of the sender's life.
+            Number of the sender's incarnation.
         sequence : int
-            Number of the message in that life.
+            Number of the message in that incarnation.
 
         Returns
         -------
         bool
-            False for a message of a former life, and for an older one.
+            False for a message of a former incarnation, and for an older one.
         """
         if incarnation < self.incarnation:
             return False
--- a/src/primrosescale/process/entry/router_exchange.py
+++ b/src/primrosescale/process/entry/router_exchange.py
@@ -205,7 +205,7 @@
     settings : EntrySettings
         Settings of the router.
     incarnation : int
-        Number of this life of the process.
+        Number of this incarnation of the process.
     news : RouterNews
         Told of the other routers.
     parts : EntryParts
--- a/src/primrosescale/process/entry/target_list.py
+++ b/src/primrosescale/process/entry/target_list.py
@@ -5,10 +5,10 @@
 target whose entry is gone without notice is avoided at once, but forgotten
 only after most of the time in which a leaving target may get work.
 
-And one that starts again under its name: all that was known of its former life
-is in one state, which is replaced whole. Which of two lives came later follows
+And one that starts again under its name: all that was known of its former incarnation
+is in one state, which is replaced whole. Which of two incarnations came later follows
 from the starts that the target told, so that an entry that comes late, or a
-store that goes back, brings no former life back.
+store that goes back, brings no former incarnation back.
 """
 
 from __future__ import annotations
@@ -36,15 +36,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BegunLife:
-    """That a life of a target became known.
+class BegunIncarnation:
+    """That an incarnation of a target became known.
 
     Parameters
     ----------
     present : TargetIncarnation
-        The life.
+        The incarnation.
     former : TargetIncarnation | None
-        The life that it replaces; None when the target was not known.
+        The incarnation that it replaces; None when the target was not known.
     told_by : str
         Who told of it.
     """
@@ -61,8 +61,8 @@
     ----------
     drain : float
         Seconds after which a leaving target must get no new work.
-    on_life : Callable[[BegunLife], None] | None
-        Told when a life of a target became known.
+    on_incarnation : Callable[[BegunIncarnation], None] | None
+        Told when an incarnation of a target became known.
     """
 
     __slots__ = (
@@ -70,7 +70,7 @@
         "_evacuated",
         "_generation",
         "_known",
-        "_on_life",
+        "_on_incarnation",
         "_statements",
         "_unlisted",
         "_unreadable",
@@ -78,10 +78,12 @@
     )
 
     def __init__(
-        self, drain: float, on_life: Callable[[BegunLife], None] | None = None
+        self,
+        drain: float,
+        on_incarnation: Callable[[BegunIncarnation], None] | None = None,
     ) -> None:
         self._drain = drain
-        self._on_life = on_life
+        self._on_incarnation = on_incarnation
         self._generation = 0
         self._evacuated: frozenset[str] = frozenset()
         self._known: dict[str, TargetState] = {}
@@ -234,9 +236,9 @@
         self._known[target.name] = state = TargetState(target, now, said)
         self._apply_evacuation(state, now)
         self._generation += 1
-        if self._on_life is not None:
+        if self._on_incarnation is not None:
             before = None if former is None else former.incarnation
-            self._on_life(BegunLife(target.incarnation, before, told_by))
+            self._on_incarnation(BegunIncarnation(target.incarnation, before, told_by))
 
     def evacuate(self, domains: frozenset[str], now: float) -> None:
         """Take in which failure domains get no new requests.
@@ -328,7 +330,7 @@
         Returns
         -------
         list[TargetIncarnation]
-            The lives of the forgotten.
+            The incarnations of the forgotten.
         """
         ended = [name for name, (_, until) in self._unlisted.items() if now >= until]
         for name in ended:
--- a/src/primrosescale/process/entry/target_restarts.py
+++ b/src/primrosescale/process/entry/target_restarts.py
@@ -11,17 +11,17 @@
     from collections.abc import Callable
 
     from primrosescale.process.entry.entry_parts import EntryParts
-    from primrosescale.process.entry.target_list import BegunLife
+    from primrosescale.process.entry.target_list import BegunIncarnation
     from primrosescale.request.direct_port import TargetCaller
     from primrosescale.request.part_directory import PartDirectory
     from primrosescale.request.target_incarnation import TargetIncarnation
 
 
 class TargetRestarts:
-    """Ends what is under way at former lives of targets, and says so.
+    """Ends what is under way at former incarnations of targets, and says so.
 
-    What is known of a life is found under that life alone, so nothing here
-    has to be reset for a new one to begin with nothing.
+    What is known of an incarnation is found under that one alone, so nothing here has
+    to be reset for a new one to begin with nothing.
 
     Parameters
     ----------
@@ -32,7 +32,7 @@
     parts : EntryParts
         What the router is built with.
     on_end : Callable[[TargetIncarnation], None]
-        Told of each former life, after what was under way there.
+        Told of each former incarnation, after what was under way there.
     """
 
     def __init__(
@@ -48,36 +48,36 @@
         self._reactor: Any = parts.reactor
         self._log = parts.log
         self._metrics = parts.metrics
-        self._begun: list[BegunLife] = []
+        self._begun: list[BegunIncarnation] = []
 
-    def began(self, life: BegunLife) -> None:
-        """Take in that a life of a target became known.
+    def began(self, begun: BegunIncarnation) -> None:
+        """Take in that an incarnation of a target became known.
 
         Parameters
         ----------
-        life : BegunLife
-            The life, and the one that it replaces.
+        begun : BegunIncarnation
+            The incarnation, and the one that it replaces.
         """
-        if life.former is not None:
+        if begun.former is not None:
             self._metrics.target_restarted()
             self._log.emit(
                 Event.TARGET_RESTARTED,
-                target=life.present.name,
-                started_at=life.present.started_at,
-                former=life.former.started_at,
-                told_by=life.told_by,
+                target=begun.present.name,
+                started_at=begun.present.started_at,
+                former=begun.former.started_at,
+                told_by=begun.told_by,
             )
         if not self._begun:
             # Once the whole list is known, so that what ends at one target
             # does not go to another that has ended too.
             self._reactor.callLater(0, self._end_former)
-        self._begun.append(life)
+        self._begun.append(begun)
 
     def _end_former(self) -> None:
-        begun, self._begun = self._begun, []
-        for life in begun:
+        known, self._begun = self._begun, []
+        for begun in known:
             # A target that was forgotten meanwhile may have requests too.
-            self._caller.end_former(life.present)
-            if life.former is not None:
-                self._directory.forget_target(life.former)
-                self._on_end(life.former)
+            self._caller.end_former(begun.present)
+            if begun.former is not None:
+                self._directory.forget_target(begun.former)
+                self._on_end(begun.former)
--- a/src/primrosescale/process/incarnation.py
+++ b/src/primrosescale/process/incarnation.py
@@ -1,4 +1,4 @@
-"""Numbers that tell the lives of a process apart."""
+"""Numbers that tell the incarnations of a process apart."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 
 
 def new_incarnation() -> int:
-    """Return a number for this life of a process.
+    """Return a number for this incarnation of a process.
 
     Returns
     -------
     int
-        Higher than that of earlier lives by the clock, and unlike any
+        Higher than that of earlier incarnations by the clock, and unlike any
         started in the same second.
     """
     seconds = int(time.time())
--- a/src/primrosescale/request/direct_port.py
+++ b/src/primrosescale/request/direct_port.py
@@ -208,14 +208,14 @@
 
     @abstractmethod
     def end_former(self, present: TargetIncarnation) -> None:
-        """End what is under way at lives of a target that came before another.
+        """End what is under way at incarnations of a target before another.
 
         What was sent may have run; what was not sent yet may go anywhere.
 
         Parameters
         ----------
         present : TargetIncarnation
-            The life that is known now.
+            The incarnation that is known now.
         """
 
 
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/forwarded_call.py
@@ -1,4 +1,4 @@
-"""The life of one request that the router sends to targets itself.
+"""The course of one request that the router sends to targets itself.
 
 What may be sent again follows from the route. A request that may run once is
 sent to one target, unless nothing was sent or the target says that it did not
--- a/src/primrosescale/request/part_directory.py
+++ b/src/primrosescale/request/part_directory.py
@@ -4,7 +4,7 @@
 not read again there, so the directory remembers where parts went, from this
 router's own requests and from what other routers tell. Targets forget the
 least recently used parts when their memory is full, and so does the directory.
-What is known is about one life of a target: one that starts again holds nothing.
+What is known is about one incarnation of a target: one that starts again holds nothing.
 """
 
 from __future__ import annotations
@@ -46,7 +46,7 @@
     part : str
         The part.
     target : TargetIncarnation
-        The life of the target.
+        The incarnation of the target.
     tokens : int
         Its length.
     used_at : float
@@ -78,7 +78,7 @@
 
 
 class _Holder:
-    """What one life of a target is taken to hold, least recently used first."""
+    """What one incarnation of a target is taken to hold, least recently used first."""
 
     __slots__ = ("parts", "tokens")
 
@@ -254,7 +254,7 @@
         return list(news.values())
 
     def forget_target(self, target: TargetIncarnation) -> None:
-        """Take in that a life of a target has ended with all it held.
+        """Take in that an incarnation of a target has ended with all it held.
 
         Parameters
         ----------
@@ -273,7 +273,7 @@
         Parameters
         ----------
         target : TargetIncarnation
-            The life of the target.
+            The incarnation of the target.
         now : float
             Present time in seconds.
 
--- a/src/primrosescale/request/serving_target.py
+++ b/src/primrosescale/request/serving_target.py
@@ -46,5 +46,5 @@
 
     @property
     def incarnation(self) -> TargetIncarnation:
-        """Return which life of the target this is."""
+        """Return which incarnation of the target this is."""
         return TargetIncarnation(self.name, self.started_at)
--- a/src/primrosescale/request/target_attempt.py
+++ b/src/primrosescale/request/target_attempt.py
@@ -212,7 +212,7 @@
 
     @property
     def incarnation(self) -> TargetIncarnation:
-        """Return the life of the target that it was sent to."""
+        """Return the incarnation of the target that it was sent to."""
         return self._state.incarnation
 
     @property
--- a/src/primrosescale/request/target_choice.py
+++ b/src/primrosescale/request/target_choice.py
@@ -252,7 +252,7 @@
         states : Sequence[TargetState]
             Targets of the service.
         tried : Collection[TargetIncarnation]
-            Lives of targets that this request was sent to.
+            Incarnations of targets that this request was sent to.
         now : float
             Present time in seconds.
 
@@ -283,7 +283,7 @@
         states : Sequence[TargetState]
             Targets of the service.
         tried : Collection[TargetIncarnation]
-            Lives of targets that this request was sent to.
+            Incarnations of targets that this request was sent to.
         prompt : Prompt | None
             The prompt, for model engines.
         now : float
--- a/src/primrosescale/request/target_incarnation.py
+++ b/src/primrosescale/request/target_incarnation.py
@@ -1,4 +1,4 @@
-"""Which life of a target something is about."""
+"""Which incarnation of a target something is about."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 class TargetIncarnation(NamedTuple):
-    """One life of a target, from a start to its end.
+    """One incarnation of a target, from a start to its end.
 
     A target may start again under its name; it then holds and knows nothing of
     before. The start that it tells of itself is compared with others that it
@@ -31,12 +31,12 @@
         return self.started_at is None
 
     def is_followed_by(self, other: TargetIncarnation) -> bool:
-        """Tell whether another life of the target came after this one.
+        """Tell whether another incarnation of the target came after this one.
 
         Parameters
         ----------
         other : TargetIncarnation
-            A life of the same target.
+            An incarnation of the same target.
 
         Returns
         -------
--- a/src/primrosescale/request/target_state.py
+++ b/src/primrosescale/request/target_state.py
@@ -71,10 +71,10 @@
 
 
 class TargetState:
-    """What this router knows of one life of a target.
+    """What this router knows of one incarnation of a target.
 
     It is replaced whole when the target has started again, so that nothing
-    that was true of the former life is left.
+    that was true of the former incarnation is left.
 
     Parameters
     ----------
@@ -83,7 +83,7 @@
     now : float
         Present time in seconds.
     statements : TargetStatements | None
-        What this life of it said of itself while it was listed before.
+        What this incarnation of it said of itself while it was listed before.
     """
 
     __slots__ = (
@@ -144,7 +144,7 @@
 
     @property
     def incarnation(self) -> TargetIncarnation:
-        """Return which life of the target this is about."""
+        """Return which incarnation of the target this is about."""
         return self._incarnation
 
     @property
@@ -222,7 +222,7 @@
         Parameters
         ----------
         target : ServingTarget
-            The same life of the target as listed now; its start stays known
+            The same incarnation of the target as listed now; its start stays known
             where the entry does not tell it.
         """
         if target.started_at is None:
--- a/src/primrosescale/request/tried_targets.py
+++ b/src/primrosescale/request/tried_targets.py
@@ -37,7 +37,7 @@
         Parameters
         ----------
         target : TargetIncarnation
-            The life of the target.
+            The incarnation of the target.
         """
         self._engaged.add(target)
         self._spare.discard(target)
@@ -48,7 +48,7 @@
         Parameters
         ----------
         target : TargetIncarnation
-            The life of the target.
+            The incarnation of the target.
         """
         self._sent.add(target)
 
@@ -58,7 +58,7 @@
         Parameters
         ----------
         target : TargetIncarnation
-            The life of the target.
+            The incarnation of the target.
         """
         if target not in self._sent:
             self._engaged.discard(target)
@@ -72,12 +72,12 @@
         Parameters
         ----------
         target : TargetIncarnation
-            The life of the target.
+            The incarnation of the target.
         """
         self._spare.add(target)
 
     def excluded(self, states: Sequence[TargetState]) -> set[TargetIncarnation]:
-        """Return lives of targets that it must not go to.
+        """Return incarnations of a target that it must not go to.
 
         Parameters
         ----------
--- a/tests/entry/test_restart.py
+++ b/tests/entry/test_restart.py
@@ -24,7 +24,7 @@
 from primrosescale.connection.endpoint import Endpoint
 from primrosescale.process.entry.other_router import OtherRouter
 from primrosescale.process.entry.router_news import RouterNews
-from primrosescale.process.entry.target_list import BegunLife
+from primrosescale.process.entry.target_list import BegunIncarnation
 from primrosescale.process.entry.target_list import TargetList
 from primrosescale.request.direct_port import Refusal
 from primrosescale.request.freshness import Freshness
@@ -58,7 +58,10 @@
         self.assertFalse(self.targets.put(target("m1", started_at=SECOND), START))
         former, present = life("m1", FIRST), life("m1", SECOND)
         self.assertEqual(
-            [BegunLife(former, None, "store"), BegunLife(present, former, "store")],
+            [
+                BegunIncarnation(former, None, "store"),
+                BegunIncarnation(present, former, "store"),
+            ],
             self.told,
         )
 
