Soak: a target that says that it leaves is owed no work; what targets say, counted

Traced by the routers' lines: r1 and r2 had passed on answers of it that say that it leaves (320, at 43.71 and 43.74; r0 heard it at 44.19), and it went on saying so, since another writer's entry in its place had undone the plan for it to leave.

--- /dev/null
+++ b/tests/soak/statements.py
@@ -0,0 +1,205 @@
+"""Counts what real routers send to targets that leave, or rest, by their own word.
+
+    python tests/soak/statements.py --routers 4
+
+The entries of all targets stay as they are throughout, so that answers alone tell. For
+each of three ways, in a run of its own: requests that reach a target from a router
+later than 2 s after that router passed on an answer which says that the target leaves;
+rests in which more than two requests of a router came, and the most that came in one;
+and the share of callers that were served, meanwhile and once the rests are over. Left
+out are those that leave early by their own will, and keys that were withdrawn.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import sys
+import tempfile
+from pathlib import Path
+
+if __name__ == "__main__":
+    sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+
+from twisted.internet import reactor
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import deferLater
+
+from soak import promises
+from soak.backends import Backends
+from soak.callers import Caller
+from soak.fleet import Fleet
+from soak.history import ANSWERED
+from soak.history import LEFT
+from soak.history import History
+
+OF_EACH_SERVICE = 6
+CALLERS = 40
+PAUSE = 0.05
+REST = 3.0
+WARM_SECONDS = 2.0
+SECONDS = 12.0
+# Seconds after the last rest from which on callers should be served again.
+RETURN_SECONDS = 0.5
+AFTER_SECONDS = 4.0
+START_PATIENCE = 60.0
+# Statuses of keys that hold no longer, and of routes that are gone.
+NOT_OWED = (401, 404)
+
+
+class Play:
+    """Routers, targets and callers in one way."""
+
+    def __init__(self, routers, folder, seed):
+        self.history = History()
+        rng = random.Random(seed)
+        self._backends = Backends(
+            OF_EACH_SERVICE, OF_EACH_SERVICE, self.history, rng, lambda *_: None
+        )
+        self._fleet = Fleet(routers, folder, self._backends.store_port, self.history)
+        operator = self._backends.operator
+        operator.write(rng)
+        self._callers = [
+            Caller(
+                number,
+                random.Random(seed * 1000 + number),
+                self._fleet,
+                self.history,
+                operator,
+            )
+            for number in range(CALLERS)
+        ]
+
+    def some(self, count):
+        """Return so many targets, of both services in turn."""
+        targets = self._backends.targets
+        pairs = zip(targets[:OF_EACH_SERVICE], targets[OF_EACH_SERVICE:], strict=True)
+        return [target for pair in pairs for target in pair][:count]
+
+    @inlineCallbacks
+    def run(self, begin, end):
+        """Have callers come; `begin` and `end` are what targets do meanwhile.
+
+        Returns the shares of callers served meanwhile and after it.
+        """
+        self._fleet.start()
+        until = reactor.seconds() + START_PATIENCE
+        while any(router.misses for router in self._fleet.routers):
+            if reactor.seconds() > until:
+                raise TimeoutError("the routers did not become ready")
+            yield wait(0.1)
+        for caller in self._callers:
+            caller.run(PAUSE)
+        yield wait(WARM_SECONDS)
+        began = reactor.seconds()
+        begin()
+        yield wait(SECONDS)
+        end()
+        ended = reactor.seconds()
+        yield wait(REST + RETURN_SECONDS + AFTER_SECONDS)
+        for caller in self._callers:
+            caller.stop()
+        rests = [rest.at + rest.seconds for rest in self.history.rests]
+        back_at = max([ended, *rests]) + RETURN_SECONDS
+        return self.served(began, ended), self.served(back_at, back_at + AFTER_SECONDS)
+
+    def served(self, began, ended):
+        """Return the share of callers served that came in a time."""
+        owed = [
+            asked
+            for asked in self.history.asked.values()
+            if began <= asked.sent_at < ended
+            and asked.ended_at is not None
+            and asked.outcome != LEFT
+            and asked.status not in NOT_OWED
+        ]
+        good = sum(asked.outcome == ANSWERED and asked.status == 200 for asked in owed)
+        return good / len(owed) if owed else 0.0
+
+    def stop(self):
+        """End all that was started."""
+        self._fleet.stop()
+        self._backends.close()
+
+
+def wait(seconds):
+    return deferLater(reactor, seconds, lambda: None)
+
+
+@inlineCallbacks
+def leaving(routers, folder, seed):
+    """Four targets say that they leave."""
+    play = Play(routers, folder, seed)
+
+    def begin():
+        for target in play.some(4):
+            target.script.is_leaving = True
+
+    try:
+        served, _ = yield play.run(begin, lambda: None)
+    finally:
+        play.stop()
+    late = sum(1 for _ in promises.leaving_answers_end_work(play.history))
+    told = promises.judged(play.history)["answers that said that a target leaves"]
+    return f"4 leave: {late} late requests, {told} first answers; served {served:.3f}"
+
+
+@inlineCallbacks
+def resting(routers, folder, seed, count):
+    """Some targets turn all requests away and ask for rest."""
+    play = Play(routers, folder, seed)
+
+    def begin():
+        for target in play.some(count):
+            target.script.rest = REST
+            target.script.is_resting = True
+
+    def end():
+        for target in play.some(count):
+            target.script.is_resting = False
+
+    try:
+        served, after = yield play.run(begin, end)
+    finally:
+        play.stop()
+    rests = list(promises._in_rests(play.history))
+    most = max((len(came) for _, _, came in rests), default=0)
+    broken = sum(1 for _ in promises.rests_are_kept(play.history))
+    return (
+        f"{count} rest: {broken} of {len(rests)} rests broken, most in one {most}; "
+        f"served {served:.3f}, after it {after:.3f}"
+    )
+
+
+@inlineCallbacks
+def play_all(arguments, folder):
+    routers, seed = arguments.routers, arguments.seed
+    for way in (
+        lambda: leaving(routers, folder, seed),
+        lambda: resting(routers, folder, seed, 4),
+        lambda: resting(routers, folder, seed, 2 * OF_EACH_SERVICE),
+    ):
+        told = yield way()
+        sys.stdout.write(f"{routers} routers, {told}\n")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--routers", type=int, default=4)
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    failed = []
+
+    def begin():
+        done = play_all(arguments, Path(tempfile.mkdtemp(prefix="statements-")))
+        done.addErrback(failed.append)
+        done.addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    if failed:
+        sys.exit(failed[0].getTraceback())
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -347,6 +347,20 @@
         entry.domain = "b"
         self.assertEqual(due, list(promises.good_entries_get_work(self.history)))
 
+    def test_a_target_that_said_that_it_leaves_may_get_no_work(self):
+        for number in range(60):
+            at = 100.0 + number / 10
+            self.put(asked(f"a{number}", sent_at=at, ended_at=at + 0.1))
+            self.put(ran(f"a{number}", at + 0.05, target="t1"))
+        self.history.listed.append(Entry("t0", "portal", 2, 95.0))
+        due = list(promises.good_entries_get_work(self.history))
+        self.assertEqual(1, len(due))
+        # By a router of its own; another start of the target did not say so.
+        for start, wanted in ((1, due), (2, [])):
+            said = asked("said", router="r9", left_at=97.0, signed=f"t0/{start}")
+            self.put(said)
+            self.assertEqual(wanted, list(promises.good_entries_get_work(self.history)))
+
     def test_what_was_meant_for_a_former_target_is_no_work_for_a_leaving_one(self):
         self.history.draining["t0", 0] = 100.0
         self.put(asked(sent_at=103.0, ended_at=103.2))
