--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -141,7 +141,8 @@
             if arrival.has_run:
                 self._on_harm(self, harm)
             return
-        if self.script.is_resting:
+        # What was meant for another target at the address is told so, and no rest.
+        if self.script.is_resting and not self._is_misdirected(arrival):
             now, rest = reactor.seconds(), self.script.rest
             self._history.rests.append(Rest(self.name, self.start, name, now, rest))
         peers = [t for t in self._peers if t.service == self.service]
--- /dev/null
+++ b/tests/soak/test_backends.py
@@ -0,0 +1,42 @@
+"""What the soak's targets write down of the requests that reach them."""
+
+from __future__ import annotations
+
+import random
+
+from testtools import TestCase
+
+from primrosescale.platform import http_codec as names
+from primrosescale.standin.users_engine import Arrival
+from soak.backends import Target
+from soak.history import History
+
+REST = 3.0
+
+
+class RestingTargetTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.history = History()
+        rng = random.Random(1)
+        self.target = Target("t0", "portal", self.history, [], rng, None)
+        self.addCleanup(self.target.close)
+        self.target._peers.append(self.target)
+        self.target.script.rest = REST
+        self.target.script.is_resting = True
+
+    def arrive(self, expected):
+        headers = {names.REQUEST_ID.lower(): b"r1"}
+        if expected:
+            headers[names.EXPECTED_INCARNATION.lower()] = expected.encode()
+        self.target._arrived(Arrival(b"POST", b"/plain/x", headers, b""))
+        return len(self.history.rests)
+
+    def test_it_asks_for_a_rest_of_requests_that_are_meant_for_it(self):
+        self.assertEqual(1, self.arrive(self.target.name))
+        self.assertEqual(2, self.arrive(""))
+
+    # Guards against a rest that nobody was asked for: the answer is that another
+    # target has the address.
+    def test_what_was_meant_for_a_former_target_is_asked_for_none(self):
+        self.assertEqual(0, self.arrive("t0-0"))
