--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,8 @@
 
 $(STAMP): requirements/locked.txt pyproject.toml
 	python3.11 -m venv $(VENV)
-	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements/locked.txt
-	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
+	$(PYTHON) -m pip install --quiet --quiet --disable-pip-version-check -r requirements/locked.txt
+	$(PYTHON) -m pip install --quiet --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
 	$(PYTHON) -m compileall -q src
 	touch $(STAMP)
 
