--- a/benchmarks/choice_cost.py
+++ b/benchmarks/choice_cost.py
@@ -19,17 +19,17 @@
 
 from primrosescale.connection.endpoint import Endpoint
 from primrosescale.process.entry.target_list import TargetList
-from primrosescale.request.cold_targets import ColdSettings
-from primrosescale.request.cold_targets import ColdTargets
+from primrosescale.request.capacity.cold_targets import ColdSettings
+from primrosescale.request.capacity.cold_targets import ColdTargets
+from primrosescale.request.capacity.router_shares import RouterShares
+from primrosescale.request.choice.prefix_cache_index import PartUse
+from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
+from primrosescale.request.choice.target_choice import ChoiceSettings
+from primrosescale.request.choice.target_choice import TargetChooser
 from primrosescale.request.incoming_request import Prompt
 from primrosescale.request.incoming_request import PromptPart
-from primrosescale.request.part_directory import PartUse
-from primrosescale.request.part_directory import PrefixCacheIndex
-from primrosescale.request.router_shares import RouterShares
-from primrosescale.request.serving_target import ServingTarget
-from primrosescale.request.target_availability import TargetAvailability
-from primrosescale.request.target_choice import ChoiceSettings
-from primrosescale.request.target_choice import TargetChooser
+from primrosescale.request.target.serving_target import ServingTarget
+from primrosescale.request.target.target_availability import TargetAvailability
 from primrosescale.version.routing_table import Service
 
 TARGET_COUNTS = (4, 28, 100)
--- a/benchmarks/cold_shares.py
+++ b/benchmarks/cold_shares.py
@@ -21,8 +21,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
 
-from primrosescale.request.cold_targets import WINDOW_SECONDS
-from primrosescale.request.router_shares import RouterShares
+from primrosescale.request.capacity.cold_targets import WINDOW_SECONDS
+from primrosescale.request.capacity.router_shares import RouterShares
 
 PERMITS = 10
 TARGETS = 28
--- a/benchmarks/fairness.py
+++ b/benchmarks/fairness.py
@@ -9,14 +9,14 @@
 import heapq
 import random
 
-from primrosescale.request.admission import AdmissionController
-from primrosescale.request.admission import AdmissionSettings
-from primrosescale.request.fair_queue import QueuedCall
-from primrosescale.request.load_bound import BoundSettings
-from primrosescale.request.load_bound import LoadBound
-from primrosescale.request.load_bound import ServiceLoad
-from primrosescale.request.target_health import HealthSettings
-from primrosescale.request.target_health import TargetHealth
+from primrosescale.request.capacity.admission import AdmissionController
+from primrosescale.request.capacity.admission import AdmissionSettings
+from primrosescale.request.capacity.fair_queue import QueuedCall
+from primrosescale.request.capacity.load_bound import BoundSettings
+from primrosescale.request.capacity.load_bound import LoadBound
+from primrosescale.request.capacity.load_bound import ServiceLoad
+from primrosescale.request.target.target_health import HealthSettings
+from primrosescale.request.target.target_health import TargetHealth
 from support import percentile
 from support import save
 
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -13,15 +13,15 @@
 from collections import deque
 
 from primrosescale.connection.endpoint import Endpoint
-from primrosescale.request.candidates import Locality
-from primrosescale.request.candidates import ServiceTargets
-from primrosescale.request.candidates import Target
-from primrosescale.request.chat_directory import ChatDirectory
-from primrosescale.request.load_bound import BoundSettings
-from primrosescale.request.load_bound import LoadBound
-from primrosescale.request.load_bound import ServiceLoad
-from primrosescale.request.work_estimate import WorkEstimator
-from primrosescale.request.work_estimate import WorkSettings
+from primrosescale.request.capacity.load_bound import BoundSettings
+from primrosescale.request.capacity.load_bound import LoadBound
+from primrosescale.request.capacity.load_bound import ServiceLoad
+from primrosescale.request.capacity.work_estimate import WorkEstimator
+from primrosescale.request.capacity.work_estimate import WorkSettings
+from primrosescale.request.choice.candidates import Locality
+from primrosescale.request.choice.candidates import ServiceTargets
+from primrosescale.request.choice.candidates import Target
+from primrosescale.request.choice.chat_directory import ChatDirectory
 from primrosescale.standin.engine import PrefixCache
 from support import percentile
 from support import save
--- a/benchmarks/rest_use.py
+++ b/benchmarks/rest_use.py
@@ -21,8 +21,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
 
-from primrosescale.request.forwarding_interfaces import AnswerHead
-from primrosescale.request.target_statements import TargetSelfReports
+from primrosescale.request.attempt.forwarding_interfaces import AnswerHead
+from primrosescale.request.target.target_self_reports import TargetSelfReports
 
 TARGETS = 4
 SLOTS = 8
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -32,7 +32,7 @@
     "targets": """
 from primrosescale.process.membership.members import Members
 from primrosescale.process.membership.flap_damper import MembershipSettings
-from primrosescale.request.candidates import Locality
+from primrosescale.request.choice.candidates import Locality
 from primrosescale.connection.wire import ttypes as wire
 members = Members(MembershipSettings(), Locality('r1', 'd1'))
 entries = [wire.HostEntry(f'engine-{{n:05d}}', 'agent', f'10.{{n>>16}}.{{n>>8&255}}.{{n&255}}',
@@ -71,7 +71,7 @@
 assert version_manager.version == 1
 """,
     "chats": """
-from primrosescale.request.chat_directory import ChatDirectory
+from primrosescale.request.choice.chat_directory import ChatDirectory
 directory = ChatDirectory({count}, 1e9)
 for n in range({count}):
     directory.record_served(f'organisation-{{n%100}}/chat-{{n:07d}}', f'engine-{{n%1000}}', 2000, 1.0)
@@ -85,7 +85,7 @@
 indexes = [SealedIndex(f's{{k}}', segment(2000)) for k in range({count} // 2000)]
 """,
     "meters": """
-from primrosescale.request.rate_limit import OrganisationRateLimiter, RateSettings
+from primrosescale.request.capacity.rate_limit import OrganisationRateLimiter, RateSettings
 limiter = OrganisationRateLimiter(RateSettings(meters=10**6))
 for n in range({count}):
     limiter.admit(f'organisation-{{n:05d}}', 50.0, 1.0)
--- a/src/primrosescale/connection/target_channel.py
+++ b/src/primrosescale/connection/target_channel.py
@@ -21,7 +21,7 @@
 
     from primrosescale.clock import Clock
     from primrosescale.connection.endpoint import Endpoint
-    from primrosescale.connection.rest_limit import IdleLimit
+    from primrosescale.connection.idle_limit import IdleLimit
 
 # Targets announce in whole seconds after which time they close idle connections.
 # The margin keeps a request from being sent while the target closes.
--- a/src/primrosescale/platform/engine_calls.py
+++ b/src/primrosescale/platform/engine_calls.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Generator
 
-    from primrosescale.request.serving_target import ServingTarget
+    from primrosescale.request.target.serving_target import ServingTarget
 
 CACHE_LIST_PATH = "/api/kv-list"
 OK = 200
--- a/src/primrosescale/platform/entry.py
+++ b/src/primrosescale/platform/entry.py
@@ -25,9 +25,9 @@
 from primrosescale.process.entry.log_writer import LogWriter
 from primrosescale.process.entry.store_watch import WatchedPrefix
 from primrosescale.process.events import EventLog
-from primrosescale.request.cold_targets import ColdSettings
-from primrosescale.request.shared_retry_budget import SharedRetryLimits
-from primrosescale.request.target_choice import ChoiceSettings
+from primrosescale.request.attempt.shared_retry_budget import SharedRetryLimits
+from primrosescale.request.capacity.cold_targets import ColdSettings
+from primrosescale.request.choice.target_choice import ChoiceSettings
 
 if TYPE_CHECKING:
     import socket
@@ -36,7 +36,7 @@
 
     from primrosescale.process.entry.peer_router import PeerRouter
     from primrosescale.process.transport.platform import StoredObject
-    from primrosescale.request.serving_target import ServingTarget
+    from primrosescale.request.target.serving_target import ServingTarget
     from primrosescale.version.routing_table import RoutingTable
 
 # The store answers in 4 ms, and takes up to 60 times as long while it is slow.
--- a/src/primrosescale/platform/http_codec.py
+++ b/src/primrosescale/platform/http_codec.py
@@ -8,17 +8,17 @@
 
 from primrosescale.platform.host_settings import SECONDS_PER_MILLISECOND
 from primrosescale.process.entry.codec import EntryCodec
-from primrosescale.request.forwarding_interfaces import AnswerHead
+from primrosescale.request.attempt.forwarding_interfaces import AnswerHead
 from primrosescale.request.incoming_request import Prompt
 from primrosescale.request.incoming_request import PromptPart
 from primrosescale.request.request_resolver import CallerHead
-from primrosescale.request.retry_after import is_irregular_retry_after
-from primrosescale.request.retry_after import requested_pause
-from primrosescale.request.target_state import LoadReport
+from primrosescale.request.target.retry_after import is_irregular_retry_after
+from primrosescale.request.target.retry_after import requested_pause
+from primrosescale.request.target.target_state import LoadReport
 
 if TYPE_CHECKING:
-    from primrosescale.request.forwarding_interfaces import OutgoingRequest
-    from primrosescale.request.forwarding_interfaces import Refusal
+    from primrosescale.request.attempt.forwarding_interfaces import OutgoingRequest
+    from primrosescale.request.attempt.forwarding_interfaces import Refusal
 
 REQUEST_ID = b"Primrosescale-Request-Id"
 # Milliseconds for which the sender of the request will wait.
--- a/src/primrosescale/platform/records.py
+++ b/src/primrosescale/platform/records.py
@@ -9,7 +9,7 @@
 from primrosescale.platform.field_reader import record_name
 from primrosescale.platform.host_settings import SECONDS_PER_MILLISECOND
 from primrosescale.process.entry.peer_router import PeerRouter
-from primrosescale.request.serving_target import ServingTarget
+from primrosescale.request.target.serving_target import ServingTarget
 from primrosescale.version.routing_table import CallerLimits
 from primrosescale.version.routing_table import Organisation
 from primrosescale.version.routing_table import RetryPolicy
--- a/src/primrosescale/process/daemons/agent.py
+++ b/src/primrosescale/process/daemons/agent.py
@@ -39,7 +39,7 @@
 from primrosescale.process.membership.heartbeat import HeartbeatAgent
 from primrosescale.process.metrics import Metric
 from primrosescale.process.settings import parse_endpoint
-from primrosescale.request.candidates import TargetRing
+from primrosescale.request.choice.candidates import TargetRing
 from primrosescale.version.head import HeadVerifier
 
 if TYPE_CHECKING:
@@ -52,9 +52,9 @@
     from primrosescale.process.settings import Settings
     from primrosescale.process.transport.local_engine_client import LocalEngineClient
     from primrosescale.process.transport.platform import Platform
-    from primrosescale.request.agent_call import AgentCall
-    from primrosescale.request.call_names import CallId
-    from primrosescale.request.load_bound import ServiceLoad
+    from primrosescale.request.attempt.agent_call import AgentCall
+    from primrosescale.request.attempt.call_id_registry import CallId
+    from primrosescale.request.capacity.load_bound import ServiceLoad
     from primrosescale.request.trace_span import TraceSpan
     from primrosescale.version.exceptions import HeadError
     from primrosescale.version.head import VersionHead
--- a/src/primrosescale/process/daemons/agent_core.py
+++ b/src/primrosescale/process/daemons/agent_core.py
@@ -18,34 +18,34 @@
 from primrosescale.connection.wire.ttypes import ClaimState
 from primrosescale.connection.wire.ttypes import Outcome
 from primrosescale.connection.wire.ttypes import Reason
-from primrosescale.request.admission import AdmissionController
-from primrosescale.request.admission import AdmissionSettings
-from primrosescale.request.agent_call import AgentCall
-from primrosescale.request.agent_call import CallPhase
-from primrosescale.request.agent_call import StreamSettings
-from primrosescale.request.call_names import CallId
-from primrosescale.request.call_names import CallIdRegistry
-from primrosescale.request.call_names import CallIdState
-from primrosescale.request.chat_directory import ChatDirectory
+from primrosescale.request.attempt.agent_call import AgentCall
+from primrosescale.request.attempt.agent_call import CallPhase
+from primrosescale.request.attempt.agent_call import StreamSettings
+from primrosescale.request.attempt.call_id_registry import CallId
+from primrosescale.request.attempt.call_id_registry import CallIdRegistry
+from primrosescale.request.attempt.call_id_registry import CallIdState
+from primrosescale.request.capacity.admission import AdmissionController
+from primrosescale.request.capacity.admission import AdmissionSettings
+from primrosescale.request.capacity.fair_queue import QueuedCall
+from primrosescale.request.capacity.load_bound import BoundSettings
+from primrosescale.request.capacity.load_bound import LoadBound
+from primrosescale.request.capacity.work_estimate import WorkEstimator
+from primrosescale.request.capacity.work_estimate import WorkSettings
+from primrosescale.request.capacity.work_estimate import estimate_tokens
+from primrosescale.request.choice.chat_directory import ChatDirectory
 from primrosescale.request.claim import Claim
 from primrosescale.request.claim import claim_key
 from primrosescale.request.claim import request_fingerprint
-from primrosescale.request.fair_queue import QueuedCall
-from primrosescale.request.load_bound import BoundSettings
-from primrosescale.request.load_bound import LoadBound
-from primrosescale.request.target_health import HealthSettings
-from primrosescale.request.target_health import TargetHealth
-from primrosescale.request.work_estimate import WorkEstimator
-from primrosescale.request.work_estimate import WorkSettings
-from primrosescale.request.work_estimate import estimate_tokens
+from primrosescale.request.target.target_health import HealthSettings
+from primrosescale.request.target.target_health import TargetHealth
 
 if TYPE_CHECKING:
     from primrosescale.clock import Clock
     from primrosescale.connection.codec import Message
     from primrosescale.connection.link import Link
     from primrosescale.process.daemons.agent_observer import AgentObserver
+    from primrosescale.request.attempt.local_target_client import LocalTargetClient
     from primrosescale.request.claim import Ledger
-    from primrosescale.request.local_target_client import LocalTargetClient
 
 MILLISECONDS_PER_SECOND = 1000
 CLAIM_TOKEN_BYTES = 16
--- a/src/primrosescale/process/daemons/agent_observer.py
+++ b/src/primrosescale/process/daemons/agent_observer.py
@@ -8,8 +8,8 @@
 
 if TYPE_CHECKING:
     from primrosescale.connection.wire.ttypes import Reason
-    from primrosescale.request.agent_call import AgentCall
-    from primrosescale.request.call_names import CallId
+    from primrosescale.request.attempt.agent_call import AgentCall
+    from primrosescale.request.attempt.call_id_registry import CallId
 
 
 class AgentObserver(ABC):
--- a/src/primrosescale/process/daemons/router.py
+++ b/src/primrosescale/process/daemons/router.py
@@ -44,16 +44,16 @@
 from primrosescale.process.transport.callers_resource import CallRouter
 from primrosescale.process.transport.callers_resource import RefusedError
 from primrosescale.process.transport.quiet_site import QuietSite
-from primrosescale.request.attempts import AttemptPlan
-from primrosescale.request.backoff import Backoff
-from primrosescale.request.call_table import CallTable
-from primrosescale.request.call_table import CallTableListener
-from primrosescale.request.candidates import Locality
+from primrosescale.request.attempt.attempts import AttemptPlan
+from primrosescale.request.attempt.backoff import Backoff
+from primrosescale.request.attempt.call_table import CallTable
+from primrosescale.request.attempt.call_table import CallTableListener
+from primrosescale.request.attempt.retry_budget import RetryBudgets
+from primrosescale.request.attempt.routed_call import RoutedCall
+from primrosescale.request.capacity.rate_limit import OrganisationRateLimiter
+from primrosescale.request.choice.candidates import Locality
+from primrosescale.request.choice.target_loads import TargetLoads
 from primrosescale.request.claim import claim_key
-from primrosescale.request.rate_limit import OrganisationRateLimiter
-from primrosescale.request.retry_budget import RetryBudgets
-from primrosescale.request.routed_call import RoutedCall
-from primrosescale.request.target_loads import TargetLoads
 from primrosescale.version.head import HeadVerifier
 
 if TYPE_CHECKING:
@@ -65,9 +65,9 @@
     from primrosescale.process.transport.http_sink import HttpSink
     from primrosescale.process.transport.platform import Platform
     from primrosescale.process.transport.problems import ProblemDocument
+    from primrosescale.request.attempt.routed_call import CallReport
     from primrosescale.request.call_request import CallRequest
-    from primrosescale.request.candidates import Target
-    from primrosescale.request.routed_call import CallReport
+    from primrosescale.request.choice.candidates import Target
     from primrosescale.request.trace_span import TraceSpan
     from primrosescale.version.exceptions import HeadError
     from primrosescale.version.records import OrganisationRecord
--- a/src/primrosescale/process/daemons/router_control.py
+++ b/src/primrosescale/process/daemons/router_control.py
@@ -35,7 +35,7 @@
 from primrosescale.process.membership.load_sums import DomainSums
 from primrosescale.process.membership.load_sums import FleetSums
 from primrosescale.process.membership.rendezvous import first_by_rendezvous
-from primrosescale.request.rate_limit import DemandRate
+from primrosescale.request.capacity.rate_limit import DemandRate
 from primrosescale.version.exceptions import HeadError
 from primrosescale.version.head import NO_HEAD
 from primrosescale.version.head import VersionHead
@@ -53,7 +53,7 @@
     from primrosescale.process.membership.members import Member
     from primrosescale.process.membership.members import Members
     from primrosescale.process.transport.platform import Platform
-    from primrosescale.request.rate_limit import OrganisationRateLimiter
+    from primrosescale.request.capacity.rate_limit import OrganisationRateLimiter
 
 HEAD_KEY = "config/head"
 WATCH_TIMEOUT_SECONDS = 20.0
--- a/src/primrosescale/process/entry/cache_discovery.py
+++ b/src/primrosescale/process/entry/cache_discovery.py
@@ -14,8 +14,8 @@
 
 from primrosescale.process.entry.target_list import TARGET
 from primrosescale.process.events import Event
-from primrosescale.request.part_directory import PartUse
-from primrosescale.request.target_incarnation import TargetIncarnation
+from primrosescale.request.choice.prefix_cache_index import PartUse
+from primrosescale.request.target.target_incarnation import TargetIncarnation
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,8 +27,8 @@
     from primrosescale.process.entry.entry_dependencies import EntryDependencies
     from primrosescale.process.entry.router_datagrams import StateExchangeProtocol
     from primrosescale.process.entry.target_list import TargetList
-    from primrosescale.request.part_directory import PrefixCacheIndex
-    from primrosescale.request.serving_target import ServingTarget
+    from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
+    from primrosescale.request.target.serving_target import ServingTarget
 
 # Engines report their cache contents within 20-40 ms, other routers within 10 ms; one
 # that does not answer must not keep callers waiting.
--- a/src/primrosescale/process/entry/cache_ownership.py
+++ b/src/primrosescale/process/entry/cache_ownership.py
@@ -16,7 +16,7 @@
 from primrosescale.process.entry.load_codec import MILLISECONDS_PER_SECOND
 from primrosescale.process.entry.target_keys import target_key
 from primrosescale.process.membership.rendezvous import first_by_rendezvous
-from primrosescale.request.part_directory import PartUse
+from primrosescale.request.choice.prefix_cache_index import PartUse
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,8 +24,8 @@
 
     from primrosescale.process.entry.peer_router import PeerRouter
     from primrosescale.process.entry.target_list import TargetList
-    from primrosescale.request.part_directory import PrefixCacheIndex
-    from primrosescale.request.target_state import TargetState
+    from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
+    from primrosescale.request.target.target_state import TargetState
 
 # Keeps datagrams below the size at which links fragment them: a prompt part takes 18
 # bytes.
--- a/src/primrosescale/process/entry/caller_site.py
+++ b/src/primrosescale/process/entry/caller_site.py
@@ -21,8 +21,8 @@
 from zope.interface import implementer
 
 from primrosescale.clock import cancel_timer
-from primrosescale.request.forwarding_interfaces import CallerSink
-from primrosescale.request.forwarding_interfaces import Refusal
+from primrosescale.request.attempt.forwarding_interfaces import CallerSink
+from primrosescale.request.attempt.forwarding_interfaces import Refusal
 from primrosescale.version.routing_table import CallerLimits
 
 if TYPE_CHECKING:
@@ -30,8 +30,8 @@
 
     from primrosescale.clock import Clock
     from primrosescale.clock import Timer
-    from primrosescale.request.forwarded_call import ForwardedCall
-    from primrosescale.request.forwarding_interfaces import AnswerHead
+    from primrosescale.request.attempt.forwarded_call import ForwardedCall
+    from primrosescale.request.attempt.forwarding_interfaces import AnswerHead
 
 # In force until the first configuration is known; the values are those of the
 # configurations in use. Callers reuse connections up to four fifths of the idle
--- a/src/primrosescale/process/entry/codec.py
+++ b/src/primrosescale/process/entry/codec.py
@@ -17,12 +17,12 @@
 
     from primrosescale.process.entry.peer_router import PeerRouter
     from primrosescale.process.transport.platform import StoredObject
-    from primrosescale.request.forwarding_interfaces import AnswerHead
-    from primrosescale.request.forwarding_interfaces import OutgoingRequest
-    from primrosescale.request.forwarding_interfaces import Refusal
+    from primrosescale.request.attempt.forwarding_interfaces import AnswerHead
+    from primrosescale.request.attempt.forwarding_interfaces import OutgoingRequest
+    from primrosescale.request.attempt.forwarding_interfaces import Refusal
     from primrosescale.request.incoming_request import PromptPart
     from primrosescale.request.request_resolver import CallerHead
-    from primrosescale.request.serving_target import ServingTarget
+    from primrosescale.request.target.serving_target import ServingTarget
     from primrosescale.version.routing_table import RoutingTable
 
 
--- a/src/primrosescale/process/entry/harm_watch.py
+++ b/src/primrosescale/process/entry/entry_harm_monitor.py
@@ -18,15 +18,15 @@
 
 from primrosescale.process.entry.target_keys import target_key
 from primrosescale.process.events import Event
-from primrosescale.request.forwarding_interfaces import ProbeResult
-from primrosescale.request.harm_monitor import HarmMonitor
-from primrosescale.request.harm_reports import CompleteAnswer
-from primrosescale.request.harm_reports import SuspectTrial
-from primrosescale.request.harm_reports import TargetEnd
-from primrosescale.request.lost_answers import MAX_BUFFERED_SECONDS
-from primrosescale.request.lost_answers import LostAnswers
-from primrosescale.request.unconfirmed_answers import UnconfirmedAnswer
-from primrosescale.request.unconfirmed_answers import UnconfirmedAnswers
+from primrosescale.request.answer.lost_answers import MAX_BUFFERED_SECONDS
+from primrosescale.request.answer.lost_answers import LostAnswers
+from primrosescale.request.answer.unconfirmed_answers import UnconfirmedAnswer
+from primrosescale.request.answer.unconfirmed_answers import UnconfirmedAnswers
+from primrosescale.request.attempt.forwarding_interfaces import ProbeResult
+from primrosescale.request.harm.harm_monitor import HarmMonitor
+from primrosescale.request.harm.harm_reports import CompleteAnswer
+from primrosescale.request.harm.harm_reports import SuspectTrial
+from primrosescale.request.harm.harm_reports import TargetEnd
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,11 +35,11 @@
     from primrosescale.process.entry.entry_dependencies import EntryDependencies
     from primrosescale.process.entry.harm_report_exchange import HarmReportExchange
     from primrosescale.process.entry.target_list import TargetList
-    from primrosescale.request.forwarding_interfaces import TargetClient
-    from primrosescale.request.harmful_requests import HarmfulRequests
+    from primrosescale.request.attempt.forwarding_interfaces import TargetClient
+    from primrosescale.request.harm.harmful_requests import HarmfulRequests
     from primrosescale.request.incoming_request import IncomingRequest
-    from primrosescale.request.target_incarnation import TargetIncarnation
-    from primrosescale.request.target_state import TargetState
+    from primrosescale.request.target.target_incarnation import TargetIncarnation
+    from primrosescale.request.target.target_state import TargetState
 
 # Delay before a probe: all connections of a target that ends are lost within a few
 # milliseconds.
--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -10,11 +10,11 @@
 from prometheus_client import Histogram
 from prometheus_client.exposition import generate_latest
 
-from primrosescale.request.target_choice import STALE_LOAD_SECONDS
+from primrosescale.request.choice.target_choice import STALE_LOAD_SECONDS
 
 if TYPE_CHECKING:
-    from primrosescale.request.forwarded_call import ForwardedCall
-    from primrosescale.request.silent_target import SilenceReport
+    from primrosescale.request.attempt.forwarded_call import ForwardedCall
+    from primrosescale.request.attempt.silent_target import SilenceReport
 
 # Finest between 0.3 s and 1 s, where the latency objectives lie.
 LATENCY_BUCKETS_SECONDS = (
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -28,8 +28,8 @@
 from primrosescale.process.entry.caller_site import CallerResponse
 from primrosescale.process.entry.caller_site import EntryFactory
 from primrosescale.process.entry.caller_site import EntryHandler
+from primrosescale.process.entry.entry_harm_monitor import EntryHarmMonitor
 from primrosescale.process.entry.harm_report_exchange import HarmReportExchange
-from primrosescale.process.entry.harm_watch import EntryHarmMonitor
 from primrosescale.process.entry.leaving_exchange import LeavingTargetExchange
 from primrosescale.process.entry.router_datagrams import RouterRegistry
 from primrosescale.process.entry.router_datagrams import StateExchangeProtocol
@@ -44,21 +44,21 @@
 from primrosescale.process.events import Event
 from primrosescale.process.incarnation import new_incarnation
 from primrosescale.process.log_text import MAX_LOGGED_CHARACTERS
-from primrosescale.request.cold_targets import ColdTargets
-from primrosescale.request.content_fingerprint import fingerprint_text
-from primrosescale.request.evacuations import Evacuations
-from primrosescale.request.forward_tools import ForwardingContext
-from primrosescale.request.forwarded_call import ForwardedCall
-from primrosescale.request.forwarding_interfaces import Refusal
+from primrosescale.request.attempt.forwarded_call import ForwardedCall
+from primrosescale.request.attempt.forwarding_context import ForwardingContext
+from primrosescale.request.attempt.forwarding_interfaces import Refusal
+from primrosescale.request.attempt.shared_retry_budget import SharedRetryBudget
+from primrosescale.request.capacity.cold_targets import ColdTargets
+from primrosescale.request.capacity.router_shares import RouterShares
+from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
+from primrosescale.request.choice.target_choice import TargetChooser
 from primrosescale.request.freshness import Freshness
-from primrosescale.request.harmful_requests import HarmfulRequests
-from primrosescale.request.part_directory import PrefixCacheIndex
+from primrosescale.request.harm.content_fingerprint import fingerprint_text
+from primrosescale.request.harm.harmful_requests import HarmfulRequests
 from primrosescale.request.request_resolver import RequestResolver
-from primrosescale.request.router_shares import RouterShares
-from primrosescale.request.shared_retry_budget import SharedRetryBudget
-from primrosescale.request.target_availability import TargetAvailability
-from primrosescale.request.target_availability import TargetCondition
-from primrosescale.request.target_choice import TargetChooser
+from primrosescale.request.target.evacuations import Evacuations
+from primrosescale.request.target.target_availability import TargetAvailability
+from primrosescale.request.target.target_availability import TargetCondition
 from primrosescale.request.trace_span import NO_SPAN
 
 if TYPE_CHECKING:
@@ -70,14 +70,14 @@
     from primrosescale.process.entry.entry_settings import EntrySettings
     from primrosescale.process.entry.entry_settings import WatchedPrefixes
     from primrosescale.process.tracing import Tracing
-    from primrosescale.request.evacuations import EvacuationList
-    from primrosescale.request.forwarding_interfaces import AnswerHead
+    from primrosescale.request.attempt.forwarding_interfaces import AnswerHead
+    from primrosescale.request.attempt.silent_target import SilenceReport
     from primrosescale.request.incoming_request import IncomingRequest
     from primrosescale.request.request_resolver import CallerHead
-    from primrosescale.request.serving_target import ServingTarget
-    from primrosescale.request.silent_target import SilenceReport
-    from primrosescale.request.target_incarnation import TargetIncarnation
-    from primrosescale.request.target_state import TargetState
+    from primrosescale.request.target.evacuations import EvacuationList
+    from primrosescale.request.target.serving_target import ServingTarget
+    from primrosescale.request.target.target_incarnation import TargetIncarnation
+    from primrosescale.request.target.target_state import TargetState
     from primrosescale.request.trace_span import TraceSpan
     from primrosescale.version.routing_table import CallerLimits
     from primrosescale.version.routing_table import Service
--- a/src/primrosescale/process/entry/entry_settings.py
+++ b/src/primrosescale/process/entry/entry_settings.py
@@ -7,15 +7,15 @@
 from typing import TYPE_CHECKING
 
 from primrosescale.process.entry.relay_topology import StateExchangeSettings
-from primrosescale.request.cold_targets import ColdSettings
-from primrosescale.request.forward_tools import ForwardingSettings
-from primrosescale.request.harm_settings import HarmSettings
-from primrosescale.request.target_choice import ChoiceSettings
+from primrosescale.request.attempt.forwarding_context import ForwardingSettings
+from primrosescale.request.capacity.cold_targets import ColdSettings
+from primrosescale.request.choice.target_choice import ChoiceSettings
+from primrosescale.request.harm.harm_settings import HarmSettings
 
 if TYPE_CHECKING:
     from primrosescale.connection.endpoint import Endpoint
     from primrosescale.process.entry.store_watch import WatchedPrefix
-    from primrosescale.request.shared_retry_budget import SharedRetryLimits
+    from primrosescale.request.attempt.shared_retry_budget import SharedRetryLimits
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/primrosescale/process/entry/evacuation_list_sync.py
+++ b/src/primrosescale/process/entry/evacuation_list_sync.py
@@ -6,14 +6,14 @@
 
 from primrosescale.process.entry.store_watch import WatchListener
 from primrosescale.process.entry.target_list import STORE
-from primrosescale.request.evacuations import EvacuationList
+from primrosescale.request.target.evacuations import EvacuationList
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from primrosescale.process.exceptions import PlatformError
     from primrosescale.process.transport.platform import StoredObject
-    from primrosescale.request.evacuations import Evacuations
+    from primrosescale.request.target.evacuations import Evacuations
 
 
 class EvacuationListSync(WatchListener):
--- a/src/primrosescale/process/entry/harm_report_exchange.py
+++ b/src/primrosescale/process/entry/harm_report_exchange.py
@@ -15,20 +15,20 @@
 from primrosescale.connection.wire import ttypes as wire
 from primrosescale.process.entry.load_codec import MILLISECONDS_PER_SECOND
 from primrosescale.process.events import Event
-from primrosescale.request.content_fingerprint import fingerprint_text
-from primrosescale.request.harm_reports import CompleteAnswer
-from primrosescale.request.harm_reports import HarmReport
-from primrosescale.request.harm_reports import SuspectTrial
-from primrosescale.request.harm_reports import TargetEnd
-from primrosescale.request.lost_answers import MAX_BUFFERED_SECONDS
+from primrosescale.request.answer.lost_answers import MAX_BUFFERED_SECONDS
+from primrosescale.request.harm.content_fingerprint import fingerprint_text
+from primrosescale.request.harm.harm_reports import CompleteAnswer
+from primrosescale.request.harm.harm_reports import HarmReport
+from primrosescale.request.harm.harm_reports import SuspectTrial
+from primrosescale.request.harm.harm_reports import TargetEnd
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Mapping
 
-    from primrosescale.request.harmful_requests import HarmfulRequests
-    from primrosescale.request.target_state import TargetState
+    from primrosescale.request.harm.harmful_requests import HarmfulRequests
+    from primrosescale.request.target.target_state import TargetState
 
 # How often each report is sent. One datagram in a thousand is lost, and three in a
 # hundred on a bad link.
--- a/src/primrosescale/process/entry/leaving_exchange.py
+++ b/src/primrosescale/process/entry/leaving_exchange.py
@@ -17,8 +17,8 @@
     from collections.abc import Mapping
 
     from primrosescale.process.entry.target_list import TargetList
-    from primrosescale.request.target_incarnation import TargetIncarnation
-    from primrosescale.request.target_state import TargetState
+    from primrosescale.request.target.target_incarnation import TargetIncarnation
+    from primrosescale.request.target.target_state import TargetState
 
 # Targets in one message, at 5 bytes each; a release replaces a few at a time.
 MAX_TARGETS_PER_MESSAGE = 40
--- a/src/primrosescale/process/entry/load_codec.py
+++ b/src/primrosescale/process/entry/load_codec.py
@@ -14,7 +14,7 @@
     from collections.abc import Iterable
 
     from primrosescale.process.entry.target_list import TargetList
-    from primrosescale.request.target_state import TargetState
+    from primrosescale.request.target.target_state import TargetState
 
 # Keeps datagrams below the size at which links fragment them.
 MAX_TARGETS = 40
--- a/src/primrosescale/process/entry/state_exchange.py
+++ b/src/primrosescale/process/entry/state_exchange.py
@@ -17,13 +17,13 @@
 from primrosescale.connection.wire.ttypes import NewsScope
 from primrosescale.process.entry.load_codec import MILLISECONDS_PER_SECOND
 from primrosescale.process.entry.load_codec import LoadCodec
-from primrosescale.process.entry.news_relay import StateRelay
 from primrosescale.process.entry.peer_router import PeerState
 from primrosescale.process.entry.relay_topology import RelayTopology
 from primrosescale.process.entry.relay_topology import StateExchangeSettings
+from primrosescale.process.entry.state_relay import StateRelay
 from primrosescale.process.entry.target_keys import target_key
-from primrosescale.request.evacuations import EvacuationList
-from primrosescale.request.part_directory import PartUse
+from primrosescale.request.choice.prefix_cache_index import PartUse
+from primrosescale.request.target.evacuations import EvacuationList
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -31,12 +31,12 @@
     from primrosescale.process.entry.harm_report_exchange import HarmReportExchange
     from primrosescale.process.entry.leaving_exchange import LeavingTargetExchange
     from primrosescale.process.entry.load_sum import LoadSum
-    from primrosescale.process.entry.news_relay import RelayedUpdate
     from primrosescale.process.entry.peer_router import PeerRouter
+    from primrosescale.process.entry.state_relay import RelayedUpdate
     from primrosescale.process.entry.target_list import TargetList
-    from primrosescale.request.evacuations import Evacuations
+    from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
     from primrosescale.request.freshness import Freshness
-    from primrosescale.request.part_directory import PrefixCacheIndex
+    from primrosescale.request.target.evacuations import Evacuations
 
 # Keeps datagrams below the size at which links fragment them.
 MAX_PARTS = 36
--- a/src/primrosescale/process/entry/store_state.py
+++ b/src/primrosescale/process/entry/store_state.py
@@ -32,8 +32,8 @@
     from primrosescale.process.entry.target_list import TargetList
     from primrosescale.process.transport.platform import StoredObject
     from primrosescale.process.transport.platform import WatchResult
-    from primrosescale.request.evacuations import Evacuations
     from primrosescale.request.freshness import Freshness
+    from primrosescale.request.target.evacuations import Evacuations
     from primrosescale.version.routing_table import RoutingTable
 
 
--- a/src/primrosescale/process/entry/target_client.py
+++ b/src/primrosescale/process/entry/target_client.py
@@ -18,13 +18,13 @@
 from twisted.web.iweb import UNKNOWN_LENGTH
 
 from primrosescale.connection.failure_text import failure_text
-from primrosescale.connection.rest_limit import IdleLimit
+from primrosescale.connection.idle_limit import IdleLimit
 from primrosescale.connection.target_channel import ChannelPool
 from primrosescale.process.transport.http_bodies import body_producer
-from primrosescale.request.forwarding_interfaces import InFlightRequest
-from primrosescale.request.forwarding_interfaces import ProbeResult
-from primrosescale.request.forwarding_interfaces import TargetClient
-from primrosescale.request.target_incarnation import TargetIncarnation
+from primrosescale.request.attempt.forwarding_interfaces import InFlightRequest
+from primrosescale.request.attempt.forwarding_interfaces import ProbeResult
+from primrosescale.request.attempt.forwarding_interfaces import TargetClient
+from primrosescale.request.target.target_incarnation import TargetIncarnation
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,9 +34,9 @@
 
     from primrosescale.connection.target_channel import TargetChannel
     from primrosescale.process.entry.codec import EntryCodec
-    from primrosescale.request.forwarding_interfaces import OutgoingRequest
-    from primrosescale.request.forwarding_interfaces import ResponseObserver
-    from primrosescale.request.serving_target import ServingTarget
+    from primrosescale.request.attempt.forwarding_interfaces import OutgoingRequest
+    from primrosescale.request.attempt.forwarding_interfaces import ResponseObserver
+    from primrosescale.request.target.serving_target import ServingTarget
 
 # A connection within a region opens in a few milliseconds. The kernel retransmits a
 # lost SYN only after 1 s, which is too late to wait for.
--- a/src/primrosescale/process/entry/target_keys.py
+++ b/src/primrosescale/process/entry/target_keys.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from primrosescale.process.entry.target_list import TargetList
-    from primrosescale.request.target_state import TargetState
+    from primrosescale.request.target.target_state import TargetState
 
 MAX_CACHED_KEYS = 16384
 # Maps unsigned hashes to signed 32-bit integers, as messages contain them.
--- a/src/primrosescale/process/entry/target_list.py
+++ b/src/primrosescale/process/entry/target_list.py
@@ -16,16 +16,16 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from primrosescale.request.target_state import ASSUMED_DRAIN_SECONDS
-from primrosescale.request.target_state import TargetState
-from primrosescale.request.target_statements import RetainedSelfReports
+from primrosescale.request.target.target_self_reports import RetainedSelfReports
+from primrosescale.request.target.target_state import ASSUMED_DRAIN_SECONDS
+from primrosescale.request.target.target_state import TargetState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from primrosescale.request.serving_target import ServingTarget
-    from primrosescale.request.target_incarnation import TargetIncarnation
+    from primrosescale.request.target.serving_target import ServingTarget
+    from primrosescale.request.target.target_incarnation import TargetIncarnation
 
 # Share of the drain time for which a target is kept after its entry was removed or
 # became unreadable.
--- a/src/primrosescale/process/entry/target_list_sync.py
+++ b/src/primrosescale/process/entry/target_list_sync.py
@@ -19,8 +19,8 @@
     from primrosescale.process.entry.target_list import TargetList
     from primrosescale.process.exceptions import PlatformError
     from primrosescale.process.transport.platform import StoredObject
-    from primrosescale.request.serving_target import ServingTarget
-    from primrosescale.request.target_incarnation import TargetIncarnation
+    from primrosescale.request.target.serving_target import ServingTarget
+    from primrosescale.request.target.target_incarnation import TargetIncarnation
 
 
 class TargetListSync(WatchListener):
--- a/src/primrosescale/process/entry/target_restarts.py
+++ b/src/primrosescale/process/entry/target_restarts.py
@@ -12,9 +12,9 @@
 
     from primrosescale.process.entry.entry_dependencies import EntryDependencies
     from primrosescale.process.entry.target_list import IncarnationStart
-    from primrosescale.request.forwarding_interfaces import TargetClient
-    from primrosescale.request.part_directory import PrefixCacheIndex
-    from primrosescale.request.target_incarnation import TargetIncarnation
+    from primrosescale.request.attempt.forwarding_interfaces import TargetClient
+    from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
+    from primrosescale.request.target.target_incarnation import TargetIncarnation
 
 
 class TargetRestarts:
--- a/src/primrosescale/process/membership/heartbeat.py
+++ b/src/primrosescale/process/membership/heartbeat.py
@@ -13,7 +13,7 @@
 from primrosescale.connection.wire import ttypes as wire
 from primrosescale.process.configuration.wire_head import from_wire
 from primrosescale.process.membership.rendezvous import first_by_rendezvous
-from primrosescale.request.load_bound import ServiceLoad
+from primrosescale.request.capacity.load_bound import ServiceLoad
 
 if TYPE_CHECKING:
     from primrosescale.clock import Clock
--- a/src/primrosescale/process/membership/members.py
+++ b/src/primrosescale/process/membership/members.py
@@ -14,8 +14,8 @@
 from primrosescale.connection.endpoint import Endpoint
 from primrosescale.connection.wire.ttypes import MemberState
 from primrosescale.process.membership.flap_damper import FlapDamper
-from primrosescale.request.candidates import ServiceTargets
-from primrosescale.request.candidates import Target
+from primrosescale.request.choice.candidates import ServiceTargets
+from primrosescale.request.choice.candidates import Target
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -23,7 +23,7 @@
     from primrosescale.connection.wire.ttypes import HostEntry
     from primrosescale.connection.wire.ttypes import MemberNotice
     from primrosescale.process.membership.flap_damper import MembershipSettings
-    from primrosescale.request.candidates import Locality
+    from primrosescale.request.choice.candidates import Locality
 
 ROUTER_ROLE = "router"
 AGENT_ROLE = "agent"
--- a/src/primrosescale/process/settings.py
+++ b/src/primrosescale/process/settings.py
@@ -34,15 +34,15 @@
 from primrosescale.process.ledger.ledger_bucket import LedgerSettings
 from primrosescale.process.membership.flap_damper import MembershipSettings
 from primrosescale.process.membership.load_sums import LoadReportSettings
-from primrosescale.request.admission import AdmissionSettings
-from primrosescale.request.agent_call import StreamSettings
-from primrosescale.request.backoff import BackoffSettings
-from primrosescale.request.load_bound import BoundSettings
-from primrosescale.request.rate_limit import RateSettings
-from primrosescale.request.retry_budget import RetryBudgetSettings
-from primrosescale.request.routed_call import RoutedCallSettings
-from primrosescale.request.target_health import HealthSettings
-from primrosescale.request.work_estimate import WorkSettings
+from primrosescale.request.attempt.agent_call import StreamSettings
+from primrosescale.request.attempt.backoff import BackoffSettings
+from primrosescale.request.attempt.retry_budget import RetryBudgetSettings
+from primrosescale.request.attempt.routed_call import RoutedCallSettings
+from primrosescale.request.capacity.admission import AdmissionSettings
+from primrosescale.request.capacity.load_bound import BoundSettings
+from primrosescale.request.capacity.rate_limit import RateSettings
+from primrosescale.request.capacity.work_estimate import WorkSettings
+from primrosescale.request.target.target_health import HealthSettings
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/primrosescale/process/transport/callers_resource.py
+++ b/src/primrosescale/process/transport/callers_resource.py
@@ -22,7 +22,7 @@
 from primrosescale.process.transport.http_sink import write_problem
 from primrosescale.process.transport.problems import ProblemDocument
 from primrosescale.request.call_request import CallRequest
-from primrosescale.request.work_estimate import estimate_tokens
+from primrosescale.request.capacity.work_estimate import estimate_tokens
 
 if TYPE_CHECKING:
     from twisted.web.server import Request
--- a/src/primrosescale/process/transport/http_client.py
+++ b/src/primrosescale/process/transport/http_client.py
@@ -17,7 +17,7 @@
 
 from primrosescale.clock import cancel_timer
 from primrosescale.connection.failure_text import failure_text
-from primrosescale.connection.rest_limit import IdleLimit
+from primrosescale.connection.idle_limit import IdleLimit
 from primrosescale.connection.target_channel import ChannelPool
 from primrosescale.process.exceptions import PlatformAnswerLostError
 from primrosescale.process.exceptions import PlatformUnavailableError
--- a/src/primrosescale/process/transport/http_sink.py
+++ b/src/primrosescale/process/transport/http_sink.py
@@ -13,14 +13,14 @@
 from primrosescale.process.transport.problems import CONTENT_TYPE
 from primrosescale.process.transport.problems import ProblemDocument
 from primrosescale.process.transport.problems import problem_of
-from primrosescale.request.answer_sink import AnswerSink
+from primrosescale.request.answer.answer_sink import AnswerSink
 
 if TYPE_CHECKING:
     from twisted.web.server import Request
 
     from primrosescale.connection.wire.ttypes import Header
-    from primrosescale.request.attempts import AttemptFailure
-    from primrosescale.request.routed_call import RoutedCall
+    from primrosescale.request.attempt.attempts import AttemptFailure
+    from primrosescale.request.attempt.routed_call import RoutedCall
 
 
 @implementer(IPushProducer)
--- a/src/primrosescale/process/transport/http_target.py
+++ b/src/primrosescale/process/transport/http_target.py
@@ -26,7 +26,7 @@
 from primrosescale.process.exceptions import TargetError
 from primrosescale.process.transport.http_bodies import body_producer
 from primrosescale.process.transport.local_engine_client import LocalEngineClient
-from primrosescale.request.local_target_client import TargetRun
+from primrosescale.request.attempt.local_target_client import TargetRun
 
 if TYPE_CHECKING:
     from collections.abc import Generator
@@ -34,7 +34,7 @@
     from twisted.python.failure import Failure
 
     from primrosescale.connection.endpoint import Endpoint
-    from primrosescale.request.local_target_client import TargetReceiver
+    from primrosescale.request.attempt.local_target_client import TargetReceiver
 
 OK = 200
 REQUEST_ID_HEADER = b"X-Request-Id"
--- a/src/primrosescale/process/transport/local_engine_client.py
+++ b/src/primrosescale/process/transport/local_engine_client.py
@@ -5,7 +5,7 @@
 from abc import abstractmethod
 from typing import TYPE_CHECKING
 
-from primrosescale.request.local_target_client import LocalTargetClient
+from primrosescale.request.attempt.local_target_client import LocalTargetClient
 
 if TYPE_CHECKING:
     from twisted.internet.defer import Deferred
--- a/src/primrosescale/request/answer_relay.py
+++ b/src/primrosescale/request/answer/answer_relay.py
@@ -9,10 +9,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from primrosescale.request.event_stream import StreamEvent
-    from primrosescale.request.forwarding_interfaces import AnswerHead
-    from primrosescale.request.forwarding_interfaces import CallerSink
-    from primrosescale.request.forwarding_interfaces import Refusal
+    from primrosescale.request.answer.event_stream import StreamEvent
+    from primrosescale.request.attempt.forwarding_interfaces import AnswerHead
+    from primrosescale.request.attempt.forwarding_interfaces import CallerSink
+    from primrosescale.request.attempt.forwarding_interfaces import Refusal
 
 
 class AnswerRelay:
--- a/src/primrosescale/request/answer_sink.py
+++ b/src/primrosescale/request/answer/answer_sink.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     from primrosescale.connection.wire.ttypes import Header
-    from primrosescale.request.attempts import AttemptFailure
+    from primrosescale.request.attempt.attempts import AttemptFailure
 
 
 class AnswerSink(ABC):
--- a/src/primrosescale/request/unconfirmed_answers.py
+++ b/src/primrosescale/request/answer/unconfirmed_answers.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 if TYPE_CHECKING:
-    from primrosescale.request.target_state import TargetState
+    from primrosescale.request.target.target_state import TargetState
 
 # A target that sends something at least this many seconds after an answer was not
 # crashed by its request.
--- /dev/null
+++ b/src/primrosescale/request/attempt/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts of a request at targets: forwarding, retries, hedging and timeouts."""
--- a/src/primrosescale/request/agent_call.py
+++ b/src/primrosescale/request/attempt/agent_call.py
@@ -17,21 +17,21 @@
 from primrosescale.ini.options import COUNT
 from primrosescale.ini.options import SECONDS
 from primrosescale.ini.options import option
-from primrosescale.request.answer_buffer import AnswerBuffer
-from primrosescale.request.answer_check import answer_digest
+from primrosescale.request.answer.answer_buffer import AnswerBuffer
+from primrosescale.request.answer.answer_check import answer_digest
+from primrosescale.request.attempt.local_target_client import TargetReceiver
 from primrosescale.request.exceptions import AnswerCutError
-from primrosescale.request.local_target_client import TargetReceiver
-from primrosescale.request.retry_after import requested_pause
+from primrosescale.request.target.retry_after import requested_pause
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from primrosescale.clock import Timer
     from primrosescale.connection.link import Link
-    from primrosescale.request.call_names import CallId
+    from primrosescale.request.attempt.call_id_registry import CallId
+    from primrosescale.request.attempt.local_target_client import TargetRun
+    from primrosescale.request.capacity.fair_queue import QueuedCall
     from primrosescale.request.claim import Claim
-    from primrosescale.request.fair_queue import QueuedCall
-    from primrosescale.request.local_target_client import TargetRun
 
 MILLISECONDS_PER_SECOND = 1000
 RETRY_AFTER_HEADER = "retry-after"
--- a/src/primrosescale/request/attempts.py
+++ b/src/primrosescale/request/attempt/attempts.py
@@ -13,9 +13,9 @@
 from primrosescale.connection.wire.ttypes import Reason
 
 if TYPE_CHECKING:
-    from primrosescale.request.backoff import Backoff
-    from primrosescale.request.candidates import Target
-    from primrosescale.request.retry_budget import RetryBudget
+    from primrosescale.request.attempt.backoff import Backoff
+    from primrosescale.request.attempt.retry_budget import RetryBudget
+    from primrosescale.request.choice.candidates import Target
 
 NON_RETRYABLE_REASONS = frozenset(
     {
--- a/src/primrosescale/request/call_table.py
+++ b/src/primrosescale/request/attempt/call_table.py
@@ -11,8 +11,8 @@
 from typing import TYPE_CHECKING
 
 from primrosescale.connection.wire import ttypes as wire
-from primrosescale.request.routed_call import CallContext
-from primrosescale.request.routed_call import RoutedCall
+from primrosescale.request.attempt.routed_call import CallContext
+from primrosescale.request.attempt.routed_call import RoutedCall
 
 if TYPE_CHECKING:
     from twisted.internet.defer import Deferred
@@ -20,8 +20,8 @@
     from primrosescale.connection.codec import Message
     from primrosescale.connection.link import Link
     from primrosescale.connection.pool import LinkPool
-    from primrosescale.request.candidates import Target
-    from primrosescale.request.routed_call import CallReport
+    from primrosescale.request.attempt.routed_call import CallReport
+    from primrosescale.request.choice.candidates import Target
 
 ANSWER_TYPES = (
     wire.Answer,
--- a/src/primrosescale/request/forwarded_call.py
+++ b/src/primrosescale/request/attempt/forwarded_call.py
@@ -22,29 +22,29 @@
 from typing import TYPE_CHECKING
 
 from primrosescale.clock import cancel_timer
-from primrosescale.request.answer_relay import AnswerRelay
-from primrosescale.request.attempt_pair import HedgedAttempts
-from primrosescale.request.forwarding_interfaces import OutgoingRequest
-from primrosescale.request.forwarding_interfaces import Refusal
-from primrosescale.request.silent_target import SilenceReport
-from primrosescale.request.silent_target import SilenceVerdict
-from primrosescale.request.silent_target import silence_timeout
-from primrosescale.request.target_attempt import AttemptListener
-from primrosescale.request.target_attempt import AttemptRecord
-from primrosescale.request.target_attempt import TargetAttempt
-from primrosescale.request.tried_targets import TriedTargets
+from primrosescale.request.answer.answer_relay import AnswerRelay
+from primrosescale.request.attempt.forwarding_interfaces import OutgoingRequest
+from primrosescale.request.attempt.forwarding_interfaces import Refusal
+from primrosescale.request.attempt.hedged_attempts import HedgedAttempts
+from primrosescale.request.attempt.silent_target import SilenceReport
+from primrosescale.request.attempt.silent_target import SilenceVerdict
+from primrosescale.request.attempt.silent_target import silence_timeout
+from primrosescale.request.attempt.target_attempt import AttemptListener
+from primrosescale.request.attempt.target_attempt import AttemptRecord
+from primrosescale.request.attempt.target_attempt import TargetAttempt
+from primrosescale.request.attempt.tried_targets import TriedTargets
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Sequence
 
     from primrosescale.clock import Timer
-    from primrosescale.request.forward_tools import ForwardingContext
-    from primrosescale.request.forwarding_interfaces import AnswerHead
-    from primrosescale.request.forwarding_interfaces import CallerSink
+    from primrosescale.request.attempt.forwarding_context import ForwardingContext
+    from primrosescale.request.attempt.forwarding_interfaces import AnswerHead
+    from primrosescale.request.attempt.forwarding_interfaces import CallerSink
+    from primrosescale.request.choice.target_choice import Choice
     from primrosescale.request.incoming_request import IncomingRequest
-    from primrosescale.request.target_choice import Choice
-    from primrosescale.request.target_state import TargetState
+    from primrosescale.request.target.target_state import TargetState
 
 MIN_SUCCESS_STATUS = 200
 MIN_REDIRECT_STATUS = 300
--- a/src/primrosescale/request/forward_tools.py
+++ b/src/primrosescale/request/attempt/forwarding_context.py
@@ -9,8 +9,8 @@
 from primrosescale.ini.options import COUNT
 from primrosescale.ini.options import SECONDS
 from primrosescale.ini.options import option
-from primrosescale.request.harm_monitor import NoHarmMonitor
-from primrosescale.request.target_availability import TargetAvailability
+from primrosescale.request.harm.harm_monitor import NoHarmMonitor
+from primrosescale.request.target.target_availability import TargetAvailability
 from primrosescale.request.trace_span import UnrecordedSpan
 
 if TYPE_CHECKING:
@@ -19,17 +19,17 @@
     from random import Random
 
     from primrosescale.clock import Clock
-    from primrosescale.request.forwarding_interfaces import AnswerHead
-    from primrosescale.request.forwarding_interfaces import Refusal
-    from primrosescale.request.forwarding_interfaces import TargetClient
-    from primrosescale.request.harm_monitor import HarmMonitor
+    from primrosescale.request.attempt.forwarding_interfaces import AnswerHead
+    from primrosescale.request.attempt.forwarding_interfaces import Refusal
+    from primrosescale.request.attempt.forwarding_interfaces import TargetClient
+    from primrosescale.request.attempt.shared_retry_budget import SharedRetryBudget
+    from primrosescale.request.attempt.silent_target import SilenceReport
+    from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
+    from primrosescale.request.choice.target_choice import ChoiceSettings
+    from primrosescale.request.choice.target_choice import TargetChooser
+    from primrosescale.request.harm.harm_monitor import HarmMonitor
     from primrosescale.request.incoming_request import IncomingRequest
-    from primrosescale.request.part_directory import PrefixCacheIndex
-    from primrosescale.request.shared_retry_budget import SharedRetryBudget
-    from primrosescale.request.silent_target import SilenceReport
-    from primrosescale.request.target_choice import ChoiceSettings
-    from primrosescale.request.target_choice import TargetChooser
-    from primrosescale.request.target_state import TargetState
+    from primrosescale.request.target.target_state import TargetState
     from primrosescale.request.trace_span import TraceSpan
 
 
--- a/src/primrosescale/request/forwarding_interfaces.py
+++ b/src/primrosescale/request/attempt/forwarding_interfaces.py
@@ -18,9 +18,9 @@
     from collections.abc import Callable
 
     from primrosescale.request.incoming_request import IncomingRequest
-    from primrosescale.request.serving_target import ServingTarget
-    from primrosescale.request.target_incarnation import TargetIncarnation
-    from primrosescale.request.target_state import LoadReport
+    from primrosescale.request.target.serving_target import ServingTarget
+    from primrosescale.request.target.target_incarnation import TargetIncarnation
+    from primrosescale.request.target.target_state import LoadReport
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/primrosescale/request/attempt_pair.py
+++ b/src/primrosescale/request/attempt/hedged_attempts.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from primrosescale.request.target_attempt import TargetAttempt
+    from primrosescale.request.attempt.target_attempt import TargetAttempt
 
 
 class HedgedAttempts:
--- a/src/primrosescale/request/routed_call.py
+++ b/src/primrosescale/request/attempt/routed_call.py
@@ -18,10 +18,10 @@
 from primrosescale.ini.options import COUNT
 from primrosescale.ini.options import SECONDS
 from primrosescale.ini.options import option
-from primrosescale.request.answer_check import AnswerCheck
-from primrosescale.request.answer_check import answer_digest
-from primrosescale.request.attempts import AttemptFailure
-from primrosescale.request.attempts import StepKind
+from primrosescale.request.answer.answer_check import AnswerCheck
+from primrosescale.request.answer.answer_check import answer_digest
+from primrosescale.request.attempt.attempts import AttemptFailure
+from primrosescale.request.attempt.attempts import StepKind
 from primrosescale.request.exceptions import AnswerCutError
 
 if TYPE_CHECKING:
@@ -32,11 +32,11 @@
     from primrosescale.clock import Timer
     from primrosescale.connection.codec import Message
     from primrosescale.connection.link import Link
-    from primrosescale.request.answer_sink import AnswerSink
-    from primrosescale.request.attempts import AttemptPlan
-    from primrosescale.request.attempts import Step
+    from primrosescale.request.answer.answer_sink import AnswerSink
+    from primrosescale.request.attempt.attempts import AttemptPlan
+    from primrosescale.request.attempt.attempts import Step
     from primrosescale.request.call_request import CallRequest
-    from primrosescale.request.candidates import Target
+    from primrosescale.request.choice.candidates import Target
 
 MILLISECONDS_PER_SECOND = 1000
 FINAL_MESSAGES = (wire.Answer, wire.AnswerEnd, wire.CallFailed)
--- a/src/primrosescale/request/silent_target.py
+++ b/src/primrosescale/request/attempt/silent_target.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from primrosescale.request.forward_tools import ForwardingSettings
+    from primrosescale.request.attempt.forwarding_context import ForwardingSettings
     from primrosescale.request.incoming_request import IncomingRequest
 
 
--- a/src/primrosescale/request/target_attempt.py
+++ b/src/primrosescale/request/attempt/target_attempt.py
@@ -7,17 +7,17 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from primrosescale.request.event_stream import EventSplitter
-from primrosescale.request.forwarding_interfaces import ResponseObserver
+from primrosescale.request.answer.event_stream import EventSplitter
+from primrosescale.request.attempt.forwarding_interfaces import ResponseObserver
 
 if TYPE_CHECKING:
-    from primrosescale.request.event_stream import StreamEvent
-    from primrosescale.request.forwarding_interfaces import AnswerHead
-    from primrosescale.request.forwarding_interfaces import InFlightRequest
-    from primrosescale.request.forwarding_interfaces import OutgoingRequest
-    from primrosescale.request.forwarding_interfaces import TargetClient
-    from primrosescale.request.target_incarnation import TargetIncarnation
-    from primrosescale.request.target_state import TargetState
+    from primrosescale.request.answer.event_stream import StreamEvent
+    from primrosescale.request.attempt.forwarding_interfaces import AnswerHead
+    from primrosescale.request.attempt.forwarding_interfaces import InFlightRequest
+    from primrosescale.request.attempt.forwarding_interfaces import OutgoingRequest
+    from primrosescale.request.attempt.forwarding_interfaces import TargetClient
+    from primrosescale.request.target.target_incarnation import TargetIncarnation
+    from primrosescale.request.target.target_state import TargetState
     from primrosescale.request.trace_span import TraceSpan
 
 RUNNING = "running"
--- a/src/primrosescale/request/tried_targets.py
+++ b/src/primrosescale/request/attempt/tried_targets.py
@@ -11,8 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from primrosescale.request.target_incarnation import TargetIncarnation
-    from primrosescale.request.target_state import TargetState
+    from primrosescale.request.target.target_incarnation import TargetIncarnation
+    from primrosescale.request.target.target_state import TargetState
 
 
 class TriedTargets:
--- a/src/primrosescale/request/admission.py
+++ b/src/primrosescale/request/capacity/admission.py
@@ -18,12 +18,12 @@
 from primrosescale.ini.options import COUNT
 from primrosescale.ini.options import SECONDS
 from primrosescale.ini.options import option
-from primrosescale.request.fair_queue import FairQueue
+from primrosescale.request.capacity.fair_queue import FairQueue
 
 if TYPE_CHECKING:
-    from primrosescale.request.fair_queue import QueuedCall
-    from primrosescale.request.load_bound import LoadBound
-    from primrosescale.request.target_health import TargetHealth
+    from primrosescale.request.capacity.fair_queue import QueuedCall
+    from primrosescale.request.capacity.load_bound import LoadBound
+    from primrosescale.request.target.target_health import TargetHealth
 
 T = TypeVar("T")
 
--- a/src/primrosescale/request/cold_targets.py
+++ b/src/primrosescale/request/capacity/cold_targets.py
@@ -24,8 +24,8 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
-    from primrosescale.request.router_shares import RouterShares
-    from primrosescale.request.target_state import TargetState
+    from primrosescale.request.capacity.router_shares import RouterShares
+    from primrosescale.request.target.target_state import TargetState
     from primrosescale.version.routing_table import Service
 
 # Time over which requests to a cold target are counted; longer than the one second
--- a/src/primrosescale/request/router_shares.py
+++ b/src/primrosescale/request/capacity/router_shares.py
@@ -15,7 +15,7 @@
 
 from functools import lru_cache
 
-from primrosescale.request.candidates import TargetRing
+from primrosescale.request.choice.candidates import TargetRing
 
 # Time within which all routers that reach the store have learned of a change of the
 # list of routers; each reads it again two seconds after its last read.
--- a/src/primrosescale/request/part_directory.py
+++ b/src/primrosescale/request/choice/prefix_cache_index.py
@@ -19,7 +19,7 @@
     from collections.abc import Sequence
 
     from primrosescale.request.incoming_request import PromptPart
-    from primrosescale.request.target_incarnation import TargetIncarnation
+    from primrosescale.request.target.target_incarnation import TargetIncarnation
 
 # Parts last used longer ago are not relied on, whatever the cache size: peer routers
 # may have caused evictions that were not reported here.
--- a/src/primrosescale/request/prompt_homes.py
+++ b/src/primrosescale/request/choice/prompt_homes.py
@@ -17,7 +17,7 @@
     from collections.abc import Sequence
 
     from primrosescale.request.incoming_request import Prompt
-    from primrosescale.request.target_state import TargetState
+    from primrosescale.request.target.target_state import TargetState
 
 # Targets that this router listed within this time of the first one existed before it
 # started, and may have run for any time.
--- a/src/primrosescale/request/target_choice.py
+++ b/src/primrosescale/request/choice/target_choice.py
@@ -23,11 +23,11 @@
 
 from primrosescale.ini.options import SECONDS
 from primrosescale.ini.options import option
-from primrosescale.request.prompt_homes import established_home
-from primrosescale.request.prompt_homes import expected_source
-from primrosescale.request.prompt_homes import home_of
-from primrosescale.request.prompt_homes import shared_tokens
-from primrosescale.request.target_availability import TargetAvailability
+from primrosescale.request.choice.prompt_homes import established_home
+from primrosescale.request.choice.prompt_homes import expected_source
+from primrosescale.request.choice.prompt_homes import home_of
+from primrosescale.request.choice.prompt_homes import shared_tokens
+from primrosescale.request.target.target_availability import TargetAvailability
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,10 +35,10 @@
     from collections.abc import Sequence
     from random import Random
 
+    from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
     from primrosescale.request.incoming_request import Prompt
-    from primrosescale.request.part_directory import PrefixCacheIndex
-    from primrosescale.request.target_incarnation import TargetIncarnation
-    from primrosescale.request.target_state import TargetState
+    from primrosescale.request.target.target_incarnation import TargetIncarnation
+    from primrosescale.request.target.target_state import TargetState
 
 # At this weight a target that fails two requests in five costs more than one with
 # all slots taken, while a failure share of one in seven, which is normal for some
--- a/src/primrosescale/request/target_loads.py
+++ b/src/primrosescale/request/choice/target_loads.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from primrosescale.request.candidates import Target
+    from primrosescale.request.choice.candidates import Target
 
 COMPARED_CANDIDATES = 2
 MAX_KNOWN_LOADS = 2048
--- a/src/primrosescale/request/harm_monitor.py
+++ b/src/primrosescale/request/harm/harm_monitor.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from primrosescale.request.incoming_request import IncomingRequest
-    from primrosescale.request.target_state import TargetState
+    from primrosescale.request.target.target_state import TargetState
 
 
 class HarmMonitor(ABC):
--- a/src/primrosescale/request/harmful_requests.py
+++ b/src/primrosescale/request/harm/harmful_requests.py
@@ -19,13 +19,13 @@
 from itertools import islice
 from typing import TYPE_CHECKING
 
-from primrosescale.request.decaying_outcomes import DecayingOutcomes
-from primrosescale.request.harm_reports import CompleteAnswer
-from primrosescale.request.harm_reports import SuspectTrial
-from primrosescale.request.harm_reports import TargetEnd
+from primrosescale.request.harm.harm_reports import CompleteAnswer
+from primrosescale.request.harm.harm_reports import SuspectTrial
+from primrosescale.request.harm.harm_reports import TargetEnd
+from primrosescale.request.target.decaying_outcomes import DecayingOutcomes
 
 if TYPE_CHECKING:
-    from primrosescale.request.harm_settings import HarmSettings
+    from primrosescale.request.harm.harm_settings import HarmSettings
 
 # Additional ends required where other requests or chance may explain the ends.
 EXTRA_ENDS_IF_EXPLAINED = 1
--- a/src/primrosescale/request/incoming_request.py
+++ b/src/primrosescale/request/incoming_request.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from primrosescale.request.content_fingerprint import content_fingerprint
+from primrosescale.request.harm.content_fingerprint import content_fingerprint
 
 if TYPE_CHECKING:
     from primrosescale.version.routing_table import Route
--- a/src/primrosescale/request/request_resolver.py
+++ b/src/primrosescale/request/request_resolver.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from primrosescale.request.forwarding_interfaces import Refusal
+from primrosescale.request.attempt.forwarding_interfaces import Refusal
 from primrosescale.request.incoming_request import IncomingRequest
 
 if TYPE_CHECKING:
--- a/src/primrosescale/request/serving_target.py
+++ b/src/primrosescale/request/target/serving_target.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from primrosescale.request.target_incarnation import TargetIncarnation
+from primrosescale.request.target.target_incarnation import TargetIncarnation
 
 if TYPE_CHECKING:
     from primrosescale.connection.endpoint import Endpoint
--- a/src/primrosescale/request/target_availability.py
+++ b/src/primrosescale/request/target/target_availability.py
@@ -14,8 +14,8 @@
     from collections.abc import Iterable
     from collections.abc import Sequence
 
-    from primrosescale.request.cold_targets import ColdTargets
-    from primrosescale.request.target_state import TargetState
+    from primrosescale.request.capacity.cold_targets import ColdTargets
+    from primrosescale.request.target.target_state import TargetState
 
 
 class TargetCondition(Enum):
--- a/src/primrosescale/request/target_health.py
+++ b/src/primrosescale/request/target/target_health.py
@@ -13,7 +13,7 @@
 from primrosescale.ini.options import COUNT
 from primrosescale.ini.options import SECONDS
 from primrosescale.ini.options import option
-from primrosescale.request.decaying_outcomes import DecayingOutcomes
+from primrosescale.request.target.decaying_outcomes import DecayingOutcomes
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primrosescale/request/target_statements.py
+++ b/src/primrosescale/request/target/target_self_reports.py
@@ -14,8 +14,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from primrosescale.request.forwarding_interfaces import AnswerHead
-    from primrosescale.request.target_incarnation import TargetIncarnation
+    from primrosescale.request.attempt.forwarding_interfaces import AnswerHead
+    from primrosescale.request.target.target_incarnation import TargetIncarnation
 
 # Unlisted targets whose self-reports are retained; the oldest are dropped first.
 MAX_RETAINED = 1000
--- a/src/primrosescale/request/target_state.py
+++ b/src/primrosescale/request/target/target_state.py
@@ -13,14 +13,14 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from primrosescale.request.decaying_outcomes import DecayingOutcomes
-from primrosescale.request.reported_counts import ReportedCounts
-from primrosescale.request.target_statements import TargetSelfReports
+from primrosescale.request.target.decaying_outcomes import DecayingOutcomes
+from primrosescale.request.target.reported_counts import ReportedCounts
+from primrosescale.request.target.target_self_reports import TargetSelfReports
 
 if TYPE_CHECKING:
-    from primrosescale.request.forwarding_interfaces import AnswerHead
-    from primrosescale.request.serving_target import ServingTarget
-    from primrosescale.request.target_incarnation import TargetIncarnation
+    from primrosescale.request.attempt.forwarding_interfaces import AnswerHead
+    from primrosescale.request.target.serving_target import ServingTarget
+    from primrosescale.request.target.target_incarnation import TargetIncarnation
 
 # A load report describes the moment at which the answer began: most plain requests
 # that it counted have ended since, and streams are counted again by the next answers.
--- a/src/primrosescale/standin/engine.py
+++ b/src/primrosescale/standin/engine.py
@@ -12,7 +12,7 @@
 from twisted.web.server import NOT_DONE_YET
 
 from primrosescale.process.transport.http_bodies import request_body
-from primrosescale.request.work_estimate import estimate_tokens
+from primrosescale.request.capacity.work_estimate import estimate_tokens
 
 if TYPE_CHECKING:
     from twisted.web.server import Request
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -24,9 +24,9 @@
 from primrosescale.platform.records import decode_routing_table
 from primrosescale.platform.records import decode_target
 from primrosescale.process.transport.platform import StoredObject
-from primrosescale.request.forwarding_interfaces import OutgoingRequest
-from primrosescale.request.forwarding_interfaces import Refusal
-from primrosescale.request.retry_after import MAX_PAUSE_SECONDS
+from primrosescale.request.attempt.forwarding_interfaces import OutgoingRequest
+from primrosescale.request.attempt.forwarding_interfaces import Refusal
+from primrosescale.request.target.retry_after import MAX_PAUSE_SECONDS
 from primrosescale.version.routing_table import RetryPolicy
 
 SOURCE = Path(__file__).resolve().parent.parent.parent / "src/primrosescale"
--- a/tests/connection/test_rest_limit.py
+++ b/tests/connection/test_rest_limit.py
@@ -13,8 +13,8 @@
 from twisted.web.http_headers import Headers
 
 from primrosescale.connection.endpoint import Endpoint
-from primrosescale.connection.rest_limit import LOSS_RETENTION_SECONDS
-from primrosescale.connection.rest_limit import IdleLimit
+from primrosescale.connection.idle_limit import LOSS_RETENTION_SECONDS
+from primrosescale.connection.idle_limit import IdleLimit
 from primrosescale.connection.target_channel import ChannelPool
 from support.live import DeploymentRunTest
 from support.live import LiveTest
--- a/tests/entry/test_allowed_regions.py
+++ b/tests/entry/test_allowed_regions.py
@@ -21,9 +21,9 @@
 from primrosescale.platform.exceptions import RecordError
 from primrosescale.platform.records import decode_routing_table
 from primrosescale.process.transport.platform import StoredObject
-from primrosescale.request.forwarding_interfaces import Refusal
+from primrosescale.request.attempt.forwarding_interfaces import Refusal
+from primrosescale.request.choice.prefix_cache_index import PartUse
 from primrosescale.request.freshness import Freshness
-from primrosescale.request.part_directory import PartUse
 from primrosescale.request.request_resolver import CallerHead
 from primrosescale.request.request_resolver import RequestResolver
 from primrosescale.version.routing_table import Organisation
--- a/tests/entry/test_cache_shares.py
+++ b/tests/entry/test_cache_shares.py
@@ -30,9 +30,9 @@
 from primrosescale.process.entry.peer_router import PeerRouter
 from primrosescale.process.entry.target_keys import target_key
 from primrosescale.process.entry.target_list import TargetList
+from primrosescale.request.choice.prefix_cache_index import PartUse
+from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
 from primrosescale.request.incoming_request import PromptPart
-from primrosescale.request.part_directory import PartUse
-from primrosescale.request.part_directory import PrefixCacheIndex
 from support.router_fleet import START as FLEET_START
 from support.router_fleet import ExchangeParts
 from support.router_fleet import Fleet
--- a/tests/entry/test_harm_watch.py
+++ b/tests/entry/test_entry_harm_monitor.py
@@ -18,31 +18,31 @@
 from entry.fakes import request
 from entry.fakes import target
 from primrosescale.connection.wire import ttypes as wire
+from primrosescale.process.entry.entry_harm_monitor import CONFIRMATION_INTERVAL_SECONDS
+from primrosescale.process.entry.entry_harm_monitor import PROBE_DELAY_SECONDS
+from primrosescale.process.entry.entry_harm_monitor import PROBE_INTERVAL_SECONDS
+from primrosescale.process.entry.entry_harm_monitor import EntryHarmMonitor
 from primrosescale.process.entry.entry_metrics import EntryMetrics
 from primrosescale.process.entry.harm_report_exchange import HELD_INTERVAL_SECONDS
 from primrosescale.process.entry.harm_report_exchange import MAX_HELD_PER_MESSAGE
 from primrosescale.process.entry.harm_report_exchange import MAX_REPORTS_PER_MESSAGE
 from primrosescale.process.entry.harm_report_exchange import SENDS_PER_REPORT
 from primrosescale.process.entry.harm_report_exchange import HarmReportExchange
-from primrosescale.process.entry.harm_watch import CONFIRMATION_INTERVAL_SECONDS
-from primrosescale.process.entry.harm_watch import PROBE_DELAY_SECONDS
-from primrosescale.process.entry.harm_watch import PROBE_INTERVAL_SECONDS
-from primrosescale.process.entry.harm_watch import EntryHarmMonitor
 from primrosescale.process.entry.target_keys import target_key
 from primrosescale.process.entry.target_list import TargetList
 from primrosescale.process.events import Event
-from primrosescale.request.forwarding_interfaces import ProbeResult
-from primrosescale.request.forwarding_interfaces import Refusal
-from primrosescale.request.harm_monitor import HarmMonitor
-from primrosescale.request.harm_reports import CompleteAnswer
-from primrosescale.request.harm_reports import SuspectTrial
-from primrosescale.request.harm_reports import TargetEnd
-from primrosescale.request.harm_settings import HarmSettings
-from primrosescale.request.harmful_requests import TRIAL_SECONDS
-from primrosescale.request.harmful_requests import HarmfulRequests
-from primrosescale.request.lost_answers import MAX_WAIT_SECONDS
-from primrosescale.request.unconfirmed_answers import CONFIRMATION_SECONDS
-from primrosescale.request.unconfirmed_answers import MAX_UNCONFIRMED_SECONDS
+from primrosescale.request.answer.lost_answers import MAX_WAIT_SECONDS
+from primrosescale.request.answer.unconfirmed_answers import CONFIRMATION_SECONDS
+from primrosescale.request.answer.unconfirmed_answers import MAX_UNCONFIRMED_SECONDS
+from primrosescale.request.attempt.forwarding_interfaces import ProbeResult
+from primrosescale.request.attempt.forwarding_interfaces import Refusal
+from primrosescale.request.harm.harm_monitor import HarmMonitor
+from primrosescale.request.harm.harm_reports import CompleteAnswer
+from primrosescale.request.harm.harm_reports import SuspectTrial
+from primrosescale.request.harm.harm_reports import TargetEnd
+from primrosescale.request.harm.harm_settings import HarmSettings
+from primrosescale.request.harm.harmful_requests import TRIAL_SECONDS
+from primrosescale.request.harm.harmful_requests import HarmfulRequests
 
 NAMES = tuple(f"t{number}" for number in range(1, 8))
 # Ends just after a complete answer that it takes until the request is held back.
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -24,9 +24,9 @@
 from primrosescale.process.entry.peer_router import PeerRouter
 from primrosescale.process.entry.state_exchange import StateExchange
 from primrosescale.process.entry.target_list import TargetList
+from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
 from primrosescale.request.freshness import Freshness
 from primrosescale.request.incoming_request import PromptPart
-from primrosescale.request.part_directory import PrefixCacheIndex
 from primrosescale.standin.object_platform_store import ObjectPlatformStore
 from primrosescale.standin.object_platform_store import StoreFault
 from primrosescale.standin.scripted_engine import EngineFault
--- a/tests/entry/test_foreign_entries.py
+++ b/tests/entry/test_foreign_entries.py
@@ -37,8 +37,8 @@
 from primrosescale.process.log_text import escape_for_log
 from primrosescale.process.transport.platform import StoredObject
 from primrosescale.process.transport.platform import WatchResult
+from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
 from primrosescale.request.freshness import Freshness
-from primrosescale.request.part_directory import PrefixCacheIndex
 from support.drawn import drawn
 from support.foreign import CONFIGURATION
 from support.foreign import ROUTER
--- a/tests/entry/test_forwarded_call.py
+++ b/tests/entry/test_forwarded_call.py
@@ -13,8 +13,8 @@
 from entry.fakes import head
 from entry.fakes import request
 from entry.fakes import target
-from primrosescale.request.forwarding_interfaces import Refusal
-from primrosescale.request.silent_target import SilenceVerdict
+from primrosescale.request.attempt.forwarding_interfaces import Refusal
+from primrosescale.request.attempt.silent_target import SilenceVerdict
 
 PORTAL = [target("p1", "portal"), target("p2", "portal"), target("p3", "portal")]
 MODEL = [target("m1"), target("m2"), target("m3")]
--- a/tests/entry/test_leaving_answers.py
+++ b/tests/entry/test_leaving_answers.py
@@ -32,9 +32,9 @@
 from primrosescale.process.entry.target_list import TargetList
 from primrosescale.process.events import Event
 from primrosescale.process.events import EventLog
-from primrosescale.request.forwarding_interfaces import Refusal
+from primrosescale.request.attempt.forwarding_interfaces import Refusal
+from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
 from primrosescale.request.freshness import Freshness
-from primrosescale.request.part_directory import PrefixCacheIndex
 from primrosescale.standin.scripted_engine import EngineScript
 from support.entry_site import LOOPBACK
 from support.router_site import LoopbackRouterTest
--- a/tests/entry/test_news_relays.py
+++ b/tests/entry/test_news_relays.py
@@ -17,7 +17,7 @@
 from primrosescale.process.entry.relay_topology import StateExchangeSettings
 from primrosescale.process.entry.state_exchange import SILENT_REMOVAL_SECONDS
 from primrosescale.process.entry.target_keys import target_key
-from primrosescale.request.target_choice import STALE_LOAD_SECONDS
+from primrosescale.request.choice.target_choice import STALE_LOAD_SECONDS
 from support.drawn import drawn
 from support.router_fleet import Fleet
 
--- a/tests/entry/test_prompt_homes.py
+++ b/tests/entry/test_prompt_homes.py
@@ -9,16 +9,16 @@
 from entry.fakes import START
 from entry.fakes import prompt
 from entry.fakes import target
-from primrosescale.request.part_directory import PartUse
-from primrosescale.request.part_directory import PrefixCacheIndex
-from primrosescale.request.prompt_homes import ESTABLISHED_SECONDS
-from primrosescale.request.prompt_homes import SETTLED_SECONDS
-from primrosescale.request.prompt_homes import established_home
-from primrosescale.request.prompt_homes import expected_source
-from primrosescale.request.prompt_homes import home_of
-from primrosescale.request.target_choice import ChoiceSettings
-from primrosescale.request.target_choice import TargetChooser
-from primrosescale.request.target_state import TargetState
+from primrosescale.request.choice.prefix_cache_index import PartUse
+from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
+from primrosescale.request.choice.prompt_homes import ESTABLISHED_SECONDS
+from primrosescale.request.choice.prompt_homes import SETTLED_SECONDS
+from primrosescale.request.choice.prompt_homes import established_home
+from primrosescale.request.choice.prompt_homes import expected_source
+from primrosescale.request.choice.prompt_homes import home_of
+from primrosescale.request.choice.target_choice import ChoiceSettings
+from primrosescale.request.choice.target_choice import TargetChooser
+from primrosescale.request.target.target_state import TargetState
 
 TARGETS = 12
 WANTED = prompt(("terms", 500), ("tariffs", 10_000), ("chat", 900))
--- a/tests/entry/test_reported_counts.py
+++ b/tests/entry/test_reported_counts.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from primrosescale.request.reported_counts import ReportedCounts
+from primrosescale.request.target.reported_counts import ReportedCounts
 from support.drawn import drawn
 
 REPORTS = st.lists(
--- a/tests/entry/test_restart.py
+++ b/tests/entry/test_restart.py
@@ -26,12 +26,12 @@
 from primrosescale.process.entry.state_exchange import StateExchange
 from primrosescale.process.entry.target_list import IncarnationStart
 from primrosescale.process.entry.target_list import TargetList
-from primrosescale.request.forwarding_interfaces import Refusal
+from primrosescale.request.attempt.forwarding_interfaces import Refusal
+from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
+from primrosescale.request.choice.target_choice import ChoiceSettings
+from primrosescale.request.choice.target_choice import TargetChooser
 from primrosescale.request.freshness import Freshness
-from primrosescale.request.part_directory import PrefixCacheIndex
-from primrosescale.request.target_choice import ChoiceSettings
-from primrosescale.request.target_choice import TargetChooser
-from primrosescale.request.target_state import LoadReport
+from primrosescale.request.target.target_state import LoadReport
 
 # Start times as targets report them, in the order of the incarnations.
 FIRST, SECOND, THIRD = 1_790_000_000_123, 1_790_000_000_124, 1_790_000_003_000
--- a/tests/entry/test_restart_transport.py
+++ b/tests/entry/test_restart_transport.py
@@ -16,8 +16,8 @@
 from primrosescale.connection.endpoint import Endpoint
 from primrosescale.platform.http_codec import PlatformCodec
 from primrosescale.process.entry.target_client import HttpTargetClient
-from primrosescale.request.forwarding_interfaces import OutgoingRequest
-from primrosescale.request.forwarding_interfaces import ResponseObserver
+from primrosescale.request.attempt.forwarding_interfaces import OutgoingRequest
+from primrosescale.request.attempt.forwarding_interfaces import ResponseObserver
 from support.live import DeploymentRunTest
 from support.live import LiveTest
 
--- a/tests/entry/test_router_news.py
+++ b/tests/entry/test_router_news.py
@@ -19,8 +19,8 @@
 from primrosescale.process.entry.state_exchange import TYPICAL_DATAGRAM_BYTES
 from primrosescale.process.entry.state_exchange import StateExchange
 from primrosescale.process.entry.target_list import TargetList
+from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
 from primrosescale.request.freshness import Freshness
-from primrosescale.request.part_directory import PrefixCacheIndex
 
 MAX_DATAGRAM_BYTES = 1400
 
--- a/tests/entry/test_rules_of_knowledge.py
+++ b/tests/entry/test_rules_of_knowledge.py
@@ -13,13 +13,13 @@
 from entry.fakes import make_incarnation
 from entry.fakes import target
 from primrosescale.process.entry.target_list import TargetList
-from primrosescale.request.event_stream import EventSplitter
-from primrosescale.request.forwarding_interfaces import Refusal
+from primrosescale.request.answer.event_stream import EventSplitter
+from primrosescale.request.attempt.forwarding_interfaces import Refusal
+from primrosescale.request.attempt.shared_retry_budget import SharedRetryBudget
+from primrosescale.request.attempt.shared_retry_budget import SharedRetryLimits
 from primrosescale.request.freshness import Freshness
 from primrosescale.request.request_resolver import CallerHead
 from primrosescale.request.request_resolver import RequestResolver
-from primrosescale.request.shared_retry_budget import SharedRetryBudget
-from primrosescale.request.shared_retry_budget import SharedRetryLimits
 from primrosescale.version.routing_table import CallerLimits
 from primrosescale.version.routing_table import Organisation
 from primrosescale.version.routing_table import RoutingTable
--- a/tests/entry/test_shrinking_fleet.py
+++ b/tests/entry/test_shrinking_fleet.py
@@ -18,9 +18,9 @@
 from entry.fakes import head
 from entry.fakes import target
 from primrosescale.process.entry.target_list import TargetList
-from primrosescale.request.part_directory import PrefixCacheIndex
-from primrosescale.request.target_choice import ChoiceSettings
-from primrosescale.request.target_choice import TargetChooser
+from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
+from primrosescale.request.choice.target_choice import ChoiceSettings
+from primrosescale.request.choice.target_choice import TargetChooser
 from support.router_fleet import SERVICE
 from support.shrinking_fleet import LEAVING_SECONDS
 from support.shrinking_fleet import ShrinkingFleet
--- a/tests/entry/test_silent_target.py
+++ b/tests/entry/test_silent_target.py
@@ -26,8 +26,8 @@
 from entry.fakes import head
 from entry.fakes import request
 from entry.fakes import target
-from primrosescale.request.silent_target import SilenceVerdict
-from primrosescale.request.target_state import TargetState
+from primrosescale.request.attempt.silent_target import SilenceVerdict
+from primrosescale.request.target.target_state import TargetState
 
 LAST_EVENT = 6
 MODEL = [target("m1"), target("m2"), target("m3")]
--- a/tests/entry/test_stale_loads.py
+++ b/tests/entry/test_stale_loads.py
@@ -11,11 +11,11 @@
 from entry.fakes import START
 from entry.fakes import prompt
 from entry.fakes import target
-from primrosescale.request.part_directory import PrefixCacheIndex
-from primrosescale.request.target_choice import ChoiceSettings
-from primrosescale.request.target_choice import TargetChooser
-from primrosescale.request.target_state import LoadReport
-from primrosescale.request.target_state import TargetState
+from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
+from primrosescale.request.choice.target_choice import ChoiceSettings
+from primrosescale.request.choice.target_choice import TargetChooser
+from primrosescale.request.target.target_state import LoadReport
+from primrosescale.request.target.target_state import TargetState
 
 ROUTERS = 60
 TARGETS = 60
--- a/tests/process/test_members.py
+++ b/tests/process/test_members.py
@@ -14,7 +14,7 @@
 from primrosescale.process.membership.load_sums import LoadReportSettings
 from primrosescale.process.membership.members import Members
 from primrosescale.process.membership.rendezvous import first_by_rendezvous
-from primrosescale.request.candidates import Locality
+from primrosescale.request.choice.candidates import Locality
 
 READY, DOWN, LEAVING = MemberState.READY, MemberState.DOWN, MemberState.LEAVING
 
--- a/tests/process/test_seeded_bugs.py
+++ b/tests/process/test_seeded_bugs.py
@@ -15,13 +15,13 @@
 from primrosescale.process.daemons.agent_core import AgentCore
 from primrosescale.process.ledger import claim_writer
 from primrosescale.process.ledger.ledger_bucket import Decision
-from primrosescale.request.admission import AdmissionController
-from primrosescale.request.agent_call import AgentCall
-from primrosescale.request.answer_check import AnswerCheck
-from primrosescale.request.attempts import AttemptPlan
-from primrosescale.request.call_table import CallTable
-from primrosescale.request.load_bound import LoadBound
-from primrosescale.request.routed_call import RoutedCall
+from primrosescale.request.answer.answer_check import AnswerCheck
+from primrosescale.request.attempt.agent_call import AgentCall
+from primrosescale.request.attempt.attempts import AttemptPlan
+from primrosescale.request.attempt.call_table import CallTable
+from primrosescale.request.attempt.routed_call import RoutedCall
+from primrosescale.request.capacity.admission import AdmissionController
+from primrosescale.request.capacity.load_bound import LoadBound
 from primrosescale.version.head import HeadVerifier
 from support.cells import run_cell
 from support.faults import ANSWERS
@@ -133,7 +133,8 @@
         with (
             mock.patch.object(RoutedCall, "_resumed", resumed),
             mock.patch(
-                "primrosescale.request.call_names.CallIdRegistry.take", _record_nothing
+                "primrosescale.request.attempt.call_id_registry.CallIdRegistry.take",
+                _record_nothing,
             ),
             mock.patch.object(AgentCore, "_start", _start_unclaimed),
         ):
--- a/tests/process/test_target_contract.py
+++ b/tests/process/test_target_contract.py
@@ -19,7 +19,7 @@
 from primrosescale.connection.wire.ttypes import Outcome
 from primrosescale.process.exceptions import TargetError
 from primrosescale.process.transport.http_target import HttpTarget
-from primrosescale.request.local_target_client import TargetReceiver
+from primrosescale.request.attempt.local_target_client import TargetReceiver
 from primrosescale.standin.engine import EngineResource
 from primrosescale.standin.engine import EngineSettings
 from primrosescale.standin.plain_service import PlainServiceResource
--- a/tests/request/test_admission.py
+++ b/tests/request/test_admission.py
@@ -5,14 +5,14 @@
 from testtools import TestCase
 
 from primrosescale.connection.wire.ttypes import Reason
-from primrosescale.request.admission import AdmissionController
-from primrosescale.request.admission import AdmissionSettings
-from primrosescale.request.fair_queue import FairQueue
-from primrosescale.request.fair_queue import QueuedCall
-from primrosescale.request.load_bound import BoundSettings
-from primrosescale.request.load_bound import LoadBound
-from primrosescale.request.target_health import HealthSettings
-from primrosescale.request.target_health import TargetHealth
+from primrosescale.request.capacity.admission import AdmissionController
+from primrosescale.request.capacity.admission import AdmissionSettings
+from primrosescale.request.capacity.fair_queue import FairQueue
+from primrosescale.request.capacity.fair_queue import QueuedCall
+from primrosescale.request.capacity.load_bound import BoundSettings
+from primrosescale.request.capacity.load_bound import LoadBound
+from primrosescale.request.target.target_health import HealthSettings
+from primrosescale.request.target.target_health import TargetHealth
 
 
 def call(organisation="a", work=10, *, weight=1, priority=5, deadline=100.0):
--- a/tests/request/test_answers.py
+++ b/tests/request/test_answers.py
@@ -8,11 +8,11 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from primrosescale.request.answer_buffer import AnswerBuffer
-from primrosescale.request.answer_check import AnswerCheck
-from primrosescale.request.call_names import CallId
-from primrosescale.request.call_names import CallIdRegistry
-from primrosescale.request.call_names import CallIdState
+from primrosescale.request.answer.answer_buffer import AnswerBuffer
+from primrosescale.request.answer.answer_check import AnswerCheck
+from primrosescale.request.attempt.call_id_registry import CallId
+from primrosescale.request.attempt.call_id_registry import CallIdRegistry
+from primrosescale.request.attempt.call_id_registry import CallIdState
 from primrosescale.request.exceptions import AnswerCutError
 from support.drawn import drawn
 
--- a/tests/request/test_attempts.py
+++ b/tests/request/test_attempts.py
@@ -9,15 +9,15 @@
 from primrosescale.connection.endpoint import Endpoint
 from primrosescale.connection.wire.ttypes import Outcome
 from primrosescale.connection.wire.ttypes import Reason
-from primrosescale.request.attempts import AttemptFailure
-from primrosescale.request.attempts import AttemptPlan
-from primrosescale.request.attempts import StepKind
-from primrosescale.request.backoff import Backoff
-from primrosescale.request.backoff import BackoffSettings
-from primrosescale.request.candidates import Target
-from primrosescale.request.retry_budget import RetryBudget
-from primrosescale.request.retry_budget import RetryBudgets
-from primrosescale.request.retry_budget import RetryBudgetSettings
+from primrosescale.request.attempt.attempts import AttemptFailure
+from primrosescale.request.attempt.attempts import AttemptPlan
+from primrosescale.request.attempt.attempts import StepKind
+from primrosescale.request.attempt.backoff import Backoff
+from primrosescale.request.attempt.backoff import BackoffSettings
+from primrosescale.request.attempt.retry_budget import RetryBudget
+from primrosescale.request.attempt.retry_budget import RetryBudgets
+from primrosescale.request.attempt.retry_budget import RetryBudgetSettings
+from primrosescale.request.choice.candidates import Target
 
 NOT_RUN = Outcome.NOT_RUN
 UNKNOWN = Outcome.UNKNOWN
--- a/tests/request/test_candidates.py
+++ b/tests/request/test_candidates.py
@@ -7,11 +7,11 @@
 from testtools import TestCase
 
 from primrosescale.connection.endpoint import Endpoint
-from primrosescale.request.candidates import Locality
-from primrosescale.request.candidates import ServiceTargets
-from primrosescale.request.candidates import Target
-from primrosescale.request.candidates import TargetRing
-from primrosescale.request.target_loads import TargetLoads
+from primrosescale.request.choice.candidates import Locality
+from primrosescale.request.choice.candidates import ServiceTargets
+from primrosescale.request.choice.candidates import Target
+from primrosescale.request.choice.candidates import TargetRing
+from primrosescale.request.choice.target_loads import TargetLoads
 
 
 def target(name, domain="d1", region="r"):
--- a/tests/request/test_cold_targets.py
+++ b/tests/request/test_cold_targets.py
@@ -20,17 +20,17 @@
 from entry.fakes import request
 from entry.fakes import target
 from primrosescale.process.entry.target_list import TargetList
-from primrosescale.request.cold_targets import WINDOW_SECONDS
-from primrosescale.request.cold_targets import ColdSettings
-from primrosescale.request.cold_targets import ColdTargets
-from primrosescale.request.forward_tools import ForwardingSettings
-from primrosescale.request.forwarding_interfaces import Refusal
-from primrosescale.request.router_shares import SETTLING_SECONDS
-from primrosescale.request.router_shares import RouterShares
-from primrosescale.request.target_availability import TargetAvailability
-from primrosescale.request.target_choice import ChoiceSettings
-from primrosescale.request.target_choice import TargetChooser
-from primrosescale.request.target_state import TargetState
+from primrosescale.request.attempt.forwarding_context import ForwardingSettings
+from primrosescale.request.attempt.forwarding_interfaces import Refusal
+from primrosescale.request.capacity.cold_targets import WINDOW_SECONDS
+from primrosescale.request.capacity.cold_targets import ColdSettings
+from primrosescale.request.capacity.cold_targets import ColdTargets
+from primrosescale.request.capacity.router_shares import SETTLING_SECONDS
+from primrosescale.request.capacity.router_shares import RouterShares
+from primrosescale.request.choice.target_choice import ChoiceSettings
+from primrosescale.request.choice.target_choice import TargetChooser
+from primrosescale.request.target.target_availability import TargetAvailability
+from primrosescale.request.target.target_state import TargetState
 from primrosescale.version.routing_table import Service
 
 RATE = 10.0
--- a/tests/request/test_harmful_requests.py
+++ b/tests/request/test_harmful_requests.py
@@ -6,12 +6,12 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from primrosescale.request.harm_reports import CompleteAnswer
-from primrosescale.request.harm_reports import TargetEnd
-from primrosescale.request.harm_settings import HarmSettings
-from primrosescale.request.harmful_requests import HOLD_GROWTH_FACTOR
-from primrosescale.request.harmful_requests import MAX_ENDS
-from primrosescale.request.harmful_requests import HarmfulRequests
+from primrosescale.request.harm.harm_reports import CompleteAnswer
+from primrosescale.request.harm.harm_reports import TargetEnd
+from primrosescale.request.harm.harm_settings import HarmSettings
+from primrosescale.request.harm.harmful_requests import HOLD_GROWTH_FACTOR
+from primrosescale.request.harm.harmful_requests import MAX_ENDS
+from primrosescale.request.harm.harmful_requests import HarmfulRequests
 from support.drawn import drawn
 
 NOW = 1000.0
--- a/tests/request/test_load_bound.py
+++ b/tests/request/test_load_bound.py
@@ -4,9 +4,9 @@
 
 from testtools import TestCase
 
-from primrosescale.request.load_bound import BoundSettings
-from primrosescale.request.load_bound import LoadBound
-from primrosescale.request.load_bound import ServiceLoad
+from primrosescale.request.capacity.load_bound import BoundSettings
+from primrosescale.request.capacity.load_bound import LoadBound
+from primrosescale.request.capacity.load_bound import ServiceLoad
 
 
 def make(**options):
--- a/tests/request/test_lost_answers.py
+++ b/tests/request/test_lost_answers.py
@@ -4,10 +4,10 @@
 
 from testtools import TestCase
 
-from primrosescale.request.lost_answers import MAX_ENDED
-from primrosescale.request.lost_answers import MAX_WAIT_SECONDS
-from primrosescale.request.lost_answers import MAX_WAITING
-from primrosescale.request.lost_answers import LostAnswers
+from primrosescale.request.answer.lost_answers import MAX_ENDED
+from primrosescale.request.answer.lost_answers import MAX_WAIT_SECONDS
+from primrosescale.request.answer.lost_answers import MAX_WAITING
+from primrosescale.request.answer.lost_answers import LostAnswers
 
 NOW = 1000.0
 
--- a/tests/request/test_rate_limit.py
+++ b/tests/request/test_rate_limit.py
@@ -4,12 +4,12 @@
 
 from testtools import TestCase
 
-from primrosescale.request.chat_directory import ChatDirectory
-from primrosescale.request.rate_limit import DemandRate
-from primrosescale.request.rate_limit import OrganisationRateLimiter
-from primrosescale.request.rate_limit import RateSettings
-from primrosescale.request.work_estimate import WorkEstimator
-from primrosescale.request.work_estimate import WorkSettings
+from primrosescale.request.capacity.rate_limit import DemandRate
+from primrosescale.request.capacity.rate_limit import OrganisationRateLimiter
+from primrosescale.request.capacity.rate_limit import RateSettings
+from primrosescale.request.capacity.work_estimate import WorkEstimator
+from primrosescale.request.capacity.work_estimate import WorkSettings
+from primrosescale.request.choice.chat_directory import ChatDirectory
 
 
 def drive(limiters, rate, limit, seconds):
--- a/tests/request/test_target_statements.py
+++ b/tests/request/test_target_self_reports.py
@@ -13,10 +13,10 @@
 
 from entry.fakes import head
 from entry.fakes import make_incarnation
-from primrosescale.request.target_statements import MAX_RETAINED
-from primrosescale.request.target_statements import PROBE_AGAIN_SECONDS
-from primrosescale.request.target_statements import RetainedSelfReports
-from primrosescale.request.target_statements import TargetSelfReports
+from primrosescale.request.target.target_self_reports import MAX_RETAINED
+from primrosescale.request.target.target_self_reports import PROBE_AGAIN_SECONDS
+from primrosescale.request.target.target_self_reports import RetainedSelfReports
+from primrosescale.request.target.target_self_reports import TargetSelfReports
 
 START = 1000.0
 SLOTS = 64
--- a/tests/support/router_fleet.py
+++ b/tests/support/router_fleet.py
@@ -20,15 +20,15 @@
 from primrosescale.process.entry.router_datagrams import StateExchangeProtocol
 from primrosescale.process.entry.state_exchange import StateExchange
 from primrosescale.process.entry.target_list import TargetList
+from primrosescale.request.capacity.router_shares import RouterShares
+from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
+from primrosescale.request.choice.target_choice import ChoiceSettings
+from primrosescale.request.choice.target_choice import TargetChooser
 from primrosescale.request.freshness import Freshness
 from primrosescale.request.incoming_request import Prompt
 from primrosescale.request.incoming_request import PromptPart
-from primrosescale.request.part_directory import PrefixCacheIndex
-from primrosescale.request.router_shares import RouterShares
-from primrosescale.request.serving_target import ServingTarget
-from primrosescale.request.target_choice import ChoiceSettings
-from primrosescale.request.target_choice import TargetChooser
-from primrosescale.request.target_state import LoadReport
+from primrosescale.request.target.serving_target import ServingTarget
+from primrosescale.request.target.target_state import LoadReport
 
 START = 1000.0
 SERVICE = "model"
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -20,10 +20,10 @@
 from primrosescale.process.daemons.router_control import HEAD_KEY
 from primrosescale.process.settings import read_settings
 from primrosescale.process.transport.local_engine_client import LocalEngineClient
-from primrosescale.request.agent_call import CallPhase
-from primrosescale.request.answer_sink import AnswerSink
+from primrosescale.request.answer.answer_sink import AnswerSink
+from primrosescale.request.attempt.agent_call import CallPhase
+from primrosescale.request.attempt.local_target_client import TargetRun
 from primrosescale.request.call_request import CallRequest
-from primrosescale.request.local_target_client import TargetRun
 from primrosescale.standin.memory_platform import MemoryPlatform
 from primrosescale.standin.object_store import ObjectStore
 from primrosescale.standin.object_store import StoreSettings
--- a/tests/test_constants.py
+++ b/tests/test_constants.py
@@ -56,13 +56,14 @@
 def constants():
     """Yield module, name and value of each numeric constant of deciding code."""
     for folder in DECIDING_FOLDERS:
-        for path in sorted((SOURCE / folder).glob("*.py")):
+        for path in sorted((SOURCE / folder).rglob("*.py")):
             for node in ast.parse(path.read_text()).body:
                 if not isinstance(node, ast.Assign) or not is_number(node.value):
                     continue
                 name = node.targets[0].id
                 if name.isupper():
-                    yield f"{folder}/{path.name}", name, ast.unparse(node.value)
+                    module = path.relative_to(SOURCE).as_posix()
+                    yield module, name, ast.unparse(node.value)
 
 
 class ConstantsTest(TestCase):
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -13,7 +13,7 @@
 from primrosescale.process.events import Event
 from primrosescale.process.metrics import Metric
 from primrosescale.process.transport.problems import ALL_PROBLEMS
-from primrosescale.request.forwarding_interfaces import Refusal
+from primrosescale.request.attempt.forwarding_interfaces import Refusal
 
 ROOT = Path(__file__).resolve().parent.parent
 DOCS = ROOT / "docs"
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -72,9 +72,12 @@
     "changes applied": ("only the changed group, `version/view.py`", MEASURED),
     "sums of domains": ("`process/membership/load_sums.py`", DERIVED),
     "interpreter, libraries, code": ("imports of a router", MEASURED),
-    "hosts": ("`process/membership/members.py`, `request/candidates.py`", FITTED),
+    "hosts": (
+        "`process/membership/members.py`, `request/choice/candidates.py`",
+        FITTED,
+    ),
     "organisations": ("`version/view.py`, `version/section.py`", FITTED),
-    "meters of limits, all busy": ("`request/rate_limit.py`", FITTED),
+    "meters of limits, all busy": ("`request/capacity/rate_limit.py`", FITTED),
 }
 DESIGN_SIZE = DeploymentSize(
     "size to design for",
