Read the pace of a target's host, and name the services with overload control

Targets that share their hosts add a fourth figure to the load header: how long work takes there at present, 100 being usual. The decoder accepted three figures only, so that routers knew nothing of the load of such targets. It accepts both forms now.

The configuration's max_connections of a service is read as well.

--- a/src/primrosescale/platform/entry.py
+++ b/src/primrosescale/platform/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -27,6 +28,8 @@
 from primrosescale.process.events import EventLog
 from primrosescale.request.attempt.shared_retry_budget import SharedRetryLimits
 from primrosescale.request.capacity.cold_targets import ColdSettings
+from primrosescale.request.capacity.overload_settings import OverloadMode
+from primrosescale.request.capacity.overload_settings import OverloadSettings
 from primrosescale.request.choice.target_choice import ChoiceSettings
 
 if TYPE_CHECKING:
@@ -109,10 +112,26 @@
         return records.decode_router(stored)
 
 
+@dataclass(frozen=True, slots=True)
+class RouterOptions:
+    """Options from the command line of an entry router.
+
+    Parameters
+    ----------
+    metrics_port : int
+        Port on which metrics are served; 0 for none.
+    overload_control : str
+        Value of an `OverloadMode`.
+    """
+
+    metrics_port: int = 0
+    overload_control: str = OverloadMode.AUTO.value
+
+
 def build_entry_router(
     reactor: Any,
     host: HostSettings,
-    metrics_port: int,
+    options: RouterOptions,
     rng: Random,
     listening_socket: socket.socket | None = None,
 ) -> EntryRouter:
@@ -124,8 +143,8 @@
         Twisted's reactor.
     host : HostSettings
         Settings of the host on which this process runs.
-    metrics_port : int
-        Port on which metrics are served; 0 for none.
+    options : RouterOptions
+        Options from the command line.
     rng : Random
         Source of randomness.
     listening_socket : socket.socket | None
@@ -141,7 +160,7 @@
     SettingsFileError
         When the host has no address for callers or for readiness checks.
     """
-    settings = entry_settings(host, metrics_port)
+    settings = entry_settings(host, options)
     writer = LogWriter(reactor)
     writer.install()
     log = EventLog(host.name)
@@ -155,7 +174,7 @@
         writer=writer,
         metrics=EntryMetrics(),
         rng=rng,
-        read_settings=lambda: entry_settings(own_host_settings(), metrics_port),
+        read_settings=lambda: entry_settings(own_host_settings(), options),
         caches=EngineCacheReader(reactor),
         listening_socket=listening_socket,
     )
@@ -184,15 +203,15 @@
     return EntryRouter(settings, prefixes, dependencies)
 
 
-def entry_settings(host: HostSettings, metrics_port: int) -> EntrySettings:
+def entry_settings(host: HostSettings, options: RouterOptions) -> EntrySettings:
     """Derive the settings of an entry router from those of its host.
 
     Parameters
     ----------
     host : HostSettings
         Settings of the host.
-    metrics_port : int
-        Port on which metrics are served; 0 for none.
+    options : RouterOptions
+        Options from the command line.
 
     Returns
     -------
@@ -208,7 +227,8 @@
         detail = "no listen address for callers or readiness; run this on an entry host"
         raise SettingsFileError(os.environ.get(SETTINGS_FILE_VARIABLE, ""), detail)
     bounds = host.bounds
-    metrics = Endpoint(host.address, metrics_port) if metrics_port else None
+    port = options.metrics_port
+    metrics = Endpoint(host.address, port) if port else None
     return EntrySettings(
         name=host.name,
         domain=host.domain,
@@ -225,6 +245,7 @@
         max_requests=host.memory_limit // BYTES_PER_REQUEST,
         choice=ChoiceSettings(load_multiple=LOAD_MULTIPLE_SHARE * bounds.load_multiple),
         cold=ColdSettings(over=bounds.cold_over, slack=bounds.cold_slack),
+        overload=OverloadSettings(mode=OverloadMode(options.overload_control)),
         repeats=SharedRetryLimits(
             bounds.retry_ratio, bounds.retry_window, bounds.retry_extra
         ),
--- a/src/primrosescale/platform/http_codec.py
+++ b/src/primrosescale/platform/http_codec.py
@@ -47,6 +47,7 @@
 TRACE_CONTEXT = b"traceparent"
 
 MISDIRECTED_REQUEST = 421
+PERCENT = 100.0
 
 # Hop-by-hop headers, and others that apply to one connection only. The headers that
 # a Connection header names are dropped as well.
@@ -232,8 +233,10 @@
 
 
 def _load(text: str) -> LoadReport | None:
+    """Decode requests running and waiting, slots and, if given, the host's pace."""
     parts = text.split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):  # noqa: PLR2004 - three counts
+    if len(parts) not in {3, 4} or not all(part.strip().isdigit() for part in parts):
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return LoadReport(running, waiting, slots)
+    running, waiting, slots, *rest = (int(part) for part in parts)
+    percent = rest[0] if rest else 0
+    return LoadReport(running, waiting, slots, percent / PERCENT if percent else None)
--- a/src/primrosescale/platform/program.py
+++ b/src/primrosescale/platform/program.py
@@ -70,17 +70,29 @@
         "port on which metrics are served; 0 for none",
         flag_values=values,
     )
+    flags.DEFINE_enum(
+        "overload_control",
+        "auto",
+        ["auto", "on", "off"],
+        "services with overload control: those whose targets report the pace of "
+        "their hosts (auto), all whose targets report their slots (on), or none",
+        flag_values=values,
+    )
     try:
         values(sys.argv)
     except flags.Error as error:
         sys.stderr.write(f"primrosescale: {error}\n")
         return os.EX_USAGE
     reactor = install_steady_reactor()
+    from primrosescale.platform.entry import RouterOptions  # noqa: PLC0415
     from primrosescale.platform.entry import build_entry_router  # noqa: PLC0415
 
-    metrics_port = int(values["metrics_port"].value or 0)
+    options = RouterOptions(
+        metrics_port=int(values["metrics_port"].value or 0),
+        overload_control=str(values["overload_control"].value),
+    )
     rng = random.SystemRandom()
-    router = build_entry_router(reactor, host, metrics_port, rng, listening_socket)
+    router = build_entry_router(reactor, host, options, rng, listening_socket)
     return _run_reactor(reactor, router, pending)
 
 
--- a/src/primrosescale/platform/records.py
+++ b/src/primrosescale/platform/records.py
@@ -291,6 +291,7 @@
         cold_seconds=item.number_or(
             "cold_start_s", 0, MAX_DURATION_MILLISECONDS * SECONDS_PER_MILLISECOND
         ),
+        max_connections=item.integer_or("max_connections", 0),
     )
 
 
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -49,6 +49,7 @@
 from primrosescale.request.attempt.forwarding_interfaces import Refusal
 from primrosescale.request.attempt.shared_retry_budget import SharedRetryBudget
 from primrosescale.request.capacity.cold_targets import ColdTargets
+from primrosescale.request.capacity.overload_scope import OverloadScope
 from primrosescale.request.capacity.router_shares import RouterShares
 from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
 from primrosescale.request.choice.target_choice import TargetChooser
@@ -209,6 +210,7 @@
             parts,
             self._exchange_protocol.send_soon,
         )
+        self._overload_scope = OverloadScope(settings.overload)
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._resolver = RequestResolver(
             self._store_state.freshness, settings.not_found_max_age, parts.rng
@@ -239,6 +241,7 @@
             harm=self._harm_monitor,
             availability=self._availability,
             regions=settings.regions,
+            overload_scope=self._overload_scope,
         )
         self._tracing: Tracing | None = None
         self._factory = EntryFactory(self, parts.reactor)
@@ -354,6 +357,7 @@
             self._forwarding.regions = settings.regions
             self._harmful_requests.configure(settings.harm)
             self._cold_targets.configure(settings.cold)
+            self._overload_scope.configure(settings.overload)
             self._budgets.clear()
         if is_requested or is_changed:
             self._log.emit(Event.SETTINGS_RELOADED, is_changed=is_changed)
--- a/src/primrosescale/process/entry/entry_settings.py
+++ b/src/primrosescale/process/entry/entry_settings.py
@@ -9,6 +9,7 @@
 from primrosescale.process.entry.relay_topology import StateExchangeSettings
 from primrosescale.request.attempt.forwarding_context import ForwardingSettings
 from primrosescale.request.capacity.cold_targets import ColdSettings
+from primrosescale.request.capacity.overload_settings import OverloadSettings
 from primrosescale.request.choice.target_choice import ChoiceSettings
 from primrosescale.request.harm.harm_settings import HarmSettings
 
@@ -62,6 +63,8 @@
         When a request that ends targets while they run it is held back.
     cold : ColdSettings
         How much load cold targets, those that have just started, may get.
+    overload : OverloadSettings
+        How requests are admitted while a service is overloaded.
     regions : dict[str, str]
         The region of each failure domain.
     """
@@ -84,6 +87,7 @@
     news: StateExchangeSettings = field(default_factory=StateExchangeSettings)
     harm: HarmSettings = field(default_factory=HarmSettings)
     cold: ColdSettings = field(default_factory=ColdSettings)
+    overload: OverloadSettings = field(default_factory=OverloadSettings)
     regions: dict[str, str] = field(default_factory=dict)
 
 
--- a/src/primrosescale/request/attempt/forwarded_call.py
+++ b/src/primrosescale/request/attempt/forwarded_call.py
@@ -212,6 +212,9 @@
             self._tools.harm.replaced(attempt.state, now)
             self._handle_declined(attempt, head, now)
             return
+        if head.load is not None:
+            service = attempt.state.target.service
+            self._tools.overload_scope.record(service, head.load)
         if attempt.state.answered(head, now):
             self._tools.self_report_received(self._request, attempt.state, head)
         self._tools.harm.answer_began(attempt.state, attempt.began_at, now)
--- a/src/primrosescale/request/attempt/forwarding_context.py
+++ b/src/primrosescale/request/attempt/forwarding_context.py
@@ -9,6 +9,8 @@
 from primrosescale.ini.options import COUNT
 from primrosescale.ini.options import SECONDS
 from primrosescale.ini.options import option
+from primrosescale.request.capacity.overload_scope import OverloadScope
+from primrosescale.request.capacity.overload_settings import OverloadSettings
 from primrosescale.request.harm.harm_monitor import NoHarmMonitor
 from primrosescale.request.target.target_availability import TargetAvailability
 from primrosescale.request.trace_span import UnrecordedSpan
@@ -132,6 +134,10 @@
     pass
 
 
+def _default_scope() -> OverloadScope:
+    return OverloadScope(OverloadSettings())
+
+
 def _start_unrecorded(_: str, traceparent: str) -> TraceSpan:
     return UnrecordedSpan(traceparent)
 
@@ -177,6 +183,8 @@
         Determines whether a target is available for requests.
     regions : Mapping[str, str]
         The region of each failure domain.
+    overload_scope : OverloadScope
+        Determines for which services overload control is in force.
     """
 
     settings: ForwardingSettings
@@ -197,6 +205,7 @@
     harm: HarmMonitor = field(default_factory=NoHarmMonitor)
     availability: TargetAvailability = field(default_factory=TargetAvailability)
     regions: Mapping[str, str] = field(default_factory=dict)
+    overload_scope: OverloadScope = field(default_factory=_default_scope)
 
     def configure(self, settings: ForwardingSettings, choice: ChoiceSettings) -> None:
         """Apply changed settings, also to calls in progress.
--- a/src/primrosescale/request/target/target_state.py
+++ b/src/primrosescale/request/target/target_state.py
@@ -61,11 +61,15 @@
         Requests that wait at it.
     slots : int
         Requests it can run at once.
+    pace : float | None
+        How long work takes on its host at present, as a multiple of the usual time;
+        None if it does not report that.
     """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 class TargetState:
--- a/src/primrosescale/version/routing_table.py
+++ b/src/primrosescale/version/routing_table.py
@@ -120,6 +120,9 @@
         besides those of a warm target.
     cold_seconds : float
         Seconds for which a target is cold after its start.
+    max_connections : int
+        Connections that a target accepts from all routers together; 0 when not
+        stated.
     """
 
     name: str
@@ -127,6 +130,7 @@
     cache_tokens: int
     cold_rate: float = 0.0
     cold_seconds: float = 0.0
+    max_connections: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -27,6 +27,7 @@
 from primrosescale.request.attempt.forwarding_interfaces import OutgoingRequest
 from primrosescale.request.attempt.forwarding_interfaces import Refusal
 from primrosescale.request.target.retry_after import MAX_PAUSE_SECONDS
+from primrosescale.request.target.target_state import LoadReport
 from primrosescale.version.routing_table import RetryPolicy
 
 SOURCE = Path(__file__).resolve().parent.parent.parent / "src/primrosescale"
@@ -298,6 +299,20 @@
         self.assertIn(b"content-encoding", names)
         self.assertNotIn(b"keep-alive", names)
 
+    def test_a_load_with_the_pace_of_the_host_is_not_dropped(self):
+        # A fourth figure made the router ignore the whole header.
+        for text, expected in (
+            ("3,1,8", LoadReport(3, 1, 8, None)),
+            ("3,1,8,250", LoadReport(3, 1, 8, 2.5)),
+            ("3, 1, 8, 0", LoadReport(3, 1, 8, None)),
+            ("3,1,8,x", None),
+            ("3,1", None),
+            ("3,1,8,100,1", None),
+        ):
+            headers = Headers({"Primrosescale-Engine-Load": [text]})
+            found = self.codec.answer_head(200, headers, 5)
+            self.assertEqual(expected, found.load, text)
+
     def answer(self, status=200, **headers):
         named = {name.replace("_", "-"): value for name, value in headers.items()}
         return self.codec.answer_head(status, Headers(named), None)
