Tell callers of a router that alone lost the store to return at once

Where more than half of a failure domain's routers lose the store, the balancer keeps sending callers to them. They were refused as stale with a Retry-After of 0.2 to 0.6 s, so that the answer of the next router came after their objective. Such a refusal now names at most 0.05 s if the router knows that its peers reach the store, or hears from none of them, and overload control is in force; in an outage for all it is as before.

--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -49,6 +49,7 @@
 from primrosescale.request.attempt.forwarding_interfaces import Refusal
 from primrosescale.request.attempt.shared_retry_budget import SharedRetryBudget
 from primrosescale.request.capacity.cold_targets import ColdTargets
+from primrosescale.request.capacity.isolated_retry import isolated_retry_delay
 from primrosescale.request.capacity.overload_scope import OverloadScope
 from primrosescale.request.capacity.router_shares import RouterShares
 from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
@@ -398,8 +399,7 @@
             resolved = Refusal.ROUTER_FULL
         sink = self._sink(request, head.request_id)
         if isinstance(resolved, Refusal):
-            forward = self._settings.forward
-            sink.refuse(resolved, forward.retry_delay(resolved, self._dependencies.rng))
+            sink.refuse(resolved, self._retry_delay(resolved, now))
             self._log_refused(resolved, head, now)
             return
         call = ForwardedCall(resolved, sink, self._forwarding, self._call_ended)
@@ -408,6 +408,15 @@
         sink.apply_backpressure(call)
         call.start(now)
 
+    def _retry_delay(self, refusal: Refusal, now: float) -> float | None:
+        """Return the Retry-After of a request that is refused on arrival."""
+        rng = self._dependencies.rng
+        if self._overload_scope.is_any_in_force and self._is_isolated(now):
+            delay = isolated_retry_delay(refusal, rng)
+            if delay is not None:
+                return delay
+        return self._settings.forward.retry_delay(refusal, rng)
+
     def too_large(self, request: EntryRequest) -> None:
         """Refuse a request that is too large; see `EntryHandler.too_large`."""
         self._sink(request, "").refuse(Refusal.TOO_LARGE, None)
--- a/src/primrosescale/request/capacity/overload_scope.py
+++ b/src/primrosescale/request/capacity/overload_scope.py
@@ -31,6 +31,11 @@
         self._reporting_pace: set[str] = set()
         self._reporting_slots: set[str] = set()
 
+    @property
+    def is_any_in_force(self) -> bool:
+        """Return whether overload control is in force for any service."""
+        return any(map(self.is_in_force, self._reporting_slots | self._reporting_pace))
+
     def configure(self, settings: OverloadSettings) -> None:
         """Apply changed settings.
 
