Divide the connections that a target accepts among the routers

27 routers kept up to 432 idle connections to a target that accepts 220; the target reset new ones, and callers of orders got 502. Each router now knows its share of a service's max_connections, from the list of routers alone: three quarters are divided evenly by the longest list that may be in use, or by the ring where there are more routers than connections, and a router that its peers do not know yet has a share of the rest for 3 s. Nothing uses the shares yet.

--- a/src/primrosescale/request/capacity/router_shares.py
+++ b/src/primrosescale/request/capacity/router_shares.py
@@ -84,17 +84,57 @@
         """
         if self._ring is None:
             return 0
-        if self._previous_rings and self._previous_rings[0][0] <= now:
-            self._previous_rings = [
-                item for item in self._previous_rings if now < item[0]
-            ]
-            self._own_counts.clear()
+        self._drop_expired(now)
         known = self._own_counts.get((key, tokens))
         if known is None:
             known = sum(self._owns(f"{key} {token}") for token in range(tokens))
             self._own_counts[key, tokens] = known
         return known
 
+    def largest_list(self, now: float) -> int:
+        """Return the number of routers in the longest list that may be in use.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        int
+            Number of routers, including this one; 0 before the first list.
+        """
+        self._drop_expired(now)
+        rings = [self._ring, *(ring for _, ring in self._previous_rings)]
+        return max(0 if ring is None else len(ring) for ring in rings)
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether all peers have had time to learn of this router.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        bool
+            False before the first list, and for `SETTLING_SECONDS` after it unless
+            the router was listed before it started.
+        """
+        self._drop_expired(now)
+        if self._ring is None:
+            return False
+        return all(ring is not None for _, ring in self._previous_rings)
+
+    def _drop_expired(self, now: float) -> None:
+        """Forget the lists that no router uses any longer."""
+        if self._previous_rings and self._previous_rings[0][0] <= now:
+            self._previous_rings = [
+                item for item in self._previous_rings if now < item[0]
+            ]
+            self._own_counts.clear()
+
     def _owns(self, token: str) -> bool:
         rings = [self._ring, *(ring for _, ring in self._previous_rings)]
         return all(
