Keep all connections of a pool within a limit

A pool bounded only its idle connections, by 16, so that the connections of a router to a target had no bound. ChannelPool counts busy, opening and idle connections against a ConnectionLimit, closes the one idle longest in place of a new one, and refuses to open one while all are busy. A connection that opens after its attempt was cancelled is closed rather than leaked. Pools without a limit behave as before.

--- /dev/null
+++ b/src/primrosescale/connection/connection_limit.py
@@ -0,0 +1,43 @@
+"""Limits the number of connections to a target."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+
+
+class ConnectionLimit(ABC):
+    """How many connections to a target a pool may have."""
+
+    @abstractmethod
+    def allowed(self, now: float) -> int | None:
+        """Return the maximum number of connections.
+
+        Parameters
+        ----------
+        now : float
+            Current time, in seconds.
+
+        Returns
+        -------
+        int | None
+            Connections that are busy, being opened or idle; None for no limit.
+        """
+
+    @abstractmethod
+    def idle_closed(self) -> None:
+        """Count an idle connection that was closed to stay within the limit."""
+
+
+class Unlimited(ConnectionLimit):
+    """No limit."""
+
+    def allowed(self, now: float) -> int | None:
+        """Return None; see `ConnectionLimit.allowed`."""
+        return None
+
+    def idle_closed(self) -> None:
+        """Do nothing; see `ConnectionLimit.idle_closed`."""
+
+
+UNLIMITED = Unlimited()
--- a/src/primrosescale/connection/exceptions.py
+++ b/src/primrosescale/connection/exceptions.py
@@ -29,6 +29,16 @@
         )
 
 
+class ConnectionLimitError(LinkError):
+    """A connection was not opened since the limit has been reached."""
+
+    def __init__(self, peer: object, allowed: int) -> None:
+        super().__init__(
+            f"no further connection to {peer}: {allowed} allowed, and all in use",
+            "wait until a request there has ended",
+        )
+
+
 class TlsError(LinkError):
     """The certificate or key files for TLS connections cannot be used."""
 
--- a/src/primrosescale/connection/target_channel.py
+++ b/src/primrosescale/connection/target_channel.py
@@ -7,10 +7,13 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
+from twisted.internet.defer import fail
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory
 from twisted.web._newclient import HTTP11ClientProtocol
 
+from primrosescale.connection.connection_limit import UNLIMITED
+from primrosescale.connection.exceptions import ConnectionLimitError
 from primrosescale.connection.keepalive import set_keepalive_options
 
 if TYPE_CHECKING:
@@ -20,6 +23,7 @@
     from twisted.python.failure import Failure
 
     from primrosescale.clock import Clock
+    from primrosescale.connection.connection_limit import ConnectionLimit
     from primrosescale.connection.endpoint import Endpoint
     from primrosescale.connection.idle_limit import IdleLimit
 
@@ -55,6 +59,7 @@
         self._was_used = False
         self._idle_before_request: float | None = None
         self.on_connected: Callable[[], None] | None = None
+        self.on_lost: Callable[[TargetChannel], None] | None = None
         self._opened_at = math.inf
         self._idle_since = clock.seconds() - REUSE_DELAY_SECONDS
 
@@ -183,6 +188,8 @@
         """
         self._is_lost = True
         self._was_reset = not reason.check(ConnectionDone)
+        if self.on_lost is not None:
+            self.on_lost(self)
         super().connectionLost(reason)
 
     def abort_now(self) -> None:
@@ -234,6 +241,10 @@
         self._resolve(reason)
 
     def _connected(self) -> None:
+        if self.opened.called:
+            # Connected after the attempt was cancelled: nobody would close it.
+            self._channel.abort_now()
+            return
         self._resolve(self._channel)
 
     def _resolve(self, outcome: Any) -> None:
@@ -260,6 +271,8 @@
         Maximum idle time of connections that are reused.
     source : Hashable
         Identifies the target in the losses recorded in `idle_limit`.
+    limit : ConnectionLimit
+        Maximum number of its connections: busy, being opened and idle.
     """
 
     def __init__(
@@ -269,6 +282,7 @@
         timeout: float,
         idle_limit: IdleLimit,
         source: Hashable = None,
+        limit: ConnectionLimit = UNLIMITED,
     ) -> None:
         self._reactor = reactor
         self._endpoint = endpoint
@@ -276,8 +290,12 @@
         self._idle_limit = idle_limit
         self._source = source
         self._is_closed = False
+        self._limit = limit
         self._idle: list[TargetChannel] = []
         self._opened = 0
+        self._opening = 0
+        # Busy and idle connections, without those that this pool has closed.
+        self._open: set[TargetChannel] = set()
 
     @property
     def endpoint(self) -> Endpoint:
@@ -294,13 +312,39 @@
         """Return the number of connections opened so far."""
         return self._opened
 
-    def idle(self, now: float) -> TargetChannel | None:
+    @property
+    def connections(self) -> int:
+        """Return the number of connections that are busy, being opened or idle."""
+        return len(self._open) + self._opening
+
+    def has_capacity(self, now: float) -> bool:
+        """Return whether a request can have a connection within the limit.
+
+        Parameters
+        ----------
+        now : float
+            Current time, in seconds.
+
+        Returns
+        -------
+        bool
+            True if one may be opened, if necessary in place of an idle one.
+        """
+        allowed = self._limit.allowed(now)
+        if allowed is None:
+            return True
+        idle = sum(channel in self._open for channel in self._idle)
+        return self.connections - idle < allowed
+
+    def idle(self, now: float, max_idle: float = math.inf) -> TargetChannel | None:
         """Take the most recently used idle connection out of the pool.
 
         Parameters
         ----------
         now : float
             Current time, in seconds.
+        max_idle : float
+            Seconds since its last answer after which a connection is not taken.
 
         Returns
         -------
@@ -310,22 +354,41 @@
         self.sweep(now)
         for index in range(len(self._idle) - 1, -1, -1):
             channel = self._idle[index]
-            is_allowed = self._idle_limit.allows(channel.idle_seconds(now), now)
+            idle_seconds = channel.idle_seconds(now)
+            is_allowed = self._idle_limit.allows(idle_seconds, now)
+            if idle_seconds > max_idle:
+                continue
             if is_allowed and channel.can_be_reused(now):
                 return self._idle.pop(index)
         return None
 
-    def open(self) -> Deferred[TargetChannel]:
-        """Open a new connection.
+    def open(self, *, is_probe: bool = False) -> Deferred[TargetChannel]:
+        """Open a new connection, if necessary in place of the one idle longest.
+
+        Parameters
+        ----------
+        is_probe : bool
+            Whether it is opened to see whether the target is alive; such a
+            connection may exceed the limit.
 
         Returns
         -------
         Deferred[TargetChannel]
-            Fires with the connection; fails if it could not be opened, in which
-            case nothing was sent.
+            Fires with the connection; fails if it could not be opened, with
+            `ConnectionLimitError` if that would exceed the limit. Nothing was sent
+            then.
         """
+        allowed = None if is_probe else self._limit.allowed(self._reactor.seconds())
+        if allowed is not None:
+            self._close_idle_above(allowed - 1)
+            if self.connections >= allowed:
+                return fail(ConnectionLimitError(self._endpoint, allowed))
         self._opened += 1
-        factory = _ChannelFactory(TargetChannel(self._reactor))
+        self._opening += 1
+        channel = TargetChannel(self._reactor)
+        channel.on_lost = self._open.discard
+        factory = _ChannelFactory(channel)
+        factory.opened.addCallbacks(self._has_opened, self._has_not_opened)
         self._reactor.connectTCP(
             self._endpoint.address, self._endpoint.port, factory, self._timeout
         )
@@ -348,7 +411,8 @@
             return
         self._idle.append(channel)
         if len(self._idle) > MAX_IDLE_CHANNELS:
-            self._idle.pop(0).abort_now()
+            self._close_idle(self._idle[0])
+        self._keep_within_limit(now)
 
     def lost(self, channel: TargetChannel, now: float) -> None:
         """Record that a request on a connection was lost without an answer.
@@ -373,15 +437,41 @@
         """
         expired = [channel for channel in self._idle if channel.is_expired(now)]
         for channel in expired:
-            self._idle.remove(channel)
-            channel.abort_now()
+            self._close_idle(channel)
+        self._keep_within_limit(now)
 
     def close(self) -> None:
         """Close all idle connections and keep none from now on."""
         self._is_closed = True
-        idle, self._idle = self._idle, []
-        for channel in idle:
-            channel.abort_now()
+        for channel in list(self._idle):
+            self._close_idle(channel)
+
+    def _has_opened(self, channel: TargetChannel) -> TargetChannel:
+        self._opening -= 1
+        self._open.add(channel)
+        return channel
+
+    def _has_not_opened(self, failure: Failure) -> Failure:
+        self._opening -= 1
+        return failure
+
+    def _close_idle(self, channel: TargetChannel) -> None:
+        self._idle.remove(channel)
+        self._open.discard(channel)
+        channel.abort_now()
+
+    def _keep_within_limit(self, now: float) -> None:
+        """Close idle connections if the limit has become lower."""
+        allowed = self._limit.allowed(now)
+        if allowed is not None:
+            self._close_idle_above(allowed)
+
+    def _close_idle_above(self, number: int) -> None:
+        """Close the connections idle longest until at most `number` are left."""
+        while self._idle and self.connections > number:
+            if self._idle[0] in self._open:
+                self._limit.idle_closed()
+            self._close_idle(self._idle[0])
 
 
 def _idle_limit(values: list[bytes]) -> float:
