Reuse connections that have just answered for requests that may run once

Each request that may run once opened a new connection, as a pooled one may have been lost without notice. Where overload control is in force, it uses a pooled connection that completed its last answer at most heard_lately (0.15 s) ago, and a new one otherwise; a stream that may run once no longer uses one that has been idle for longer. A hedge to a target whose last report (younger than 1 s) has more requests waiting than slots uses an idle connection. Elsewhere nothing changes.

--- a/src/primrosescale/process/entry/target_client.py
+++ b/src/primrosescale/process/entry/target_client.py
@@ -103,8 +103,12 @@
         """Send the request on an idle connection, or open a new one."""
         self._state.runs.add(self)
         channel = None
-        if not self._sending.needs_new_connection:
-            channel = self._state.pool.idle(self._clock.seconds())
+        sending = self._sending
+        max_idle = (
+            sending.max_idle_seconds if sending.needs_new_connection else math.inf
+        )
+        if max_idle:
+            channel = self._state.pool.idle(self._clock.seconds(), max_idle)
         if channel is not None:
             self._send(channel)
             return
--- a/src/primrosescale/request/attempt/forwarded_call.py
+++ b/src/primrosescale/request/attempt/forwarded_call.py
@@ -409,6 +409,9 @@
             fetch_from=source.target if source is not None else None,
             needs_new_connection=self._needs_new_connection(attempt, now),
             traceparent=attempt.traceparent,
+            max_idle_seconds=self._tools.max_idle_seconds(
+                self._request.route, attempt.state, now
+            ),
         )
         self._tools.availability.sent(attempt.state, now)
         attempt.begin(self._tools.client, sending, now)
@@ -424,7 +427,7 @@
         route = self._request.route
         if route.may_retry:
             return False
-        if not route.is_stream:
+        if not route.is_stream or self._tools.limits_idle_time(self._request.service):
             return True
         return now - attempt.state.last_received_at > self._tools.settings.heard_lately
 
--- a/src/primrosescale/request/attempt/forwarding_context.py
+++ b/src/primrosescale/request/attempt/forwarding_context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -33,6 +34,7 @@
     from primrosescale.request.incoming_request import IncomingRequest
     from primrosescale.request.target.target_state import TargetState
     from primrosescale.request.trace_span import TraceSpan
+    from primrosescale.version.routing_table import Route
 
 
 # Retry-After is drawn between these multiples of the setting, so that refused callers
@@ -207,6 +209,48 @@
     regions: Mapping[str, str] = field(default_factory=dict)
     overload_scope: OverloadScope = field(default_factory=_default_scope)
 
+    def limits_idle_time(self, service: str) -> bool:
+        """Return whether requests that may run once use pooled connections.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        bool
+            Whether `max_idle_seconds` applies to them.
+        """
+        return self.overload_scope.is_in_force(service)
+
+    def max_idle_seconds(self, route: Route, state: TargetState, now: float) -> float:
+        """Return how long a pooled connection may have been idle to replace a new one.
+
+        It applies to requests that otherwise need a new connection. A target whose
+        queue is long accepts fewer connections, so that a hedge to it, which may be
+        lost, opens none while there is an idle one.
+
+        Parameters
+        ----------
+        route : Route
+            Route of the request.
+        state : TargetState
+            The target that it is sent to.
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        float
+            Seconds; 0 if a new connection is opened in any case.
+        """
+        if not self.limits_idle_time(state.target.service):
+            return 0.0
+        if route.may_retry:
+            return math.inf if state.has_long_queue(now) else 0.0
+        return self.settings.heard_lately
+
     def configure(self, settings: ForwardingSettings, choice: ChoiceSettings) -> None:
         """Apply changed settings, also to calls in progress.
 
--- a/src/primrosescale/request/attempt/forwarding_interfaces.py
+++ b/src/primrosescale/request/attempt/forwarding_interfaces.py
@@ -41,9 +41,13 @@
     fetch_from : ServingTarget | None
         Target whose cache holds more of the prompt and can be copied from.
     needs_new_connection : bool
-        Whether it must not be sent on a pooled connection.
+        Whether it must not be sent on a pooled connection, except for one that meets
+        `max_idle_seconds`.
     traceparent : str
         Trace context for the target; empty for none.
+    max_idle_seconds : float
+        Seconds since its last answer within which a pooled connection is used in
+        place of a new one; 0 for never.
     """
 
     request: IncomingRequest
@@ -53,6 +57,7 @@
     fetch_from: ServingTarget | None
     needs_new_connection: bool
     traceparent: str = ""
+    max_idle_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/primrosescale/request/target/target_state.py
+++ b/src/primrosescale/request/target/target_state.py
@@ -25,6 +25,8 @@
 # A load report describes the moment at which the answer began: most plain requests
 # that it counted have ended since, and streams are counted again by the next answers.
 LOAD_REPORT_HALF_LIFE_SECONDS = 0.5
+# Age up to which a load report shows that the queue at a target is long.
+QUEUE_REPORT_SECONDS = 1.0
 # Time in which outcomes lose half of their influence. All routers report theirs, so
 # that it covers a dozen or more outcomes per target; a longer half-life would keep
 # sending callers to a target that has begun to fail.
@@ -402,6 +404,22 @@
         self._reported_at = now
         self._own_at_report = self._own_requests
 
+    def has_long_queue(self, now: float) -> bool:
+        """Return whether more requests wait at it than it can run at once.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        bool
+            False if it has not reported that lately.
+        """
+        is_recent = now - self._reported_at < QUEUE_REPORT_SECONDS
+        return is_recent and self._report.waiting > self.slots
+
     def set_peer_requests(self, router: str, running: int, fresh_until: float) -> None:
         """Set how many requests a peer router has at it.
 
--- a/tests/entry/test_connection_shares.py
+++ b/tests/entry/test_connection_shares.py
@@ -11,6 +11,9 @@
 from testtools import TestCase
 
 from entry.fakes import CONFIRMATION
+from entry.fakes import FRAGILE_STREAM
+from entry.fakes import LOOKUP
+from entry.fakes import STREAM
 from entry.fakes import FakeSink
 from entry.fakes import ForwardingHarness
 from entry.fakes import head
@@ -40,6 +43,7 @@
 from support.memory_targets import MemoryReactor
 
 WITH_PACE = LoadReport(0, 0, 6, 1.0)
+CROWDED = LoadReport(6, 7, 6, 1.0)
 STEP_SECONDS = 0.0005
 PORTS = {"p1": 9001, "p2": 9002, "p3": 9003}
 HOST = (b"Host", b"desk.example")
@@ -150,6 +154,61 @@
         self.assertTrue(sink.is_finished)
 
 
+class ReuseTest(ConnectionTest):
+    # A new connection for each request fills the target's limit with idle ones.
+    def test_one_that_may_run_once_uses_a_connection_that_has_just_answered(self):
+        self.answered(1)
+        self.pass_time(0.1)
+        self.answered(2)
+        self.assertEqual(1, self.server.opened)
+
+    # On a connection that was lost without notice, it would be lost as well.
+    def test_one_that_may_run_once_never_uses_a_stale_connection(self):
+        self.answered(1)
+        self.pass_time(0.16)
+        self.answered(2)
+        self.assertEqual(2, self.server.opened)
+
+    # A stream that may run once used any pooled connection to a target heard lately.
+    def test_a_stream_that_may_run_once_is_given_a_maximum_idle_time(self):
+        harness = ForwardingHarness([target("m1")])
+        harness.tools.overload_scope.record("model", WITH_PACE)
+        harness.call(request(FRAGILE_STREAM, deadline=1012.0))
+        sending = harness.caller.last.sending
+        self.assertTrue(sending.needs_new_connection)
+        self.assertEqual(0.15, sending.max_idle_seconds)
+
+    # One that may be repeated is sent again if its connection was stale.
+    def test_one_that_may_be_repeated_uses_a_stale_connection(self):
+        self.answered(1)
+        self.pass_time(0.5)
+        self.answered(2, route=LOOKUP)
+        self.assertEqual(1, self.server.opened)
+
+    # Each hedge opens a connection, also to a target that accepts few at the moment.
+    def test_a_hedge_to_a_target_with_a_long_queue_uses_an_idle_connection(self):
+        for load, max_idle in ((WITH_PACE, 0.0), (CROWDED, float("inf"))):
+            harness = ForwardingHarness([target("m1"), target("m2")])
+            harness.tools.overload_scope.record("model", WITH_PACE)
+            harness.call(request(STREAM, deadline=1012.0))
+            harness.pass_time(0.3)
+            for state in harness.states:
+                state.set_load(load, harness.clock.seconds())
+            harness.pass_time(0.3)
+            hedge = harness.caller.last.sending
+            self.assertTrue(hedge.needs_new_connection)
+            self.assertEqual(max_idle, hedge.max_idle_seconds)
+
+    # A report of a queue that has long been worked off says nothing about the present.
+    def test_an_old_report_of_a_long_queue_does_not_count(self):
+        state = TargetState(target("p1", "portal"), 1000.0)
+        state.set_load(CROWDED, 1000.0)
+        self.assertTrue(state.has_long_queue(1000.9))
+        self.assertFalse(state.has_long_queue(1001.0))
+        state.set_load(LoadReport(6, 6, 6, 1.0), 1001.0)
+        self.assertFalse(state.has_long_queue(1001.0))
+
+
 class BusyConnectionsTest(ConnectionTest):
     """All of the router's connections to the only target are in use."""
 
@@ -165,7 +224,7 @@
         self.assertEqual(3, self.router.client.connections)
         self.pass_time(0.25)
         self.assertTrue(all(item.is_finished for item in [*sinks, sink]))
-        self.assertEqual(0, self.server.resets)
+        self.assertEqual((3, 0), (self.server.opened, self.server.resets))
 
     # A request that waits until its deadline has lost the time to go elsewhere.
     def test_one_that_waits_for_too_long_is_refused_as_not_run(self):
@@ -318,3 +377,14 @@
             self.router.call(number)
         self.assertEqual(38, self.router.client.connections)
         self.assertFalse(self.router.client.is_limited("portal"))
+
+    # A hedge and a stream that may run once are sent as before.
+    def test_no_maximum_idle_time_is_stated(self):
+        for route in (CONFIRMATION, FRAGILE_STREAM, LOOKUP):
+            state = self.router.states[0]
+            state.set_load(CROWDED, self.reactor.seconds())
+            now = self.reactor.seconds()
+            self.assertEqual(0.0, self.router.tools.max_idle_seconds(route, state, now))
+        harness = ForwardingHarness([target("m1")])
+        harness.call(request(FRAGILE_STREAM, deadline=1012.0))
+        self.assertFalse(harness.caller.last.sending.needs_new_connection)
