--- a/src/primrosescale/request/attempt/forwarded_call.py
+++ b/src/primrosescale/request/attempt/forwarded_call.py
@@ -320,6 +320,8 @@
             self._availability_timer = self._tools.clock.callLater(
                 available_in, self._on_target_available
             )
+        elif self._tools.availability.lacks_connections(left, now):
+            self._fail(Refusal.CONNECTIONS_IN_USE)
         elif all(state.self_reports.is_limited for state in left if state.takes_work):
             self._fail_all_paused(available_in)
         else:
@@ -407,6 +409,9 @@
             fetch_from=source.target if source is not None else None,
             needs_new_connection=self._needs_new_connection(attempt, now),
             traceparent=attempt.traceparent,
+            max_idle_seconds=self._tools.max_idle_seconds(
+                self._request.route, attempt.state, now
+            ),
         )
         self._tools.availability.sent(attempt.state, now)
         attempt.begin(self._tools.client, sending, now)
@@ -422,7 +427,7 @@
         route = self._request.route
         if route.may_retry:
             return False
-        if not route.is_stream:
+        if not route.is_stream or self._tools.limits_idle_time(self._request.service):
             return True
         return now - attempt.state.last_received_at > self._tools.settings.heard_lately
 
