Count the tokens that targets still have to prefill, and expect the pace of hosts

Callers saw late first events and pauses while some targets had twice the tokens to prefill that they can prefill in half a second and others were idle: routers knew requests, not tokens. They also ignored that a host is slow for part of a second.

TargetWork keeps them in the state of a target's incarnation, so that a restarted target has none, and only for services under overload control. Nothing uses it yet.

--- a/src/primrosescale/request/target/target_state.py
+++ b/src/primrosescale/request/target/target_state.py
@@ -19,8 +19,10 @@
 
 if TYPE_CHECKING:
     from primrosescale.request.attempt.forwarding_interfaces import AnswerHead
+    from primrosescale.request.target.prefill_backlog import PrefillBacklog
     from primrosescale.request.target.serving_target import ServingTarget
     from primrosescale.request.target.target_incarnation import TargetIncarnation
+    from primrosescale.request.target.target_pace import TargetPace
 
 # A load report describes the moment at which the answer began: most plain requests
 # that it counted have ended since, and streams are counted again by the next answers.
@@ -109,6 +111,8 @@
         "_reported_at",
         "_self_reports",
         "_target",
+        "pace",
+        "prefill_backlog",
     )
 
     def __init__(
@@ -139,6 +143,9 @@
         # End of its last time without requests, when it was unreachable or evacuated;
         # it is assumed to be cold from then.
         self._assumed_cold_from = -math.inf
+        # Set by `TargetWork` where overload control is in force.
+        self.prefill_backlog: PrefillBacklog | None = None
+        self.pace: TargetPace | None = None
 
     @property
     def target(self) -> ServingTarget:
--- a/tests/test_constants.py
+++ b/tests/test_constants.py
@@ -22,6 +22,7 @@
     "questions",
     "parts",
     "tokens",
+    "tokens a second",
     "bytes",
     "bytes a second",
     "bytes a token",
