Add the tokens to prefill and the pace of hosts to the cost of a target

Callers of model services got first events late after a cold start of all targets: the choice counted 40 tokens for each request at a target but not the prompts that it still had to prefill. The choice for prompts now adds that backlog and multiplies the prefill by the expected pace; plain choices multiply the cost of waiting by it, and prefer the router's own failure domain where costs are equal within the tie break. It applies after all rules on which targets may be chosen, and only to services under overload control; elsewhere choices and random draws are as before.

An attempt's uncached tokens, with a tenth of the copied ones, count from sending until the first byte of its body or its end. Parts that other routers sent to a target that was not known to hold them are added as their updates arrive.

By the backlog alone, routers with state of each other up to 0.25 s old sent all prompts that left their homes to the same target without a backlog.

--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -51,6 +51,7 @@
 from primrosescale.request.capacity.cold_targets import ColdTargets
 from primrosescale.request.capacity.overload_scope import OverloadScope
 from primrosescale.request.capacity.router_shares import RouterShares
+from primrosescale.request.choice.prefill_cost import PrefillCost
 from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
 from primrosescale.request.choice.target_choice import TargetChooser
 from primrosescale.request.freshness import Freshness
@@ -60,6 +61,7 @@
 from primrosescale.request.target.evacuations import Evacuations
 from primrosescale.request.target.target_availability import TargetAvailability
 from primrosescale.request.target.target_availability import TargetCondition
+from primrosescale.request.target.target_work import TargetWork
 from primrosescale.request.trace_span import NO_SPAN
 
 if TYPE_CHECKING:
@@ -159,6 +161,8 @@
         self._leaving_exchange = LeavingTargetExchange(targets, parts.log)
         self._harmful_requests = HarmfulRequests(settings.harm)
         harm_reports = HarmReportExchange(self._harmful_requests, parts.log)
+        self._overload_scope = OverloadScope(settings.overload)
+        target_work = TargetWork(self._overload_scope)
         self._state_exchange = StateExchange(
             settings.name,
             incarnation,
@@ -170,6 +174,7 @@
             harm_reports,
             self._evacuations,
             self._leaving_exchange,
+            target_work,
         )
         self._registry = RouterRegistry(
             settings, incarnation, self._state_exchange, parts
@@ -210,7 +215,6 @@
             parts,
             self._exchange_protocol.send_soon,
         )
-        self._overload_scope = OverloadScope(settings.overload)
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._resolver = RequestResolver(
             self._store_state.freshness, settings.not_found_max_age, parts.rng
@@ -229,6 +233,7 @@
                 self._availability,
                 targets.recently_delisted,
                 self._shares.own_permits,
+                PrefillCost(target_work, settings.domain),
             ),
             parts=self._prefix_index,
             states_of=targets.of_service,
@@ -242,6 +247,7 @@
             availability=self._availability,
             regions=settings.regions,
             overload_scope=self._overload_scope,
+            target_work=target_work,
         )
         self._tracing: Tracing | None = None
         self._factory = EntryFactory(self, parts.reactor)
--- a/src/primrosescale/process/entry/state_exchange.py
+++ b/src/primrosescale/process/entry/state_exchange.py
@@ -37,6 +37,7 @@
     from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
     from primrosescale.request.freshness import Freshness
     from primrosescale.request.target.evacuations import Evacuations
+    from primrosescale.request.target.target_work import TargetWork
 
 # Keeps datagrams below the size at which links fragment them.
 MAX_PARTS = 36
@@ -90,6 +91,8 @@
     leaving : LeavingTargetExchange | None
         Exchange of targets that announced that they are leaving; None to exchange
         none.
+    target_work : TargetWork | None
+        Counts the tokens that other routers sent to targets; None to count none.
     """
 
     def __init__(
@@ -104,11 +107,13 @@
         harm: HarmReportExchange | None = None,
         evacuations: Evacuations | None = None,
         leaving: LeavingTargetExchange | None = None,
+        target_work: TargetWork | None = None,
     ) -> None:
         settings = settings or StateExchangeSettings()
         self._harm = harm
         self._evacuations = evacuations
         self._leaving = leaving
+        self._target_work = target_work
         self._settings = settings
         self._name = name
         self._incarnation = incarnation
@@ -625,7 +630,9 @@
                     used_at,
                     tuple(item.before or ()),
                 )
-                self._parts.record_use(use)
+                is_new = self._parts.record_use(use)
+                if is_new and self._target_work is not None:
+                    self._target_work.peer_started(state, item.tokens, used_at, now)
 
 
 class _RoundHeader:
--- a/src/primrosescale/request/attempt/forwarded_call.py
+++ b/src/primrosescale/request/attempt/forwarded_call.py
@@ -215,6 +215,7 @@
         if head.load is not None:
             service = attempt.state.target.service
             self._tools.overload_scope.record(service, head.load)
+            self._tools.target_work.reported(attempt.state, head.load, now)
         if attempt.state.answered(head, now):
             self._tools.self_report_received(self._request, attempt.state, head)
         self._tools.harm.answer_began(attempt.state, attempt.began_at, now)
@@ -240,7 +241,7 @@
     def attempt_data(self, attempt: TargetAttempt, data: bytes) -> None:
         """Relay or buffer bytes; see `AttemptListener.attempt_data`."""
         now = self._now()
-        attempt.state.bytes_received(now)
+        attempt.bytes_received(now)
         self._keep_only(attempt, now)
         if self._relay.is_stream:
             self._pass_events(attempt, data, now)
@@ -395,7 +396,8 @@
         self._attempts.append(record)
         self._tried.attempted(choice.state.incarnation)
         span = self._tools.start_span("target", self._span.traceparent)
-        return TargetAttempt(self, choice.state, record, span)
+        prefill = self._tools.target_work.prefill_of(choice.state, choice.prefill)
+        return TargetAttempt(self, choice.state, record, span, prefill)
 
     def _begin(self, attempt: TargetAttempt, choice: Choice, now: float) -> None:
         source = choice.fetch_from
--- a/src/primrosescale/request/attempt/forwarding_context.py
+++ b/src/primrosescale/request/attempt/forwarding_context.py
@@ -13,6 +13,7 @@
 from primrosescale.request.capacity.overload_settings import OverloadSettings
 from primrosescale.request.harm.harm_monitor import NoHarmMonitor
 from primrosescale.request.target.target_availability import TargetAvailability
+from primrosescale.request.target.target_work import TargetWork
 from primrosescale.request.trace_span import UnrecordedSpan
 
 if TYPE_CHECKING:
@@ -138,6 +139,10 @@
     return OverloadScope(OverloadSettings())
 
 
+def _default_work() -> TargetWork:
+    return TargetWork(_default_scope())
+
+
 def _start_unrecorded(_: str, traceparent: str) -> TraceSpan:
     return UnrecordedSpan(traceparent)
 
@@ -185,6 +190,8 @@
         The region of each failure domain.
     overload_scope : OverloadScope
         Determines for which services overload control is in force.
+    target_work : TargetWork
+        Prefill backlog and pace of targets; by default nothing is recorded.
     """
 
     settings: ForwardingSettings
@@ -206,6 +213,7 @@
     availability: TargetAvailability = field(default_factory=TargetAvailability)
     regions: Mapping[str, str] = field(default_factory=dict)
     overload_scope: OverloadScope = field(default_factory=_default_scope)
+    target_work: TargetWork = field(default_factory=_default_work)
 
     def configure(self, settings: ForwardingSettings, choice: ChoiceSettings) -> None:
         """Apply changed settings, also to calls in progress.
--- a/src/primrosescale/request/attempt/target_attempt.py
+++ b/src/primrosescale/request/attempt/target_attempt.py
@@ -18,9 +18,12 @@
     from primrosescale.request.attempt.forwarding_interfaces import TargetClient
     from primrosescale.request.target.target_incarnation import TargetIncarnation
     from primrosescale.request.target.target_state import TargetState
+    from primrosescale.request.target.target_work import OpenPrefill
     from primrosescale.request.trace_span import TraceSpan
 
 RUNNING = "running"
+# An error is answered without prefilling the prompt.
+MIN_ERROR_STATUS = 400
 
 
 @dataclass(slots=True)
@@ -164,6 +167,8 @@
         Its record for the log.
     span : TraceSpan
         Its span.
+    prefill : OpenPrefill | None
+        Counts its uncached tokens at the target; None if they are not counted.
     """
 
     __slots__ = (
@@ -173,6 +178,7 @@
         "_is_over",
         "_is_paused",
         "_listener",
+        "_prefill",
         "_record",
         "_span",
         "_splitter",
@@ -187,8 +193,10 @@
         state: TargetState,
         record: AttemptRecord,
         span: TraceSpan,
+        prefill: OpenPrefill | None = None,
     ) -> None:
         self._listener = listener
+        self._prefill = prefill
         self._state = state
         self._record = record
         self._span = span
@@ -259,6 +267,8 @@
             Present time in seconds.
         """
         self._state.sent(now)
+        if self._prefill is not None:
+            self._prefill.sent(now)
         in_flight = client.send(sending, self)
         if self._is_over:
             in_flight.cancel()
@@ -286,6 +296,8 @@
         if self._is_paused:
             self._state.resume_reading(now)
         self._state.ended()
+        if self._prefill is not None:
+            self._prefill.ended(now)
         if self._in_flight is not None and not is_complete:
             self._in_flight.cancel()
 
@@ -313,6 +325,23 @@
         if self._in_flight is not None:
             self._in_flight.resume()
 
+    def bytes_received(self, now: float) -> None:
+        """Record that bytes of the body were received.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+        """
+        self._state.bytes_received(now)
+        prefill, self._prefill = self._prefill, None
+        if prefill is None:
+            return
+        if self.head is not None and self.head.status < MIN_ERROR_STATUS:
+            prefill.answered(now)
+        else:
+            prefill.ended(now)
+
     def buffer(self, data: bytes) -> None:
         """Buffer bytes of the body that are not sent to the caller yet.
 
--- a/src/primrosescale/request/choice/prompt_homes.py
+++ b/src/primrosescale/request/choice/prompt_homes.py
@@ -29,6 +29,8 @@
 # the home and need not copy from the former homes any more; returning chats come
 # within seconds to a minute.
 SETTLED_SECONDS = 30.0
+# Ranks are hashes of 64 bits.
+MAX_RANK = 2**64
 
 
 def shared_tokens(prompt: Prompt) -> int:
@@ -62,11 +64,30 @@
     TargetState
         The home; the same on all routers that know the same targets.
     """
-    shared = prompt.shared or prompt.parts
-    group = ",".join(part.name for part in shared)
+    group = _group(prompt)
     return max(states, key=lambda state: _rank(group, state.target.name))
 
 
+def rank_shares(prompt: Prompt, states: Sequence[TargetState]) -> dict[str, float]:
+    """Return the ranks of targets for a prompt, as numbers between 0 and 1.
+
+    Parameters
+    ----------
+    prompt : Prompt
+        The prompt.
+    states : Sequence[TargetState]
+        Targets.
+
+    Returns
+    -------
+    dict[str, float]
+        By name of the target; highest for the home, the same on all routers.
+    """
+    group = _group(prompt)
+    names = [state.target.name for state in states]
+    return {name: _rank(group, name) / MAX_RANK for name in names}
+
+
 def established_home(
     prompt: Prompt, states: Sequence[TargetState], now: float
 ) -> TargetState:
@@ -142,5 +163,10 @@
     return state.since - first_listed_at < LISTED_TOGETHER_SECONDS
 
 
+def _group(prompt: Prompt) -> str:
+    """Return what the ranks of a prompt's targets depend on."""
+    return ",".join(part.name for part in prompt.shared or prompt.parts)
+
+
 def _rank(group: str, target: str) -> int:
     return int(xxh3_64_intdigest(f"{group}|{target}".encode()))
--- a/src/primrosescale/request/choice/target_choice.py
+++ b/src/primrosescale/request/choice/target_choice.py
@@ -23,6 +23,7 @@
 
 from primrosescale.ini.options import SECONDS
 from primrosescale.ini.options import option
+from primrosescale.request.choice.prefill_cost import tokens_to_prefill
 from primrosescale.request.choice.prompt_homes import established_home
 from primrosescale.request.choice.prompt_homes import expected_source
 from primrosescale.request.choice.prompt_homes import home_of
@@ -35,6 +36,7 @@
     from collections.abc import Sequence
     from random import Random
 
+    from primrosescale.request.choice.prefill_cost import PrefillCost
     from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
     from primrosescale.request.incoming_request import Prompt
     from primrosescale.request.target.target_incarnation import TargetIncarnation
@@ -129,6 +131,11 @@
     passed_resting : int
         Targets passed over since they are in a requested pause, or since their
         requests are still limited after one.
+    held_by_source : int
+        Leading tokens of the prompt that the target of `fetch_from` holds.
+    prefill : float
+        Tokens that the target has to prefill; 0 where overload control is not in
+        force.
     """
 
     state: TargetState
@@ -140,6 +147,8 @@
     mean: float
     passed_cold: int = 0
     passed_resting: int = 0
+    held_by_source: int = 0
+    prefill: float = 0.0
 
 
 class _Loads:
@@ -215,6 +224,9 @@
         Returns this router's share of the requests that all routers together may
         have at a target, given the target's name, the number of those requests and
         the current time.
+    prefill_cost : PrefillCost | None
+        Adds backlog and pace to the cost of targets of services for which overload
+        control is in force; None to add them nowhere.
     """
 
     def __init__(
@@ -227,6 +239,7 @@
         availability: TargetAvailability | None = None,
         recently_delisted: Callable[[str], Sequence[TargetState]] = lambda _: (),
         own_share: Callable[[str, int, float], int] = lambda _, requests, __: requests,
+        prefill_cost: PrefillCost | None = None,
     ) -> None:
         self._settings = settings
         self._parts = parts
@@ -236,6 +249,7 @@
         self._availability = availability or TargetAvailability()
         self._recently_delisted = recently_delisted
         self._own_share = own_share
+        self._prefill_cost = prefill_cost
 
     def configure(self, settings: ChoiceSettings) -> None:
         """Replace the settings.
@@ -408,7 +422,10 @@
         # that the best target by the last state updates is the same for all routers.
         if loads.is_stale or self._relies_on_homes():
             bounded = self._sample(bounded)
-        best = min(bounded, key=lambda state: self._plain_cost(state, loads, now))
+        extra = self._extra_cost(bounded)
+        best = min(
+            bounded, key=lambda state: self._plain_cost(state, loads, extra, now)
+        )
         return Choice(
             best,
             held=0,
@@ -448,15 +465,27 @@
         best = self._cheapest(
             bounded, sources, prompt, held, loads, usual_failures, now
         )
-        return Choice(
+        source = self._copy_source(best, sources, prompt, known, now)
+        choice = Choice(
             best,
             held=held[best.target.name],
-            fetch_from=self._copy_source(best, sources, prompt, known, now),
+            fetch_from=source,
             is_home=best is home_of(prompt, loads.serving),
             load=loads.of(best),
             load_age=loads.age,
             mean=loads.mean,
+            held_by_source=0 if source is None else held[source.target.name],
         )
+        if self._extra_cost(bounded) is None:
+            return choice
+        return replace(choice, prefill=tokens_to_prefill(prompt, choice))
+
+    def _extra_cost(self, states: Sequence[TargetState]) -> PrefillCost | None:
+        """Return the cost by backlog and pace; None if it is not in force."""
+        cost = self._prefill_cost
+        if cost is None or not cost.is_in_force(states[0].target.service):
+            return None
+        return cost
 
     def _sample(self, states: Sequence[TargetState]) -> list[TargetState]:
         return self._rng.sample(states, min(SAMPLED_TARGETS, len(states)))
@@ -487,11 +516,16 @@
         self,
         state: TargetState,
         loads: _Loads,
+        extra: PrefillCost | None,
         now: float,
     ) -> float:
         waiting = (loads.of(state) + 1.0) / state.slots
         failing = 1.0 + PLAIN_FAILURE_WEIGHT * state.failure_share(now) ** 2
-        return waiting * failing + TIE_BREAK_REQUESTS * self._rng.random()
+        tie_break = self._rng.random()
+        if extra is not None:
+            waiting *= extra.pace(state, now)
+            tie_break = extra.tie_break(state, tie_break)
+        return waiting * failing + TIE_BREAK_REQUESTS * tie_break
 
     def _cheapest(
         self,
@@ -511,11 +545,18 @@
         home = home_of(prompt, bounded)
         is_known = _holds_all_shared(prompt, max_held)
         settings = self._settings
+        extra = self._extra_cost(bounded)
+        preferences = {}
+        if extra is not None:
+            preferences = extra.preferences(prompt, bounded, held, max_held)
 
         def cost(state: TargetState) -> float:
             name = state.target.name
             copied = max(0, max_held - held[name])
-            prefilled = prompt.prompt_tokens - max(max_held, held[name])
+            prefilled: float = prompt.prompt_tokens - max(max_held, held[name])
+            if extra is not None:
+                prefilled = extra.prefill(state, prefilled, now)
+                prefilled -= settings.home_bonus * preferences[name]
             total = prefilled + copied * settings.fetch_weight
             total += loads.of(state) * settings.tokens_per_request
             failing = max(0.0, state.failure_share(now) - usual_failures)
