Test the tokens of attempts in drawn orders of events, and the router's wiring

Hypothesis draws calls with retries and hedges in any order of events: tokens at targets are always those of open attempts, and none are left after the end. A prefill that ends more than once returns its tokens once, and the router's choices use the backlog that its attempts and the updates of other routers are counted in.

--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -158,6 +158,18 @@
         self.assertNotIn(b"authorization", arrival.headers)
         self.assertTrue(int(arrival.headers[b"primrosescale-request-deadline"]) <= 1500)
 
+    # Guards against a choice that knows no backlog, since attempts or the updates of
+    # other routers are counted elsewhere.
+    @inlineCallbacks
+    def test_choices_use_the_backlog_that_attempts_and_updates_are_counted_in(self):
+        yield self.start(domain="b")
+        work = self.router._forwarding.target_work
+        cost = self.router._forwarding.chooser._prefill_cost
+        self.assertIs(work, cost._work)
+        self.assertIs(work, self.router._state_exchange._target_work)
+        self.assertIs(self.router._overload_scope, work._scope)
+        self.assertEqual("b", cost._domain)
+
     @inlineCallbacks
     def test_callers_who_connect_while_it_is_loaded_are_served(self):
         listening_socket = open_listener(Endpoint(LOOPBACK, 0))
--- a/tests/request/test_target_work.py
+++ b/tests/request/test_target_work.py
@@ -4,6 +4,9 @@
 
 from dataclasses import replace
 
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
 from testtools import TestCase
 
 from entry.fakes import FRAGILE_STREAM
@@ -22,6 +25,7 @@
 from primrosescale.process.entry.peer_router import PeerRouter
 from primrosescale.process.entry.state_exchange import StateExchange
 from primrosescale.process.entry.target_list import TargetList
+from primrosescale.request.attempt.target_attempt import RUNNING
 from primrosescale.request.capacity.overload_scope import OverloadScope
 from primrosescale.request.capacity.overload_settings import OverloadMode
 from primrosescale.request.capacity.overload_settings import OverloadSettings
@@ -47,7 +51,9 @@
     return scope
 
 
-class AttemptTokensTest(TestCase):
+class WorkTestCase(TestCase):
+    """A router's forwarding with overload control in force for its service."""
+
     def setUp(self):
         super().setUp()
         self.set_up(make_scope())
@@ -79,6 +85,8 @@
         call, _ = self.harness.call(request(route, **fields))
         return call, self.harness.caller.last
 
+
+class AttemptTokensTest(WorkTestCase):
     # Guards against tokens that stay after the prompt was prefilled.
     def test_tokens_count_until_the_first_byte(self):
         _, run = self.begin()
@@ -103,6 +111,18 @@
         self.assertEqual(20, sum(self.backlogs().values()))
         self.assertEqual(TOKENS + 20, sum(both.values()))
 
+    # Guards against an end that returns the tokens of another request again.
+    def test_a_prefill_returns_its_tokens_once(self):
+        state = self.harness.state("m1")
+        first, second = (self.work.prefill_of(state, 100) for _ in range(2))
+        first.ended(START)
+        first.sent(START)
+        second.sent(START)
+        first.answered(START + 0.1)
+        first.answered(START + 0.1)
+        first.ended(START + 0.1)
+        self.assertEqual(100, state.prefill_backlog.tokens(START + 0.1))
+
     # Guards against cached tokens that count as backlog.
     def test_cached_tokens_do_not_count(self):
         for name in ("m1", "m2"):
@@ -243,6 +263,60 @@
         self.assertAlmostEqual(10_000, rates[1], 3)
 
 
+RUN_STEPS = {
+    "head": lambda observer: observer.response_head(head()),
+    "declined": lambda observer: observer.response_head(head(503, is_not_run=True)),
+    "error": lambda observer: observer.response_head(head(500)),
+    "event": lambda observer: observer.response_data(event(1)),
+    "done": lambda observer: observer.response_done(),
+    "lost": lambda observer: observer.response_lost("reset"),
+}
+KINDS = ("call", "not sent", "left", "time", *RUN_STEPS)
+PLAYS = st.lists(
+    st.tuples(st.sampled_from(KINDS), st.integers(0, 20)),
+    max_size=30,
+)
+
+
+class DrawnAttemptsTest(WorkTestCase):
+    def play(self, kind, number, calls):
+        """Let one of the calls, or one of the runs, make a step."""
+        harness = self.harness
+        if kind == "call":
+            route = (STREAM, FRAGILE_STREAM)[number % 2]
+            wanted = prompt((f"text{number % 3}", 5000), (f"own{number}", 100))
+            calls.append(self.begin(route, prompt=wanted)[0])
+        elif kind == "not sent":
+            harness.caller.unreachable = {"m1"} if number % 2 else set()
+        elif kind == "time":
+            harness.pass_time(number / 50)
+        elif kind == "left" and calls:
+            calls[number % len(calls)].caller_gone()
+        elif harness.caller.runs:
+            run = harness.caller.runs[number % len(harness.caller.runs)]
+            RUN_STEPS[kind](run.observer)
+
+    # Guards against tokens that are returned twice or never, in any order of events of
+    # several calls with retries and hedges.
+    @settings(max_examples=200, deadline=None)
+    @given(PLAYS)
+    def test_tokens_at_targets_are_those_of_open_attempts(self, plays):
+        self.set_up(make_scope())
+        calls = []
+        for kind, number in plays:
+            self.play(kind, number, calls)
+            running = {
+                record.target
+                for call in calls
+                for record in call.attempts
+                if record.outcome == RUNNING
+            }
+            self.assertEqual(set(), set(self.backlogs()) - running)
+        self.harness.pass_time(2.0)
+        self.assertEqual(len(calls), len(self.harness.ended))
+        self.assertEqual({}, self.backlogs())
+
+
 class ExchangingRouter:
     def __init__(self, name, scope):
         self.targets = TargetList(2.0)
