--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -53,6 +53,7 @@
 from primrosescale.request.capacity.isolated_retry import isolated_retry_delay
 from primrosescale.request.capacity.overload_scope import OverloadScope
 from primrosescale.request.capacity.router_shares import RouterShares
+from primrosescale.request.choice.prefill_cost import PrefillCost
 from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
 from primrosescale.request.choice.target_choice import TargetChooser
 from primrosescale.request.freshness import Freshness
@@ -62,6 +63,7 @@
 from primrosescale.request.target.evacuations import Evacuations
 from primrosescale.request.target.target_availability import TargetAvailability
 from primrosescale.request.target.target_availability import TargetCondition
+from primrosescale.request.target.target_work import TargetWork
 from primrosescale.request.trace_span import NO_SPAN
 
 if TYPE_CHECKING:
@@ -167,6 +169,8 @@
         self._leaving_exchange = LeavingTargetExchange(targets, parts.log)
         self._harmful_requests = HarmfulRequests(settings.harm)
         harm_reports = HarmReportExchange(self._harmful_requests, parts.log)
+        self._overload_scope = OverloadScope(settings.overload)
+        target_work = TargetWork(self._overload_scope)
         self._state_exchange = StateExchange(
             settings.name,
             incarnation,
@@ -178,6 +182,7 @@
             harm_reports,
             self._evacuations,
             self._leaving_exchange,
+            target_work,
         )
         self._registry = RouterRegistry(
             settings, incarnation, self._state_exchange, parts
@@ -236,6 +241,7 @@
                 self._availability,
                 targets.recently_delisted,
                 self._shares.own_permits,
+                PrefillCost(target_work, settings.domain),
             ),
             parts=self._prefix_index,
             states_of=targets.of_service,
@@ -249,6 +255,7 @@
             availability=self._availability,
             regions=settings.regions,
             overload_scope=self._overload_scope,
+            target_work=target_work,
         )
         self._tracing: Tracing | None = None
         self._factory = EntryFactory(self, parts.reactor)
