--- a/src/primrosescale/platform/entry.py
+++ b/src/primrosescale/platform/entry.py
@@ -245,8 +245,15 @@
         max_requests=host.memory_limit // BYTES_PER_REQUEST,
         choice=ChoiceSettings(load_multiple=LOAD_MULTIPLE_SHARE * bounds.load_multiple),
         cold=ColdSettings(over=bounds.cold_over, slack=bounds.cold_slack),
-        overload=OverloadSettings(mode=OverloadMode(options.overload_control)),
+        overload=OverloadSettings(mode=_overload_mode(host, options)),
         repeats=SharedRetryLimits(
             bounds.retry_ratio, bounds.retry_window, bounds.retry_extra
         ),
     )
+
+
+def _overload_mode(host: HostSettings, options: RouterOptions) -> OverloadMode:
+    mode = OverloadMode(options.overload_control)
+    if mode is OverloadMode.AUTO and host.requires_overload_control:
+        return OverloadMode.ON
+    return mode
--- a/src/primrosescale/platform/host_settings.py
+++ b/src/primrosescale/platform/host_settings.py
@@ -13,6 +13,8 @@
 
 SETTINGS_FILE_VARIABLE = "PRIMROSESCALE_BOOT"
 SECONDS_PER_MILLISECOND = 0.001
+# In a deployment with this contract, demand exceeds the capacity of targets at times.
+OVERLOAD_CONTRACT = "pressure"
 
 # Used for bounds that the settings file leaves out. The users' deployments state all
 # of them, with these values.
@@ -104,6 +106,8 @@
         Memory limit of the process in bytes; above it, the process is killed.
     bounds : Bounds
         Limits that the deployment requires.
+    requires_overload_control : bool
+        Whether the deployment asks for overload control of all services.
     """
 
     name: str
@@ -117,6 +121,7 @@
     is_first_start: bool
     memory_limit: int
     bounds: Bounds
+    requires_overload_control: bool = False
 
 
 def own_host_settings() -> HostSettings:
@@ -206,6 +211,7 @@
         is_first_start=bool(fields.get("bootstrap", False)),
         memory_limit=int(float(limits.get("memory_mb", 300)) * 1024 * 1024),
         bounds=_bounds(fields.get("bounds") or {}),
+        requires_overload_control=OVERLOAD_CONTRACT in (fields.get("contracts") or []),
     )
 
 
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -16,6 +16,8 @@
 from entry.fakes import request
 from entry.fakes import target
 from primrosescale.platform.entry import CONFIGURATION_BATCHING_SHARE
+from primrosescale.platform.entry import RouterOptions
+from primrosescale.platform.entry import entry_settings
 from primrosescale.platform.exceptions import RecordError
 from primrosescale.platform.exceptions import SettingsFileError
 from primrosescale.platform.host_settings import read_host_settings
@@ -26,6 +28,7 @@
 from primrosescale.process.transport.platform import StoredObject
 from primrosescale.request.attempt.forwarding_interfaces import OutgoingRequest
 from primrosescale.request.attempt.forwarding_interfaces import Refusal
+from primrosescale.request.capacity.overload_settings import OverloadMode
 from primrosescale.request.target.retry_after import MAX_PAUSE_SECONDS
 from primrosescale.request.target.target_state import LoadReport
 from primrosescale.version.routing_table import RetryPolicy
@@ -177,6 +180,19 @@
         self.assertEqual((1.5, 3.0, 5.0), self.bounds(host))
         self.assertLess(CONFIGURATION_BATCHING_SHARE, 0.5)
 
+    def test_overload_control_follows_the_contracts_unless_the_flag_is_set(self):
+        # Targets that report no pace would reset connections over their limit.
+        for contracts, flag, expected in (
+            ([], "auto", OverloadMode.AUTO),
+            (["base", "pool"], "auto", OverloadMode.AUTO),
+            (["base", "pressure"], "auto", OverloadMode.ON),
+            (["base", "pressure"], "off", OverloadMode.OFF),
+            ([], "on", OverloadMode.ON),
+        ):
+            host = self.read({**SETTINGS, "contracts": contracts})
+            found = entry_settings(host, RouterOptions(overload_control=flag))
+            self.assertEqual(expected, found.overload.mode, (contracts, flag))
+
     def test_invalid_settings_raise_boot_file_error(self):
         for invalid in (
             "not json",
