Cold targets: keep the counts of a forgotten target for the counting window

Callers saw nothing; a cold target could get up to twice a router's share of its rate. A target whose entry lapses is used until it is forgotten where no other target of its service accepts requests. Forgetting it dropped the counts of the requests sent to it, also of those in the last 1.05 s, so that a router could use all its permits again when the entry was written again. Counts are now dropped only once they are older than the window, whether or not the target is known. On the virtual clock, with 10 requests in the last 0.6 s before a target was forgotten, the wait after its entry was written again was 0 s before and is 0.44 s now.

--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -583,7 +583,7 @@
             self._prefix_index.forget_target(incarnation)
             self._harm_monitor.target_ended(incarnation, ENTRY_GONE, now)
             self._target_client.forget(incarnation.name)
-            self._cold_targets.forget(incarnation.name)
+        self._cold_targets.sweep(now)
         self._log_readiness(now)
         dropped = (
             self._dependencies.writer.take_dropped() if self._dependencies.writer else 0
--- a/src/primrosescale/request/capacity/cold_targets.py
+++ b/src/primrosescale/request/capacity/cold_targets.py
@@ -192,15 +192,23 @@
             # Requests sent before the target was known to be cold count too.
             self._recently_sent(state.target.name, now).append(now)
 
-    def forget(self, name: str) -> None:
-        """Drop the counts of a target that is gone.
+    def sweep(self, now: float) -> None:
+        """Drop the counts of targets to which nothing was sent recently.
+
+        Counts are kept while they are in the window, also those of a forgotten target:
+        its entry may be written again, and the requests sent before still count.
 
         Parameters
         ----------
-        name : str
-            Name of the target.
+        now : float
+            Current time in seconds.
         """
-        self._sent.pop(name, None)
+        since = now - WINDOW_SECONDS
+        idle = [
+            name for name, sent in self._sent.items() if not sent or sent[-1] <= since
+        ]
+        for name in idle:
+            del self._sent[name]
 
     def _limited_service(self, state: TargetState) -> Service | None:
         service = self._service_of(state.target.service)
--- a/tests/request/test_cold_targets.py
+++ b/tests/request/test_cold_targets.py
@@ -328,6 +328,33 @@
         self.assertTrue(self.is_cold(targets.state("m1"), START + 8.9))
         self.assertFalse(self.is_cold(targets.state("m1"), START + 9.0))
 
+    # Guards against a full share of permits for a target whose entry is written again
+    # just after it was forgotten, in addition to the requests sent before that.
+    def test_what_was_sent_before_a_target_was_forgotten_counts(self):
+        cold = Router("r0", names(1), START).cold
+        targets = listed(target("m1"))
+        targets.remove("m1", START)
+        for sent in range(10):
+            cold.sent(targets.state("m1"), START + 1.0 + sent * 0.05)
+        forgotten_at = START + 1.61
+        self.assertEqual(1, len(targets.forget_expired(forgotten_at)))
+        cold.sweep(forgotten_at)
+        targets.put(target("m1", warm_up_seconds=3.0), forgotten_at)
+        state = targets.state("m1")
+        self.assertAlmostEqual(
+            1.0 + WINDOW_SECONDS - 1.61, cold.wait(state, forgotten_at), places=6
+        )
+        self.assertEqual(0, cold.wait(state, START + 1.0 + WINDOW_SECONDS))
+
+    # Guards against counts that stay in memory for targets that are gone.
+    def test_counts_that_are_older_than_the_window_are_dropped(self):
+        cold = Router("r0", names(1), START).cold
+        cold.sent(TargetState(target("m1"), START), START)
+        cold.sweep(START + WINDOW_SECONDS - 0.01)
+        self.assertEqual(1, len(cold._sent))
+        cold.sweep(START + WINDOW_SECONDS)
+        self.assertEqual({}, cold._sent)
+
     def test_a_later_answer_counts(self):
         state = TargetState(target("m1"), START)
         state.answered(head(cold_for=5.0), START)
