Soak: engines report in their answers that they are cold

Traced: the engine became cold while it served, 0.6 s before its entry said so, and the soak's engines did not report it in their answers (Primrosescale-Cold-Remaining), as real engines do. A harmful request had just ended the three other engines, so that it got every request of the service. All requests over the rate came in these 0.6 s, in which no router could know; after the entry, at most 8 came in any second.

The stand-in engine can send further headers, and the soak's engines report there for how long they stay cold. The check is unchanged: it still counts from the moment at which the engine became cold.

--- a/src/primrosescale/standin/scripted_engine.py
+++ b/src/primrosescale/standin/scripted_engine.py
@@ -152,6 +152,9 @@
         Pause in seconds that it requests when it declines a request.
     is_resting : bool
         Whether it declines all requests.
+    state_headers : Callable[[], dict[bytes, bytes]] | None
+        Returns further headers with which its answers report its state; they
+        replace the usual ones of the same name.
     current_incarnation : EngineIncarnation
         State of its present incarnation.
     """
@@ -171,6 +174,7 @@
     is_leaving: bool = False
     rest: float | None = None
     is_resting: bool = False
+    state_headers: Callable[[], dict[bytes, bytes]] | None = None
     current_incarnation: EngineIncarnation = field(default_factory=EngineIncarnation)
 
     @property
@@ -395,6 +399,9 @@
         self.responseHeaders.setRawHeaders(names.LOAD, [b"1,0,8"])
         if self._script.is_leaving:
             self.responseHeaders.setRawHeaders(names.LEAVING, [b"1"])
+        if self._script.state_headers is not None:
+            for name, value in self._script.state_headers().items():
+                self.responseHeaders.setRawHeaders(name, [value])
         if length is not None:
             self.responseHeaders.setRawHeaders(b"Content-Length", [b"%d" % length])
         self.write(b"")
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -54,6 +54,7 @@
             delay=rng.uniform(0.02, 0.09) if plain else 0.03,
             echoes_request_id=True,
             on_arrival=self._record_request,
+            state_headers=self._state_headers,
         )
         self.engine = ScriptedEngine(self.script)
         self._listen()
@@ -122,6 +123,11 @@
         self.cold_until = now + seconds
         self._history.cold.append(ColdPeriod(self.name, self.start, now, now + seconds))
 
+    def _state_headers(self):
+        """Report for how long it stays cold; its entry may come later or not at all."""
+        left = self._cold_left()
+        return {names.COLD_REMAINING: b"%d" % left} if left else {}
+
     def _cold_left(self):
         left = self.cold_until - reactor.seconds()
         return max(0, round(left * MILLISECONDS_PER_SECOND))
--- a/tests/soak/test_backends.py
+++ b/tests/soak/test_backends.py
@@ -40,3 +40,15 @@
     # request is answered with the notice that another target has the address.
     def test_what_was_meant_for_a_former_target_is_asked_for_none(self):
         self.assertEqual(0, self.arrive("t0-0"))
+
+
+class ColdTargetTest(TestCase):
+    # Guards against judging routers by a state of a target that nothing reported: the
+    # entry comes up to 2 s after the target became cold.
+    def test_answers_report_for_how_long_it_is_cold(self):
+        target = Target("t0", "model", History(), [], random.Random(1), None)
+        self.addCleanup(target.close)
+        self.assertEqual({}, target.script.state_headers())
+        target.become_cold(3.0)
+        reported = int(target.script.state_headers()[names.COLD_REMAINING])
+        self.assertTrue(2900 <= reported <= 3000, reported)
