Soak: demand over the capacity of the targets

One organisation surges to six times its callers; callers of it and of a small organisation obey Retry-After and return once; some read answers of 1 MB slowly.

New checks, each with a seeded violation: a router that was not killed or paused ends each request ("ends"); all routers together keep to a target's connections except within 3 s of a router's start or end ("connections"); callers of the small organisation do not wait past their time where no fault explains it ("small organisations"). "Not run is true" and "at most once" judge the new callers as well.

--- a/src/primrosescale/standin/scripted_engine.py
+++ b/src/primrosescale/standin/scripted_engine.py
@@ -16,6 +16,7 @@
 from twisted.web.http import Request
 
 from primrosescale.platform import http_codec as names
+from primrosescale.standin.engine_slots import EngineSlots
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -90,6 +91,8 @@
     silent_until : float
         Time until which it sends nothing to anyone, in seconds of the engine's
         reactor; it still reads, runs requests and keeps its connections.
+    slots : EngineSlots
+        Requests that run and wait, if the number that run at once is limited.
     """
 
     started_at: int | None = None
@@ -97,6 +100,7 @@
     held: list[tuple[str, int]] = field(default_factory=list)
     running: int = 0
     silent_until: float = 0.0
+    slots: EngineSlots = field(default_factory=EngineSlots)
 
     def with_start(self, **fields: Any) -> dict[str, Any]:
         """Return fields with the start added, if the engine reports one.
@@ -155,6 +159,14 @@
     state_headers : Callable[[], dict[bytes, bytes]] | None
         Returns further headers with which its answers report its state; they
         replace the usual ones of the same name.
+    slots : int
+        Requests that it runs at once; 0 for no limit. The others wait.
+    max_waiting : int
+        Requests that may wait; further ones are declined as not run.
+    pace : Callable[[], float]
+        Returns how long work takes at present, as a multiple of the usual time.
+    padding : dict[bytes, int]
+        Bytes that plain answers get in addition, by the first part of the path.
     current_incarnation : EngineIncarnation
         State of its present incarnation.
     """
@@ -175,6 +187,10 @@
     rest: float | None = None
     is_resting: bool = False
     state_headers: Callable[[], dict[bytes, bytes]] | None = None
+    slots: int = 0
+    max_waiting: int = 0
+    pace: Callable[[], float] = lambda: 1.0
+    padding: dict[bytes, int] = field(default_factory=dict)
     current_incarnation: EngineIncarnation = field(default_factory=EngineIncarnation)
 
     @property
@@ -182,6 +198,13 @@
         """Return how many requests the present incarnation has in flight."""
         return self.current_incarnation.running
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether its slots are taken and no further request may wait."""
+        slots = self.current_incarnation.slots
+        is_taken = 0 < self.slots <= slots.running
+        return is_taken and slots.waiting >= self.max_waiting
+
     def self_description(self, method: bytes, path: bytes) -> dict[str, Any] | None:
         """Return its report, cache contents or health when a request asks for one.
 
@@ -224,24 +247,28 @@
             )
         return incarnation.with_start()
 
-    def plain_answer(self, request_id: bytes) -> bytes:
+    def plain_answer(self, request_id: bytes, path: bytes) -> bytes:
         """Return the body of the complete plain answer to a request.
 
         Parameters
         ----------
         request_id : bytes
             Id of the request.
+        path : bytes
+            Path and query.
 
         Returns
         -------
         bytes
             The body.
         """
-        return (
+        body = (
             b"%b for %b" % (self.body, request_id)
             if self.echoes_request_id
             else self.body
         )
+        added = self.padding.get(path.lstrip(b"/").partition(b"/")[0], 0)
+        return body + b"." * added
 
 
 class _EngineRequest(Request):
@@ -250,6 +277,8 @@
     # A connection may be lost before its request is received completely.
     _is_received = False
     _is_running = False
+    # Starts it; set while it has or awaits a slot.
+    _start: Callable[[], None] | None = None
 
     def process(self) -> None:
         """Answer the request as the script says."""
@@ -274,7 +303,8 @@
         self._receipt = self._script.receipt
         self._script.arrivals.append(self._received)
         fault = self._script.faults.pop(0) if self._script.faults else None
-        if self._script.is_resting:
+        self._is_over_slots = self._script.is_full
+        if self._script.is_resting or self._is_over_slots:
             fault = EngineFault.DECLINE
         expected = self._received.headers.get(names.EXPECTED_INCARNATION.lower())
         is_misdirected = expected is not None and expected.decode() != self._script.name
@@ -315,13 +345,16 @@
             self._finish_answer()
         elif fault is EngineFault.DECLINE:
             self.responseHeaders.setRawHeaders(names.NOT_RUN, [b"1"])
-            if self._script.rest is not None:
+            if self._script.rest is not None and not self._is_over_slots:
                 rest = b"%g" % self._script.rest
                 self.responseHeaders.setRawHeaders(names.RETRY_AFTER, [rest])
             self._send_head(SERVICE_UNAVAILABLE, fault)
             self._finish_answer()
         elif fault is not EngineFault.SILENT:
-            channel.call_later(self._script.delay, lambda: self._answer(fault))
+            self._start = lambda: channel.call_later(
+                self._script.delay * self._script.pace(), lambda: self._answer(fault)
+            )
+            self._incarnation.slots.submit(self._start, self._script.slots)
 
     def connectionLost(self, reason: Any) -> None:
         """Record that the connection ended before the answer was complete."""
@@ -333,6 +366,9 @@
     def _count_finished(self) -> None:
         self._incarnation.running -= self._is_running
         self._is_running = False
+        start, self._start = self._start, None
+        if start is not None:
+            self._incarnation.slots.end(start)
 
     def _answer(self, fault: EngineFault | None) -> None:
         if self._received.is_left:
@@ -342,7 +378,7 @@
             self._send_unframed(is_reset=fault is EngineFault.NO_LENGTH_RESET)
             return
         if not self._script.events:
-            body = self._script.plain_answer(self._request_id)
+            body = self._script.plain_answer(self._request_id, self.uri)
             self._send_head(OK, fault, len(body))
             cut = fault is EngineFault.CUT
             self.write(body[:2] if cut else body)
@@ -373,12 +409,13 @@
         word = self._request_id if self._script.echoes_request_id else b"word"
         self.write(b"id: %d\ndata: %b\n\n" % (number, word))
         channel.call_later(
-            self._script.gap, lambda: self._send_event(number + 1, fault)
+            self._script.gap * self._script.pace(),
+            lambda: self._send_event(number + 1, fault),
         )
 
     def _send_unframed(self, *, is_reset: bool) -> None:
         channel: Any = self.channel
-        body = self._script.plain_answer(self._request_id)
+        body = self._script.plain_answer(self._request_id, self.uri)
         channel.transport.write(
             b"HTTP/1.1 200 OK\r\nConnection: close\r\n%b: %b\r\n%b: %b\r\n\r\n%b"
             % (names.REQUEST_ID, self._request_id, names.RECEIPT, self._receipt, body),
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -113,6 +113,7 @@
     def start(self):
         """Start the process; it is restarted whenever it ends."""
         self._should_run = True
+        self._history.router_changes.append(reactor.seconds())
         self.is_stopping = self.is_paused = False
         self.process_number += 1
         self.missed_probes = 0
@@ -148,6 +149,7 @@
                 f"{self.name} ended with status {status}"
             )
         self._process = None
+        self._history.router_changes.append(reactor.seconds())
         self.write_settings()
         reactor.callLater(RESTART_DELAY_SECONDS, self._start_again)
 
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -30,6 +30,9 @@
 # Self-reports of targets in their answers; an optional separate series.
 SELF_REPORT_KINDS = {"say_leaving": 3, "ask_rest": 4, "all_ask_rest": 1}
 SELF_REPORT_INTERVAL_SECONDS = 3.0
+# Surges of one organisation; an optional separate series.
+SURGE_KINDS = {"surge": 1}
+SURGE_INTERVAL_SECONDS = 5.0
 PLANNED_KINDS = {
     "term": 3,
     "term_two": 1,
@@ -85,6 +88,11 @@
     return _draw_series(rng, seconds, SELF_REPORT_KINDS, SELF_REPORT_INTERVAL_SECONDS)
 
 
+def draw_surges(rng, seconds):
+    """Return the steps in which an organisation surges, in order of time."""
+    return _draw_series(rng, seconds, SURGE_KINDS, SURGE_INTERVAL_SECONDS)
+
+
 def _draw_series(rng, seconds, kinds, mean_interval):
     steps = []
     at = rng.uniform(0.5, 2.0)
--- a/tests/soak/test_backends.py
+++ b/tests/soak/test_backends.py
@@ -8,6 +8,7 @@
 
 from primrosescale.platform import http_codec as names
 from primrosescale.standin.scripted_engine import ReceivedRequest
+from soak.backends import MAX_CONNECTIONS
 from soak.backends import Target
 from soak.history import History
 
@@ -52,3 +53,18 @@
         target.become_cold(3.0)
         reported = int(target.script.state_headers()[names.COLD_REMAINING])
         self.assertTrue(2900 <= reported <= 3000, reported)
+
+
+class LimitedTargetTest(TestCase):
+    # Guards against a limit that no connection meets, or that is not recorded.
+    def test_it_accepts_a_number_of_connections_and_reports_its_pace(self):
+        history = History()
+        target = Target("t0", "portal", history, [], random.Random(1), None)
+        self.addCleanup(target.close)
+        self.assertTrue(target._accepts_connection(MAX_CONNECTIONS))
+        target.limit(lambda: 2.5)
+        self.assertEqual(b"0,0,2,250", target.script.state_headers()[names.LOAD])
+        self.assertTrue(target._accepts_connection(MAX_CONNECTIONS - 1))
+        self.assertEqual([], history.excess_connections)
+        self.assertFalse(target._accepts_connection(MAX_CONNECTIONS))
+        self.assertEqual(1, len(history.excess_connections))
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -89,6 +89,46 @@
             self.add(request(status=status), delivery())
             self.assertEqual(["not run is true"], self.broken())
 
+    # Guards against a request that waits at a router, is refused there and runs later.
+    def test_a_refused_request_that_runs_later(self):
+        self.add(request(kind="once", status=503), delivery(at=109.0))
+        self.assertEqual(["not run is true"], self.broken())
+
+    # Guards against a request that waits at a router and is never ended.
+    def test_a_request_without_an_end(self):
+        for fields in ({"ended_at": None}, {"outcome": LEFT, "ended_at": 102.4}):
+            self.add(request(**fields))
+            found = promises.find_broken(self.history, EVENTS, 102.4)
+            self.assertIn("ends", found, fields)
+        self.history.disturbances.append(Disturbance("kill", "r0", 101.0, 104.0))
+        self.assertEqual([], list(promises.accepted_requests_end(self.history, 102.4)))
+
+    # Guards against counting a caller that left early as one that was kept waiting.
+    def test_a_caller_that_leaves_early_has_an_end(self):
+        self.add(request(outcome=LEFT, ended_at=100.2))
+        self.assertEqual([], self.broken())
+
+    # Guards against more connections from all routers than a target accepts.
+    def test_a_connection_over_the_limit_of_a_target(self):
+        self.history.excess_connections.append(("t0", 110.0))
+        self.assertEqual(["connections"], self.broken())
+        self.history.router_changes.append(106.9)
+        self.assertEqual(["connections"], self.broken())
+        self.history.router_changes.append(107.1)
+        self.assertEqual([], self.broken())
+
+    # Guards against callers of others that wait in vain while one organisation surges.
+    def test_a_small_organisation_that_waits_past_its_time(self):
+        for fields in ({"ended_at": 101.7}, {"status": 504, "ended_at": 101.4}):
+            small = request(organisation=promises.SMALL_ORGANISATION, **fields)
+            self.add(small)
+            self.assertEqual(["small organisations"], self.broken(), fields)
+            self.add(request(organisation="mill", **fields))
+            self.assertEqual([], self.broken())
+            self.add(small)
+        self.history.disturbances.append(Disturbance("crash", "t0", 101.0, 102.0))
+        self.assertEqual([], self.broken())
+
     def test_answers_that_are_incomplete_or_another_s(self):
         event = b"id: 1\ndata: a\n\n"
         for fields in (
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -58,6 +58,9 @@
     def test_targets_that_leave_or_rest_by_their_answers_break_no_promise(self):
         self.assert_no_promise_broken({20261206: 15}, extra_series=["statements"])
 
+    def test_demand_over_capacity_breaks_no_promise(self):
+        self.assert_no_promise_broken({20261207: 15}, extra_series=["surges"])
+
     def assert_no_promise_broken(
         self, wanted, without=(), harmful=0, *, extra_series=()
     ):
--- a/tests/standin/test_users_engine.py
+++ b/tests/standin/test_users_engine.py
@@ -93,3 +93,47 @@
         for stream in (transport, late):
             self.assertIn(b"id: 3\n", stream.value())
             self.assertTrue(stream.value().endswith(b"0\r\n\r\n"))
+
+    def limit(self, slots, max_waiting):
+        self.script.events = 0
+        self.script.delay = 1.0
+        self.script.slots = slots
+        self.script.max_waiting = max_waiting
+
+    # Guards against a stand-in that never has a queue, whatever the demand.
+    def test_requests_over_its_slots_wait_in_order_and_more_are_declined(self):
+        self.limit(slots=1, max_waiting=1)
+        first, second, third = (self.ask(b"/plain/x") for _ in range(3))
+        self.assertIn(b" 503 ", third.value())
+        self.assertIn(b"Primrosescale-Not-Executed", third.value())
+        self.assertEqual([True, True, False], [a.has_run for a in self.script.arrivals])
+        slots = self.script.current_incarnation.slots
+        self.assertEqual((1, 1), (slots.running, slots.waiting))
+        self.clock.advance(1.0)
+        self.assertIn(b"done", first.value())
+        self.assertEqual(b"", second.value())
+        self.clock.advance(1.0)
+        self.assertIn(b"done", second.value())
+        self.assertEqual((0, 0), (slots.running, slots.waiting))
+
+    # Guards against slots that stay taken by callers who have left.
+    def test_a_caller_that_leaves_frees_its_place(self):
+        self.limit(slots=1, max_waiting=2)
+        channels = []
+        for _ in range(3):
+            transport = self.ask(b"/plain/x")
+            channels.append(self.channel)
+        for channel in (channels[1], channels[0]):
+            channel.connectionLost(Failure(ConnectionLost()))
+        self.clock.advance(1.0)
+        self.assertIn(b"done", transport.value())
+
+    # Guards against a slow period that does not lengthen the work.
+    def test_work_takes_longer_at_a_slow_pace(self):
+        self.limit(slots=0, max_waiting=0)
+        self.script.pace = lambda: 2.5
+        transport = self.ask(b"/plain/x")
+        self.clock.advance(2.4)
+        self.assertEqual(b"", transport.value())
+        self.clock.advance(0.1)
+        self.assertIn(b"done", transport.value())
