--- a/tests/soak/fault_proxy.py
+++ b/tests/soak/fault_proxy.py
@@ -93,9 +93,9 @@
     """A connection that is reset shortly after it was opened."""
 
     def connectionMade(self):
-        linger = struct.pack("ii", 1, 0)
         handle = self.transport.getHandle()
-        handle.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        # Without lingering, the end of the connection is a reset.
+        handle.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         reactor.callLater(RESET_AFTER_SECONDS, self.transport.abortConnection)
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -460,18 +460,17 @@
     def _surge(self, step):
         """Have an organisation send six times its usual load for a while."""
         callers = [c for c in self._callers if type(c) is surges.SurgingCaller]
+        if callers[0].is_active:
+            return
+        for caller in callers:
+            caller.is_active = True
 
-        def set_active(*, is_active):
+        def end():
             for caller in callers:
-                caller.is_active = is_active
+                caller.is_active = False
 
-        set_active(is_active=True)
         self._record_disturbance(
-            "surge",
-            surges.SURGING,
-            step.duration,
-            lambda: set_active(is_active=False),
-            is_planned=True,
+            "surge", surges.SURGING, step.duration, end, is_planned=True
         )
 
     def _drain(self, step):
