Count only a backlog that can make answers late

Any difference of the backlogs of two targets, also one of a few milliseconds, was a reason to copy a prompt of ten thousand tokens to the target with less. Only what takes longer than a tenth of a second to prefill counts now, a quarter of the shortest objectives.

--- a/src/primrosescale/request/choice/prefill_cost.py
+++ b/src/primrosescale/request/choice/prefill_cost.py
@@ -21,6 +21,9 @@
 # Share of a copied token that counts as one to prefill; copying takes a twentieth of
 # the time, and the source has to be read as well.
 COPIED_TOKEN_SHARE = 0.1
+# A backlog that is prefilled within a quarter of the shortest objectives makes no
+# answer late, so that it is no reason to copy a prompt to another target.
+NEGLIGIBLE_BACKLOG_SECONDS = 0.1
 
 
 class PrefillCost:
@@ -112,7 +115,9 @@
             Tokens at the usual pace.
         """
         backlog = state.prefill_backlog
-        total = tokens if backlog is None else tokens + backlog.tokens(now)
+        total = tokens
+        if backlog is not None:
+            total += backlog.excess_tokens(NEGLIGIBLE_BACKLOG_SECONDS, now)
         return total * self.pace(state, now)
 
     def preferences(
--- a/src/primrosescale/request/target/prefill_backlog.py
+++ b/src/primrosescale/request/target/prefill_backlog.py
@@ -113,6 +113,24 @@
             self._drain(now)
         return self._own + self._peer
 
+    def excess_tokens(self, seconds: float, now: float) -> float:
+        """Return the tokens that it cannot prefill within a time.
+
+        Parameters
+        ----------
+        seconds : float
+            The time.
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        float
+            Tokens; not negative.
+        """
+        excess = self.tokens(now) - seconds * self._rate.tokens_per_second
+        return max(0.0, excess)
+
     def _drain(self, now: float) -> None:
         """Drain the tokens of peer routers; a clock that was set back drains none."""
         elapsed = now - self._updated_at
--- a/tests/request/test_prefill_backlog.py
+++ b/tests/request/test_prefill_backlog.py
@@ -40,6 +40,14 @@
         self.backlog.first_byte(9000, START + 2)
         self.assertEqual(0, self.backlog.tokens(START + 2))
 
+    # Guards against copies of prompts to avoid a wait that makes no answer late.
+    def test_only_what_takes_longer_than_a_time_is_in_excess(self):
+        self.backlog.started(9000, START)
+        seconds = 9000 / RATE
+        self.assertAlmostEqual(0, self.backlog.excess_tokens(seconds, START), 3)
+        self.assertAlmostEqual(4500, self.backlog.excess_tokens(seconds / 2, START), 3)
+        self.assertEqual(0, self.backlog.excess_tokens(2 * seconds, START))
+
     # Guards against peers' tokens that are never removed.
     def test_tokens_of_peers_drain_at_the_rate(self):
         self.backlog.peer_started(10_000, START, START)
