Tell other routers how many requests wait here

Requests that wait in a router are unknown to the others, so that none can compute its share of a service's capacity. State updates get the optional field "waiting": the number of waiting requests by the key of their service. Relays sum it as they sum the requests at targets, and it is valid as long as those. Routers of the previous release ignore the field; an update without it counts as none waiting.

At most 16 services are sent (8 bytes each; two take the place of one prompt part), and nothing while no request waits. A router is believed to have at most 4,096 waiting requests of a service, so that sums stay within 32 bits.

--- a/src/primrosescale/connection/wire.thrift
+++ b/src/primrosescale/connection/wire.thrift
@@ -192,7 +192,9 @@
  * the number of routers that it counts.
  * "evacuated" contains the failure domains that were evacuated at the store's revision
  * "evacuated_revision". "leaving" contains the keys of targets that reported in an
- * answer that they are leaving, while their entries do not show it. */
+ * answer that they are leaving, while their entries do not show it. "waiting" contains
+ * the number of requests that wait in the counted routers, by the key of their service
+ * (a hash of its name); it is absent if none wait. */
 struct RouterNews {
   1: required string origin, 2: required i64 incarnation, 3: required i64 sequence,
   4: required i64 heard, 5: required i64 version, 6: required i32 knowledge_age_ms,
@@ -203,7 +205,7 @@
   15: optional i32 age_ms, 16: optional i32 routers, 17: optional bool is_packed,
   18: optional list<EndNews> ends, 19: optional list<EndNews> held,
   20: optional list<string> evacuated, 21: optional i64 evacuated_revision,
-  22: optional list<i32> leaving
+  22: optional list<i32> leaving, 23: optional map<i32, i32> waiting
 }
 
 /* Request of a router that has just started for the prefix cache index of its peers.
--- a/src/primrosescale/connection/wire/ttypes.py
+++ b/src/primrosescale/connection/wire/ttypes.py
@@ -4368,6 +4368,7 @@
      - evacuated
      - evacuated_revision
      - leaving
+     - waiting
 
     """
 
@@ -4394,10 +4395,11 @@
         'evacuated',
         'evacuated_revision',
         'leaving',
+        'waiting',
     )
 
 
-    def __init__(self, origin=None, incarnation=None, sequence=None, heard=None, version=None, knowledge_age_ms=None, targets=None, parts=None, store_lost=None, targets_revision=None, scope=None, wants_fleet=None, targets_digest=None, running=None, age_ms=None, routers=None, is_packed=None, ends=None, held=None, evacuated=None, evacuated_revision=None, leaving=None,):
+    def __init__(self, origin=None, incarnation=None, sequence=None, heard=None, version=None, knowledge_age_ms=None, targets=None, parts=None, store_lost=None, targets_revision=None, scope=None, wants_fleet=None, targets_digest=None, running=None, age_ms=None, routers=None, is_packed=None, ends=None, held=None, evacuated=None, evacuated_revision=None, leaving=None, waiting=None,):
         self.origin = origin
         self.incarnation = incarnation
         self.sequence = sequence
@@ -4420,6 +4422,7 @@
         self.evacuated = evacuated
         self.evacuated_revision = evacuated_revision
         self.leaving = leaving
+        self.waiting = waiting
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4574,6 +4577,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.MAP:
+                    self.waiting = {}
+                    (_ktype177, _vtype178, _size176) = iprot.readMapBegin()
+                    for _i180 in range(_size176):
+                        _key181 = iprot.readI32()
+                        _val182 = iprot.readI32()
+                        self.waiting[_key181] = _val182
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4611,15 +4625,15 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter176 in self.targets:
-                iter176.write(oprot)
+            for iter183 in self.targets:
+                iter183.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter177 in self.parts:
-                iter177.write(oprot)
+            for iter184 in self.parts:
+                iter184.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_lost is not None:
@@ -4661,22 +4675,22 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter178 in self.ends:
-                iter178.write(oprot)
+            for iter185 in self.ends:
+                iter185.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 19)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter179 in self.held:
-                iter179.write(oprot)
+            for iter186 in self.held:
+                iter186.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.evacuated is not None:
             oprot.writeFieldBegin('evacuated', TType.LIST, 20)
             oprot.writeListBegin(TType.STRING, len(self.evacuated))
-            for iter180 in self.evacuated:
-                oprot.writeString(iter180.encode('utf-8') if sys.version_info[0] == 2 else iter180)
+            for iter187 in self.evacuated:
+                oprot.writeString(iter187.encode('utf-8') if sys.version_info[0] == 2 else iter187)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.evacuated_revision is not None:
@@ -4686,10 +4700,18 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 22)
             oprot.writeListBegin(TType.I32, len(self.leaving))
-            for iter181 in self.leaving:
-                oprot.writeI32(iter181)
+            for iter188 in self.leaving:
+                oprot.writeI32(iter188)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.MAP, 23)
+            oprot.writeMapBegin(TType.I32, TType.I32, len(self.waiting))
+            for kiter189, viter190 in self.waiting.items():
+                oprot.writeI32(kiter189)
+                oprot.writeI32(viter190)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4936,11 +4958,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = CachedPart()
-                        _elem187.read(iprot)
-                        self.parts.append(_elem187)
+                    (_etype194, _size191) = iprot.readListBegin()
+                    for _i195 in range(_size191):
+                        _elem196 = CachedPart()
+                        _elem196.read(iprot)
+                        self.parts.append(_elem196)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4961,8 +4983,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter188 in self.parts:
-                iter188.write(oprot)
+            for iter197 in self.parts:
+                iter197.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5032,11 +5054,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.caches = []
-                    (_etype192, _size189) = iprot.readListBegin()
-                    for _i193 in range(_size189):
-                        _elem194 = TargetCache()
-                        _elem194.read(iprot)
-                        self.caches.append(_elem194)
+                    (_etype201, _size198) = iprot.readListBegin()
+                    for _i202 in range(_size198):
+                        _elem203 = TargetCache()
+                        _elem203.read(iprot)
+                        self.caches.append(_elem203)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5062,8 +5084,8 @@
         if self.caches is not None:
             oprot.writeFieldBegin('caches', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.caches))
-            for iter195 in self.caches:
-                iter195.write(oprot)
+            for iter204 in self.caches:
+                iter204.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_last is not None:
@@ -5310,11 +5332,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype199, _size196) = iprot.readListBegin()
-                    for _i200 in range(_size196):
-                        _elem201 = Header()
-                        _elem201.read(iprot)
-                        self.headers.append(_elem201)
+                    (_etype208, _size205) = iprot.readListBegin()
+                    for _i209 in range(_size205):
+                        _elem210 = Header()
+                        _elem210.read(iprot)
+                        self.headers.append(_elem210)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5345,8 +5367,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter202 in self.headers:
-                iter202.write(oprot)
+            for iter211 in self.headers:
+                iter211.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -5803,21 +5825,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype206, _size203) = iprot.readListBegin()
-                    for _i207 in range(_size203):
-                        _elem208 = LedgerEntry()
-                        _elem208.read(iprot)
-                        self.entries.append(_elem208)
+                    (_etype215, _size212) = iprot.readListBegin()
+                    for _i216 in range(_size212):
+                        _elem217 = LedgerEntry()
+                        _elem217.read(iprot)
+                        self.entries.append(_elem217)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.sealed = []
-                    (_etype212, _size209) = iprot.readListBegin()
-                    for _i213 in range(_size209):
-                        _elem214 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.sealed.append(_elem214)
+                    (_etype221, _size218) = iprot.readListBegin()
+                    for _i222 in range(_size218):
+                        _elem223 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.sealed.append(_elem223)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5838,15 +5860,15 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter215 in self.entries:
-                iter215.write(oprot)
+            for iter224 in self.entries:
+                iter224.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sealed is not None:
             oprot.writeFieldBegin('sealed', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.sealed))
-            for iter216 in self.sealed:
-                oprot.writeString(iter216.encode('utf-8') if sys.version_info[0] == 2 else iter216)
+            for iter225 in self.sealed:
+                oprot.writeString(iter225.encode('utf-8') if sys.version_info[0] == 2 else iter225)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6305,6 +6327,7 @@
     (20, TType.LIST, 'evacuated', (TType.STRING, 'UTF8', False), None, ),  # 20
     (21, TType.I64, 'evacuated_revision', None, None, ),  # 21
     (22, TType.LIST, 'leaving', (TType.I32, None, False), None, ),  # 22
+    (23, TType.MAP, 'waiting', (TType.I32, None, TType.I32, None, False), None, ),  # 23
 )
 all_structs.append(CacheQuestion)
 CacheQuestion.thrift_spec = (
--- a/src/primrosescale/process/entry/load_codec.py
+++ b/src/primrosescale/process/entry/load_codec.py
@@ -6,12 +6,14 @@
 from typing import TYPE_CHECKING
 
 from primrosescale.connection.wire import ttypes as wire
+from primrosescale.connection.wire.ttypes import NewsScope
 from primrosescale.process.entry.load_sum import LoadSum
 from primrosescale.process.entry.target_keys import TargetKeys
 from primrosescale.process.entry.target_keys import target_key
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from primrosescale.process.entry.target_list import TargetList
     from primrosescale.request.target.target_state import TargetState
@@ -32,6 +34,14 @@
 MIN_DEFLATED_TARGETS = 128
 DEFLATED_SIZE_RATIO = 0.6
 FASTEST_ZLIB_LEVEL = 1
+# Services for which a message contains the number of waiting requests: 8 bytes each.
+MAX_WAITING_SERVICES = 16
+# Largest number of waiting requests of one router that is believed; a router that
+# reports more is faulty.
+MAX_WAITING_PER_ROUTER = 4096
+# Largest number of routers that a sum is believed to count, so that no sum of believed
+# numbers of waiting requests exceeds 32 bits on the wire.
+MAX_COUNTED_ROUTERS = 4096
 # Bytes of a message without loads and prompt parts.
 TYPICAL_HEADER_BYTES = 50
 PERCENT = 100
@@ -85,11 +95,15 @@
         states.sort(key=lambda state: (-state.own_running, -state.outcomes(now)[1]))
         return [_target_update(state, now) for state in states[:MAX_TARGETS]]
 
-    def own_load(self, now: float, *, reaches_store: bool) -> LoadSum:
-        """Return this router's own load at targets as a sum.
+    def own_load(
+        self, waiting: dict[int, int], now: float, *, reaches_store: bool
+    ) -> LoadSum:
+        """Return this router's own load as a sum.
 
         Parameters
         ----------
+        waiting : dict[int, int]
+            Requests that wait in this router, by the key of their service.
         now : float
             Present time in seconds.
         reaches_store : bool
@@ -101,6 +115,7 @@
             The sum over this router alone.
         """
         own = LoadSum(now, 1, reaches_store=reaches_store)
+        own.waiting = waiting
         for key, state in self._keys.states.items():
             if state.own_running:
                 own.running[key] = state.own_running
@@ -151,6 +166,7 @@
         message.age_ms = round((now - loads.known_at) * MILLISECONDS_PER_SECOND)
         message.routers = loads.routers
         message.store_lost = not loads.reaches_store
+        message.waiting = most_waiting(loads.waiting) or None
 
     def read(self, message: wire.RouterNews, now: float) -> LoadSum | None:
         """Return the sum in a message.
@@ -171,6 +187,7 @@
         known_at = now - (message.age_ms or 0) / MILLISECONDS_PER_SECOND
         routers = 1 if message.routers is None else message.routers
         loads = LoadSum(known_at, routers, reaches_store=not message.store_lost)
+        loads.waiting = _believed_waiting(message)
         if message.running is not None:
             if message.targets_digest != self._keys.digest:
                 return None
@@ -187,6 +204,37 @@
         return loads
 
 
+def most_waiting(waiting: Mapping[int, int]) -> dict[int, int]:
+    """Return the numbers of waiting requests to send.
+
+    Parameters
+    ----------
+    waiting : Mapping[int, int]
+        Waiting requests by the key of their service.
+
+    Returns
+    -------
+    dict[int, int]
+        Those of the services with the most, as many as fit into a message.
+    """
+    counted = [(key, count) for key, count in waiting.items() if count > 0]
+    counted.sort(key=lambda item: -item[1])
+    limit = MAX_WAITING_PER_ROUTER * MAX_COUNTED_ROUTERS
+    return {key: min(count, limit) for key, count in counted[:MAX_WAITING_SERVICES]}
+
+
+def _believed_waiting(message: wire.RouterNews) -> dict[int, int]:
+    """Return the numbers of waiting requests in a message, without impossible ones."""
+    if not message.waiting:
+        return {}
+    routers = 1
+    if message.scope not in {None, NewsScope.ROUTER}:
+        routers = max(1, min(message.routers or 1, MAX_COUNTED_ROUTERS))
+    limit = MAX_WAITING_PER_ROUTER * routers
+    believed = most_waiting(message.waiting)
+    return {key: min(count, limit) for key, count in believed.items()}
+
+
 def _inflated(message: wire.RouterNews, max_count: int) -> bytes:
     """Return the loads in a message, one byte per target.
 
--- a/src/primrosescale/process/entry/load_sum.py
+++ b/src/primrosescale/process/entry/load_sum.py
@@ -1,10 +1,10 @@
-"""Requests in flight and recent outcomes at targets, summed over routers."""
+"""Requests in flight, waiting requests and outcomes, summed over routers."""
 
 from __future__ import annotations
 
 
 class LoadSum:
-    """Requests in flight and outcomes at targets, summed over a set of routers.
+    """Requests in flight, waiting requests and outcomes of a set of routers.
 
     A sum is built from the latest report of each router and replaced as a whole,
     never incremented. So nothing is counted twice, and a lost message only leaves
@@ -20,7 +20,14 @@
         Whether at least one of them reaches the store.
     """
 
-    __slots__ = ("known_at", "outcomes", "reaches_store", "routers", "running")
+    __slots__ = (
+        "known_at",
+        "outcomes",
+        "reaches_store",
+        "routers",
+        "running",
+        "waiting",
+    )
 
     def __init__(
         self, known_at: float, routers: int, *, reaches_store: bool = False
@@ -28,9 +35,12 @@
         self.known_at = known_at
         self.routers = routers
         self.reaches_store = reaches_store
-        # Both are keyed by `target_key`. Outcomes are pairs of successes and failures.
+        # All are keyed by `target_key`: requests that wait in routers by the key of
+        # their service, the others by that of the target. Outcomes are pairs of
+        # successes and failures.
         self.running: dict[int, int] = {}
         self.outcomes: dict[int, tuple[float, float]] = {}
+        self.waiting: dict[int, int] = {}
 
     def add(self, other: LoadSum) -> None:
         """Add the load of other routers.
@@ -45,6 +55,8 @@
         self.reaches_store = self.reaches_store or other.reaches_store
         for key, running in other.running.items():
             self.running[key] = self.running.get(key, 0) + running
+        for key, waiting in other.waiting.items():
+            self.waiting[key] = self.waiting.get(key, 0) + waiting
         for key, (good, bad) in other.outcomes.items():
             known_good, known_bad = self.outcomes.get(key, (0.0, 0.0))
             self.outcomes[key] = (known_good + good, known_bad + bad)
@@ -70,6 +82,9 @@
         rest.running = dict(self.running)
         for key, running in other.running.items():
             rest.running[key] -= running
+        rest.waiting = dict(self.waiting)
+        for key, waiting in other.waiting.items():
+            rest.waiting[key] -= waiting
         rest.outcomes = dict(self.outcomes)
         for key, (good, bad) in other.outcomes.items():
             all_good, all_bad = rest.outcomes[key]
--- a/src/primrosescale/process/entry/state_exchange.py
+++ b/src/primrosescale/process/entry/state_exchange.py
@@ -17,15 +17,18 @@
 from primrosescale.connection.wire.ttypes import NewsScope
 from primrosescale.process.entry.load_codec import MILLISECONDS_PER_SECOND
 from primrosescale.process.entry.load_codec import LoadCodec
+from primrosescale.process.entry.load_codec import most_waiting
 from primrosescale.process.entry.peer_router import PeerState
 from primrosescale.process.entry.relay_topology import RelayTopology
 from primrosescale.process.entry.relay_topology import StateExchangeSettings
 from primrosescale.process.entry.state_relay import StateRelay
 from primrosescale.process.entry.target_keys import target_key
+from primrosescale.process.entry.waiting_reports import WaitingReports
 from primrosescale.request.choice.prefix_cache_index import PartUse
 from primrosescale.request.target.evacuations import EvacuationList
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from primrosescale.process.entry.harm_report_exchange import HarmReportExchange
@@ -90,6 +93,8 @@
     leaving : LeavingTargetExchange | None
         Exchange of targets that announced that they are leaving; None to exchange
         none.
+    waiting_by_service : Callable[[], dict[str, int]]
+        Returns how many requests wait in this router, by service; by default none.
     """
 
     def __init__(
@@ -104,11 +109,14 @@
         harm: HarmReportExchange | None = None,
         evacuations: Evacuations | None = None,
         leaving: LeavingTargetExchange | None = None,
+        waiting_by_service: Callable[[], dict[str, int]] = dict,
     ) -> None:
         settings = settings or StateExchangeSettings()
         self._harm = harm
         self._evacuations = evacuations
         self._leaving = leaving
+        self._waiting_by_service = waiting_by_service
+        self._waiting_reports = WaitingReports()
         self._settings = settings
         self._name = name
         self._incarnation = incarnation
@@ -223,6 +231,43 @@
             return self._relay.others(now).routers
         return len(self._recent_peers(now))
 
+    def has_current_loads(self, now: float) -> bool:
+        """Return whether the load of other routers is known at present.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        bool
+            False if others are listed and none of their reports is valid any more.
+        """
+        return not self._peers or self.recent_peers(now) > 0
+
+    def waiting_elsewhere(
+        self, service: str, max_per_router: float, now: float
+    ) -> float:
+        """Return how many requests for a service wait at other routers.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        max_per_router : float
+            Number up to which the requests of one router are counted.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        float
+            Their sum by the reports that are valid, which they are for as long as the
+            loads at targets in the same messages.
+        """
+        return self._waiting_reports.total(service, max_per_router, now)
+
     def peers_reach_store(self, now: float) -> bool:
         """Return whether callers are better served by other routers during an outage.
 
@@ -429,6 +474,7 @@
             is_store_lost,
             list_revision,
             self._leaving.to_send() if self._leaving else [],
+            self._own_waiting(),
         )
         is_relayed = self._topology.is_relayed
         take_uses = (
@@ -440,7 +486,9 @@
             self._harm.held_reports_to_send(now) if self._harm and not is_urgent else []
         )
         if is_relayed:
-            own = self._codec.own_load(now, reaches_store=not is_store_lost)
+            own = self._codec.own_load(
+                header.waiting, now, reaches_store=not is_store_lost
+            )
             updates = self._relay.compose(own, parts, ends, now, is_urgent=is_urgent)
             if not is_urgent:
                 self._round_messages = len(updates)
@@ -452,13 +500,21 @@
         for peer in self._peers.values():
             message = self._new_message(peer, header, now)
             message.targets = targets
-            # Harm reports are few; they take the place of as many prompt parts.
-            message.parts = parts[-(MAX_PARTS - len(ends) - len(held)) :]
+            # Harm reports are few; they take the place of as many prompt parts, and
+            # the waiting requests of two services that of one.
+            others = len(ends) + len(held) + (len(header.waiting) + 1) // 2
+            message.parts = parts[-max(1, MAX_PARTS - others) :]
+            message.waiting = header.waiting or None
             message.ends = ends or None
             message.held = held or None
             messages.append((peer.router, message))
         return messages
 
+    def _own_waiting(self) -> dict[int, int]:
+        """Return how many requests wait in this router, by the key of their service."""
+        waiting = self._waiting_by_service()
+        return most_waiting({target_key(name): n for name, n in waiting.items()})
+
     def _update_rank(self, now: float) -> None:
         """Record since when this router is the first relay of its domain."""
         if self._topology.rank(now) != 0:
@@ -602,6 +658,10 @@
     ) -> None:
         """Replace the load of an origin in the states of targets."""
         valid_until = now + self._validity_seconds
+        routers = 1
+        if origin == RELAYED_ORIGIN:
+            routers = max(1, min(loads.routers, len(self._peers)))
+        self._waiting_reports.put(origin, loads.waiting, routers, valid_until)
         states = self._codec.keys.states
         for key in before.union(loads.running):
             state = states.get(key)
@@ -631,7 +691,14 @@
 class _RoundHeader:
     """Fields that are the same in all messages of a round."""
 
-    __slots__ = ("age", "is_store_lost", "leaving", "list_revision", "version")
+    __slots__ = (
+        "age",
+        "is_store_lost",
+        "leaving",
+        "list_revision",
+        "version",
+        "waiting",
+    )
 
     def __init__(
         self,
@@ -640,12 +707,14 @@
         is_store_lost: bool,
         list_revision: int,
         leaving: list[int],
+        waiting: dict[int, int],
     ) -> None:
         self.version = version
         self.age = age
         self.is_store_lost = is_store_lost
         self.list_revision = list_revision
         self.leaving = leaving
+        self.waiting = waiting
 
 
 def _part_update(use: PartUse, now: float) -> wire.PartNews:
--- a/tools/generate_wire.py
+++ b/tools/generate_wire.py
@@ -99,6 +99,7 @@
     ("RouterNews", "evacuated"),
     ("RouterNews", "evacuated_revision"),
     ("RouterNews", "leaving"),
+    ("RouterNews", "waiting"),
     ("EndNews", "target"),
     ("EndNews", "is_try"),
     ("EndNews", "was_answered"),
@@ -113,7 +114,7 @@
     ("LedgerEntry", "state"): "ClaimState",
     ("RouterNews", "scope"): "NewsScope",
 }
-BOOL, I32, I64, STRING, STRUCT, LIST = 2, 8, 10, 11, 12, 15
+BOOL, I32, I64, STRING, STRUCT, MAP, LIST = 2, 8, 10, 11, 12, 13, 15
 
 
 def _annotation(code: int, argument: object) -> str:
@@ -127,6 +128,10 @@
         return argument[0].__name__  # type: ignore[index]
     if code == LIST:
         return f"list[{_annotation(argument[0], argument[1])}]"  # type: ignore[index]
+    if code == MAP:
+        key = _annotation(argument[0], argument[1])  # type: ignore[index]
+        value = _annotation(argument[2], argument[3])  # type: ignore[index]
+        return f"dict[{key}, {value}]"
     raise ValueError(code)
 
 
