Determine the capacity of a service's targets and a router's share of it

Nothing limited how many requests all routers together send to the targets of a service: in an overload they wait at the targets, in no order, until they are late.

Targets that get no new requests count as zero. A router's allowance is the share of the capacity that its demand has in the demand of all; without current loads of the others at most an equal share. Its fraction is rounded at random every 0.25 s. The sums over the targets are computed at most every 50 ms per service; calls that begin or end meanwhile are counted exactly.

The entry router feeds it with requests and answers, and shows capacity and demand of each service as gauges. No limit is applied yet. Where overload control is not in force only a counter by service changes. Attempts keep the load that their answer reported.

A router that reports nonsense is believed up to 8 times the capacity and 16.

--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -100,6 +100,18 @@
             ["kind"],
             registry=self._registry,
         )
+        self._capacity = Gauge(
+            "primrosescale_overload_capacity",
+            "Requests that all routers together should have at the targets",
+            ["service"],
+            registry=self._registry,
+        )
+        self._demand = Gauge(
+            "primrosescale_overload_demand",
+            "Requests of all routers, at the targets and waiting",
+            ["service"],
+            registry=self._registry,
+        )
         self._first_byte = Histogram(
             "primrosescale_first_byte_seconds",
             "Time from the request to the first byte of its answer",
@@ -224,6 +236,21 @@
         """
         self._unreadable_records.labels(kind).set(number)
 
+    def capacity(self, service: str, capacity: float, demand: float) -> None:
+        """Set capacity and demand of a service with overload control.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        capacity : float
+            Requests that all routers together should have at its targets.
+        demand : float
+            Requests of all routers, at the targets and waiting.
+        """
+        self._capacity.labels(service).set(capacity)
+        self._demand.labels(service).set(demand)
+
     def gauge(self, name: str, value: float) -> None:
         """Set the value of a gauge.
 
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -51,6 +51,8 @@
 from primrosescale.request.capacity.cold_targets import ColdTargets
 from primrosescale.request.capacity.overload_scope import OverloadScope
 from primrosescale.request.capacity.router_shares import RouterShares
+from primrosescale.request.capacity.service_capacity import CapacitySources
+from primrosescale.request.capacity.service_capacity import ServiceCapacity
 from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
 from primrosescale.request.choice.target_choice import TargetChooser
 from primrosescale.request.freshness import Freshness
@@ -211,6 +213,18 @@
             self._exchange_protocol.send_soon,
         )
         self._overload_scope = OverloadScope(settings.overload)
+        self._capacity = ServiceCapacity(
+            settings.overload,
+            self._overload_scope,
+            CapacitySources(
+                targets.of_service,
+                self._service,
+                self._routers,
+                self._state_exchange.waiting_elsewhere,
+                self._state_exchange.has_current_loads,
+            ),
+            parts.rng,
+        )
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._resolver = RequestResolver(
             self._store_state.freshness, settings.not_found_max_age, parts.rng
@@ -358,6 +372,7 @@
             self._harmful_requests.configure(settings.harm)
             self._cold_targets.configure(settings.cold)
             self._overload_scope.configure(settings.overload)
+            self._capacity.configure(settings.overload)
             self._budgets.clear()
         if is_requested or is_changed:
             self._log.emit(Event.SETTINGS_RELOADED, is_changed=is_changed)
@@ -404,6 +419,7 @@
             return
         call = ForwardedCall(resolved, sink, self._forwarding, self._call_ended)
         self._calls.add(call)
+        self._capacity.request_received(resolved, now)
         request.attach_call(call)
         sink.apply_backpressure(call)
         call.start(now)
@@ -442,6 +458,7 @@
 
     def _call_ended(self, call: ForwardedCall, outcome: str) -> None:
         self._calls.discard(call)
+        self._capacity.call_ended(call)
         now = self._now()
         self._metrics.ended(call, outcome, now)
         request = call.request
@@ -693,6 +710,8 @@
         }
         for name, value in values.items():
             self._metrics.gauge(name, value)
+        for service, levels in self._capacity.levels({}, now).items():
+            self._metrics.capacity(service, *levels)
 
     def _listen(self, endpoint: Endpoint, factory: Any) -> None:
         self._ports[endpoint] = self._reactor.listenTCP(
--- a/src/primrosescale/request/attempt/target_attempt.py
+++ b/src/primrosescale/request/attempt/target_attempt.py
@@ -17,6 +17,7 @@
     from primrosescale.request.attempt.forwarding_interfaces import OutgoingRequest
     from primrosescale.request.attempt.forwarding_interfaces import TargetClient
     from primrosescale.request.target.target_incarnation import TargetIncarnation
+    from primrosescale.request.target.target_state import LoadReport
     from primrosescale.request.target.target_state import TargetState
     from primrosescale.request.trace_span import TraceSpan
 
@@ -60,6 +61,8 @@
         Pause that the answer requested (Retry-After), in seconds.
     is_rest_odd : bool
         Whether that pause had to be bounded or could not be parsed.
+    report : LoadReport | None
+        Load that the target reported with the answer, if any.
     """
 
     target: str
@@ -77,6 +80,7 @@
     said_leaving: bool = False
     asked_rest: float | None = None
     is_rest_odd: bool = False
+    report: LoadReport | None = None
 
 
 class AttemptListener(ABC):
@@ -368,6 +372,7 @@
         self._record.said_leaving = head.is_leaving
         self._record.asked_rest = head.rest
         self._record.is_rest_odd = head.is_rest_odd
+        self._record.report = head.load
         self._listener.attempt_head(self, head)
 
     def response_data(self, data: bytes) -> None:
--- /dev/null
+++ b/src/primrosescale/request/capacity/service_capacity.py
@@ -0,0 +1,343 @@
+"""Determines how many requests of a service its targets can take, and one's share.
+
+Requests at the targets beyond their capacity would only wait there, where the order
+cannot be chosen and the caller cannot be told. All routers together should therefore
+have about as many requests there as the targets can run, and for plain targets as many
+more as keep them busy without making answers late.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from primrosescale.request.capacity.answer_times import AnswerTimes
+from primrosescale.request.capacity.capacity_view import Allowance
+from primrosescale.request.capacity.capacity_view import CapacityView
+from primrosescale.request.capacity.demand_share import DemandShare
+from primrosescale.request.capacity.demand_share import round_randomly
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from random import Random
+
+    from primrosescale.request.attempt.forwarded_call import ForwardedCall
+    from primrosescale.request.capacity.overload_scope import OverloadScope
+    from primrosescale.request.capacity.overload_settings import OverloadSettings
+    from primrosescale.request.incoming_request import IncomingRequest
+    from primrosescale.request.target.target_state import TargetState
+    from primrosescale.version.routing_table import Service
+
+# The sums over all targets of a service are computed at most this often. This router's
+# own demand is known exactly in between.
+SUM_SECONDS = 0.05
+# Allowances are rounded up or down anew after this time, about that of an update of
+# other routers, so that a router that is rounded down soon gets its turn.
+ROUNDING_SECONDS = 0.25
+# Objectives count for this long after the last request that had them.
+OBJECTIVE_SECONDS = 60.0
+# Factor between capacity and the largest demand of others that is believed, and the
+# number that is believed in any case. A queue is limited to 4 times the allowance of
+# its router and at least 16; the factor leaves room for a capacity that has just
+# become half as large. A router that reports nonsense thus can't take the whole
+# capacity away from the others.
+MAX_BELIEVED_FACTOR = 8.0
+MIN_BELIEVED = 16.0
+ANSWERED = "answered"
+MIN_SUCCESS_STATUS = 200
+MAX_SUCCESS_STATUS = 299
+
+
+def _usual_pace(_: TargetState, __: float) -> float:
+    return 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class CapacitySources:
+    """Where the capacity of services and the demand for them are known from.
+
+    Parameters
+    ----------
+    states_of : Callable[[str], Iterable[TargetState]]
+        Returns the targets of a service.
+    service_of : Callable[[str], Service | None]
+        Returns a service by its name; None if it is not configured.
+    routers : Callable[[], int]
+        Returns the number of listed routers, including this one.
+    waiting_elsewhere : Callable[[str, float, float], float]
+        Returns how many requests for a service wait at other routers, given the
+        number up to which those of one router count, and the present time.
+    has_current_loads : Callable[[float], bool]
+        Returns whether the load of other routers is known at a time.
+    pace_of : Callable[[TargetState, float], float]
+        Returns how long work is expected to take at a target, as a multiple of the
+        usual time, at a time.
+    """
+
+    states_of: Callable[[str], Iterable[TargetState]]
+    service_of: Callable[[str], Service | None]
+    routers: Callable[[], int]
+    waiting_elsewhere: Callable[[str, float, float], float]
+    has_current_loads: Callable[[float], bool]
+    pace_of: Callable[[TargetState, float], float] = _usual_pace
+
+
+@dataclass(frozen=True, slots=True)
+class _Sums:
+    """Sums over the targets of a service at a time.
+
+    Parameters
+    ----------
+    taken_at : float
+        The time in seconds.
+    capacity : float
+        Requests that the targets can take.
+    own : int
+        Requests of this router at them.
+    others : float
+        Requests of other routers, at the targets and waiting.
+    has_current_loads : bool
+        Whether the load of other routers was known then.
+    unwaiting_calls : int
+        Calls of this router at that time, except those that waited here.
+    """
+
+    taken_at: float
+    capacity: float
+    own: int
+    others: float
+    has_current_loads: bool
+    unwaiting_calls: int
+
+
+class ServiceCapacity(CapacityView):
+    """The capacity of services, and this router's share of it.
+
+    Parameters
+    ----------
+    settings : OverloadSettings
+        Settings of overload control.
+    scope : OverloadScope
+        Services for which it is in force.
+    sources : CapacitySources
+        Where capacity and demand are known from.
+    rng : Random
+        Random generator for rounding.
+    """
+
+    __slots__ = (
+        "_answer_times",
+        "_calls",
+        "_draws",
+        "_objectives",
+        "_rng",
+        "_scope",
+        "_settings",
+        "_sources",
+        "_sums",
+    )
+
+    def __init__(
+        self,
+        settings: OverloadSettings,
+        scope: OverloadScope,
+        sources: CapacitySources,
+        rng: Random,
+    ) -> None:
+        self._settings = settings
+        self._scope = scope
+        self._sources = sources
+        self._rng = rng
+        self._answer_times = AnswerTimes()
+        self._calls: Counter[str] = Counter()
+        # By service: objectives of its routes, each with the time of its last request.
+        self._objectives: dict[str, dict[float, float]] = {}
+        self._sums: dict[str, _Sums] = {}
+        # By service: a number for rounding, and when it was drawn.
+        self._draws: dict[str, tuple[float, float]] = {}
+
+    def configure(self, settings: OverloadSettings) -> None:
+        """Apply changed settings.
+
+        Parameters
+        ----------
+        settings : OverloadSettings
+            Settings of overload control.
+        """
+        self._settings = settings
+        self._sums.clear()
+
+    def request_received(self, request: IncomingRequest, now: float) -> None:
+        """Count a request that this router has accepted.
+
+        Parameters
+        ----------
+        request : IncomingRequest
+            The request.
+        now : float
+            Current time in seconds.
+        """
+        self._calls[request.service] += 1
+        if self._scope.is_in_force(request.service):
+            seen = self._objectives.setdefault(request.service, {})
+            seen[request.route.latency_objective] = now
+
+    def call_ended(self, call: ForwardedCall) -> None:
+        """Count a request as ended, and learn from its answer.
+
+        Parameters
+        ----------
+        call : ForwardedCall
+            The request, whose attempts have ended.
+        """
+        service = call.request.service
+        self._calls[service] -= 1
+        if not self._scope.is_in_force(service) or call.status is None:
+            return
+        if not MIN_SUCCESS_STATUS <= call.status <= MAX_SUCCESS_STATUS:
+            return
+        for attempt in call.attempts:
+            if attempt.outcome == ANSWERED and attempt.ended_at is not None:
+                met_queue = attempt.report is None or attempt.report.waiting > 0
+                seconds = attempt.ended_at - attempt.began_at
+                self._answer_times.record(service, seconds, met_queue=met_queue)
+
+    def is_in_force(self, service: str) -> bool:
+        """Return whether requests may have to wait; see `CapacityView`."""
+        return self._scope.is_in_force(service)
+
+    def allowance(self, service: str, waiting: int, now: float) -> Allowance | None:
+        """Return how many requests it may have at targets; see `CapacityView`.
+
+        There is no limit either while no target takes requests, since the choice of a
+        target then refuses the request with the exact reason.
+        """
+        if not self._scope.is_in_force(service):
+            return None
+        share = self._share(service, waiting, now)
+        mean = share.mean_allowance()
+        if mean is None or not share.capacity:
+            return None
+        requests = round_randomly(mean, self._draw(service, now))
+        return Allowance(requests, mean, share.capacity, share.demand)
+
+    def answer_time(self, service: str) -> float | None:
+        """Return for how long a request occupies its place; see `CapacityView`."""
+        return self._answer_times.mean(service)
+
+    def levels(
+        self, waiting_by_service: dict[str, int], now: float
+    ) -> dict[str, tuple[float, float]]:
+        """Return capacity and demand of the services where it is in force.
+
+        Parameters
+        ----------
+        waiting_by_service : dict[str, int]
+            Requests that wait in this router.
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        dict[str, tuple[float, float]]
+            By service of which a request has been received: the requests that all
+            routers should have at its targets, and those that they have there and
+            that wait.
+        """
+        found = {}
+        for service in self._objectives:
+            if self._scope.is_in_force(service):
+                share = self._share(service, waiting_by_service.get(service, 0), now)
+                found[service] = (share.capacity, share.demand)
+        return found
+
+    def _share(self, service: str, waiting: int, now: float) -> DemandShare:
+        sums = self._sums.get(service)
+        if sums is None or not 0 <= now - sums.taken_at < SUM_SECONDS:
+            sums = self._sums[service] = self._sum(service, waiting, now)
+        # Calls that have begun and ended since the sums were computed.
+        unwaiting = self._calls[service] - waiting - sums.unwaiting_calls
+        return DemandShare(
+            sums.capacity,
+            max(0, sums.own + unwaiting) + max(0, waiting),
+            sums.others,
+            self._sources.routers(),
+            sums.has_current_loads,
+        )
+
+    def _sum(self, service: str, waiting: int, now: float) -> _Sums:
+        """Compute the sums over the targets of a service."""
+        capacity = others = 0.0
+        own = 0
+        wait_factor = self._wait_factor(service, now)
+        for state in self._usable(service, now):
+            capacity += self._capacity_of(state, wait_factor, now)
+            own += state.own_running
+            others += max(0.0, state.load(now) - state.own_running)
+        most = MIN_BELIEVED + MAX_BELIEVED_FACTOR * capacity
+        others = min(others, most)
+        others += self._sources.waiting_elsewhere(service, most, now)
+        return _Sums(
+            now,
+            capacity,
+            own,
+            others,
+            self._sources.has_current_loads(now),
+            self._calls[service] - waiting,
+        )
+
+    def _usable(self, service: str, now: float) -> list[TargetState]:
+        """Return the targets that get new requests.
+
+        Avoided ones are included only where all are avoided, as in the choice.
+        """
+        found = [
+            state
+            for state in self._sources.states_of(service)
+            if state.takes_work and not state.self_reports.has_requested_pause(now)
+        ]
+        return [state for state in found if not state.is_avoided(now)] or found
+
+    def _wait_factor(self, service: str, now: float) -> float | None:
+        """Return how many requests may wait at a plain target, as a share of its slots.
+
+        None for model engines, where none may: a stream keeps its slot for seconds.
+        """
+        known = self._sources.service_of(service)
+        if known is not None and known.cache_tokens:
+            return None
+        objective = self._shortest_objective(service, now)
+        call_time = self._answer_times.unqueued_mean(service)
+        if objective is None or not call_time:
+            # The largest value, as for the services of known deployments.
+            return 1.0
+        wait = self._settings.target_wait_share * objective
+        return max(0.0, min(1.0, wait / call_time))
+
+    def _capacity_of(
+        self, state: TargetState, wait_factor: float | None, now: float
+    ) -> float:
+        if wait_factor is None:
+            return float(state.slots)
+        pace = self._sources.pace_of(state, now)
+        if not 0 < pace < math.inf:
+            pace = 1.0
+        return state.slots * (1.0 + wait_factor) / pace
+
+    def _shortest_objective(self, service: str, now: float) -> float | None:
+        """Return the shortest objective of recent requests in seconds, None if none."""
+        seen = self._objectives.get(service, {})
+        for objective, seen_at in list(seen.items()):
+            if now - seen_at > OBJECTIVE_SECONDS:
+                del seen[objective]
+        return min(seen, default=None)
+
+    def _draw(self, service: str, now: float) -> float:
+        draw, drawn_at = self._draws.get(service, (0.0, -math.inf))
+        if not 0 <= now - drawn_at < ROUNDING_SECONDS:
+            draw = self._rng.random()
+            self._draws[service] = (draw, now)
+        return draw
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -24,6 +24,8 @@
 from primrosescale.process.entry.peer_router import PeerRouter
 from primrosescale.process.entry.state_exchange import StateExchange
 from primrosescale.process.entry.target_list import TargetList
+from primrosescale.request.capacity.overload_settings import OverloadMode
+from primrosescale.request.capacity.overload_settings import OverloadSettings
 from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
 from primrosescale.request.freshness import Freshness
 from primrosescale.request.incoming_request import PromptPart
@@ -839,3 +841,35 @@
 
     def outcome(self, details):
         return details["request"], details["outcome"], details["version"]
+
+    @inlineCallbacks
+    def test_the_capacity_of_services_learns_from_answers(self):
+        # Guards against a capacity that is not fed with requests and answers.
+        yield self.start(overload=OverloadSettings(OverloadMode.ON))
+        for _ in range(2):
+            yield self.ask(text())
+        yield self.eventually(lambda: not self.router._calls)
+        capacity = self.router._capacity
+        self.assertTrue(capacity.is_in_force("portal"))
+        self.assertTrue(0 < capacity.answer_time("portal") < 1.0)
+        found = self.router._metrics_text().content.decode()
+        [line] = re.findall(r'overload_capacity{service="portal"} (\S+)', found)
+        slots = sum(state.slots for state in self.states("portal"))
+        self.assertTrue(slots <= float(line) <= 2 * slots, line)
+        self.assertIn('overload_demand{service="portal"} 0.0', found)
+
+    @inlineCallbacks
+    def test_no_capacity_is_computed_without_overload_control(self):
+        # Guards against costs and changes where targets report no pace.
+        yield self.start()
+        yield self.ask(text())
+        yield self.eventually(lambda: not self.router._calls)
+        capacity = self.router._capacity
+        self.assertFalse(capacity.is_in_force("portal"))
+        self.assertIsNone(capacity.allowance("portal", 1000, reactor.seconds()))
+        self.assertIsNone(capacity.answer_time("portal"))
+        found = self.router._metrics_text().content.decode()
+        self.assertNotIn("overload_capacity{", found)
+
+    def states(self, service):
+        return self.router._store_state.targets.of_service(service)
