Keep the mean of rounded allowances for requests of any length

With a draw every 0.25 s, a router kept an additional place for as long as its request took, although it was rounded down meanwhile: 300 routers had 142 requests at targets that can take 128, while these took three times as long as usual. The sum over the routers did not equal the capacity on average, as the design says.

The time for which the additional place was in use is counted now, and the place is used again when the mean over time allows it; only the beginning is drawn at random.

--- a/src/primrosescale/request/capacity/demand_share.py
+++ b/src/primrosescale/request/capacity/demand_share.py
@@ -60,25 +60,6 @@
         return equal_share if share is None else min(share, equal_share)
 
 
-def round_randomly(mean: float, draw: float) -> int:
-    """Return one of the two whole numbers next to a number.
-
-    Parameters
-    ----------
-    mean : float
-        The number, at least 0.
-    draw : float
-        A random number of at least 0 and below 1, drawn evenly. The result is rounded
-        up with a probability equal to the fraction of the number.
-
-    Returns
-    -------
-    int
-        The number rounded up or down; a whole number is returned as it is.
-    """
-    return min(math.floor(mean + draw), math.ceil(mean))
-
-
 def _bounded(number: float) -> float:
     """Return a number as it is, 0 for a negative or meaningless one."""
     return float(number) if 0 < number < math.inf else 0.0
--- a/src/primrosescale/request/capacity/service_capacity.py
+++ b/src/primrosescale/request/capacity/service_capacity.py
@@ -17,7 +17,7 @@
 from primrosescale.request.capacity.capacity_view import Allowance
 from primrosescale.request.capacity.capacity_view import CapacityView
 from primrosescale.request.capacity.demand_share import DemandShare
-from primrosescale.request.capacity.demand_share import round_randomly
+from primrosescale.request.capacity.fraction_rounding import FractionRounding
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,9 +34,6 @@
 # The sums over all targets of a service are computed at most this often. This router's
 # own demand is known exactly in between.
 SUM_SECONDS = 0.05
-# Allowances are rounded up or down anew after this time, about that of an update of
-# other routers, so that a router that is rounded down soon gets its turn.
-ROUNDING_SECONDS = 0.25
 # Objectives count for this long after the last request that had them.
 OBJECTIVE_SECONDS = 60.0
 # Factor between capacity and the largest demand of others that is believed, and the
@@ -131,9 +128,9 @@
     __slots__ = (
         "_answer_times",
         "_calls",
-        "_draws",
         "_objectives",
         "_rng",
+        "_roundings",
         "_scope",
         "_settings",
         "_sources",
@@ -156,8 +153,7 @@
         # By service: objectives of its routes, each with the time of its last request.
         self._objectives: dict[str, dict[float, float]] = {}
         self._sums: dict[str, _Sums] = {}
-        # By service: a number for rounding, and when it was drawn.
-        self._draws: dict[str, tuple[float, float]] = {}
+        self._roundings: dict[str, FractionRounding] = {}
 
     def configure(self, settings: OverloadSettings) -> None:
         """Apply changed settings.
@@ -221,7 +217,11 @@
         mean = share.mean_allowance()
         if mean is None or not share.capacity:
             return None
-        requests = round_randomly(mean, self._draw(service, now))
+        rounding = self._roundings.get(service)
+        if rounding is None:
+            rounding = self._roundings[service] = FractionRounding(self._rng)
+        running = share.own - max(0, waiting)
+        requests = rounding.round(mean, running, self.answer_time(service), now)
         return Allowance(requests, mean, share.capacity, share.demand)
 
     def answer_time(self, service: str) -> float | None:
@@ -334,10 +334,3 @@
             if now - seen_at > OBJECTIVE_SECONDS:
                 del seen[objective]
         return min(seen, default=None)
-
-    def _draw(self, service: str, now: float) -> float:
-        draw, drawn_at = self._draws.get(service, (0.0, -math.inf))
-        if not 0 <= now - drawn_at < ROUNDING_SECONDS:
-            draw = self._rng.random()
-            self._draws[service] = (draw, now)
-        return draw
