--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -53,6 +53,8 @@
 from primrosescale.request.capacity.isolated_retry import isolated_retry_delay
 from primrosescale.request.capacity.overload_scope import OverloadScope
 from primrosescale.request.capacity.router_shares import RouterShares
+from primrosescale.request.capacity.service_capacity import CapacitySources
+from primrosescale.request.capacity.service_capacity import ServiceCapacity
 from primrosescale.request.choice.prefill_cost import PrefillCost
 from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
 from primrosescale.request.choice.target_choice import TargetChooser
@@ -223,6 +225,19 @@
             parts,
             self._exchange_protocol.send_soon,
         )
+        self._capacity = ServiceCapacity(
+            settings.overload,
+            self._overload_scope,
+            CapacitySources(
+                targets.of_service,
+                self._service,
+                self._routers,
+                self._state_exchange.waiting_elsewhere,
+                self._state_exchange.has_current_loads,
+                target_work.pace_of,
+            ),
+            parts.rng,
+        )
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._resolver = RequestResolver(
             self._store_state.freshness, settings.not_found_max_age, parts.rng
@@ -373,6 +388,7 @@
             self._cold_targets.configure(settings.cold)
             self._overload_scope.configure(settings.overload)
             self._connection_shares.configure(settings.overload)
+            self._capacity.configure(settings.overload)
             self._budgets.clear()
         if is_requested or is_changed:
             self._log.emit(Event.SETTINGS_RELOADED, is_changed=is_changed)
@@ -418,6 +434,7 @@
             return
         call = ForwardedCall(resolved, sink, self._forwarding, self._call_ended)
         self._calls.add(call)
+        self._capacity.request_received(resolved, now)
         request.attach_call(call)
         sink.apply_backpressure(call)
         call.start(now)
@@ -465,6 +482,7 @@
 
     def _call_ended(self, call: ForwardedCall, outcome: str) -> None:
         self._calls.discard(call)
+        self._capacity.call_ended(call)
         now = self._now()
         self._metrics.ended(call, outcome, now)
         request = call.request
@@ -718,6 +736,8 @@
         }
         for name, value in values.items():
             self._metrics.gauge(name, value)
+        for service, levels in self._capacity.levels({}, now).items():
+            self._metrics.capacity(service, *levels)
 
     def _listen(self, endpoint: Endpoint, factory: Any) -> None:
         self._ports[endpoint] = self._reactor.listenTCP(
