Queue or refuse requests of overloaded services at the entry router

While a service had more requests than its targets could do, all of them were sent, waited at the targets and were answered late or lost, and one organisation in excess delayed all others.

Each call now passes RequestAdmission before its first attempt: it starts, waits in the fair order of its service, or is refused as overloaded (503) with the time at which a place is expected. CapacityView decides how many may run; until it is implemented, UnlimitedCapacity leaves overload control out of force, and nothing changes.

--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -10,6 +10,7 @@
 from prometheus_client import Histogram
 from prometheus_client.exposition import generate_latest
 
+from primrosescale.process.entry.overload_metrics import OverloadMetrics
 from primrosescale.request.choice.target_choice import STALE_LOAD_SECONDS
 
 if TYPE_CHECKING:
@@ -39,6 +40,7 @@
 
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
+        self._overload = OverloadMetrics(self._registry)
         self._requests = Counter(
             "primrosescale_requests",
             "Requests of callers that ended",
@@ -139,6 +141,11 @@
             )
         }
 
+    @property
+    def overload(self) -> OverloadMetrics:
+        """Return the metrics of overload control."""
+        return self._overload
+
     def refused(self, outcome: str) -> None:
         """Count a request that was refused before a route was found for it.
 
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -31,6 +31,8 @@
 from primrosescale.process.entry.entry_harm_monitor import EntryHarmMonitor
 from primrosescale.process.entry.harm_report_exchange import HarmReportExchange
 from primrosescale.process.entry.leaving_exchange import LeavingTargetExchange
+from primrosescale.process.entry.overload_report import OverloadReport
+from primrosescale.process.entry.overload_report import admission_fields
 from primrosescale.process.entry.router_datagrams import RouterRegistry
 from primrosescale.process.entry.router_datagrams import StateExchangeProtocol
 from primrosescale.process.entry.state_exchange import StateExchange
@@ -50,7 +52,9 @@
 from primrosescale.request.attempt.shared_retry_budget import SharedRetryBudget
 from primrosescale.request.capacity.cold_targets import ColdTargets
 from primrosescale.request.capacity.overload_scope import OverloadScope
+from primrosescale.request.capacity.request_admission import RequestAdmission
 from primrosescale.request.capacity.router_shares import RouterShares
+from primrosescale.request.capacity.unlimited_capacity import UnlimitedCapacity
 from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
 from primrosescale.request.choice.target_choice import TargetChooser
 from primrosescale.request.freshness import Freshness
@@ -211,6 +215,13 @@
             self._exchange_protocol.send_soon,
         )
         self._overload_scope = OverloadScope(settings.overload)
+        self._admission = RequestAdmission(
+            settings.overload,
+            UnlimitedCapacity(),
+            parts.reactor,
+            parts.rng,
+            OverloadReport(parts.log, parts.metrics.overload),
+        )
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._resolver = RequestResolver(
             self._store_state.freshness, settings.not_found_max_age, parts.rng
@@ -283,6 +294,16 @@
         """Return whether the load balancer should send callers to this router."""
         return not self._unready_reason(self._now())
 
+    def waiting_by_service(self) -> dict[str, int]:
+        """Return how many requests of each service wait in this router.
+
+        Returns
+        -------
+        dict[str, int]
+            Numbers by the names of services, of those that have any.
+        """
+        return self._admission.waiting_by_service()
+
     def start(self) -> None:
         """Start listening and watching the store."""
         settings = self._settings
@@ -307,6 +328,7 @@
         began = self._now()
         self._is_stopping = True
         self._log.emit(Event.PROCESS_STOPPING, under_way=len(self._calls))
+        self._admission.stop(began)
         latest = began + self._settings.stop_within - STOP_MARGIN_SECONDS
         yield self._sleep(BALANCER_REMOVAL_SECONDS)
         self._ports.pop(self._settings.callers).stopListening()
@@ -358,6 +380,7 @@
             self._harmful_requests.configure(settings.harm)
             self._cold_targets.configure(settings.cold)
             self._overload_scope.configure(settings.overload)
+            self._admission.configure(settings.overload)
             self._budgets.clear()
         if is_requested or is_changed:
             self._log.emit(Event.SETTINGS_RELOADED, is_changed=is_changed)
@@ -365,6 +388,7 @@
     def _close(self) -> None:
         """Stop timers and close all ports, after a planned stop or without one."""
         cancel_timer(self._housekeeping)
+        self._admission.close()
         # Otherwise its rounds would continue without a port to send from.
         self._exchange_protocol.stop()
         for port in self._ports.values():
@@ -406,7 +430,7 @@
         self._calls.add(call)
         request.attach_call(call)
         sink.apply_backpressure(call)
-        call.start(now)
+        self._admission.submit(call, now)
 
     def too_large(self, request: EntryRequest) -> None:
         """Refuse a request that is too large; see `EntryHandler.too_large`."""
@@ -443,6 +467,7 @@
     def _call_ended(self, call: ForwardedCall, outcome: str) -> None:
         self._calls.discard(call)
         now = self._now()
+        admission = self._admission.ended(call, now)
         self._metrics.ended(call, outcome, now)
         request = call.request
         first = call.first_byte_at
@@ -462,6 +487,7 @@
             prompt_tokens=0 if request.prompt is None else request.prompt.prompt_tokens,
             took=round(now - request.received_at, 3),
             first_byte=None if first is None else round(first - request.received_at, 3),
+            **admission_fields(admission),
             attempts=[
                 {
                     "target": item.target,
@@ -693,6 +719,7 @@
         }
         for name, value in values.items():
             self._metrics.gauge(name, value)
+        self._metrics.overload.refresh(self._admission.services)
 
     def _listen(self, endpoint: Endpoint, factory: Any) -> None:
         self._ports[endpoint] = self._reactor.listenTCP(
--- a/src/primrosescale/request/attempt/forwarded_call.py
+++ b/src/primrosescale/request/attempt/forwarded_call.py
@@ -141,6 +141,19 @@
         self._tools.budget_of(self._request.service).requested(now)
         self._send_to_any(now)
 
+    def refuse(self, refusal: Refusal, retry_after: float | None) -> None:
+        """Refuse the request in place of starting it.
+
+        Parameters
+        ----------
+        refusal : Refusal
+            Why.
+        retry_after : float | None
+            Seconds after which the caller should return; None to use the setting.
+        """
+        if not self._is_over:
+            self._refuse(refusal, retry_after)
+
     def caller_gone(self) -> None:
         """Handle that the caller has closed its connection."""
         if self._is_over:
--- a/src/primrosescale/request/attempt/forwarding_interfaces.py
+++ b/src/primrosescale/request/attempt/forwarding_interfaces.py
@@ -239,6 +239,7 @@
     TARGETS_FULL = (503, "every target of the service declined")
     STALE = (503, "the configuration here is too old to accept keys")
     NO_CONFIGURATION = (503, "no configuration is known yet")
+    OVERLOADED = (503, "the service has more requests than its targets can serve now")
     HELD_BACK = (503, "targets ended whenever they ran this request; it is held back")
     TOO_LATE = (503, "the time left is too short")
     ROUTER_FULL = (503, "this router has too many requests under way")
--- a/src/primrosescale/request/capacity/fair_queue.py
+++ b/src/primrosescale/request/capacity/fair_queue.py
@@ -18,6 +18,8 @@
 
 T = TypeVar("T")
 
+MAX_HEAP_ENTRIES_PER_FLOW = 4
+
 
 @dataclass(slots=True, eq=False)
 class QueuedCall(Generic[T]):
@@ -107,9 +109,24 @@
             self._reinsert_flow(call.organisation, flow)
         return True
 
+    def work_ahead(self, organisation: str) -> float:
+        """Return the work that would be started before a new call.
+
+        The calls of an organisation have consecutive tags, so that the difference of
+        its tags is its work in proportion to its weight.
+        """
+        start = max(self.virtual_time, self.finish_tags.get(organisation, 0.0))
+        ahead = 0.0
+        for name, flow in self.flows.items():
+            first = flow[0]
+            until = min(start, self.finish_tags[name])
+            ahead += max(0.0, until - first.start_tag) * max(1, first.weight)
+        return ahead
+
     def _reinsert_flow(self, name: str, flow: deque[QueuedCall[T]]) -> None:
         if flow:
             heapq.heappush(self.heap, (flow[0].start_tag, name))
+            self._drop_stale_entries()
             return
         del self.flows[name]
         if not self.flows:
@@ -118,6 +135,17 @@
             )
             self.finish_tags = {}
 
+    def _drop_stale_entries(self) -> None:
+        """Rebuild the heap when most of it is stale.
+
+        A priority from which calls are only discarded would otherwise add an entry
+        for each of them.
+        """
+        if len(self.heap) <= MAX_HEAP_ENTRIES_PER_FLOW * len(self.flows):
+            return
+        self.heap = [(flow[0].start_tag, name) for name, flow in self.flows.items()]
+        heapq.heapify(self.heap)
+
     def _refund(self, call: QueuedCall[T], flow: deque[QueuedCall[T]]) -> None:
         """Undo the charge for a call that did not run."""
         share = call.work / max(1, call.weight)
@@ -196,6 +224,25 @@
                 return call
         return None
 
+    def head_from(self, priority: int) -> QueuedCall[T] | None:
+        """Return the next call of a priority or of less urgent ones.
+
+        Parameters
+        ----------
+        priority : int
+            The most urgent priority that counts.
+
+        Returns
+        -------
+        QueuedCall[T] | None
+            The call, which stays in the queue; None when none waits.
+        """
+        for other in sorted(self._classes):
+            call = self._classes[other].head() if other >= priority else None
+            if call is not None:
+                return call
+        return None
+
     def head_where(
         self,
         may_start: Callable[[QueuedCall[T]], bool],
@@ -293,9 +340,14 @@
             self.discard(call)
         return calls
 
-    def most_over_share(self) -> QueuedCall[T] | None:
+    def most_over_share(self, least_priority: int = 0) -> QueuedCall[T] | None:
         """Return the last call of the organisation with most work for its weight.
 
+        Parameters
+        ----------
+        least_priority : int
+            Organisations with calls of this priority or less urgent ones count.
+
         Returns
         -------
         QueuedCall[T] | None
@@ -303,7 +355,9 @@
         """
         worst: QueuedCall[T] | None = None
         most = -1.0
-        for found in self._classes.values():
+        for priority, found in self._classes.items():
+            if priority < least_priority:
+                continue
             for flow in found.flows.values():
                 last = flow[-1]
                 share = self.work_of(last.organisation) / max(1, last.weight)
@@ -312,6 +366,53 @@
                     most = share
         return worst
 
+    def last_of(self, organisation: str) -> QueuedCall[T] | None:
+        """Return the last call of an organisation, of its least urgent priority.
+
+        Parameters
+        ----------
+        organisation : str
+            Name of the organisation.
+
+        Returns
+        -------
+        QueuedCall[T] | None
+            The call; None when it has no waiting calls.
+        """
+        for priority in sorted(self._classes, reverse=True):
+            flow = self._classes[priority].flows.get(organisation)
+            if flow is not None:
+                return flow[-1]
+        return None
+
+    def work_ahead(self, organisation: str, priority: int) -> float:
+        """Return the work within a priority that would be started before a new call.
+
+        Parameters
+        ----------
+        organisation : str
+            Organisation of the new call.
+        priority : int
+            Priority of the new call.
+
+        Returns
+        -------
+        float
+            Work units.
+        """
+        found = self._classes.get(priority)
+        return 0.0 if found is None else found.work_ahead(organisation)
+
+    def calls(self) -> list[QueuedCall[T]]:
+        """Return all waiting calls, in no particular order.
+
+        Returns
+        -------
+        list[QueuedCall[T]]
+            The calls, which stay in the queue.
+        """
+        return self._all()
+
     def _all(self) -> list[QueuedCall[T]]:
         return [
             call
--- /dev/null
+++ b/src/primrosescale/request/capacity/service_admission.py
@@ -0,0 +1,408 @@
+"""Admission of the calls of one service: each is started, queued or refused."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from primrosescale.request.attempt.forwarding_interfaces import Refusal
+from primrosescale.request.capacity.expected_returns import ExpectedReturns
+from primrosescale.request.capacity.fair_queue import QueuedCall
+from primrosescale.request.capacity.overload_episode import OverloadEpisodes
+from primrosescale.request.capacity.overload_episode import OverloadReason
+from primrosescale.request.capacity.request_queue import ORGANISATION_WEIGHT
+from primrosescale.request.capacity.request_queue import RequestQueue
+from primrosescale.request.capacity.request_queue import max_waiting
+from primrosescale.request.capacity.request_queue import rank_of
+from primrosescale.request.capacity.request_queue import work_of
+from primrosescale.request.capacity.wait_forecast import RETRY_JITTER
+from primrosescale.request.capacity.wait_forecast import forecast_wait
+from primrosescale.request.capacity.wait_forecast import latest_start
+from primrosescale.request.capacity.wait_forecast import retry_after
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from primrosescale.request.capacity.capacity_view import Allowance
+    from primrosescale.request.capacity.capacity_view import CapacityView
+    from primrosescale.request.capacity.overload_episode import OverloadObserver
+    from primrosescale.request.capacity.overload_settings import OverloadSettings
+    from primrosescale.request.incoming_request import IncomingRequest
+
+
+class AdmissibleCall(Protocol):
+    """A call that can be started or refused."""
+
+    @property
+    def request(self) -> IncomingRequest:
+        """Return the request."""
+
+    def start(self, now: float) -> None:
+        """Send the request, or refuse it at once.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        """
+
+    def refuse(self, refusal: Refusal, retry_after: float | None) -> None:
+        """Refuse the request, which has not been sent.
+
+        Parameters
+        ----------
+        refusal : Refusal
+            Why.
+        retry_after : float | None
+            Seconds after which the caller should return; None to use the setting.
+        """
+
+
+class AdmissionState(Enum):
+    """What admission has done with a call."""
+
+    SUBMITTED = "submitted"
+    WAITING = "waiting"
+    STARTED = "started"
+    REFUSED = "refused"
+    WITHDRAWN = "withdrawn"
+
+
+@dataclass(slots=True, eq=False)
+class AdmissionRecord:
+    """Admission of one call.
+
+    Parameters
+    ----------
+    call : AdmissibleCall
+        The call.
+    rank : int
+        Rank in the order of starts.
+    is_returning : bool
+        Whether its caller returns after a refusal.
+    state : AdmissionState
+        What has been done with it.
+    queued : QueuedCall[AdmissionRecord] | None
+        Its place in the queue; None if it never waited.
+    longest_wait : float
+        For how long it may wait, in seconds.
+    waited : float
+        For how long it waited, in seconds.
+    """
+
+    call: AdmissibleCall
+    rank: int
+    is_returning: bool
+    state: AdmissionState = AdmissionState.SUBMITTED
+    queued: QueuedCall[AdmissionRecord] | None = None
+    longest_wait: float = 0.0
+    waited: float = 0.0
+
+
+class ServiceAdmission:
+    """Starts, queues or refuses the calls of one service.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    capacity : CapacityView
+        Determines the allowance.
+    observer : OverloadObserver
+        Receives what happens during overloads.
+    rng : Random
+        Random generator for the jitter.
+    """
+
+    __slots__ = (
+        "_allowance",
+        "_capacity",
+        "_episodes",
+        "_is_processing",
+        "_queue",
+        "_returns",
+        "_rng",
+        "_running",
+        "_service",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        capacity: CapacityView,
+        observer: OverloadObserver,
+        rng: Random,
+    ) -> None:
+        self._service = service
+        self._capacity = capacity
+        self._rng = rng
+        self._queue: RequestQueue[AdmissionRecord] = RequestQueue()
+        self._episodes = OverloadEpisodes(service, observer)
+        self._returns = ExpectedReturns()
+        self._running = 0
+        self._allowance: Allowance | None = None
+        self._is_processing = False
+
+    @property
+    def running(self) -> int:
+        """Return the number of calls that were started and have not ended."""
+        return self._running
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of waiting calls."""
+        return len(self._queue)
+
+    @property
+    def last_allowance(self) -> Allowance | None:
+        """Return the allowance that was last determined; None for no limit."""
+        return self._allowance
+
+    @property
+    def next_expiry(self) -> float:
+        """Return a time before which no call has waited for too long."""
+        return self._queue.next_expiry
+
+    @property
+    def episode_ends_at(self) -> float | None:
+        """Return when the present overload ends at the earliest; None for none."""
+        return self._episodes.ends_at
+
+    def submit(
+        self,
+        record: AdmissionRecord,
+        settings: OverloadSettings,
+        now: float,
+        *,
+        is_stopping: bool,
+    ) -> None:
+        """Start, queue or refuse a call.
+
+        Parameters
+        ----------
+        record : AdmissionRecord
+            The call.
+        settings : OverloadSettings
+            How long it may wait.
+        now : float
+            Current time in seconds.
+        is_stopping : bool
+            Whether the router is stopping, so that no call may wait.
+        """
+        if len(self._queue):
+            self.process(now)
+        else:
+            self._update_allowance(now)
+        if not len(self._queue) and self._has_place():
+            self._start(record, now)
+        elif is_stopping:
+            self._refuse(record, OverloadReason.STOPPING, now)
+        else:
+            self._queue_or_refuse(record, settings, now)
+
+    def ended(self, record: AdmissionRecord, now: float) -> None:
+        """Handle that a call has ended: start the next one, or free its place.
+
+        Parameters
+        ----------
+        record : AdmissionRecord
+            The call.
+        now : float
+            Current time in seconds.
+        """
+        if record.state is AdmissionState.STARTED:
+            self._running -= 1
+            if len(self._queue):
+                self.process(now)
+        elif record.state is AdmissionState.WAITING:
+            self.withdraw(record, now)
+
+    def withdraw(self, record: AdmissionRecord, now: float) -> bool:
+        """Remove a waiting call without an answer.
+
+        Parameters
+        ----------
+        record : AdmissionRecord
+            The call.
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether it was waiting; it has not been sent and will not be.
+        """
+        queued = record.queued
+        if queued is None or not self._queue.discard(queued):
+            return False
+        self._leave_queue(record, AdmissionState.WITHDRAWN, now)
+        return True
+
+    def process(self, now: float) -> None:
+        """Refuse calls that have waited for too long, and start those that may.
+
+        A call may end while it is being started; its end does not start others
+        before the present one has been handled.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        """
+        if self._is_processing:
+            return
+        self._is_processing = True
+        try:
+            self._update_allowance(now)
+            for queued in self._queue.expired(now):
+                self._refuse(queued.item, OverloadReason.WAITED, now)
+            while self._has_place():
+                queued_next = self._queue.pop()
+                if queued_next is None:
+                    break
+                self._start(queued_next.item, now)
+            self._trim(now)
+        finally:
+            self._is_processing = False
+        self._episodes.check_end(len(self._queue), now)
+
+    def refuse_waiting(self, now: float) -> None:
+        """Refuse all waiting calls because the router is stopping.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        """
+        for queued in self._queue.clear():
+            self._refuse(queued.item, OverloadReason.STOPPING, now)
+
+    def shift_times(self, seconds: float) -> None:
+        """Move the times of waiting calls, after the clock was set.
+
+        Parameters
+        ----------
+        seconds : float
+            By how much the clock was set forward; negative if it was set back.
+        """
+        self._queue.shift_expiry(seconds)
+        self._episodes.shift_times(seconds)
+        self._returns.shift_times(seconds)
+
+    def _update_allowance(self, now: float) -> None:
+        if self._capacity.is_in_force(self._service):
+            waiting = len(self._queue)
+            self._allowance = self._capacity.allowance(self._service, waiting, now)
+        else:
+            self._allowance = None
+
+    def _has_place(self) -> bool:
+        allowance = self._allowance
+        return allowance is None or self._running < allowance.requests
+
+    def _start(self, record: AdmissionRecord, now: float) -> None:
+        self._running += 1
+        if record.state is AdmissionState.WAITING:
+            self._leave_queue(record, AdmissionState.STARTED, now)
+        record.state = AdmissionState.STARTED
+        record.call.start(now)
+
+    def _queue_or_refuse(
+        self, record: AdmissionRecord, settings: OverloadSettings, now: float
+    ) -> None:
+        request = record.call.request
+        until = latest_start(
+            request,
+            now,
+            is_returning=record.is_returning,
+            answer_time=self._capacity.answer_time(self._service),
+            wait_share=settings.queue_wait_share,
+        )
+        if until <= now or now + self._forecast(record) > until:
+            self._refuse(record, OverloadReason.FORECAST, now)
+            return
+        displaced = None
+        if len(self._queue) >= max_waiting(self._allowance):
+            displaced = self._queue.displaceable_by(request.organisation, record.rank)
+            if displaced is None:
+                self._refuse(record, OverloadReason.QUEUE_FULL, now)
+                return
+            self._queue.discard(displaced)
+        self._push(record, until, now)
+        if displaced is not None:
+            self._refuse(displaced.item, OverloadReason.DISPLACED, now)
+
+    def _push(self, record: AdmissionRecord, until: float, now: float) -> None:
+        request = record.call.request
+        record.queued = QueuedCall(
+            request.organisation,
+            ORGANISATION_WEIGHT,
+            record.rank,
+            work_of(request),
+            until,
+            record,
+        )
+        record.longest_wait = until - now
+        record.state = AdmissionState.WAITING
+        self._queue.push(record.queued)
+        self._episodes.delayed(self._allowance, len(self._queue), now)
+
+    def _trim(self, now: float) -> None:
+        """Displace calls until the queue is within a bound that has decreased."""
+        bound = max_waiting(self._allowance)
+        while len(self._queue) > bound:
+            displaced = self._queue.displaceable()
+            if displaced is None:
+                return
+            self._queue.discard(displaced)
+            self._refuse(displaced.item, OverloadReason.DISPLACED, now)
+
+    def _refuse(
+        self, record: AdmissionRecord, reason: OverloadReason, now: float
+    ) -> None:
+        if record.state is AdmissionState.WAITING:
+            self._leave_queue(record, AdmissionState.REFUSED, now)
+        record.state = AdmissionState.REFUSED
+        request = record.call.request
+        waiting = len(self._queue)
+        self._episodes.refused(
+            request.organisation, reason, self._allowance, waiting, now
+        )
+        delay = retry_after(
+            self._forecast_return(request, now),
+            request.route.latency_objective,
+            request.deadline - now,
+            self._rng.uniform(*RETRY_JITTER),
+        )
+        if not record.is_returning:
+            self._returns.add(request.organisation, now + delay)
+        record.call.refuse(Refusal.OVERLOADED, delay)
+
+    def _leave_queue(
+        self, record: AdmissionRecord, state: AdmissionState, now: float
+    ) -> None:
+        record.state = state
+        if record.queued is not None:
+            left = record.queued.deadline - now
+            record.waited = max(0.0, record.longest_wait - left)
+        self._episodes.waited(record.waited, now)
+
+    def _forecast(self, record: AdmissionRecord) -> float:
+        """Return how long the call would wait if it joined the queue now."""
+        organisation = record.call.request.organisation
+        ahead = self._queue.calls_ahead(organisation, record.rank)
+        return self._time_to_start(ahead)
+
+    def _forecast_return(self, request: IncomingRequest, now: float) -> float:
+        """Return after which time there is capacity for a caller that returns."""
+        rank = rank_of(request.priority, is_returning=True)
+        ahead = self._queue.calls_ahead(request.organisation, rank)
+        ahead += self._returns.ahead(request.organisation, now)
+        # It needs a place itself, which is never free while the allowance is 0.
+        return self._time_to_start(ahead + 1)
+
+    def _time_to_start(self, calls: float) -> float:
+        answer_time = self._capacity.answer_time(self._service)
+        return forecast_wait(calls, self._allowance, answer_time)
--- /dev/null
+++ b/tests/request/test_request_queue.py
@@ -0,0 +1,156 @@
+"""The order and the bounds of waiting calls of one service."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+
+from entry.fakes import STREAM
+from entry.fakes import prompt
+from entry.fakes import request
+from primrosescale.request.capacity.capacity_view import Allowance
+from primrosescale.request.capacity.fair_queue import QueuedCall
+from primrosescale.request.capacity.request_queue import LEAST_URGENT_INTERVAL
+from primrosescale.request.capacity.request_queue import PLAIN_WORK
+from primrosescale.request.capacity.request_queue import RequestQueue
+from primrosescale.request.capacity.request_queue import max_waiting
+from primrosescale.request.capacity.request_queue import rank_of
+from primrosescale.request.capacity.request_queue import work_of
+
+
+def queued(organisation="o", priority=1, *, returning=False, work=100, until=1e9):
+    rank = rank_of(priority, is_returning=returning)
+    return QueuedCall(organisation, 1, rank, work, until, organisation)
+
+
+def fill(queue, *calls):
+    for call in calls:
+        queue.push(call)
+    return queue
+
+
+class RequestQueueTest(TestCase):
+    # A caller that did as it was told must not lose its place to a new one.
+    def test_returning_callers_go_first_within_their_priority(self):
+        calls = [
+            queued("late", 2, returning=True),
+            queued("first"),
+            queued("again", returning=True),
+            queued("urgent", 0),
+        ]
+        queue = fill(RequestQueue(), *calls)
+        order = [queue.pop().organisation for _ in calls]
+        self.assertEqual(["urgent", "again", "first", "late"], order)
+        self.assertIsNone(queue.pop())
+
+    # Urgent requests without end must not starve the least urgent ones.
+    def test_every_eighth_start_goes_to_the_least_urgent_priority(self):
+        queue = RequestQueue()
+        found = []
+        fill(queue, *(queued("least", 7, returning=n % 2 == 0) for n in range(6)))
+        for _ in range(32):
+            fill(queue, queued("urgent", 0), queued("urgent", 0))
+            found.append(queue.pop().organisation)
+        eighths = found[LEAST_URGENT_INTERVAL - 1 :: LEAST_URGENT_INTERVAL]
+        self.assertEqual(["least"] * 4, eighths)
+        self.assertEqual(4, found.count("least"))
+
+    # Work counts, so that long prompts take no more than their organisation's share.
+    def test_organisations_share_starts_by_work(self):
+        queue = RequestQueue()
+        for _ in range(20):
+            fill(queue, queued("long", work=300), queued("short", work=100))
+        first = [queue.pop().organisation for _ in range(16)]
+        self.assertEqual(4, first.count("long"))
+
+    # An organisation in excess must not push out those that have less.
+    def test_the_organisation_with_most_waiting_work_gives_up_its_last_place(self):
+        last = queued("large")
+        queue = fill(RequestQueue(), queued("large"), queued("small"), last)
+        rank = rank_of(1, is_returning=False)
+        self.assertIs(last, queue.displaceable_by("new", rank))
+        self.assertIs(last, queue.displaceable())
+        self.assertIsNone(queue.displaceable_by("large", rank))
+
+    # Where it has calls of several priorities, the least urgent one gives way.
+    def test_its_least_urgent_call_is_displaced(self):
+        least = queued("large", 5)
+        queue = fill(RequestQueue(), least, queued("large", 0), queued("small"))
+        self.assertIs(least, queue.displaceable())
+
+    # Urgent requests were refused because less urgent ones had filled the queue.
+    def test_a_less_urgent_call_gives_way_to_an_urgent_one(self):
+        least = queued("small", 5)
+        queue = fill(RequestQueue(), queued("large", 0), queued("large", 0), least)
+        urgent, middle, lower = (rank_of(n, is_returning=False) for n in (0, 3, 5))
+        self.assertIs(least, queue.displaceable_by("large", urgent))
+        self.assertIs(least, queue.displaceable_by("new", middle))
+        # An urgent call does not give way to a less urgent one.
+        self.assertIs(least, queue.displaceable_by("new", lower))
+        self.assertIsNone(queue.displaceable_by("small", lower))
+
+    # Urgent requests without end pushed the least urgent ones out of the queue.
+    def test_the_least_urgent_priority_keeps_an_eighth_of_the_places(self):
+        least, last = queued("small", 5), queued("large", 0)
+        queue = fill(RequestQueue(), least, *(queued("large", 0) for _ in range(8)))
+        fill(queue, last)
+        urgent, lower = (rank_of(n, is_returning=False) for n in (0, 5))
+        self.assertIs(last, queue.displaceable_by("new", urgent))
+        self.assertIsNone(queue.displaceable_by("large", urgent))
+        self.assertIs(last, queue.displaceable_by("new", lower))
+
+    # A forecast that counts the queues of others in full refuses small organisations.
+    def test_calls_ahead_are_counted_in_the_fair_order(self):
+        queue = fill(RequestQueue(), *(queued("large") for _ in range(10)))
+        rank = rank_of(1, is_returning=False)
+        self.assertAlmostEqual(10.0, queue.calls_ahead("large", rank))
+        self.assertAlmostEqual(0.0, queue.calls_ahead("small", rank))
+        fill(queue, queued("urgent", 0), queued("again", returning=True))
+        self.assertAlmostEqual(2.0, queue.calls_ahead("small", rank))
+        self.assertAlmostEqual(
+            0.0, queue.calls_ahead("small", rank_of(0, is_returning=1))
+        )
+
+    # Eighth starts count in the forecast, or the least urgent would all be refused.
+    def test_the_forecast_of_the_least_urgent_is_bounded(self):
+        queue = fill(RequestQueue(), *(queued("urgent", 0) for _ in range(100)))
+        rank = rank_of(7, is_returning=False)
+        self.assertAlmostEqual(8.0, queue.calls_ahead("small", rank))
+
+    # A call that has left must not be refused later, nor keep others from expiring.
+    def test_expired_calls_are_removed_once(self):
+        gone, early, late = queued(until=1.0), queued(until=2.0), queued(until=3.0)
+        queue = fill(RequestQueue(), gone, late, early)
+        self.assertTrue(queue.discard(gone))
+        self.assertFalse(queue.discard(gone))
+        self.assertEqual([], queue.expired(0.5))
+        self.assertEqual([early], queue.expired(2.0))
+        self.assertEqual(3.0, queue.next_expiry)
+        self.assertEqual([late], queue.clear())
+        self.assertEqual(0, len(queue))
+
+    # Discards in a priority that gets no starts left an entry of the heap behind each.
+    def test_discarded_calls_of_a_starved_priority_leave_nothing_behind(self):
+        queue = fill(RequestQueue(), queued("urgent", 0), queued("least", 9))
+        for number in range(500):
+            fill(queue, queued("middle", 4, until=number))
+            fill(queue, queued("middle", 4, until=number + 1.5))
+            queue.expired(number)
+        middle = queue._calls._classes[rank_of(4, is_returning=False)]
+        self.assertTrue(len(middle.heap) < 10, len(middle.heap))
+
+
+class BoundTest(TestCase):
+    # The memory of a router is bounded, also while the allowance is small.
+    def test_the_queue_is_bounded_by_the_allowance(self):
+        for mean, expected in ((0.0, 16), (3.9, 16), (6.0, 24), (100.0, 400)):
+            found = max_waiting(Allowance(1, mean, 50.0, 70.0))
+            self.assertEqual(expected, found)
+        self.assertEqual(16, max_waiting(None))
+
+    # Shared parts are cached; counting them would make all prompts look alike.
+    def test_the_work_of_a_prompt_is_that_of_its_own_tokens(self):
+        incoming = request(STREAM, prompt=prompt(("s", 9000), ("o", 200), output=50))
+        self.assertEqual(60, work_of(incoming))
+        empty = request(STREAM, prompt=prompt(output=0))
+        self.assertEqual(1, work_of(empty))
+        self.assertEqual(PLAIN_WORK, work_of(request()))
--- a/tests/support/router_site.py
+++ b/tests/support/router_site.py
@@ -34,12 +34,12 @@
         self.events = []
         self.asked = 0
 
-    def start_target(self, script, **fields):
-        """Start a portal target, list it in the store and return its entry."""
+    def start_target(self, script, *, service="portal", **fields):
+        """Start a target, list it in the store and return its entry."""
         port = reactor.listenTCP(0, ScriptedEngine(script), interface=LOOPBACK)
         self.addCleanup(port.stopListening)
         address = f"{LOOPBACK}:{port.getHost().port}"
-        entry = target_entry("portal", address, **fields)
+        entry = target_entry(service, address, **fields)
         self.store.write("servers", script.name, entry)
         return entry
 
