Keep the timer of admission after an error in a call

An error raised while a waiting call was started from the timer left all other calls waiting until another request arrived or ended, because the timer was set only after all services had been processed. It is now set in any case. Services without waiting calls or an overload are no longer processed by the timer.

The property test also covers clocks that are set and overload control that is turned on and off.

--- a/src/primrosescale/request/capacity/request_admission.py
+++ b/src/primrosescale/request/capacity/request_admission.py
@@ -222,10 +222,14 @@
         self._timer = None
         now = self._clock.seconds()
         self._check_clock(now)
-        for service in list(self._services.values()):
-            service.process(now)
-        for service in self._services.values():
-            self._schedule(service, now)
+        try:
+            for service in list(self._services.values()):
+                if service.is_active:
+                    service.process(now)
+        finally:
+            # An error in one call must not leave others waiting without a timer.
+            for service in self._services.values():
+                self._schedule(service, now)
 
 
 def _due_at(service: ServiceAdmission, now: float) -> float | None:
--- a/src/primrosescale/request/capacity/service_admission.py
+++ b/src/primrosescale/request/capacity/service_admission.py
@@ -155,6 +155,11 @@
         """Return the number of waiting calls."""
         return len(self._queue)
 
+    @property
+    def is_active(self) -> bool:
+        """Return whether calls wait or an overload has not ended yet."""
+        return bool(len(self._queue)) or self._episodes.ends_at is not None
+
     @property
     def last_allowance(self) -> Allowance | None:
         """Return the allowance that was last determined; None for no limit."""
--- a/tests/request/test_request_admission.py
+++ b/tests/request/test_request_admission.py
@@ -340,6 +340,21 @@
         self.assertEqual([1, 1, 1], [len(call.started) for call in calls])
         self.assertEqual(1, site.admission.services["portal"].running)
 
+    # An error in starting one call left all others waiting until their callers left.
+    def test_an_error_in_a_call_does_not_leave_others_waiting(self):
+        site = OverloadSite(requests=1, answer_time=None)
+        site.fill()
+        broken, sound = site.call("a"), site.call("b")
+
+        def fail(now):
+            raise ValueError(now)
+
+        broken.start = fail
+        site.capacity.requests = 3
+        self.assertRaises(ValueError, site.clock.advance, 0.03)
+        site.pass_time(0.03)
+        self.assertTrue(sound.started)
+
     # A caller that gets its refusal and asks again in the same turn broke the bound.
     def test_a_caller_that_asks_again_at_once_does_not_exceed_the_bound(self):
         site = OverloadSite(requests=1, answer_time=None)
@@ -458,6 +473,8 @@
     st.tuples(st.just("time"), st.sampled_from([None, 0.01, 0.3])),
     st.tuples(st.just("burst"), st.integers(1, 40)),
     st.tuples(st.just("stop")),
+    st.tuples(st.just("jump"), st.sampled_from([-50.0, -0.1, 0.3, 50.0])),
+    st.tuples(st.just("force"), st.booleans()),
 )
 
 
@@ -468,10 +485,13 @@
     def test_each_call_is_started_refused_or_withdrawn_once(self, operations):
         site = OverloadSite(requests=2)
         self.withdrawn = set()
+        self.has_jumped = False
         for name, *values in operations:
             getattr(self, f"do_{name}")(site, *values)
             self.check_bounds(site)
         site.capacity.requests = 0
+        # A clock that was set back is noticed with the next call.
+        site.call("last")
         site.pass_time(BUDGET + 0.1, step=0.05)
         for call in site.calls:
             times = len(call.started) + len(call.refusals) + (call in self.withdrawn)
@@ -491,6 +511,8 @@
         known = allowance if last is None else last.last_allowance
         self.assertTrue(site.waiting() <= max_waiting(known))
         now = site.clock.seconds()
+        if self.has_jumped:
+            return
         for call in site.calls:
             if call.is_waiting and call not in self.withdrawn:
                 self.assertTrue(now < call.request.give_up_at)
@@ -529,5 +551,12 @@
     def do_time(self, site, seconds):
         site.capacity.time = seconds
 
+    def do_jump(self, site, seconds):
+        site.clock.rightNow += seconds
+        self.has_jumped = True
+
+    def do_force(self, site, is_in_force):
+        site.capacity.in_force = is_in_force
+
     def do_stop(self, site):
         site.admission.stop(site.clock.seconds())
