Notice a clock that is set back also without overload control in force

Calls waited for as long as the clock had been set back, if overload control went out of force before the next call: only calls for which it was in force were compared with the latest time. The random test of admission found it with a burst, a clock set back by 50 s and overload control turned off.

Every call is compared once a service has been under overload control; routers without any do nothing more than before.

--- a/src/primrosescale/request/capacity/request_admission.py
+++ b/src/primrosescale/request/capacity/request_admission.py
@@ -103,10 +103,11 @@
             Current time in seconds.
         """
         name = call.request.service
+        if self._services:
+            self._check_clock(now)
         if not self._capacity.is_in_force(name):
             call.start(now)
             return
-        self._check_clock(now)
         record = self._records[call] = self._new_record(call, now)
         service = self._services.get(name) or self._new_service(name)
         service.submit(record, self._settings, now, is_stopping=self._is_stopping)
--- a/tests/request/test_request_admission.py
+++ b/tests/request/test_request_admission.py
@@ -431,6 +431,17 @@
         self.assertEqual([Refusal.OVERLOADED], call.refusals)
         self.assertAlmostEqual(LONGEST_WAIT, call.record.waited, delta=0.03)
 
+    # A call waited for as long as the clock had been set back, without any limit left.
+    def test_a_clock_that_is_set_back_is_noticed_where_it_is_not_in_force(self):
+        site = OverloadSite(requests=1)
+        site.fill()
+        call = site.call("small")
+        site.clock.rightNow -= 50
+        site.capacity.in_force = False
+        site.call("other")
+        site.pass_time(0.03)
+        self.assertTrue(call.started)
+
     # A call was sent although its caller had stopped waiting during a jump.
     def test_after_a_jump_forward_no_expired_call_is_started(self):
         site = OverloadSite(requests=1)
