--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -31,6 +31,8 @@
 from primrosescale.process.entry.entry_harm_monitor import EntryHarmMonitor
 from primrosescale.process.entry.harm_report_exchange import HarmReportExchange
 from primrosescale.process.entry.leaving_exchange import LeavingTargetExchange
+from primrosescale.process.entry.overload_report import OverloadReport
+from primrosescale.process.entry.overload_report import admission_fields
 from primrosescale.process.entry.router_datagrams import RouterRegistry
 from primrosescale.process.entry.router_datagrams import StateExchangeProtocol
 from primrosescale.process.entry.state_exchange import StateExchange
@@ -52,6 +54,7 @@
 from primrosescale.request.capacity.connection_shares import ConnectionShares
 from primrosescale.request.capacity.isolated_retry import isolated_retry_delay
 from primrosescale.request.capacity.overload_scope import OverloadScope
+from primrosescale.request.capacity.request_admission import RequestAdmission
 from primrosescale.request.capacity.router_shares import RouterShares
 from primrosescale.request.capacity.service_capacity import CapacitySources
 from primrosescale.request.capacity.service_capacity import ServiceCapacity
@@ -171,7 +174,6 @@
         self._leaving_exchange = LeavingTargetExchange(targets, parts.log)
         self._harmful_requests = HarmfulRequests(settings.harm)
         harm_reports = HarmReportExchange(self._harmful_requests, parts.log)
-        self._overload_scope = OverloadScope(settings.overload)
         target_work = TargetWork(self._overload_scope)
         self._state_exchange = StateExchange(
             settings.name,
@@ -185,6 +187,7 @@
             self._evacuations,
             self._leaving_exchange,
             target_work,
+            self.waiting_by_service,
         )
         self._registry = RouterRegistry(
             settings, incarnation, self._state_exchange, parts
@@ -238,6 +241,13 @@
             ),
             parts.rng,
         )
+        self._admission = RequestAdmission(
+            settings.overload,
+            self._capacity,
+            parts.reactor,
+            parts.rng,
+            OverloadReport(parts.log, parts.metrics.overload, target_work.usual_pace),
+        )
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._resolver = RequestResolver(
             self._store_state.freshness, settings.not_found_max_age, parts.rng
@@ -312,6 +322,16 @@
         """Return whether the load balancer should send callers to this router."""
         return not self._unready_reason(self._now())
 
+    def waiting_by_service(self) -> dict[str, int]:
+        """Return how many requests of each service wait in this router.
+
+        Returns
+        -------
+        dict[str, int]
+            Numbers by the names of services, of those that have any.
+        """
+        return self._admission.waiting_by_service()
+
     def start(self) -> None:
         """Start listening and watching the store."""
         settings = self._settings
@@ -336,6 +356,7 @@
         began = self._now()
         self._is_stopping = True
         self._log.emit(Event.PROCESS_STOPPING, under_way=len(self._calls))
+        self._admission.stop(began)
         latest = began + self._settings.stop_within - STOP_MARGIN_SECONDS
         yield self._sleep(BALANCER_REMOVAL_SECONDS)
         self._ports.pop(self._settings.callers).stopListening()
@@ -389,6 +410,7 @@
             self._overload_scope.configure(settings.overload)
             self._connection_shares.configure(settings.overload)
             self._capacity.configure(settings.overload)
+            self._admission.configure(settings.overload)
             self._budgets.clear()
         if is_requested or is_changed:
             self._log.emit(Event.SETTINGS_RELOADED, is_changed=is_changed)
@@ -396,6 +418,7 @@
     def _close(self) -> None:
         """Stop timers and close all ports, after a planned stop or without one."""
         cancel_timer(self._housekeeping)
+        self._admission.close()
         # Otherwise its rounds would continue without a port to send from.
         self._exchange_protocol.stop()
         for port in self._ports.values():
@@ -437,7 +460,7 @@
         self._capacity.request_received(resolved, now)
         request.attach_call(call)
         sink.apply_backpressure(call)
-        call.start(now)
+        self._admission.submit(call, now)
 
     def _retry_delay(self, refusal: Refusal, now: float) -> float | None:
         """Return the Retry-After of a request that is refused on arrival."""
@@ -484,6 +507,7 @@
         self._calls.discard(call)
         self._capacity.call_ended(call)
         now = self._now()
+        admission = self._admission.ended(call, now)
         self._metrics.ended(call, outcome, now)
         request = call.request
         first = call.first_byte_at
@@ -503,6 +527,7 @@
             prompt_tokens=0 if request.prompt is None else request.prompt.prompt_tokens,
             took=round(now - request.received_at, 3),
             first_byte=None if first is None else round(first - request.received_at, 3),
+            **admission_fields(admission),
             attempts=[
                 {
                     "target": item.target,
@@ -736,8 +761,10 @@
         }
         for name, value in values.items():
             self._metrics.gauge(name, value)
-        for service, levels in self._capacity.levels({}, now).items():
+        waiting = self._admission.waiting_by_service()
+        for service, levels in self._capacity.levels(waiting, now).items():
             self._metrics.capacity(service, *levels)
+        self._metrics.overload.refresh(self._admission.services)
 
     def _listen(self, endpoint: Endpoint, factory: Any) -> None:
         self._ports[endpoint] = self._reactor.listenTCP(
--- /dev/null
+++ b/src/primrosescale/request/capacity/request_queue.py
@@ -0,0 +1,298 @@
+"""The order in which waiting calls of one service are started, and its bounds.
+
+Calls are started by priority; within a priority, organisations share the starts fairly
+by work; within an organisation, returning callers go first. Every eighth start goes to
+the least urgent priority that has waiting calls.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from typing import TYPE_CHECKING
+from typing import Generic
+from typing import TypeVar
+
+from primrosescale.request.capacity.fair_queue import FairQueue
+from primrosescale.request.capacity.fair_queue import QueuedCall
+
+if TYPE_CHECKING:
+    from primrosescale.request.capacity.capacity_view import Allowance
+    from primrosescale.request.incoming_request import IncomingRequest
+
+T = TypeVar("T")
+
+# Every so many starts, one goes to the least urgent priority.
+LEAST_URGENT_INTERVAL = 8
+MAX_WAITING_PER_ALLOWED = 4
+MIN_MAX_WAITING = 16
+ORGANISATION_WEIGHT = 1
+# In the units of `WorkSettings`: a plain request, and a prompt token to prefill.
+PLAIN_WORK = 100
+PREFILL_WORK = 0.05
+
+
+def max_waiting(allowance: Allowance | None) -> int:
+    """Return how many calls of a service may wait.
+
+    Parameters
+    ----------
+    allowance : Allowance | None
+        The router's allowance; None for no limit.
+
+    Returns
+    -------
+    int
+        Number of calls.
+    """
+    mean = 0.0 if allowance is None else allowance.mean
+    return max(MIN_MAX_WAITING, int(MAX_WAITING_PER_ALLOWED * mean))
+
+
+def work_of(request: IncomingRequest) -> int:
+    """Return the work of a request, for the fairness between organisations.
+
+    Shared parts of a prompt are taken to be cached.
+
+    Parameters
+    ----------
+    request : IncomingRequest
+        The request.
+
+    Returns
+    -------
+    int
+        Work units, at least 1.
+    """
+    prompt = request.prompt
+    if prompt is None:
+        return PLAIN_WORK
+    own_tokens = prompt.parts[-1].tokens if prompt.parts else prompt.prompt_tokens
+    return max(1, round(own_tokens * PREFILL_WORK + prompt.output_tokens))
+
+
+class RequestQueue(Generic[T]):
+    """Waiting calls of one service; those of returning callers are preferred."""
+
+    __slots__ = (
+        "_calls",
+        "_next_expiry",
+        "_starts",
+        "_waiting",
+        "_work",
+    )
+
+    def __init__(self) -> None:
+        self._calls: FairQueue[T] = FairQueue()
+        # Work units and number of the waiting calls of each priority.
+        self._work: Counter[int] = Counter()
+        self._waiting: Counter[int] = Counter()
+        self._starts = 0
+        # No call expires earlier; it may be the time of a call that waits no more.
+        self._next_expiry = math.inf
+
+    def __len__(self) -> int:
+        """Return the number of waiting calls."""
+        return len(self._calls)
+
+    @property
+    def next_expiry(self) -> float:
+        """Return a time before which no call expires, in seconds."""
+        return self._next_expiry
+
+    def push(self, call: QueuedCall[T]) -> None:
+        """Add a call.
+
+        Parameters
+        ----------
+        call : QueuedCall[T]
+            The call; its deadline is the time until which it may wait.
+        """
+        self._calls.push(call)
+        self._work[call.priority] += call.work
+        self._waiting[call.priority] += 1
+        self._next_expiry = min(self._next_expiry, call.deadline)
+
+    def pop(self) -> QueuedCall[T] | None:
+        """Remove and return the next call to be started.
+
+        Returns
+        -------
+        QueuedCall[T] | None
+            The call; None when none waits.
+        """
+        call = self._next()
+        if call is None:
+            return None
+        self._starts += 1
+        self._calls.discard_started(call)
+        self._removed(call)
+        return call
+
+    def discard(self, call: QueuedCall[T]) -> bool:
+        """Remove a call that will not run.
+
+        Parameters
+        ----------
+        call : QueuedCall[T]
+            The call.
+
+        Returns
+        -------
+        bool
+            Whether it was waiting.
+        """
+        if not self._calls.discard(call):
+            return False
+        self._removed(call)
+        return True
+
+    def expired(self, now: float) -> list[QueuedCall[T]]:
+        """Remove and return the calls that may not wait any longer.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        list[QueuedCall[T]]
+            The removed calls.
+        """
+        if now < self._next_expiry:
+            return []
+        expired = self._calls.expired(now)
+        for call in expired:
+            self._removed(call)
+        self._update_next_expiry()
+        return expired
+
+    def clear(self) -> list[QueuedCall[T]]:
+        """Remove and return all calls.
+
+        Returns
+        -------
+        list[QueuedCall[T]]
+            The removed calls.
+        """
+        self._work.clear()
+        self._waiting.clear()
+        self._next_expiry = math.inf
+        return self._calls.clear()
+
+    def shift_expiry(self, seconds: float) -> None:
+        """Move the times until which calls may wait, after the clock was set.
+
+        Parameters
+        ----------
+        seconds : float
+            By how much the clock was set forward; negative if it was set back.
+        """
+        for call in self._calls.calls():
+            call.deadline += seconds
+        self._update_next_expiry()
+
+    def displaceable(self) -> QueuedCall[T] | None:
+        """Return the call that gives up its place when the bound decreases.
+
+        Returns
+        -------
+        QueuedCall[T] | None
+            The last call of the organisation with the most waiting work for its
+            weight, of the least urgent priority if that has more than its share of
+            places; None if no call waits.
+        """
+        if not len(self._calls):
+            return None
+        least = self._least_urgent()
+        worst = self._calls.most_over_share(least if self._is_over_share(least) else 0)
+        return None if worst is None else self._calls.last_of(worst.organisation)
+
+    def displaceable_by(self, organisation: str, priority: int) -> QueuedCall[T] | None:
+        """Return the call that gives up its place to a new one in a full queue.
+
+        The least urgent priority keeps as many places as it gets starts. A priority
+        with fewer may displace any call.
+
+        Parameters
+        ----------
+        organisation : str
+            Organisation of the new call.
+        priority : int
+            Priority of the new call.
+
+        Returns
+        -------
+        QueuedCall[T] | None
+            A call of a less urgent priority, or else the last call of the
+            organisation with the most waiting work for its weight; None if that has
+            not more than the organisation of the new call, or is more urgent.
+        """
+        if not len(self._calls):
+            return None
+        least = self._least_urgent()
+        if least > priority and self._is_over_share(least):
+            return self.displaceable()
+        is_over = self._is_over_share(priority)
+        worst = self._calls.most_over_share(priority if is_over else 0)
+        if worst is None:
+            return None
+        own = self._calls.work_of(organisation) / ORGANISATION_WEIGHT
+        theirs = self._calls.work_of(worst.organisation) / max(1, worst.weight)
+        # The work of the new call does not count, or the largest would never fit.
+        return self._calls.last_of(worst.organisation) if theirs > own else None
+
+    def calls_ahead(
+        self, organisation: str, priority: int, *, is_returning: bool
+    ) -> float:
+        """Return how many calls would be started before a new one.
+
+        Parameters
+        ----------
+        organisation : str
+            Its organisation.
+        priority : int
+            Its priority.
+        is_returning : bool
+            Whether its caller returns after a refusal.
+
+        Returns
+        -------
+        float
+            Number of calls, computed from the work ahead and the mean work of a call.
+        """
+        if not len(self._calls):
+            return 0.0
+        mean_work = self._calls.work / len(self._calls)
+        same = self._calls.work_ahead(organisation, priority, is_preferred=is_returning)
+        ahead = same + sum(
+            work for other, work in self._work.items() if other < priority
+        )
+        if priority >= self._least_urgent():
+            ahead = min(ahead, LEAST_URGENT_INTERVAL * (same + mean_work))
+        return ahead / mean_work
+
+    def _least_urgent(self) -> int:
+        """Return the least urgent priority that has waiting calls."""
+        return max(self._work)
+
+    def _is_over_share(self, priority: int) -> bool:
+        """Return whether a priority has more places than the least urgent is given."""
+        return self._waiting[priority] * LEAST_URGENT_INTERVAL > len(self._calls)
+
+    def _next(self) -> QueuedCall[T] | None:
+        if len(self._calls) and (self._starts + 1) % LEAST_URGENT_INTERVAL == 0:
+            return self._calls.head_from(self._least_urgent())
+        return self._calls.head()
+
+    def _removed(self, call: QueuedCall[T]) -> None:
+        self._waiting[call.priority] -= 1
+        self._work[call.priority] -= call.work
+        if not self._work[call.priority]:
+            del self._work[call.priority]
+
+    def _update_next_expiry(self) -> None:
+        self._next_expiry = min(
+            (call.deadline for call in self._calls.calls()), default=math.inf
+        )
--- a/src/primrosescale/request/target/target_work.py
+++ b/src/primrosescale/request/target/target_work.py
@@ -205,6 +205,22 @@
         known = self._services.get(service)
         return 1.0 if known is None else known.usual_pace.mean
 
+    def usual_pace(self, service: str) -> float | None:
+        """Return the usual pace of the targets of a service.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        float | None
+            A multiple of the usual time; None if no target has reported its pace.
+        """
+        known = self._services.get(service)
+        return None if known is None else known.usual_pace.mean
+
     def _service(self, name: str) -> _ServiceWork:
         found = self._services.get(name)
         if found is None:
