--- a/src/primrosescale/platform/entry.py
+++ b/src/primrosescale/platform/entry.py
@@ -17,6 +17,7 @@
 from primrosescale.platform.http_codec import PlatformCodec
 from primrosescale.platform.object_platform import ObjectPlatform
 from primrosescale.process.entry.codec import RecordDecoder
+from primrosescale.process.entry.codec import TableDecoding
 from primrosescale.process.entry.entry_dependencies import EntryDependencies
 from primrosescale.process.entry.entry_metrics import EntryMetrics
 from primrosescale.process.entry.entry_router import EntryRouter
@@ -77,6 +78,10 @@
 # there is no such limit. The delay halves the calls during a burst and only delays
 # changes that follow another one within it.
 CONFIGURATION_BATCHING_SHARE = 0.2
+# Share of the time within which a version must be in force for which a large answer is
+# read with pauses. A version that is written just after the answer with the one before
+# has begun waits for two of them.
+PACED_READ_SHARE = 0.35
 TARGETS_BATCHING_SHARE = 0.3
 ROUTERS_BATCHING_SECONDS = 2.0
 # Routers are added and removed rarely, and no time limit applies to their changes.
@@ -103,6 +108,10 @@
         """Decode a routing table; see `RecordDecoder.table`."""
         return records.decode_routing_table(stored, self._regions, self._route_cache)
 
+    def begin_table(self, stored: StoredObject) -> TableDecoding:
+        """Begin to decode a routing table; see `RecordDecoder.begin_table`."""
+        return records.begin_routing_table(stored, self._regions, self._route_cache)
+
     def target(self, stored: StoredObject) -> ServingTarget:
         """Decode a target; see `RecordDecoder.target`."""
         return records.decode_target(stored)
@@ -165,9 +174,11 @@
     writer.install()
     log = EventLog(host.name)
     FailureObserver(log).install()
+    platform = ObjectPlatform(reactor, host.store, STORE_TIMEOUT_SECONDS)
+    platform.pace_reads(settings.link_rate, settings.max_paced_read)
     dependencies = EntryDependencies(
         reactor=reactor,
-        platform=ObjectPlatform(reactor, host.store, STORE_TIMEOUT_SECONDS),
+        platform=platform,
         codec=PlatformCodec(),
         decoder=PlatformRecordDecoder(host.regions.values()),
         log=log,
@@ -249,6 +260,8 @@
         repeats=SharedRetryLimits(
             bounds.retry_ratio, bounds.retry_window, bounds.retry_extra
         ),
+        link_rate=host.link_rate,
+        max_paced_read=PACED_READ_SHARE * bounds.apply,
     )
 
 
--- a/src/primrosescale/platform/host_settings.py
+++ b/src/primrosescale/platform/host_settings.py
@@ -15,6 +15,9 @@
 SECONDS_PER_MILLISECOND = 0.001
 # In a deployment with this contract, demand exceeds the capacity of targets at times.
 OVERLOAD_CONTRACT = "pressure"
+BYTES_PER_MEGABIT = 125_000
+# Above any rate in use; a higher number is taken for a mistake.
+MAX_LINK_MEGABITS = 1_000_000_000
 
 # Used for bounds that the settings file leaves out. The users' deployments state all
 # of them, with these values.
@@ -108,6 +111,8 @@
         Limits that the deployment requires.
     requires_overload_control : bool
         Whether the deployment asks for overload control of all services.
+    link_rate : float | None
+        Rate of the host's link in bytes a second; None if it is not known.
     """
 
     name: str
@@ -122,6 +127,7 @@
     memory_limit: int
     bounds: Bounds
     requires_overload_control: bool = False
+    link_rate: float | None = None
 
 
 def own_host_settings() -> HostSettings:
@@ -212,9 +218,17 @@
         memory_limit=int(float(limits.get("memory_mb", 300)) * 1024 * 1024),
         bounds=_bounds(fields.get("bounds") or {}),
         requires_overload_control=OVERLOAD_CONTRACT in (fields.get("contracts") or []),
+        link_rate=_link_rate(limits.get("link_mbps")),
     )
 
 
+def _link_rate(megabits: Any) -> float | None:
+    """Return a rate in bytes a second; None if none is given or it is invalid."""
+    if type(megabits) not in {int, float} or not 0 < megabits <= MAX_LINK_MEGABITS:
+        return None
+    return float(megabits) * BYTES_PER_MEGABIT
+
+
 def _bounds(given: dict[str, Any]) -> Bounds:
     def number(name: str) -> float:
         return float(given.get(name, DEFAULT_BOUNDS[name]))
--- a/src/primrosescale/process/entry/entry_settings.py
+++ b/src/primrosescale/process/entry/entry_settings.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from primrosescale.process.entry.relay_topology import StateExchangeSettings
+from primrosescale.process.transport.read_pacing import DEFAULT_MAX_PACED_SECONDS
 from primrosescale.request.attempt.forwarding_context import ForwardingSettings
 from primrosescale.request.capacity.cold_targets import ColdSettings
 from primrosescale.request.capacity.overload_settings import OverloadSettings
@@ -67,6 +68,11 @@
         How requests are admitted while a service is overloaded.
     regions : dict[str, str]
         The region of each failure domain.
+    link_rate : float | None
+        Rate of the host's link in bytes a second; None if it is not known.
+    max_paced_read : float
+        Seconds after which the rest of a large answer of the store is read without
+        pauses.
     """
 
     name: str
@@ -89,6 +95,8 @@
     cold: ColdSettings = field(default_factory=ColdSettings)
     overload: OverloadSettings = field(default_factory=OverloadSettings)
     regions: dict[str, str] = field(default_factory=dict)
+    link_rate: float | None = None
+    max_paced_read: float = DEFAULT_MAX_PACED_SECONDS
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/primrosescale/process/transport/base_http_platform.py
+++ b/src/primrosescale/process/transport/base_http_platform.py
@@ -7,6 +7,7 @@
 
 from primrosescale.process.transport.http_client import HttpClient
 from primrosescale.process.transport.platform import Platform
+from primrosescale.process.transport.read_pacing import DEFAULT_MAX_PACED_SECONDS
 
 if TYPE_CHECKING:
     from twisted.internet.defer import Deferred
@@ -35,6 +36,19 @@
         """Return the number of calls made."""
         return self._client.calls
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a large answer is being received."""
+        return self._client.is_receiving
+
+    def pace_reads(
+        self,
+        link_rate: float | None,
+        max_seconds: float = DEFAULT_MAX_PACED_SECONDS,
+    ) -> None:
+        """Read large answers with pauses; see `Platform.pace_reads`."""
+        self._client.pace_reads(link_rate, max_seconds)
+
     def close(self) -> Deferred[None]:
         """Close idle connections.
 
--- a/src/primrosescale/process/transport/platform.py
+++ b/src/primrosescale/process/transport/platform.py
@@ -9,6 +9,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from primrosescale.process.transport.read_pacing import DEFAULT_MAX_PACED_SECONDS
+
 if TYPE_CHECKING:
     from twisted.internet.defer import Deferred
 
@@ -111,10 +113,13 @@
         Revision from which to continue watching.
     changes : tuple[StoredObject, ...]
         The changed objects in their current state.
+    read_seconds : float
+        Seconds that reading the answer took; 0 for a small one.
     """
 
     revision: int
     changes: tuple[StoredObject, ...]
+    read_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,6 +152,26 @@
     effect).
     """
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a large answer is being received."""
+        return False
+
+    def pace_reads(  # noqa: B027 - optional
+        self,
+        link_rate: float | None,
+        max_seconds: float = DEFAULT_MAX_PACED_SECONDS,
+    ) -> None:
+        """Read large answers with pauses, where the platform is reached over a link.
+
+        Parameters
+        ----------
+        link_rate : float | None
+            Rate of the link in bytes a second; None to read without pauses.
+        max_seconds : float
+            Seconds after which the rest of an answer is read without pauses.
+        """
+
     @abstractmethod
     def get(self, key: str) -> Deferred[StoredObject | None]:
         """Read an object.
