--- a/benchmarks/overload_cost.py
+++ b/benchmarks/overload_cost.py
@@ -6,7 +6,7 @@
 all runs (1 by default), counts:
 
 - one request through `RequestAdmission.submit` and `ended` with the real
-  `ServiceCapacity`, in four cases, the sums over the targets being known;
+  `ServiceCapacity`, in five cases, the sums over the targets being known;
 - these sums, which are computed at most every 50 ms for each service;
 - one choice of a target with and without overload control;
 
