Reduce the connections to a target for a short time after it has reset one

A target accepts fewer connections while its queue is long. Routers kept to their share of the usual number, and requests that may run once ended with 502 on connections that the target reset.

After a reset on the first request of a connection, within 0.25 s of its opening, the router's limit at that target falls to the connections that are left. Where connections are not limited, nothing is recorded.

--- a/src/primrosescale/connection/connection_limit.py
+++ b/src/primrosescale/connection/connection_limit.py
@@ -28,6 +28,18 @@
     def idle_closed(self) -> None:
         """Count an idle connection that was closed to stay within the limit."""
 
+    @abstractmethod
+    def connection_reset(self, connections: int, now: float) -> None:
+        """Record that the target reset a connection on its first request.
+
+        Parameters
+        ----------
+        connections : int
+            Connections to the target that are left.
+        now : float
+            Current time, in seconds.
+        """
+
 
 class Unlimited(ConnectionLimit):
     """No limit."""
@@ -39,5 +51,8 @@
     def idle_closed(self) -> None:
         """Do nothing; see `ConnectionLimit.idle_closed`."""
 
+    def connection_reset(self, connections: int, now: float) -> None:
+        """Do nothing; see `ConnectionLimit.connection_reset`."""
+
 
 UNLIMITED = Unlimited()
--- a/src/primrosescale/connection/target_channel.py
+++ b/src/primrosescale/connection/target_channel.py
@@ -37,6 +37,9 @@
 # connection is reused only after this delay, so that such an answer is detected.
 REUSE_DELAY_SECONDS = 0.01
 MAX_IDLE_CHANNELS = 16
+# A target resets connections in excess of its limit 4 ms after they were opened
+# (median). Later resets have other causes, such as the end of the target.
+EXCESS_RESET_SECONDS = 0.25
 
 
 class TargetChannel(HTTP11ClientProtocol):
@@ -426,6 +429,8 @@
         """
         if channel.idle_before_request is not None:
             self._idle_limit.lost(channel.idle_before_request, now, self._source)
+        elif channel.was_reset and now - channel.opened_at < EXCESS_RESET_SECONDS:
+            self._limit.connection_reset(self.connections, now)
 
     def sweep(self, now: float) -> None:
         """Close connections that can no longer be reused.
--- a/tests/connection/test_connection_limit.py
+++ b/tests/connection/test_connection_limit.py
@@ -9,6 +9,7 @@
 import random
 
 from testtools import TestCase
+from twisted.internet.error import ConnectionDone
 from twisted.web._newclient import Request
 from twisted.web.client import readBody
 from twisted.web.http_headers import Headers
@@ -32,6 +33,7 @@
     def __init__(self, number):
         self.number = number
         self.closed = 0
+        self.resets = []
 
     def allowed(self, now):
         return self.number
@@ -39,6 +41,9 @@
     def idle_closed(self):
         self.closed += 1
 
+    def connection_reset(self, connections, now):
+        self.resets.append(connections)
+
 
 class PoolTest(TestCase):
     def setUp(self):
@@ -146,6 +151,42 @@
         self.limit.number = 1
         self.assertTrue(self.pool.has_capacity(self.now))
 
+    # A target that accepts fewer would be sent as many new connections as before.
+    def test_the_limit_learns_of_a_reset_of_a_new_connection(self):
+        self.keep(1)
+        busy = self.open()
+        self.begin(busy)
+        busy.transport.reset()
+        self.reactor.advance(0)
+        self.pool.lost(busy, self.now)
+        self.assertEqual([1], self.limit.resets)
+
+    # An idle connection that has died says nothing about what the target accepts.
+    def test_a_lost_pooled_connection_and_an_orderly_close_are_no_reset(self):
+        (idle,) = self.keep(1)
+        self.assertIs(idle, self.pool.idle(self.now))
+        self.begin(idle)
+        idle.transport.reset()
+        closed = self.open()
+        self.begin(closed)
+        closed.transport.close(ConnectionDone())
+        self.reactor.advance(0)
+        self.pool.lost(idle, self.now)
+        self.pool.lost(closed, self.now)
+        self.assertEqual([], self.limit.resets)
+
+    # The end of a target resets connections whose first requests are being served.
+    def test_a_reset_of_a_connection_that_has_been_open_for_some_time_does_not_count(
+        self,
+    ):
+        busy = self.open()
+        self.begin(busy)
+        self.reactor.advance(0.3)
+        busy.transport.reset()
+        self.reactor.advance(0)
+        self.pool.lost(busy, self.now)
+        self.assertEqual([], self.limit.resets)
+
     # Routers that join reduce the share, also where idle connections fill it.
     def test_idle_connections_are_closed_when_the_limit_falls(self):
         first, second, third = self.keep(3)
--- a/tests/entry/test_connection_shares.py
+++ b/tests/entry/test_connection_shares.py
@@ -114,6 +114,7 @@
 
 class ConnectionTest(TestCase):
     limit = 4
+    crowded_limit = None
     targets = ("p1",)
     routers = 1
     mode = OverloadMode.AUTO
@@ -123,7 +124,12 @@
         self.reactor = MemoryReactor()
         self.reactor.advance(1000.0)
         self.servers = {
-            name: LimitedTarget(self.reactor, PORTS[name], limit=self.limit)
+            name: LimitedTarget(
+                self.reactor,
+                PORTS[name],
+                limit=self.limit,
+                crowded_limit=self.crowded_limit,
+            )
             for name in self.targets
         }
         listed = frozenset(f"r{number}" for number in range(self.routers))
@@ -342,6 +348,65 @@
         self.assertGreater(answered, 0.7 * self.seconds * 3 * 6 / 0.09)
 
 
+class CrowdedFleetTest(FleetTest):
+    """Targets accept fewer connections while more requests wait than they can run."""
+
+    limit = 48
+    crowded_limit = 16
+
+    # Each router opened its share at such a target, and what it sent there was lost.
+    def test_no_request_is_lost_in_an_overload(self):
+        outcomes = self.play(rate=40.0)
+        # 96 of 1,468; 652 where the limit did not fall with resets.
+        self.assertLess(outcomes.count("refused: cut"), 0.1 * len(outcomes))
+        answered = outcomes.count("answered")
+        self.assertGreater(answered, 0.7 * self.seconds * 3 * 6 / 0.09)
+        for server in self.servers.values():
+            self.assertEqual(len(server.served), len(set(server.served)))
+
+    # With short queues, targets accept all that the routers may open.
+    def test_no_request_is_lost_while_targets_have_capacity(self):
+        outcomes = self.play(rate=12.0)
+        self.check_nothing_is_lost(outcomes)
+        self.assertEqual({"answered"}, set(outcomes))
+
+
+class ResetTest(ConnectionTest):
+    """One of two targets accepts fewer connections than the router may open."""
+
+    targets = ("p1", "p2")
+    limit = 8
+
+    def setUp(self):
+        super().setUp()
+        self.server.limit = 2
+        for number in range(6):
+            self.router.call(number)
+        # The target has reset the connections in excess of two.
+        self.pass_time(0.01)
+        self.resets = self.server.resets
+
+    # The next one that may run once was sent on a connection that was reset as well.
+    def test_the_next_requests_go_to_another_target_or_wait(self):
+        self.assertEqual(1, self.resets)
+        sinks = [self.router.call(number)[1] for number in range(6, 10)]
+        self.pass_time(1.0)
+        self.assertTrue(all(sink.is_finished for sink in sinks))
+        self.assertTrue(all(sink.refusal is None for sink in sinks))
+        self.assertEqual(self.resets, self.server.resets)
+
+    # A target that was full for a moment must get its usual share again.
+    def test_the_limit_rises_again_step_by_step(self):
+        self.server.limit = self.limit
+        state = self.router.states[0]
+        limits = []
+        for _ in range(6):
+            pool = self.router.client._present(state.target).pool
+            limits.append(pool._limit.allowed(self.reactor.seconds()))
+            self.pass_time(0.5)
+        self.assertEqual([2, 3, 4, 5, 6, 6], limits)
+
+
 class FleetWithoutControlTest(FleetTest):
     mode = OverloadMode.OFF
 
--- a/tests/support/memory_targets.py
+++ b/tests/support/memory_targets.py
@@ -120,11 +120,15 @@
 
 
 class LimitedTarget:
-    """Serves requests with a number of slots, and resets connections over a limit."""
+    """Serves requests with a number of slots, and resets connections over a limit.
 
-    def __init__(self, reactor, port, *, limit, slots=6, work=0.09):
+    While more requests wait than it has slots, the limit is `crowded_limit`.
+    """
+
+    def __init__(self, reactor, port, *, limit, crowded_limit=None, slots=6, work=0.09):
         self.reactor = reactor
         self.limit = limit
+        self.crowded_limit = limit if crowded_limit is None else crowded_limit
         self.slots = slots
         self.work = work
         self.connections = 0
@@ -143,7 +147,8 @@
         self.connections += 1
         self.highest = max(self.highest, self.connections)
         connector.on_close = self.closed
-        if self.connections > self.limit:
+        is_crowded = len(self.queue) > self.slots
+        if self.connections > (self.crowded_limit if is_crowded else self.limit):
             self.resets += 1
             connector.accept()
             self.reactor.callLater(RESET_SECONDS, connector.transport.reset)
