Keep the backlog of peers within 4 s when the prefill rate falls

The tokens of peer routers were bounded by what the target prefills in 4 s only when they were counted. Counted at 200,000 tokens/s, they took 80 s to drain at 10,000, and prompts passed the target over for that time.

The bound is applied at the present rate each time the backlog is read. A test counts 100 reports at the high rate and reads the backlog at the low one.

--- a/src/primrosescale/request/target/prefill_backlog.py
+++ b/src/primrosescale/request/target/prefill_backlog.py
@@ -136,9 +136,13 @@
         elapsed = now - self._updated_at
         self._updated_at = now
         self._idle_since = min(self._idle_since, now)
-        if not self._peer or elapsed <= 0:
+        if not self._peer:
             return
         rate = self._rate.tokens_per_second
+        # The rate may have become lower since the tokens were counted.
+        self._peer = min(self._peer, MAX_PEER_SECONDS * rate)
+        if elapsed <= 0:
+            return
         self._peer -= elapsed * rate
         if self._peer <= 0:
             self._idle_since = now + self._peer / rate
--- a/tests/request/test_prefill_backlog.py
+++ b/tests/request/test_prefill_backlog.py
@@ -10,6 +10,7 @@
 from primrosescale.request.target.prefill_backlog import MAX_PEER_SECONDS
 from primrosescale.request.target.prefill_backlog import PrefillBacklog
 from primrosescale.request.target.prefill_rate import INITIAL_TOKENS_PER_SECOND
+from primrosescale.request.target.prefill_rate import MAX_SAMPLES
 from primrosescale.request.target.prefill_rate import PrefillRate
 
 START = 1000.0
@@ -54,6 +55,19 @@
         self.assertAlmostEqual(5000, self.backlog.tokens(START + 5000 / RATE), 3)
         self.assertEqual(0, self.backlog.tokens(START + 1))
 
+    # Guards against a target barred for 80 s by tokens counted at a higher rate.
+    def test_tokens_of_peers_stay_within_their_time_when_the_rate_falls(self):
+        rate = PrefillRate()
+        for _ in range(MAX_SAMPLES):
+            rate.record(20_000, 0.1)
+        backlog = PrefillBacklog(rate)
+        for _ in range(100):
+            backlog.peer_started(20_000, START, START)
+        for _ in range(MAX_SAMPLES):
+            rate.record(10_000, 1.0)
+        self.assertLessEqual(backlog.tokens(START), MAX_PEER_SECONDS * 10_000)
+        self.assertEqual(0, backlog.tokens(START + MAX_PEER_SECONDS + 0.001))
+
     # Guards against a late report that counts tokens already prefilled.
     def test_what_drained_before_the_report_is_not_counted(self):
         self.backlog.peer_started(10_000, START - 0.1, START)
