Rank targets for a prompt only where the order by hash has an effect

Under overload control each choice computed the hash rank of all targets of the service. A target that holds the prompt has the full preference, so that no other becomes cheaper by its own where the cheapest target is a holder.

The costs are computed first, and the ranks only where the cheapest target does not hold all shared tokens. The home is determined only where it gets a bonus.

--- a/src/primrosescale/request/choice/target_choice.py
+++ b/src/primrosescale/request/choice/target_choice.py
@@ -542,13 +542,9 @@
         Failures count only as far as their share exceeds `usual_failures`.
         """
         max_held = max(held[state.target.name] for state in sources)
-        home = home_of(prompt, bounded)
         is_known = _holds_all_shared(prompt, max_held)
         settings = self._settings
         extra = self._extra_cost(bounded)
-        preferences = {}
-        if extra is not None:
-            preferences = extra.preferences(prompt, bounded, held, max_held)
 
         def cost(state: TargetState) -> float:
             name = state.target.name
@@ -556,16 +552,25 @@
             prefilled: float = prompt.prompt_tokens - max(max_held, held[name])
             if extra is not None:
                 prefilled = extra.prefill(state, prefilled, now)
-                prefilled -= settings.home_bonus * preferences[name]
             total = prefilled + copied * settings.fetch_weight
             total += loads.of(state) * settings.tokens_per_request
             failing = max(0.0, state.failure_share(now) - usual_failures)
-            total += failing**2 * settings.failure_weight
-            if state is home and not is_known:
-                total -= settings.home_bonus
-            return total
-
-        return min(bounded, key=cost)
+            return total + failing**2 * settings.failure_weight
+
+        costs = {state.target.name: cost(state) for state in bounded}
+        if is_known:
+            best = min(bounded, key=lambda state: costs[state.target.name])
+            # A target that holds the prompt has the full preference, so that no other
+            # becomes cheaper by its own.
+            if extra is None or held[best.target.name] >= max_held:
+                return best
+        else:
+            costs[home_of(prompt, bounded).target.name] -= settings.home_bonus
+        if extra is not None:
+            preferences = extra.preferences(prompt, bounded, held, max_held)
+            for name, preference in preferences.items():
+                costs[name] -= settings.home_bonus * preference
+        return min(bounded, key=lambda state: costs[state.target.name])
 
     def _copy_source(
         self,
--- a/tests/request/test_prefill_cost.py
+++ b/tests/request/test_prefill_cost.py
@@ -32,6 +32,18 @@
 LATER = START + 0.3
 
 
+class CountingCost(PrefillCost):
+    """Counts how often all targets are ranked."""
+
+    def __init__(self, work, domain):
+        super().__init__(work, domain)
+        self.rankings = 0
+
+    def preferences(self, *args):
+        self.rankings += 1
+        return super().preferences(*args)
+
+
 class Router:
     """A chooser and its targets, two in each of three failure domains."""
 
@@ -48,6 +60,7 @@
         self.scope = OverloadScope(OverloadSettings(mode=mode))
         self.scope.record("model", LoadReport(0, 0, 8, pace))
         self.work = TargetWork(self.scope)
+        self.cost = CountingCost(self.work, domain) if has_cost else None
         self.parts = PrefixCacheIndex()
         self.age = 0.0
         self.relies_on_homes = False
@@ -58,7 +71,7 @@
             lambda: self.age,
             lambda: self.relies_on_homes,
             availability,
-            prefill_cost=PrefillCost(self.work, domain) if has_cost else None,
+            prefill_cost=self.cost,
         )
         self.states = [
             TargetState(target(f"m{n}", domain="abc"[n % 3]), START)
@@ -184,6 +197,17 @@
             chosen.add(router.name(PROMPT))
         self.assertEqual(1, len(chosen))
 
+    # Guards against a hash for each target where the order by hash has no effect.
+    def test_targets_are_not_ranked_for_a_prompt_that_goes_to_a_holder(self):
+        use = PartUse("tariffs", make_incarnation(self.home), 10_000, START)
+        self.router.parts.record_use(use)
+        self.router.cost.rankings = 0
+        self.assertEqual(self.home, self.router.name(PROMPT))
+        self.assertEqual(0, self.router.cost.rankings)
+        self.router.add_backlog(self.home, 50_000)
+        self.assertNotEqual(self.home, self.router.name(PROMPT))
+        self.assertEqual(1, self.router.cost.rankings)
+
     # Guards against copied tokens that count in full.
     def test_tokens_of_a_copied_prompt_are_counted_by_a_tenth(self):
         use = PartUse("tariffs", make_incarnation(self.home), 10_000, START)
