Keep one connection pool for a target that is listed again

A target that left the list while it had requests and returned got a new pool beside the closed one, whose requests no longer counted: the router had up to twice its share of the connections there, which the target resets.

The closed pool is opened again for the same start and endpoint of a target. A test has three requests in progress, lists the target anew and finds three connections, four before.

--- a/src/primrosescale/connection/target_channel.py
+++ b/src/primrosescale/connection/target_channel.py
@@ -451,6 +451,10 @@
         for channel in list(self._idle):
             self._close_idle(channel)
 
+    def reopen(self) -> None:
+        """Keep idle connections again, if it was closed."""
+        self._is_closed = False
+
     def _has_opened(self, channel: TargetChannel) -> TargetChannel:
         self._opening -= 1
         self._open.add(channel)
--- a/src/primrosescale/process/entry/target_client.py
+++ b/src/primrosescale/process/entry/target_client.py
@@ -398,14 +398,16 @@
         self._drop_ended(target)
 
     def _present(self, target: ServingTarget) -> _IncarnationState | None:
-        """Return the state of a target as listed; None before its first request."""
+        """Return the state of a target as listed; None before its first request.
+
+        Its pool is closed where the target was forgotten while it had requests.
+        """
         states = self._states.get(target.name)
         if not states:
             return None
         last = states[-1]
         is_same = last.incarnation == target.incarnation
-        is_same = is_same and last.pool.endpoint == target.endpoint
-        return last if is_same and not last.pool.is_closed else None
+        return last if is_same and last.pool.endpoint == target.endpoint else None
 
     def _limit(self, target: ServingTarget) -> ConnectionLimit:
         if self._shares is None:
@@ -420,6 +422,7 @@
     def _state(self, target: ServingTarget) -> _IncarnationState:
         present = self._present(target)
         if present is not None:
+            present.pool.reopen()
             return present
         states = self._states.get(target.name)
         if states:
--- a/tests/entry/test_connection_shares.py
+++ b/tests/entry/test_connection_shares.py
@@ -255,6 +255,17 @@
         self.pass_time(0.5)
         self.assertNotIn(b"q3", self.server.served)
 
+    # A new pool beside the requests in progress had the whole share once more.
+    def test_a_target_that_is_listed_again_has_no_second_share(self):
+        sinks = self.fill()
+        self.router.client.forget("p1")
+        self.pass_time(0.01)
+        sinks.append(self.router.call(3)[1])
+        self.assertEqual(3, self.router.client.connections)
+        self.pass_time(0.3)
+        self.assertTrue(all(sink.refusal is None for sink in sinks))
+        self.assertEqual((3, 0), (self.server.highest, self.server.resets))
+
     # A caller that leaves while its connection is opened must free the place at once.
     def test_a_request_cancelled_while_its_connection_is_opened_frees_it(self):
         call, _ = self.router.call(1)
