Free the place of a connection that is lost before it is ready

An error while the options of a new socket are set has the reactor close the connection. The pool was not told, so that the connection counted as being opened for good and its request waited until its deadline. The opening fails now.

--- a/src/primrosescale/connection/target_channel.py
+++ b/src/primrosescale/connection/target_channel.py
@@ -243,6 +243,13 @@
         """Report that the connection could not be opened."""
         self._resolve(reason)
 
+    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
+        """Report that it was lost before it was ready, if so.
+
+        An error in `connectionMade`, as of a socket option, has the reactor close it.
+        """
+        self._resolve(reason)
+
     def _connected(self) -> None:
         if self.opened.called:
             # Connected after the attempt was cancelled: nobody would close it.
--- a/tests/connection/test_connection_limit.py
+++ b/tests/connection/test_connection_limit.py
@@ -10,6 +10,8 @@
 
 from testtools import TestCase
 from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
 from twisted.web._newclient import Request
 from twisted.web.client import readBody
 from twisted.web.http_headers import Headers
@@ -128,6 +130,17 @@
         self.assertEqual(2, self.pool.connections)
         self.assertTrue(self.pool.has_capacity(self.now))
 
+    # An error while socket options are set ends a connection that is not ready yet.
+    def test_a_connection_lost_before_it_is_ready_frees_its_place(self):
+        failures = []
+        self.pool.open().addErrback(failures.append)
+        factory = self.reactor.connectors[0].factory
+        factory.buildProtocol(None)
+        factory.clientConnectionLost(
+            self.reactor.connectors[0], Failure(ConnectionLost())
+        )
+        self.assertEqual((1, 0), (len(failures), self.pool.connections))
+
     # The transport may connect in the turn in which the request was cancelled.
     def test_a_connection_opened_after_it_was_cancelled_is_closed(self):
         opening = self.pool.open()
