Look up once per choice whether connections are limited

Each choice asked for every target of the service again whether overload control is in force, and counted the idle connections of targets with free places.

--- a/src/primrosescale/connection/target_channel.py
+++ b/src/primrosescale/connection/target_channel.py
@@ -341,7 +341,7 @@
             True if one may be opened, if necessary in place of an idle one.
         """
         allowed = self._limit.allowed(now)
-        if allowed is None:
+        if allowed is None or self.connections < allowed:
             return True
         idle = sum(channel in self._open for channel in self._idle)
         return self.connections - idle < allowed
--- a/src/primrosescale/request/target/target_availability.py
+++ b/src/primrosescale/request/target/target_availability.py
@@ -128,8 +128,9 @@
         )
         cold = len(unpaused) - len(available)
         connected = available
-        if available and self._limits_connections(available[0]):
-            connected = [s for s in available if self._has_connection(s, now)]
+        limits = self._limits_of(available[0]) if available else None
+        if limits is not None:
+            connected = [s for s in available if limits.has_capacity(s.target, now)]
         return AvailableTargets(
             connected,
             cold,
@@ -233,12 +234,13 @@
         pause = state.self_reports.wait(now)
         return pause if self._cold is None else max(pause, self._cold.wait(state, now))
 
-    def _limits_connections(self, state: TargetState) -> bool:
-        if self._connections is None:
-            return False
-        return self._connections.is_limited(state.target.service)
+    def _limits_of(self, state: TargetState) -> ConnectionCapacity | None:
+        """Return what limits the connections to a target; None for no limit."""
+        connections = self._connections
+        if connections is None or not connections.is_limited(state.target.service):
+            return None
+        return connections
 
     def _has_connection(self, state: TargetState, now: float) -> bool:
-        if self._connections is None or not self._limits_connections(state):
-            return True
-        return self._connections.has_capacity(state.target, now)
+        limits = self._limits_of(state)
+        return limits is None or limits.has_capacity(state.target, now)
