--- a/src/primrosescale/request/capacity/router_shares.py
+++ b/src/primrosescale/request/capacity/router_shares.py
@@ -105,8 +105,11 @@
             Number of routers, including this one; 0 before the first list.
         """
         self._drop_expired(now)
-        rings = [self._ring, *(ring for _, ring in self._previous_rings)]
-        return max(0 if ring is None else len(ring) for ring in rings)
+        largest = 0 if self._ring is None else len(self._ring)
+        for _, ring in self._previous_rings:
+            if ring is not None:
+                largest = max(largest, len(ring))
+        return largest
 
     def is_settled(self, now: float) -> bool:
         """Return whether all peers have had time to learn of this router.
