--- a/src/primrosescale/request/target/prefill_backlog.py
+++ b/src/primrosescale/request/target/prefill_backlog.py
@@ -14,7 +14,7 @@
     from primrosescale.request.target.prefill_rate import PrefillRate
 
 # The tokens of peer routers never exceed what the target prefills in this time: no
-# caller waits longer for a first event, and a wrong report must not bar a target.
+# caller waits longer for a first event, and a wrong report must not exclude a target.
 MAX_PEER_SECONDS = 4.0
 
 
--- a/src/primrosescale/request/target/target_pace.py
+++ b/src/primrosescale/request/target/target_pace.py
@@ -1,4 +1,4 @@
-"""Expects the pace of a target's host from its last report.
+"""Predicts the pace of a target's host from its last report.
 
 Hosts that are shared with other workloads are slow for a part of a second at a time:
 of targets that were slow, 68 % still are after 0.2 s, 30 % after 0.5 s, and as many as
@@ -10,13 +10,13 @@
 import math
 
 PACE_HALF_LIFE_SECONDS = 0.25
-# Older reports tell nothing about the present.
+# Older reports do not predict the present pace.
 MAX_PACE_AGE_SECONDS = 0.8
 # Reports over which the usual pace is averaged: some seconds of a busy service, many
 # times a slow period.
 USUAL_PACE_REPORTS = 500
 # Reports outside these bounds are taken as the nearest one, so that a wrong figure can
-# neither attract all requests nor bar a target. Slow hosts take 2.5 times as long.
+# neither direct all requests to a target nor exclude it. Slow hosts take 2.5 times as long.
 MIN_PACE = 0.5
 MAX_PACE = 10.0
 
@@ -56,11 +56,11 @@
         The usual pace of its service.
     """
 
-    __slots__ = ("_reported_at", "_told", "_usual")
+    __slots__ = ("_reported_at", "_reported", "_usual")
 
     def __init__(self, usual: UsualPace) -> None:
         self._usual = usual
-        self._told = 1.0
+        self._reported = 1.0
         self._reported_at = -math.inf
 
     def record(self, pace: float, now: float) -> None:
@@ -75,7 +75,7 @@
         """
         pace = min(MAX_PACE, max(MIN_PACE, pace))
         self._usual.record(pace)
-        self._told = pace
+        self._reported = pace
         self._reported_at = now
 
     def expected(self, now: float) -> float:
@@ -97,4 +97,4 @@
         if not 0.0 <= age <= MAX_PACE_AGE_SECONDS:
             return usual
         kept = float(0.5 ** (age / PACE_HALF_LIFE_SECONDS))
-        return usual + (self._told - usual) * kept
+        return usual + (self._reported - usual) * kept
--- a/tests/connection/test_reset_backoff.py
+++ b/tests/connection/test_reset_backoff.py
@@ -56,12 +56,12 @@
         self.backoff.connection_reset(3, START + 11)
         self.assertEqual([3, 4], self.limits([11, 11 + FIRST_STEP_SECONDS]))
 
-    # Guards against a target that stays barred after the clock was set back.
+    # Guards against a limit that stays low after the clock was set back.
     def test_a_clock_that_was_set_back_ends_the_reduction(self):
         self.backoff.connection_reset(0, START)
         self.assertEqual([LIMIT], self.limits([-60]))
 
-    # Guards against more connections than the share, and a target barred for ever.
+    # Guards against more connections than the share, and a target never used again.
     @given(RESETS)
     def test_it_never_exceeds_the_limit_and_always_recovers(self, resets):
         backoff = ResetBackoff()
--- a/tests/request/test_prefill_backlog.py
+++ b/tests/request/test_prefill_backlog.py
@@ -55,7 +55,7 @@
         self.assertAlmostEqual(5000, self.backlog.tokens(START + 5000 / RATE), 3)
         self.assertEqual(0, self.backlog.tokens(START + 1))
 
-    # Guards against a target barred for 80 s by tokens counted at a higher rate.
+    # Guards against a target passed over for 80 s by tokens counted at a higher rate.
     def test_tokens_of_peers_stay_within_their_time_when_the_rate_falls(self):
         rate = PrefillRate()
         for _ in range(MAX_SAMPLES):
