--- a/src/primrosescale/request/target/target_pace.py
+++ b/src/primrosescale/request/target/target_pace.py
@@ -16,7 +16,8 @@
 # times a slow period.
 USUAL_PACE_REPORTS = 500
 # Reports outside these bounds are taken as the nearest one, so that a wrong figure can
-# neither direct all requests to a target nor exclude it. Slow hosts take 2.5 times as long.
+# neither direct all requests to a target nor exclude it. Slow hosts take 2.5 times as
+# long.
 MIN_PACE = 0.5
 MAX_PACE = 10.0
 
