--- a/src/primrosescale/request/target/target_pace.py
+++ b/src/primrosescale/request/target/target_pace.py
@@ -57,7 +57,7 @@
         The usual pace of its service.
     """
 
-    __slots__ = ("_reported_at", "_reported", "_usual")
+    __slots__ = ("_reported", "_reported_at", "_usual")
 
     def __init__(self, usual: UsualPace) -> None:
         self._usual = usual
