--- a/src/primrosescale/request/choice/target_choice.py
+++ b/src/primrosescale/request/choice/target_choice.py
@@ -559,7 +559,8 @@
             total = prefilled + copied * settings.fetch_weight
             total += loads.of(state) * settings.tokens_per_request
             failing = max(0.0, state.failure_share(now) - usual_failures)
-            return total + failing**2 * settings.failure_weight
+            total += failing**2 * settings.failure_weight
+            return total
 
         costs = {state.target.name: cost(state) for state in bounded}
         if is_known:
