--- a/src/primrosescale/connection/connection_limit.py
+++ b/src/primrosescale/connection/connection_limit.py
@@ -28,6 +28,28 @@
     def idle_closed(self) -> None:
         """Count an idle connection that was closed to stay within the limit."""
 
+    @abstractmethod
+    def connection_reset(self, connections: int, now: float) -> None:
+        """Record that the target reset a connection on its first request.
+
+        Parameters
+        ----------
+        connections : int
+            Connections to the target that are left.
+        now : float
+            Current time, in seconds.
+        """
+
+    @abstractmethod
+    def queue_is_long(self, now: float) -> None:
+        """Record that more requests wait at the target than it can run at once.
+
+        Parameters
+        ----------
+        now : float
+            Current time, in seconds.
+        """
+
 
 class Unlimited(ConnectionLimit):
     """No limit."""
@@ -39,5 +61,11 @@
     def idle_closed(self) -> None:
         """Do nothing; see `ConnectionLimit.idle_closed`."""
 
+    def connection_reset(self, connections: int, now: float) -> None:
+        """Do nothing; see `ConnectionLimit.connection_reset`."""
+
+    def queue_is_long(self, now: float) -> None:
+        """Do nothing; see `ConnectionLimit.queue_is_long`."""
+
 
 UNLIMITED = Unlimited()
--- a/src/primrosescale/connection/target_channel.py
+++ b/src/primrosescale/connection/target_channel.py
@@ -37,6 +37,9 @@
 # connection is reused only after this delay, so that such an answer is detected.
 REUSE_DELAY_SECONDS = 0.01
 MAX_IDLE_CHANNELS = 16
+# A target resets connections in excess of its limit 4 ms after they were opened
+# (median). Later resets have other causes, such as the end of the target.
+EXCESS_RESET_SECONDS = 0.25
 
 
 class TargetChannel(HTTP11ClientProtocol):
@@ -240,6 +243,13 @@
         """Report that the connection could not be opened."""
         self._resolve(reason)
 
+    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
+        """Report that it was lost before it was ready, if so.
+
+        An error in `connectionMade`, as of a socket option, has the reactor close it.
+        """
+        self._resolve(reason)
+
     def _connected(self) -> None:
         if self.opened.called:
             # Connected after the attempt was cancelled: nobody would close it.
@@ -331,7 +341,7 @@
             True if one may be opened, if necessary in place of an idle one.
         """
         allowed = self._limit.allowed(now)
-        if allowed is None:
+        if allowed is None or self.connections < allowed:
             return True
         idle = sum(channel in self._open for channel in self._idle)
         return self.connections - idle < allowed
@@ -426,6 +436,18 @@
         """
         if channel.idle_before_request is not None:
             self._idle_limit.lost(channel.idle_before_request, now, self._source)
+        elif channel.was_reset and now - channel.opened_at < EXCESS_RESET_SECONDS:
+            self._limit.connection_reset(self.connections, now)
+
+    def queue_is_long(self, now: float) -> None:
+        """Record that more requests wait at the target than it can run at once.
+
+        Parameters
+        ----------
+        now : float
+            Current time, in seconds.
+        """
+        self._limit.queue_is_long(now)
 
     def sweep(self, now: float) -> None:
         """Close connections that can no longer be reused.
@@ -446,6 +468,10 @@
         for channel in list(self._idle):
             self._close_idle(channel)
 
+    def reopen(self) -> None:
+        """Keep idle connections again, if it was closed."""
+        self._is_closed = False
+
     def _has_opened(self, channel: TargetChannel) -> TargetChannel:
         self._opening -= 1
         self._open.add(channel)
--- a/src/primrosescale/request/choice/target_choice.py
+++ b/src/primrosescale/request/choice/target_choice.py
@@ -314,7 +314,8 @@
         Returns
         -------
         Choice | None
-            The target; None when no target is left.
+            The target; None when no target is left, or when connections are lacking
+            to all targets within the load bound.
         """
         serving = [state for state in states if state.takes_work]
         if not serving:
@@ -333,6 +334,9 @@
             if not usable:
                 return None
         bounded = self._within_bound(usable, loads)
+        if allowed.unconnected and loads.of(bounded[0]) + 1 > self._bound(loads):
+            # Connections to the other targets become free within milliseconds.
+            return None
         if prompt is None:
             choice = self._choose_plain(bounded, loads, now)
         else:
@@ -542,13 +546,9 @@
         Failures count only as far as their share exceeds `usual_failures`.
         """
         max_held = max(held[state.target.name] for state in sources)
-        home = home_of(prompt, bounded)
         is_known = _holds_all_shared(prompt, max_held)
         settings = self._settings
         extra = self._extra_cost(bounded)
-        preferences = {}
-        if extra is not None:
-            preferences = extra.preferences(prompt, bounded, held, max_held)
 
         def cost(state: TargetState) -> float:
             name = state.target.name
@@ -556,16 +556,26 @@
             prefilled: float = prompt.prompt_tokens - max(max_held, held[name])
             if extra is not None:
                 prefilled = extra.prefill(state, prefilled, now)
-                prefilled -= settings.home_bonus * preferences[name]
             total = prefilled + copied * settings.fetch_weight
             total += loads.of(state) * settings.tokens_per_request
             failing = max(0.0, state.failure_share(now) - usual_failures)
             total += failing**2 * settings.failure_weight
-            if state is home and not is_known:
-                total -= settings.home_bonus
             return total
 
-        return min(bounded, key=cost)
+        costs = {state.target.name: cost(state) for state in bounded}
+        if is_known:
+            best = min(bounded, key=lambda state: costs[state.target.name])
+            # A target that holds the prompt has the full preference, so that no other
+            # becomes cheaper by its own.
+            if extra is None or held[best.target.name] >= max_held:
+                return best
+        else:
+            costs[home_of(prompt, bounded).target.name] -= settings.home_bonus
+        if extra is not None:
+            preferences = extra.preferences(prompt, bounded, held, max_held)
+            for name, preference in preferences.items():
+                costs[name] -= settings.home_bonus * preference
+        return min(bounded, key=lambda state: costs[state.target.name])
 
     def _copy_source(
         self,
--- a/src/primrosescale/request/target/prefill_backlog.py
+++ b/src/primrosescale/request/target/prefill_backlog.py
@@ -14,7 +14,7 @@
     from primrosescale.request.target.prefill_rate import PrefillRate
 
 # The tokens of peer routers never exceed what the target prefills in this time: no
-# caller waits longer for a first event, and a wrong report must not bar a target.
+# caller waits longer for a first event, and a wrong report must not exclude a target.
 MAX_PEER_SECONDS = 4.0
 
 
@@ -136,9 +136,13 @@
         elapsed = now - self._updated_at
         self._updated_at = now
         self._idle_since = min(self._idle_since, now)
-        if not self._peer or elapsed <= 0:
+        if not self._peer:
             return
         rate = self._rate.tokens_per_second
+        # The rate may have become lower since the tokens were counted.
+        self._peer = min(self._peer, MAX_PEER_SECONDS * rate)
+        if elapsed <= 0:
+            return
         self._peer -= elapsed * rate
         if self._peer <= 0:
             self._idle_since = now + self._peer / rate
--- a/src/primrosescale/request/target/target_availability.py
+++ b/src/primrosescale/request/target/target_availability.py
@@ -45,11 +45,14 @@
         Cold targets that have already received all requests they may for now.
     resting : int
         Targets in a requested pause, or whose requests are still limited after one.
+    unconnected : int
+        Targets to which this router may have no further connection for now.
     """
 
     states: list[TargetState]
     cold: int
     resting: int
+    unconnected: int
 
 
 class TargetAvailability:
@@ -124,9 +127,16 @@
             else self._cold.select_available(unpaused, now)
         )
         cold = len(unpaused) - len(available)
-        if available and self._limits_connections(available[0]):
-            available = [s for s in available if self._has_connection(s, now)]
-        return AvailableTargets(available, cold, len(states) - len(unpaused))
+        connected = available
+        limits = self._limits_of(available[0]) if available else None
+        if limits is not None:
+            connected = [s for s in available if limits.has_capacity(s.target, now)]
+        return AvailableTargets(
+            connected,
+            cold,
+            resting=len(states) - len(unpaused),
+            unconnected=len(available) - len(connected),
+        )
 
     def wait(self, state: TargetState, now: float) -> float:
         """Return after how long a target that takes requests may be sent one.
@@ -171,6 +181,24 @@
             for state in states
         )
 
+    def wait_for_connection(self, states: Iterable[TargetState], now: float) -> float:
+        """Return after how long a request that lacks a connection looks again.
+
+        Parameters
+        ----------
+        states : Iterable[TargetState]
+            The targets.
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        float
+            Seconds; 0 if no target lacks a connection.
+        """
+        lacks = self.lacks_connections(states, now)
+        return CONNECTION_CHECK_SECONDS if lacks else 0.0
+
     def shortest_wait(self, states: Iterable[TargetState], now: float) -> float | None:
         """Return after how long the first of the given targets may be sent a request.
 
@@ -206,12 +234,13 @@
         pause = state.self_reports.wait(now)
         return pause if self._cold is None else max(pause, self._cold.wait(state, now))
 
-    def _limits_connections(self, state: TargetState) -> bool:
-        if self._connections is None:
-            return False
-        return self._connections.is_limited(state.target.service)
+    def _limits_of(self, state: TargetState) -> ConnectionCapacity | None:
+        """Return what limits the connections to a target; None for no limit."""
+        connections = self._connections
+        if connections is None or not connections.is_limited(state.target.service):
+            return None
+        return connections
 
     def _has_connection(self, state: TargetState, now: float) -> bool:
-        if self._connections is None or not self._limits_connections(state):
-            return True
-        return self._connections.has_capacity(state.target, now)
+        limits = self._limits_of(state)
+        return limits is None or limits.has_capacity(state.target, now)
--- a/tests/entry/test_connection_shares.py
+++ b/tests/entry/test_connection_shares.py
@@ -114,6 +114,7 @@
 
 class ConnectionTest(TestCase):
     limit = 4
+    crowded_limit = None
     targets = ("p1",)
     routers = 1
     mode = OverloadMode.AUTO
@@ -123,7 +124,12 @@
         self.reactor = MemoryReactor()
         self.reactor.advance(1000.0)
         self.servers = {
-            name: LimitedTarget(self.reactor, PORTS[name], limit=self.limit)
+            name: LimitedTarget(
+                self.reactor,
+                PORTS[name],
+                limit=self.limit,
+                crowded_limit=self.crowded_limit,
+            )
             for name in self.targets
         }
         listed = frozenset(f"r{number}" for number in range(self.routers))
@@ -249,6 +255,17 @@
         self.pass_time(0.5)
         self.assertNotIn(b"q3", self.server.served)
 
+    # A new pool beside the requests in progress had the whole share once more.
+    def test_a_target_that_is_listed_again_has_no_second_share(self):
+        sinks = self.fill()
+        self.router.client.forget("p1")
+        self.pass_time(0.01)
+        sinks.append(self.router.call(3)[1])
+        self.assertEqual(3, self.router.client.connections)
+        self.pass_time(0.3)
+        self.assertTrue(all(sink.refusal is None for sink in sinks))
+        self.assertEqual((3, 0), (self.server.highest, self.server.resets))
+
     # A caller that leaves while its connection is opened must free the place at once.
     def test_a_request_cancelled_while_its_connection_is_opened_frees_it(self):
         call, _ = self.router.call(1)
@@ -286,6 +303,40 @@
         self.assertEqual(0, call.attempts[0].passed_resting)
 
 
+class LoadBoundTest(ConnectionTest):
+    """The router has a connection left only at a target over the bound on load."""
+
+    targets = ("p1", "p2", "p3")
+
+    def setUp(self):
+        super().setUp()
+        now = self.reactor.seconds()
+        self.router.states[0].set_peer_requests("r9", 30, now + 9.0)
+        for number in range(6):
+            self.router.call(number)
+        self.assertEqual(0, self.server.opened)
+
+    # It was sent beyond the bound although other targets are far below it.
+    def test_a_request_waits_for_a_target_within_the_bound(self):
+        _, sink = self.router.call(6)
+        self.pass_time(0.2)
+        self.assertIsNone(sink.refusal)
+        self.assertTrue(sink.is_finished)
+        self.assertEqual(0, self.server.opened)
+
+    # A request that finds no place in time must be told so and not be lost.
+    def test_it_is_refused_as_not_run_after_its_longest_wait(self):
+        for name in ("p2", "p3"):
+            self.servers[name].work = 9.0
+        for number in range(6, 12):
+            self.router.call(number)
+        self.pass_time(0.2)
+        _, sink = self.router.call(12)
+        self.pass_time(0.5 * CONFIRMATION.latency_objective + 0.03)
+        self.assertIs(Refusal.CONNECTIONS_IN_USE, sink.refusal)
+        self.assertEqual(0, self.server.opened)
+
+
 class FleetTest(ConnectionTest):
     """Nine routers and targets that accept 24 connections each."""
 
@@ -342,6 +393,66 @@
         self.assertGreater(answered, 0.7 * self.seconds * 3 * 6 / 0.09)
 
 
+class CrowdedFleetTest(FleetTest):
+    """Targets accept fewer connections while more requests wait than they can run."""
+
+    limit = 48
+    crowded_limit = 16
+
+    # Each router opened its share at such a target, and what it sent there was lost.
+    def test_no_request_is_lost_in_an_overload(self):
+        outcomes = self.play(rate=40.0)
+        # 652 of 1,468 where the limit did not fall with resets, and 193 where it rose
+        # while the queue was long.
+        self.assertLess(outcomes.count("refused: cut"), 0.05 * len(outcomes))
+        answered = outcomes.count("answered")
+        self.assertGreater(answered, 0.7 * self.seconds * 3 * 6 / 0.09)
+        for server in self.servers.values():
+            self.assertEqual(len(server.served), len(set(server.served)))
+
+    # With short queues, targets accept all that the routers may open.
+    def test_no_request_is_lost_while_targets_have_capacity(self):
+        outcomes = self.play(rate=12.0)
+        self.check_nothing_is_lost(outcomes)
+        self.assertEqual({"answered"}, set(outcomes))
+
+
+class ResetTest(ConnectionTest):
+    """One of two targets accepts fewer connections than the router may open."""
+
+    targets = ("p1", "p2")
+    limit = 8
+
+    def setUp(self):
+        super().setUp()
+        self.server.limit = 2
+        for number in range(6):
+            self.router.call(number)
+        # The target has reset the connections in excess of two.
+        self.pass_time(0.01)
+        self.resets = self.server.resets
+
+    # The next one that may run once was sent on a connection that was reset as well.
+    def test_the_next_requests_go_to_another_target_or_wait(self):
+        self.assertEqual(1, self.resets)
+        sinks = [self.router.call(number)[1] for number in range(6, 10)]
+        self.pass_time(1.0)
+        self.assertTrue(all(sink.is_finished for sink in sinks))
+        self.assertTrue(all(sink.refusal is None for sink in sinks))
+        self.assertEqual(self.resets, self.server.resets)
+
+    # A target that was full for a moment must get its usual share again.
+    def test_the_limit_rises_again_step_by_step(self):
+        self.server.limit = self.limit
+        state = self.router.states[0]
+        limits = []
+        for _ in range(6):
+            pool = self.router.client._present(state.target).pool
+            limits.append(pool._limit.allowed(self.reactor.seconds()))
+            self.pass_time(0.5)
+        self.assertEqual([2, 3, 4, 5, 6, 6], limits)
+
+
 class FleetWithoutControlTest(FleetTest):
     mode = OverloadMode.OFF
 
