--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -31,7 +31,7 @@
 from primrosescale.process.entry.entry_harm_monitor import EntryHarmMonitor
 from primrosescale.process.entry.harm_report_exchange import HarmReportExchange
 from primrosescale.process.entry.leaving_exchange import LeavingTargetExchange
-from primrosescale.process.entry.overload_report import OverloadReport
+from primrosescale.process.entry.overload_control import OverloadControl
 from primrosescale.process.entry.overload_report import admission_fields
 from primrosescale.process.entry.router_datagrams import RouterRegistry
 from primrosescale.process.entry.router_datagrams import StateExchangeProtocol
@@ -51,13 +51,8 @@
 from primrosescale.request.attempt.forwarding_interfaces import Refusal
 from primrosescale.request.attempt.shared_retry_budget import SharedRetryBudget
 from primrosescale.request.capacity.cold_targets import ColdTargets
-from primrosescale.request.capacity.connection_shares import ConnectionShares
 from primrosescale.request.capacity.isolated_retry import isolated_retry_delay
-from primrosescale.request.capacity.overload_scope import OverloadScope
-from primrosescale.request.capacity.request_admission import RequestAdmission
 from primrosescale.request.capacity.router_shares import RouterShares
-from primrosescale.request.capacity.service_capacity import CapacitySources
-from primrosescale.request.capacity.service_capacity import ServiceCapacity
 from primrosescale.request.choice.prefill_cost import PrefillCost
 from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
 from primrosescale.request.choice.target_choice import TargetChooser
@@ -68,7 +63,6 @@
 from primrosescale.request.target.evacuations import Evacuations
 from primrosescale.request.target.target_availability import TargetAvailability
 from primrosescale.request.target.target_availability import TargetCondition
-from primrosescale.request.target.target_work import TargetWork
 from primrosescale.request.trace_span import NO_SPAN
 
 if TYPE_CHECKING:
@@ -156,12 +150,11 @@
         incarnation = new_incarnation()
         freshness = Freshness(settings.revoke)
         self._shares = RouterShares(settings.name)
-        self._overload_scope = OverloadScope(settings.overload)
-        self._connection_shares = ConnectionShares(
-            settings.overload, self._shares, self._service, self._overload_scope
+        self._overload = OverloadControl(
+            settings.overload, parts, self._shares, self._service
         )
         self._target_client = HttpTargetClient(
-            parts.reactor, parts.codec, self._connection_shares
+            parts.reactor, parts.codec, self._overload.connection_shares
         )
         self._prefix_index = PrefixCacheIndex()
         restarts = TargetRestarts(
@@ -174,7 +167,6 @@
         self._leaving_exchange = LeavingTargetExchange(targets, parts.log)
         self._harmful_requests = HarmfulRequests(settings.harm)
         harm_reports = HarmReportExchange(self._harmful_requests, parts.log)
-        target_work = TargetWork(self._overload_scope)
         self._state_exchange = StateExchange(
             settings.name,
             incarnation,
@@ -186,9 +178,10 @@
             harm_reports,
             self._evacuations,
             self._leaving_exchange,
-            target_work,
-            self.waiting_by_service,
+            self._overload.work,
+            self._overload.waiting_by_service,
         )
+        self._overload.connect(targets, self._routers, self._state_exchange)
         self._registry = RouterRegistry(
             settings, incarnation, self._state_exchange, parts
         )
@@ -228,26 +221,6 @@
             parts,
             self._exchange_protocol.send_soon,
         )
-        self._capacity = ServiceCapacity(
-            settings.overload,
-            self._overload_scope,
-            CapacitySources(
-                targets.of_service,
-                self._service,
-                self._routers,
-                self._state_exchange.waiting_elsewhere,
-                self._state_exchange.has_current_loads,
-                target_work.pace_of,
-            ),
-            parts.rng,
-        )
-        self._admission = RequestAdmission(
-            settings.overload,
-            self._capacity,
-            parts.reactor,
-            parts.rng,
-            OverloadReport(parts.log, parts.metrics.overload, target_work.usual_pace),
-        )
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._resolver = RequestResolver(
             self._store_state.freshness, settings.not_found_max_age, parts.rng
@@ -266,7 +239,7 @@
                 self._availability,
                 targets.recently_delisted,
                 self._shares.own_permits,
-                PrefillCost(target_work, settings.domain),
+                PrefillCost(self._overload.work, settings.domain),
             ),
             parts=self._prefix_index,
             states_of=targets.of_service,
@@ -279,8 +252,8 @@
             harm=self._harm_monitor,
             availability=self._availability,
             regions=settings.regions,
-            overload_scope=self._overload_scope,
-            target_work=target_work,
+            overload_scope=self._overload.scope,
+            target_work=self._overload.work,
         )
         self._tracing: Tracing | None = None
         self._factory = EntryFactory(self, parts.reactor)
@@ -322,16 +295,6 @@
         """Return whether the load balancer should send callers to this router."""
         return not self._unready_reason(self._now())
 
-    def waiting_by_service(self) -> dict[str, int]:
-        """Return how many requests of each service wait in this router.
-
-        Returns
-        -------
-        dict[str, int]
-            Numbers by the names of services, of those that have any.
-        """
-        return self._admission.waiting_by_service()
-
     def start(self) -> None:
         """Start listening and watching the store."""
         settings = self._settings
@@ -356,7 +319,7 @@
         began = self._now()
         self._is_stopping = True
         self._log.emit(Event.PROCESS_STOPPING, under_way=len(self._calls))
-        self._admission.stop(began)
+        self._overload.stop(began)
         latest = began + self._settings.stop_within - STOP_MARGIN_SECONDS
         yield self._sleep(BALANCER_REMOVAL_SECONDS)
         self._ports.pop(self._settings.callers).stopListening()
@@ -410,10 +373,7 @@
             self._forwarding.regions = settings.regions
             self._harmful_requests.configure(settings.harm)
             self._cold_targets.configure(settings.cold)
-            self._overload_scope.configure(settings.overload)
-            self._connection_shares.configure(settings.overload)
-            self._capacity.configure(settings.overload)
-            self._admission.configure(settings.overload)
+            self._overload.configure(settings.overload)
             self._budgets.clear()
         if is_requested or is_changed:
             self._log.emit(Event.SETTINGS_RELOADED, is_changed=is_changed)
@@ -421,7 +381,7 @@
     def _close(self) -> None:
         """Stop timers and close all ports, after a planned stop or without one."""
         cancel_timer(self._housekeeping)
-        self._admission.close()
+        self._overload.close()
         # Otherwise its rounds would continue without a port to send from.
         self._exchange_protocol.stop()
         for port in self._ports.values():
@@ -460,15 +420,14 @@
             return
         call = ForwardedCall(resolved, sink, self._forwarding, self._call_ended)
         self._calls.add(call)
-        self._capacity.request_received(resolved, now)
         request.attach_call(call)
         sink.apply_backpressure(call)
-        self._admission.submit(call, now)
+        self._overload.submit(call, now)
 
     def _retry_delay(self, refusal: Refusal, now: float) -> float | None:
         """Return the Retry-After of a request that is refused on arrival."""
         rng = self._dependencies.rng
-        if self._overload_scope.is_any_in_force and self._is_isolated(now):
+        if self._overload.scope.is_any_in_force and self._is_isolated(now):
             delay = isolated_retry_delay(refusal, rng)
             if delay is not None:
                 return delay
@@ -508,9 +467,8 @@
 
     def _call_ended(self, call: ForwardedCall, outcome: str) -> None:
         self._calls.discard(call)
-        self._capacity.call_ended(call)
         now = self._now()
-        admission = self._admission.ended(call, now)
+        admission = self._overload.ended(call, now)
         self._metrics.ended(call, outcome, now)
         request = call.request
         first = call.first_byte_at
@@ -764,10 +722,7 @@
         }
         for name, value in values.items():
             self._metrics.gauge(name, value)
-        waiting = self._admission.waiting_by_service()
-        for service, levels in self._capacity.levels(waiting, now).items():
-            self._metrics.capacity(service, *levels)
-        self._metrics.overload.refresh(self._admission.services)
+        self._overload.refresh_metrics(now)
 
     def _listen(self, endpoint: Endpoint, factory: Any) -> None:
         self._ports[endpoint] = self._reactor.listenTCP(
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -169,7 +169,7 @@
         cost = self.router._forwarding.chooser._prefill_cost
         self.assertIs(work, cost._work)
         self.assertIs(work, self.router._state_exchange._target_work)
-        self.assertIs(self.router._overload_scope, work._scope)
+        self.assertIs(self.router._overload.scope, work._scope)
         self.assertEqual("b", cost._domain)
 
     @inlineCallbacks
@@ -887,7 +887,7 @@
         for _ in range(2):
             yield self.ask(text())
         yield self.eventually(lambda: not self.router._calls)
-        capacity = self.router._capacity
+        capacity = self.router._overload._capacity
         self.assertTrue(capacity.is_in_force("portal"))
         self.assertTrue(0 < capacity.answer_time("portal") < 1.0)
         found = self.router._metrics_text().content.decode()
@@ -902,7 +902,7 @@
         yield self.start()
         yield self.ask(text())
         yield self.eventually(lambda: not self.router._calls)
-        capacity = self.router._capacity
+        capacity = self.router._overload._capacity
         self.assertFalse(capacity.is_in_force("portal"))
         self.assertIsNone(capacity.allowance("portal", 1000, reactor.seconds()))
         self.assertIsNone(capacity.answer_time("portal"))
--- a/tests/entry/test_isolated_retry.py
+++ b/tests/entry/test_isolated_retry.py
@@ -40,7 +40,7 @@
         router = self.start_router("r1", revoke=0.9)
         yield self.until(lambda: router.is_ready)
         if has_paces:
-            router._overload_scope.record("portal", LoadReport(1, 0, 8, 1.0))
+            router._overload.scope.record("portal", LoadReport(1, 0, 8, 1.0))
         self.store.faults.all_calls = StoreFault.BUSY
         yield self.until(lambda: not router.is_ready)
         router._state_exchange.peers_reach_store = lambda now: is_isolated
--- a/tests/entry/test_overload_entry.py
+++ b/tests/entry/test_overload_entry.py
@@ -37,7 +37,7 @@
         yield self.start()
         parts = self.router._dependencies
         report = OverloadReport(parts.log, parts.metrics.overload)
-        self.router._admission = RequestAdmission(
+        self.router._overload._admission = RequestAdmission(
             OverloadSettings(),
             FakeCapacity(requests, answer_time=None),
             reactor,
@@ -65,7 +65,9 @@
         """Send a request that has to wait."""
         caller = yield self.connect()
         caller.transport.write(text(b"/draft/x", method=b"POST", body=b"b", rid=rid))
-        yield self.until(lambda: self.router.waiting_by_service() == {"model": 1})
+        yield self.until(
+            lambda: self.router._overload.waiting_by_service() == {"model": 1}
+        )
         return caller
 
     def line(self, request):
@@ -131,7 +133,7 @@
         running = yield self.stream()
         waiting = yield self.wait()
         waiting.transport.abortConnection()
-        yield self.until(lambda: not self.router.waiting_by_service())
+        yield self.until(lambda: not self.router._overload.waiting_by_service())
         yield running.answered(b"0\r\n\r\n")
         yield deferLater(reactor, 0.05, lambda: None)
         self.assertEqual(1, len(self.script.arrivals))
@@ -159,4 +161,4 @@
         yield self.ask(self.router)
         self.assertNotIn("waited", self.line("r1"))
         self.assertEqual({}, self.metric("waiting{"))
-        self.assertEqual({}, self.router.waiting_by_service())
+        self.assertEqual({}, self.router._overload.waiting_by_service())
