Count a router as listed before its start only by an entry of an earlier incarnation

A new router announces itself before its first read of the list of routers, which may therefore contain its own entry. It took that for an entry from before its start, and used its full share of cold permits and connections at once, before its peers had learned of it. The entry now has to be of another incarnation; an unreadable one does not count.

A restarted router whose entry is written again before its first read waits for the 3 s of a new one. The store handles the read before the second write of the entry.

--- a/src/primrosescale/platform/records.py
+++ b/src/primrosescale/platform/records.py
@@ -219,7 +219,9 @@
     reader = FieldReader.of(stored, REMEDY_ROUTER)
     endpoint = Endpoint(reader.address("address"), reader.port("port"))
     domain = reader.text_or("domain", "")
-    return PeerRouter(record_name(stored, REMEDY_ROUTER), endpoint, domain)
+    incarnation = reader.integer_or("incarnation", 0)
+    name = record_name(stored, REMEDY_ROUTER)
+    return PeerRouter(name, endpoint, domain, incarnation)
 
 
 def _route(item: FieldReader, regions: Collection[str]) -> Route:
--- a/src/primrosescale/process/entry/peer_router.py
+++ b/src/primrosescale/process/entry/peer_router.py
@@ -4,6 +4,7 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -25,11 +26,15 @@
         Where it receives state updates.
     domain : str
         Its failure domain; empty if its entry has none.
+    incarnation : int
+        Number of the incarnation that wrote the entry; 0 if it has none. It does not
+        count in comparisons.
     """
 
     name: str
     endpoint: Endpoint
     domain: str = ""
+    incarnation: int = field(default=0, compare=False)
 
 
 class PeerState:
--- a/src/primrosescale/process/entry/router_datagrams.py
+++ b/src/primrosescale/process/entry/router_datagrams.py
@@ -244,7 +244,11 @@
 
     @property
     def was_listed(self) -> bool:
-        """Return whether this router's name was on the first list that it read."""
+        """Return whether the first list had an entry of an earlier incarnation.
+
+        An entry that this incarnation wrote before it read the list does not count:
+        the other routers may not have read it yet.
+        """
         return self._was_listed
 
     def start(self, links: Endpoint) -> None:
@@ -275,7 +279,7 @@
         """Apply the whole list; see `WatchListener.replaced`."""
         names = {stored.name for stored in objects if not stored.is_deleted}
         if not self._has_list:
-            self._was_listed = self._settings.name in names
+            self._was_listed = any(map(self._is_of_earlier_incarnation, objects))
         self._has_list = True
         self._refused.retain_only(stored.key for stored in objects)
         for stored in objects:
@@ -318,6 +322,16 @@
     def failed(self, error: PlatformError) -> None:
         """Do nothing: the watch of the configuration logs outages."""
 
+    def _is_of_earlier_incarnation(self, stored: StoredObject) -> bool:
+        """Return whether an earlier incarnation of this router wrote an entry."""
+        if stored.name != self._settings.name or stored.is_deleted:
+            return False
+        try:
+            router = self._parts.decoder.router(stored)
+        except UnreadableRecordError:
+            return False
+        return router.incarnation != self._incarnation
+
     def _apply(self, stored: StoredObject) -> None:
         if stored.is_deleted:
             self._refused.clear(stored.key)
--- a/tests/entry/test_foreign_entries.py
+++ b/tests/entry/test_foreign_entries.py
@@ -67,6 +67,12 @@
     return StoredObject(f"servers/{name}", version, value, gone)
 
 
+def router_entry(fields, *, gone=False):
+    """Return the entry of the router r-0, whose present incarnation is 1."""
+    value = fields if isinstance(fields, bytes) else json.dumps(fields).encode()
+    return StoredObject("routers/r-0", 1, value, gone)
+
+
 class ListedTest(TestCase):
     def setUp(self):
         super().setUp()
@@ -420,6 +426,29 @@
         self.registry.replaced((unreadable,), 0.0)
         self.assertEqual(2, self.registry.routers)
 
+    def was_listed(self, *objects):
+        self.registry.replaced(objects, 0.0)
+        return self.registry.was_listed
+
+    def test_a_new_router_was_not_listed_although_it_reads_its_own_entry(self):
+        # Guards against a new router that takes its full share at once, although the
+        # others do not know it yet.
+        self.assertFalse(self.was_listed(router_entry({**ROUTER, "incarnation": 1})))
+        self.registry.replaced((router_entry({**ROUTER, "incarnation": 9}),), 0.0)
+        self.assertFalse(self.registry.was_listed)
+
+    def test_a_router_that_restarts_was_listed(self):
+        # Guards against a share that a router lacks for seconds after each restart.
+        self.assertTrue(self.was_listed(router_entry(ROUTER)))
+        self.registry.replaced((router_entry({**ROUTER, "incarnation": 1}),), 0.0)
+        self.assertTrue(self.registry.was_listed)
+
+    def test_an_unreadable_or_deleted_entry_is_not_that_of_an_incarnation(self):
+        # Guards against a full share by an entry that the others do not count.
+        for stored in (router_entry(b"\xff"), router_entry(ROUTER, gone=True)):
+            self.registry._has_list = False
+            self.assertFalse(self.was_listed(stored))
+
     def test_a_router_whose_own_entry_was_overwritten_writes_it_again(self):
         self.receive("r-0", ROUTER)
         self.assertEqual([], self.announced)
