Count an arriving request in the demand from which its allowance follows

The first request of a router at a saturated service waited for 25 ms although targets had places: it was neither at a target nor in the queue, so that the router's own demand and hence its allowance were 0. Sums that were computed when a request arrived left it out for 50 ms. An arriving request now counts as waiting until it has been started, queued or refused.

--- a/src/primrosescale/request/capacity/capacity_view.py
+++ b/src/primrosescale/request/capacity/capacity_view.py
@@ -57,7 +57,7 @@
         service : str
             Name of the service.
         waiting : int
-            Requests for it that wait in this router.
+            Requests for it that wait in this router, including one that arrives now.
         now : float
             Current time in seconds.
 
--- a/src/primrosescale/request/capacity/service_admission.py
+++ b/src/primrosescale/request/capacity/service_admission.py
@@ -114,6 +114,7 @@
 
     __slots__ = (
         "_allowance",
+        "_arriving",
         "_capacity",
         "_episodes",
         "_is_processing",
@@ -139,6 +140,8 @@
         self._returns = ExpectedReturns()
         self._running = 0
         self._allowance: Allowance | None = None
+        # Calls that are neither at a target nor in the queue yet.
+        self._arriving = 0
         self._is_processing = False
 
     @property
@@ -192,10 +195,14 @@
         is_stopping : bool
             Whether the router is stopping, so that no call may wait.
         """
-        if len(self._queue):
-            self.process(now)
-        else:
-            self._update_allowance(now)
+        self._arriving += 1
+        try:
+            if len(self._queue):
+                self.process(now)
+            else:
+                self._update_allowance(now)
+        finally:
+            self._arriving -= 1
         if not len(self._queue) and self._has_place():
             self._start(record, now)
         elif is_stopping:
@@ -294,7 +301,7 @@
 
     def _update_allowance(self, now: float) -> None:
         if self._capacity.is_in_force(self._service):
-            waiting = len(self._queue)
+            waiting = len(self._queue) + self._arriving
             self._allowance = self._capacity.allowance(self._service, waiting, now)
         else:
             self._allowance = None
--- a/tests/request/test_service_capacity.py
+++ b/tests/request/test_service_capacity.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
+from twisted.internet.task import Clock
 
 from entry.fakes import LOOKUP
 from entry.fakes import START
@@ -18,6 +19,7 @@
 from primrosescale.request.capacity.overload_scope import OverloadScope
 from primrosescale.request.capacity.overload_settings import OverloadMode
 from primrosescale.request.capacity.overload_settings import OverloadSettings
+from primrosescale.request.capacity.request_admission import RequestAdmission
 from primrosescale.request.capacity.service_capacity import MAX_BELIEVED_FACTOR
 from primrosescale.request.capacity.service_capacity import MIN_BELIEVED
 from primrosescale.request.capacity.service_capacity import OBJECTIVE_SECONDS
@@ -28,6 +30,7 @@
 from primrosescale.request.target.target_state import TargetState
 from primrosescale.version.routing_table import Service
 from support.drawn import drawn
+from support.overload import RecordedOverloads
 
 PLAIN = "portal"
 MODEL = "model"
@@ -309,3 +312,52 @@
         self.site.send(3, MODEL)
         levels = self.site.capacity.levels({MODEL: 2}, START)
         self.assertEqual({MODEL: (3 * SLOTS, 5)}, levels)
+
+
+class SubmittedCall:
+    def __init__(self, asked, started):
+        self.request = asked
+        self.started = started
+
+    def start(self, now):
+        self.started.append(now)
+
+
+class ArrivingCallTest(TestCase):
+    """Calls that admission submits, at a router that has none at the targets."""
+
+    def setUp(self):
+        super().setUp()
+        self.site = Site()
+        clock = Clock()
+        clock.advance(START)
+        self.admission = RequestAdmission(
+            OverloadSettings(),
+            self.site.capacity,
+            clock,
+            random.Random(1),
+            RecordedOverloads(),
+        )
+        self.started = []
+        for state in self.site.states[PLAIN]:
+            state.set_peer_requests("b", 2 * SLOTS, START + VALID)
+
+    def submit(self):
+        asked = request(LOOKUP)
+        self.site.capacity.request_received(asked, START)
+        self.admission.submit(SubmittedCall(asked, self.started), START)
+
+    def test_the_first_call_of_a_router_has_a_share(self):
+        # Guards against an allowance of 0 for 25 ms, until the call is found waiting.
+        self.submit()
+        self.assertEqual([START], self.started)
+
+    def test_a_call_counts_also_in_the_sums_computed_when_it_arrives(self):
+        # Guards against a demand too small by the arriving call for 50 ms.
+        self.submit()
+        self.submit()
+        self.submit()
+        waiting = self.admission.waiting_by_service().get(PLAIN, 0)
+        self.assertEqual(3, len(self.started) + waiting)
+        levels = self.site.capacity.levels({PLAIN: waiting}, START)
+        self.assertEqual(6 * SLOTS + 3, levels[PLAIN][1])
