Notice a clock that is set back after the first request of overload control

The first request for which overload control was in force waited for as long as the clock had been set back after it: the time of that request was not recorded, because no service was known before it. It is recorded now.

--- a/src/primrosescale/request/capacity/request_admission.py
+++ b/src/primrosescale/request/capacity/request_admission.py
@@ -103,9 +103,10 @@
             Current time in seconds.
         """
         name = call.request.service
-        if self._services:
+        is_in_force = self._capacity.is_in_force(name)
+        if is_in_force or self._services:
             self._check_clock(now)
-        if not self._capacity.is_in_force(name):
+        if not is_in_force:
             call.start(now)
             return
         record = self._records[call] = self._new_record(call, now)
--- a/tests/request/test_request_admission.py
+++ b/tests/request/test_request_admission.py
@@ -445,6 +445,15 @@
         self.assertEqual([Refusal.OVERLOADED], call.refusals)
         self.assertAlmostEqual(LONGEST_WAIT, call.record.waited, delta=0.03)
 
+    # The first call of a service that was overloaded from the start waited on.
+    def test_a_clock_that_is_set_back_after_the_first_call_does_not_prolong_it(self):
+        site = OverloadSite(requests=0, answer_time=None)
+        call = site.call("small")
+        site.clock.rightNow -= 50
+        site.call("other")
+        site.pass_time(0.25)
+        self.assertEqual([Refusal.OVERLOADED], call.refusals)
+
     # A call waited for as long as the clock had been set back, without any limit left.
     def test_a_clock_that_is_set_back_is_noticed_where_it_is_not_in_force(self):
         site = OverloadSite(requests=1)
