Keep errors in starting or refusing a waiting call from affecting other calls

An error in starting one call was raised in the call that had just arrived or ended: the arriving one was neither started, queued nor refused, and the end of the other one was not logged. An error in refusing one left all others that were to be refused with it without an answer, also in a planned stop, until their callers left. Such errors are now raised in a turn of their own, in which the reactor logs them.

--- a/src/primrosescale/request/capacity/request_admission.py
+++ b/src/primrosescale/request/capacity/request_admission.py
@@ -186,10 +186,16 @@
         return AdmissionRecord(call, is_returning_caller(budget, longest))
 
     def _new_service(self, name: str) -> ServiceAdmission:
-        service = ServiceAdmission(name, self._capacity, self._observer, self._rng)
+        service = ServiceAdmission(
+            name, self._capacity, self._observer, self._rng, self._raise_later
+        )
         self._services[name] = service
         return service
 
+    def _raise_later(self, error: Exception) -> None:
+        """Raise an error in a turn of its own, in which the reactor logs it."""
+        self._clock.callLater(0.0, _raise, error)
+
     def _check_clock(self, now: float) -> None:
         """Shift the times of waiting calls if the clock was set back.
 
@@ -231,6 +237,10 @@
                 self._schedule(service, now)
 
 
+def _raise(error: Exception) -> None:
+    raise error
+
+
 def _due_at(service: ServiceAdmission, now: float) -> float | None:
     """Return when a service is to be processed; None if nothing is due."""
     if service.waiting:
--- a/src/primrosescale/request/capacity/service_admission.py
+++ b/src/primrosescale/request/capacity/service_admission.py
@@ -22,6 +22,7 @@
 from primrosescale.request.capacity.wait_forecast import retry_after
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from primrosescale.request.capacity.capacity_view import Allowance
@@ -110,6 +111,8 @@
         Receives what happens during overloads.
     rng : Random
         Random generator for the jitter.
+    raise_later : Callable[[Exception], None]
+        Raises an error of a call where it affects no other call.
     """
 
     __slots__ = (
@@ -119,6 +122,7 @@
         "_episodes",
         "_is_processing",
         "_queue",
+        "_raise_later",
         "_returns",
         "_rng",
         "_running",
@@ -131,10 +135,12 @@
         capacity: CapacityView,
         observer: OverloadObserver,
         rng: Random,
+        raise_later: Callable[[Exception], None],
     ) -> None:
         self._service = service
         self._capacity = capacity
         self._rng = rng
+        self._raise_later = raise_later
         self._queue: RequestQueue[AdmissionRecord] = RequestQueue()
         self._episodes = OverloadEpisodes(service, observer)
         self._returns = ExpectedReturns()
@@ -265,12 +271,12 @@
         try:
             self._update_allowance(now)
             for queued in self._queue.expired(now):
-                self._refuse(queued.item, OverloadReason.WAITED, now)
+                self._refuse_removed(queued.item, OverloadReason.WAITED, now)
             while self._has_place():
                 queued_next = self._queue.pop()
                 if queued_next is None:
                     break
-                self._start(queued_next.item, now)
+                self._start_removed(queued_next.item, now)
             self._trim(now)
         finally:
             self._is_processing = False
@@ -285,7 +291,7 @@
             Current time in seconds.
         """
         for queued in self._queue.clear():
-            self._refuse(queued.item, OverloadReason.STOPPING, now)
+            self._refuse_removed(queued.item, OverloadReason.STOPPING, now)
 
     def shift_times(self, seconds: float) -> None:
         """Move the times of waiting calls, after the clock was set.
@@ -342,7 +348,7 @@
             self._queue.discard(displaced)
         self._push(record, until, now)
         if displaced is not None:
-            self._refuse(displaced.item, OverloadReason.DISPLACED, now)
+            self._refuse_removed(displaced.item, OverloadReason.DISPLACED, now)
 
     def _push(self, record: AdmissionRecord, until: float, now: float) -> None:
         request = record.call.request
@@ -368,7 +374,7 @@
             if displaced is None:
                 return
             self._queue.discard(displaced)
-            self._refuse(displaced.item, OverloadReason.DISPLACED, now)
+            self._refuse_removed(displaced.item, OverloadReason.DISPLACED, now)
 
     def _refuse(
         self, record: AdmissionRecord, reason: OverloadReason, now: float
@@ -391,6 +397,22 @@
             self._returns.add(request.organisation, now + delay)
         record.call.refuse(Refusal.OVERLOADED, delay)
 
+    def _start_removed(self, record: AdmissionRecord, now: float) -> None:
+        """Start a call that waited; an error in it affects no other call."""
+        try:
+            self._start(record, now)
+        except Exception as error:  # noqa: BLE001 - raised later
+            self._raise_later(error)
+
+    def _refuse_removed(
+        self, record: AdmissionRecord, reason: OverloadReason, now: float
+    ) -> None:
+        """Refuse a call that waited; an error in it affects no other call."""
+        try:
+            self._refuse(record, reason, now)
+        except Exception as error:  # noqa: BLE001 - raised later
+            self._raise_later(error)
+
     def _leave_queue(
         self, record: AdmissionRecord, state: AdmissionState, now: float
     ) -> None:
--- a/tests/request/test_request_admission.py
+++ b/tests/request/test_request_admission.py
@@ -424,6 +424,56 @@
         site.pass_time(0.03)
         self.assertTrue(sound.started)
 
+    def fail_to(self, action, call):
+        """Let a call raise an error when it is started or refused."""
+
+        def fail(*_):
+            raise ValueError(action)
+
+        setattr(call, action, fail)
+
+    # An error in refusing one call left others that had expired without an answer.
+    def test_an_error_in_a_refusal_does_not_keep_others_from_being_refused(self):
+        site = OverloadSite(requests=1, answer_time=None)
+        site.fill()
+        broken, sound = site.call("a"), site.call("b")
+        self.fail_to("refuse", broken)
+        self.assertRaises(ValueError, site.pass_time, LONGEST_WAIT + 0.1)
+        self.assertEqual([Refusal.OVERLOADED], sound.refusals)
+
+    # An error in refusing one call left others unanswered, and the stop was not done.
+    def test_an_error_in_a_refusal_does_not_interrupt_a_planned_stop(self):
+        site = OverloadSite(requests=1, answer_time=None)
+        site.fill()
+        broken, sound = site.call("a"), site.call("b")
+        self.fail_to("refuse", broken)
+        site.admission.stop(site.clock.seconds())
+        self.assertEqual([Refusal.OVERLOADED], sound.refusals)
+        self.assertRaises(ValueError, site.clock.advance, 0)
+
+    # The error closed the connection of another caller, whose request was lost.
+    def test_an_error_in_starting_a_call_does_not_lose_an_arriving_one(self):
+        site = OverloadSite(requests=1, answer_time=None)
+        site.fill()
+        broken = site.call("a")
+        self.fail_to("start", broken)
+        site.capacity.requests = 3
+        arriving = site.call("b")
+        self.assertTrue(arriving.started)
+        self.assertRaises(ValueError, site.clock.advance, 0)
+
+    # The error was raised in the end of another call, which was then not logged.
+    def test_an_error_in_starting_a_call_does_not_affect_the_one_that_ended(self):
+        site = OverloadSite(requests=1, answer_time=None)
+        [running] = site.fill()
+        broken, sound = site.call("a"), site.call("b")
+        self.fail_to("start", broken)
+        site.capacity.requests = 2
+        running.end()
+        self.assertIsNotNone(running.record)
+        self.assertTrue(sound.started)
+        self.assertRaises(ValueError, site.clock.advance, 0)
+
     # A caller that gets its refusal and asks again in the same turn broke the bound.
     def test_a_caller_that_asks_again_at_once_does_not_exceed_the_bound(self):
         site = OverloadSite(requests=1, answer_time=None)
