Leave answers out of the mean time that a set clock makes too long or negative

After a clock had been set forward by an hour, the mean time of answers was minutes, so that the forecast of each wait was too long and requests were refused for about 100 answers, although they would have been served. An answer now counts only if its time is between 0 and the time that its caller waits.

--- a/src/primrosescale/request/capacity/service_capacity.py
+++ b/src/primrosescale/request/capacity/service_capacity.py
@@ -199,7 +199,9 @@
             if attempt.outcome == ANSWERED and attempt.ended_at is not None:
                 met_queue = attempt.report is None or attempt.report.waiting > 0
                 seconds = attempt.ended_at - attempt.began_at
-                self._answer_times.record(service, seconds, met_queue=met_queue)
+                # Other times are measured only if the clock was set meanwhile.
+                if 0 <= seconds <= call.request.deadline - attempt.began_at:
+                    self._answer_times.record(service, seconds, met_queue=met_queue)
 
     def is_in_force(self, service: str) -> bool:
         """Return whether requests may have to wait; see `CapacityView`."""
--- a/tests/request/test_service_capacity.py
+++ b/tests/request/test_service_capacity.py
@@ -155,6 +155,14 @@
         self.site.answer(0.001, outcome="caller left")
         self.assertIsNone(self.site.capacity.answer_time(PLAIN))
 
+    def test_a_clock_that_is_set_does_not_change_the_time_of_answers(self):
+        # Guards against requests refused because of a wait that is forecast by an
+        # answer that seems to have taken an hour, and against negative times.
+        self.site.answer(0.1)
+        for seconds in (3600, -3600, -0.01):
+            self.site.answer(seconds)
+        self.assertEqual(0.1, round(self.site.capacity.answer_time(PLAIN), 9))
+
     def test_an_objective_counts_for_a_minute(self):
         # Guards against a route that is no longer used and still limits the others.
         self.site.answer(0.15)
