Remove waiting calls that end together in one pass

A planned stop, or a clock that was set forward, refuses all waiting calls of a service at once. Each was removed by itself, which moves the tags of all calls behind it: 4000 calls of one organisation took 640 ms of the reactor, in which no stream went on.

--- a/src/primrosescale/request/capacity/fair_queue.py
+++ b/src/primrosescale/request/capacity/fair_queue.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections import deque
 from dataclasses import dataclass
 from itertools import islice
@@ -113,6 +114,29 @@
             self._reinsert_flow(call.organisation, flow)
         return True
 
+    def expired(self, now: float) -> list[QueuedCall[T]]:
+        """Remove and return the calls whose deadline has passed.
+
+        Discarding them one by one takes time in proportion to the square of their
+        number: 0.6 s for 4000 calls.
+        """
+        late: list[QueuedCall[T]] = []
+        for name, flow in list(self.flows.items()):
+            kept: deque[QueuedCall[T]] = deque()
+            refund = 0.0
+            for call in flow:
+                if call.deadline <= now:
+                    late.append(call)
+                    refund += call.work / max(1, call.weight)
+                else:
+                    call.start_tag -= refund
+                    kept.append(call)
+            if len(kept) < len(flow):
+                self.flows[name] = kept
+                self.finish_tags[name] -= refund
+                self._reinsert_flow(name, kept)
+        return late
+
     def work_ahead(self, organisation: str, *, is_preferred: bool) -> float:
         """Return the work that would be started before a new call.
 
@@ -346,9 +370,9 @@
         list[QueuedCall[T]]
             The removed calls.
         """
-        late = [call for call in self._all() if call.deadline <= now]
+        late = [call for found in self._classes.values() for call in found.expired(now)]
         for call in late:
-            self.discard(call)
+            self._update_totals(call, -1)
         return late
 
     def clear(self) -> list[QueuedCall[T]]:
@@ -359,10 +383,7 @@
         list[QueuedCall[T]]
             The removed calls.
         """
-        calls = self._all()
-        for call in calls:
-            self.discard(call)
-        return calls
+        return self.expired(math.inf)
 
     def most_over_share(self, least_priority: int = 0) -> QueuedCall[T] | None:
         """Return the last call of the organisation with most work for its weight.
--- a/tests/request/test_request_queue.py
+++ b/tests/request/test_request_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -13,6 +14,7 @@
 from entry.fakes import request
 from primrosescale.request.capacity.capacity_view import Allowance
 from primrosescale.request.capacity.fair_queue import QueuedCall
+from primrosescale.request.capacity.fair_queue import _PriorityClass
 from primrosescale.request.capacity.request_queue import LEAST_URGENT_INTERVAL
 from primrosescale.request.capacity.request_queue import PLAIN_WORK
 from primrosescale.request.capacity.request_queue import RequestQueue
@@ -203,6 +205,54 @@
         self.assertEqual([late], queue.clear())
         self.assertEqual(0, len(queue))
 
+    # Refusing all waiting calls in a planned stop took 0.6 s for 4000 of them.
+    def test_calls_that_end_together_are_removed_in_one_pass(self):
+        for end in (RequestQueue.clear, lambda queue: queue.expired(2.0)):
+            queue = fill(RequestQueue(), *(queued(until=1.0) for _ in range(50)))
+            with mock.patch.object(_PriorityClass, "discard") as discard:
+                self.assertEqual(50, len(end(queue)))
+            self.assertEqual((0, 0), (discard.call_count, len(queue)))
+            self.assertIsNone(queue.pop())
+
+    # Removal in one pass left tags, totals or heads that differ from single removals.
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 3), st.integers(0, 2), st.booleans(), st.integers(0, 3)
+            )
+        ),
+        st.integers(0, 5),
+    )
+    def test_removal_in_one_pass_equals_single_removals(self, calls, pops):
+        found = []
+        for at_once in (True, False):
+            queue, waiting = RequestQueue(), []
+            for number, (organisation, priority, returning, until) in enumerate(calls):
+                call = queued(f"o{organisation}", priority, returning=returning)
+                call.deadline = float(until)
+                call.item = number
+                fill(queue, call)
+                waiting.append(call)
+            for _ in range(pops):
+                queue.pop()
+            if at_once:
+                queue.expired(1.0)
+            else:
+                for call in waiting:
+                    if call.deadline <= 1.0:
+                        queue.discard(call)
+            found.append(self.drained(queue))
+        self.assertEqual(*found)
+
+    def drained(self, queue):
+        """Return the forecast and all calls in the order of their starts."""
+        seen = [round(ahead(queue, f"o{number}", 1), 6) for number in range(4)]
+        while len(queue):
+            call = queue.pop()
+            seen.append((call.item, round(call.start_tag, 6)))
+        self.assertEqual(0, queue._calls.work + queue._calls.organisations)
+        return seen
+
     # Discards in a priority that gets no starts left an entry of the heap behind each.
     def test_discarded_calls_of_a_starved_priority_leave_nothing_behind(self):
         queue = fill(RequestQueue(), queued("urgent", 0), queued("least", 9))
