--- a/src/primrosescale/request/capacity/service_capacity.py
+++ b/src/primrosescale/request/capacity/service_capacity.py
@@ -96,6 +96,8 @@
         Requests of this router at them.
     others : float
         Requests of other routers, at the targets and waiting.
+    routers : int
+        Number of listed routers then, including this one.
     has_current_loads : bool
         Whether the load of other routers was known then.
     unwaiting_calls : int
@@ -106,6 +108,7 @@
     capacity: float
     own: int
     others: float
+    routers: int
     has_current_loads: bool
     unwaiting_calls: int
 
@@ -266,7 +269,7 @@
             sums.capacity,
             max(0, sums.own + unwaiting) + max(0, waiting),
             sums.others,
-            self._sources.routers(),
+            sums.routers,
             sums.has_current_loads,
         )
 
@@ -287,6 +290,7 @@
             capacity,
             own,
             others,
+            self._sources.routers(),
             self._sources.has_current_loads(now),
             self._calls[service] - waiting,
         )
--- a/tests/request/test_service_capacity.py
+++ b/tests/request/test_service_capacity.py
@@ -61,13 +61,14 @@
         self.has_current_loads = True
         self.pace = 1.0
         self.passes = 0
+        self.counts = 0
         self.capacity = ServiceCapacity(
             OverloadSettings(mode),
             self.scope,
             CapacitySources(
                 self._states_of,
                 SERVICES.get,
-                lambda: self.routers,
+                self._count_routers,
                 lambda _, most, __: sum(min(n, most) for n in self.waiting_elsewhere),
                 lambda now: self.has_current_loads,
                 lambda state, now: self.pace,
@@ -79,6 +80,10 @@
         self.passes += 1
         return self.states[service]
 
+    def _count_routers(self):
+        self.counts += 1
+        return self.routers
+
     def send(self, count, service=PLAIN, now=START):
         for number in range(count):
             self.states[service][number % 3].sent(now)
@@ -236,6 +241,8 @@
         for number in range(100):
             self.site.saturated(START + number * SUM_SECONDS / 100)
         self.assertEqual(1, self.site.passes)
+        # The list of routers is passed through as well.
+        self.assertEqual(1, self.site.counts)
         self.site.saturated(START + 1.01 * SUM_SECONDS)
         self.assertEqual(2, self.site.passes)
 
