Drop the capacity view without a limit

No router used it: each has ServiceCapacity, which limits nothing where overload control is not in force, and NotInForceTest checks that. Its only test described the dropped class.

--- a/tests/request/test_request_admission.py
+++ b/tests/request/test_request_admission.py
@@ -19,7 +19,6 @@
 from primrosescale.request.capacity.overload_episode import OverloadReason
 from primrosescale.request.capacity.request_queue import MAX_WAITING_PER_ALLOWED
 from primrosescale.request.capacity.request_queue import max_waiting
-from primrosescale.request.capacity.unlimited_capacity import UnlimitedCapacity
 from primrosescale.request.capacity.wait_forecast import MAX_RETRY_AFTER_SHARE
 from support.overload import BUDGET
 from support.overload import ORDER
@@ -545,13 +544,6 @@
         self.assertEqual([], site.clock.getDelayedCalls())
         self.assertEqual(0, calls[0].submitted_at - calls[0].started[0])
 
-    # The stand-in for capacity must never queue anything.
-    def test_unlimited_capacity_is_never_in_force(self):
-        view = UnlimitedCapacity()
-        self.assertFalse(view.is_in_force("portal"))
-        self.assertIsNone(view.allowance("portal", 5, START))
-        self.assertIsNone(view.answer_time("portal"))
-
 
 class EpisodeTest(TestCase):
     # Operators saw neither that a service is overloaded nor whom it affects.
