Drop the withdrawal of a waiting call beside its end

A caller that leaves ends its call, which frees the place in the queue; no router withdrew a call in another way. The test of the withdrawal is replaced by one of the end, which also checks that a second end frees no place, and the drawn orders of events end waiting calls.

--- a/src/primrosescale/request/capacity/request_admission.py
+++ b/src/primrosescale/request/capacity/request_admission.py
@@ -137,30 +137,6 @@
             self._schedule(service, now)
         return record
 
-    def withdraw(self, call: AdmissibleCall, now: float) -> bool:
-        """Remove a waiting call without an answer.
-
-        Parameters
-        ----------
-        call : AdmissibleCall
-            The call.
-        now : float
-            Current time in seconds.
-
-        Returns
-        -------
-        bool
-            Whether it was waiting; it has not been sent and will not be.
-        """
-        record = self._records.get(call)
-        if record is None:
-            return False
-        service = self._services[call.request.service]
-        if not service.withdraw(record, now):
-            return False
-        del self._records[call]
-        return True
-
     def stop(self, now: float) -> None:
         """Refuse all waiting calls; from now on no call waits.
 
--- a/src/primrosescale/request/capacity/service_admission.py
+++ b/src/primrosescale/request/capacity/service_admission.py
@@ -67,7 +67,7 @@
     WAITING = "waiting"
     STARTED = "started"
     REFUSED = "refused"
-    WITHDRAWN = "withdrawn"
+    LEFT = "left"
 
 
 @dataclass(slots=True, eq=False)
@@ -230,29 +230,9 @@
             self._running -= 1
             if len(self._queue):
                 self.process(now)
-        elif record.state is AdmissionState.WAITING:
-            self.withdraw(record, now)
-
-    def withdraw(self, record: AdmissionRecord, now: float) -> bool:
-        """Remove a waiting call without an answer.
-
-        Parameters
-        ----------
-        record : AdmissionRecord
-            The call.
-        now : float
-            Current time in seconds.
-
-        Returns
-        -------
-        bool
-            Whether it was waiting; it has not been sent and will not be.
-        """
-        queued = record.queued
-        if queued is None or not self._queue.discard(queued):
-            return False
-        self._leave_queue(record, AdmissionState.WITHDRAWN, now)
-        return True
+        elif record.state is AdmissionState.WAITING and record.queued is not None:
+            if self._queue.discard(record.queued):
+                self._leave_queue(record, AdmissionState.LEFT, now)
 
     def process(self, now: float) -> None:
         """Refuse calls that have waited for too long, and start those that may.
--- a/tests/request/test_request_admission.py
+++ b/tests/request/test_request_admission.py
@@ -273,17 +273,20 @@
         self.assertAlmostEqual(0.02, left.record.waited)
         self.assertEqual({}, site.admission.waiting_by_service())
 
-    # A withdrawn call must be neither sent nor refused.
-    def test_only_a_waiting_call_can_be_withdrawn(self):
+    # A second end freed the place of another call, or a call that had left was sent.
+    def test_a_call_ends_once(self):
         site = OverloadSite(requests=1)
         [running] = site.fill()
-        waiting = site.call("a")
+        waiting, stays = site.call("a"), site.call("b")
         now = site.clock.seconds()
-        self.assertFalse(site.admission.withdraw(running, now))
-        self.assertTrue(site.admission.withdraw(waiting, now))
-        self.assertFalse(site.admission.withdraw(waiting, now))
+        self.assertIsNotNone(site.admission.ended(waiting, now))
+        self.assertIsNone(site.admission.ended(waiting, now))
+        self.assertEqual(1, site.waiting())
         running.end()
+        self.assertIsNone(site.admission.ended(running, now))
         self.assertEqual(([], []), (waiting.started, waiting.refusals))
+        self.assertEqual(1, len(stays.started))
+        self.assertEqual(1, site.admission.services["portal"].running)
 
     # Waiting calls were held until the stop ended, or sent by a stopping router.
     def test_a_planned_stop_refuses_all_waiting_calls_as_not_run(self):
@@ -598,7 +601,7 @@
         st.sampled_from([0.02, 0.5, 2.0, BUDGET]),
     ),
     st.tuples(st.just("end"), st.integers(0, 50)),
-    st.tuples(st.just("withdraw"), st.integers(0, 50)),
+    st.tuples(st.just("leave"), st.integers(0, 50)),
     st.tuples(st.just("pass"), st.sampled_from([0.001, 0.024, 0.1, 0.5])),
     st.tuples(st.just("allow"), st.sampled_from([None, 0, 1, 3, 8])),
     st.tuples(st.just("time"), st.sampled_from([None, 0.01, 0.3])),
@@ -613,10 +616,10 @@
     # Whatever happens in which order, no call may be lost, sent twice or kept too long.
     @settings(max_examples=150, deadline=None)
     @given(st.lists(OPERATIONS, max_size=60))
-    def test_each_call_is_started_refused_or_withdrawn_once(self, operations):
+    def test_each_call_is_started_refused_or_left_once(self, operations):
         site = OverloadSite(requests=2)
         site.learn_budgets()
-        self.withdrawn = set()
+        self.left = set()
         self.has_jumped = False
         for name, *values in operations:
             getattr(self, f"do_{name}")(site, *values)
@@ -626,7 +629,7 @@
         site.call("last")
         site.pass_time(BUDGET + 0.1, step=0.05)
         for call in site.calls:
-            times = len(call.started) + len(call.refusals) + (call in self.withdrawn)
+            times = len(call.started) + len(call.refusals) + (call in self.left)
             self.assertEqual(1, times)
         self.assertEqual(0, site.waiting())
         for call in site.calls:
@@ -646,7 +649,7 @@
         if self.has_jumped:
             return
         for call in site.calls:
-            if call.is_waiting and call not in self.withdrawn:
+            if call.is_waiting:
                 self.assertTrue(now < call.request.give_up_at)
                 budget = call.request.deadline - call.submitted_at
                 if budget == BUDGET:
@@ -664,15 +667,12 @@
         if running:
             running[index % len(running)].end()
 
-    def do_withdraw(self, site, index):
-        waiting = [c for c in site.calls if c.is_waiting and c not in self.withdrawn]
+    def do_leave(self, site, index):
+        waiting = [call for call in site.calls if call.is_waiting]
         if waiting:
             call = waiting[index % len(waiting)]
-            self.withdrawn.add(call)
-            if index % 2:
-                call.end()
-            else:
-                site.admission.withdraw(call, site.clock.seconds())
+            self.left.add(call)
+            call.end()
 
     def do_pass(self, site, seconds):
         site.clock.advance(seconds)
