Forget the time budgets of routes that get no requests

The longest budgets of each route name were kept for good, up to 61 for each, so that a router whose configuration names its routes anew in each version grew without a bound. Routes without requests in the last minute are now forgotten, at most once a minute.

--- a/src/primrosescale/request/capacity/time_budgets.py
+++ b/src/primrosescale/request/capacity/time_budgets.py
@@ -20,10 +20,15 @@
     exceptional budget counts no more than any other.
     """
 
-    __slots__ = ("_by_route",)
+    __slots__ = ("_by_route", "_cleaned_at")
 
     def __init__(self) -> None:
         self._by_route: dict[str, _RouteBudgets] = {}
+        self._cleaned_at = -math.inf
+
+    def __len__(self) -> int:
+        """Return the number of routes of which budgets are known."""
+        return len(self._by_route)
 
     def record(self, route: str, budget: float, now: float) -> float:
         """Record the budget of a request and return the longest usual one of its route.
@@ -44,10 +49,22 @@
         """
         budgets = self._by_route.get(route)
         if budgets is None:
+            self._forget_unused(now)
             budgets = self._by_route[route] = _RouteBudgets()
         budgets.record(budget, math.floor(now))
         return budgets.longest_usual
 
+    def _forget_unused(self, now: float) -> None:
+        """Forget the routes without requests in the window, at most once in it."""
+        if 0 <= now - self._cleaned_at < BUDGET_WINDOW_SECONDS:
+            return
+        self._cleaned_at = now
+        self._by_route = {
+            route: budgets
+            for route, budgets in self._by_route.items()
+            if abs(now - budgets.latest) <= BUDGET_WINDOW_SECONDS
+        }
+
 
 class _RouteBudgets:
     """Longest budget of each second, and the longest one that is not exceptional."""
@@ -59,6 +76,11 @@
         self._longest: deque[float] = deque()
         self.longest_usual = 0.0
 
+    @property
+    def latest(self) -> float:
+        """Return the last second in which a budget was recorded."""
+        return self._seconds[-1] if self._seconds else -math.inf
+
     def record(self, budget: float, second: int) -> None:
         """Count a budget; the cost is that of a sort only if its second gets longer."""
         # Entries from before the clock was set back would otherwise stay for too long.
--- a/tests/request/test_wait_forecast.py
+++ b/tests/request/test_wait_forecast.py
@@ -169,6 +169,25 @@
         budgets.record("order", 4.0, later - 4)
         self.assertEqual(4.0, budgets.record("order", 4.0, later))
 
+    # Routes with a new name in each version of the configuration filled the memory.
+    def test_routes_without_requests_are_forgotten(self):
+        budgets = TimeBudgets()
+        for number in range(3):
+            budgets.record("order", 4.0, START + number)
+        for number in range(500):
+            budgets.record(f"r{number}", 4.0, START + number)
+        self.assertTrue(len(budgets) <= 2 * BUDGET_WINDOW_SECONDS, len(budgets))
+        budgets.record("order", 4.0, START + 500)
+        self.assertEqual(0.0, budgets.record("order", 4.0, START + 501))
+
+    # A clock that is set back must not keep routes for longer.
+    def test_routes_are_forgotten_after_the_clock_is_set_back(self):
+        budgets = TimeBudgets()
+        budgets.record("former", 4.0, START + 10_000)
+        for number in range(500):
+            budgets.record(f"r{number}", 4.0, START + number)
+        self.assertTrue(len(budgets) <= 2 * BUDGET_WINDOW_SECONDS, len(budgets))
+
     # After the clock is set back, former budgets would stay for hours.
     def test_a_clock_that_is_set_back_does_not_keep_a_budget(self):
         budgets = TimeBudgets()
