Separate the records and the forecasts of admission from its decisions

ServiceAdmission held the call's interface and record, the forecasts of waits, the expected returns and the decisions, in 440 lines. The first two are in admission_record.py now, the forecasts in service_forecast.py. Behaviour is unchanged.

--- a/src/primrosescale/process/entry/overload_report.py
+++ b/src/primrosescale/process/entry/overload_report.py
@@ -13,10 +13,10 @@
 
     from primrosescale.process.entry.overload_metrics import OverloadMetrics
     from primrosescale.process.events import EventLog
+    from primrosescale.request.capacity.admission_record import AdmissionRecord
     from primrosescale.request.capacity.capacity_view import Allowance
     from primrosescale.request.capacity.overload_episode import OverloadEpisode
     from primrosescale.request.capacity.overload_episode import OverloadReason
-    from primrosescale.request.capacity.service_admission import AdmissionRecord
 
 
 def _unknown_pace(_: str) -> float | None:
--- a/src/primrosescale/request/capacity/request_admission.py
+++ b/src/primrosescale/request/capacity/request_admission.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from primrosescale.clock import cancel_timer
-from primrosescale.request.capacity.service_admission import AdmissionRecord
+from primrosescale.request.capacity.admission_record import AdmissionRecord
 from primrosescale.request.capacity.service_admission import ServiceAdmission
 from primrosescale.request.capacity.time_budgets import TimeBudgets
 from primrosescale.request.capacity.wait_forecast import is_returning_caller
@@ -15,10 +15,10 @@
 
     from primrosescale.clock import Clock
     from primrosescale.clock import Timer
+    from primrosescale.request.capacity.admission_record import AdmissibleCall
     from primrosescale.request.capacity.capacity_view import CapacityView
     from primrosescale.request.capacity.overload_episode import OverloadObserver
     from primrosescale.request.capacity.overload_settings import OverloadSettings
-    from primrosescale.request.capacity.service_admission import AdmissibleCall
 
 # Allowances change every 0.25 s, and whenever targets or other routers report.
 PROCESS_SECONDS = 0.025
--- a/src/primrosescale/request/capacity/service_admission.py
+++ b/src/primrosescale/request/capacity/service_admission.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from enum import Enum
 from typing import TYPE_CHECKING
-from typing import Protocol
 
 from primrosescale.request.attempt.forwarding_interfaces import Refusal
-from primrosescale.request.capacity.expected_returns import ExpectedReturns
+from primrosescale.request.capacity.admission_record import AdmissionState
 from primrosescale.request.capacity.fair_queue import QueuedCall
 from primrosescale.request.capacity.overload_episode import OverloadEpisodes
 from primrosescale.request.capacity.overload_episode import OverloadReason
@@ -16,86 +13,17 @@
 from primrosescale.request.capacity.request_queue import RequestQueue
 from primrosescale.request.capacity.request_queue import max_waiting
 from primrosescale.request.capacity.request_queue import work_of
-from primrosescale.request.capacity.wait_forecast import RETRY_JITTER
-from primrosescale.request.capacity.wait_forecast import forecast_wait
-from primrosescale.request.capacity.wait_forecast import latest_start
-from primrosescale.request.capacity.wait_forecast import retry_after
+from primrosescale.request.capacity.service_forecast import ServiceForecast
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
 
+    from primrosescale.request.capacity.admission_record import AdmissionRecord
     from primrosescale.request.capacity.capacity_view import Allowance
     from primrosescale.request.capacity.capacity_view import CapacityView
     from primrosescale.request.capacity.overload_episode import OverloadObserver
     from primrosescale.request.capacity.overload_settings import OverloadSettings
-    from primrosescale.request.incoming_request import IncomingRequest
-
-
-class AdmissibleCall(Protocol):
-    """A call that can be started or refused."""
-
-    @property
-    def request(self) -> IncomingRequest:
-        """Return the request."""
-
-    def start(self, now: float) -> None:
-        """Send the request, or refuse it at once.
-
-        Parameters
-        ----------
-        now : float
-            Current time in seconds.
-        """
-
-    def refuse(self, refusal: Refusal, retry_after: float | None) -> None:
-        """Refuse the request, which has not been sent.
-
-        Parameters
-        ----------
-        refusal : Refusal
-            Why.
-        retry_after : float | None
-            Seconds after which the caller should return; None to use the setting.
-        """
-
-
-class AdmissionState(Enum):
-    """What admission has done with a call."""
-
-    SUBMITTED = "submitted"
-    WAITING = "waiting"
-    STARTED = "started"
-    REFUSED = "refused"
-    LEFT = "left"
-
-
-@dataclass(slots=True, eq=False)
-class AdmissionRecord:
-    """Admission of one call.
-
-    Parameters
-    ----------
-    call : AdmissibleCall
-        The call.
-    is_returning : bool
-        Whether its caller returns after a refusal.
-    state : AdmissionState
-        What has been done with it.
-    queued : QueuedCall[AdmissionRecord] | None
-        Its place in the queue; None if it never waited.
-    longest_wait : float
-        For how long it may wait, in seconds.
-    waited : float
-        For how long it waited, in seconds.
-    """
-
-    call: AdmissibleCall
-    is_returning: bool
-    state: AdmissionState = AdmissionState.SUBMITTED
-    queued: QueuedCall[AdmissionRecord] | None = None
-    longest_wait: float = 0.0
-    waited: float = 0.0
 
 
 class ServiceAdmission:
@@ -120,11 +48,10 @@
         "_arriving",
         "_capacity",
         "_episodes",
+        "_forecast",
         "_is_processing",
         "_queue",
         "_raise_later",
-        "_returns",
-        "_rng",
         "_running",
         "_service",
     )
@@ -139,11 +66,10 @@
     ) -> None:
         self._service = service
         self._capacity = capacity
-        self._rng = rng
         self._raise_later = raise_later
         self._queue: RequestQueue[AdmissionRecord] = RequestQueue()
         self._episodes = OverloadEpisodes(service, observer)
-        self._returns = ExpectedReturns()
+        self._forecast = ServiceForecast(service, capacity, self._queue, rng)
         self._running = 0
         self._allowance: Allowance | None = None
         # Calls that are neither at a target nor in the queue yet.
@@ -283,7 +209,7 @@
         """
         self._queue.shift_expiry(seconds)
         self._episodes.shift_times(seconds)
-        self._returns.shift_times(seconds)
+        self._forecast.shift_times(seconds)
 
     def _update_allowance(self, now: float) -> None:
         if self._capacity.is_in_force(self._service):
@@ -306,17 +232,12 @@
     def _queue_or_refuse(
         self, record: AdmissionRecord, settings: OverloadSettings, now: float
     ) -> None:
-        request = record.call.request
-        until = latest_start(
-            request,
-            now,
-            is_returning=record.is_returning,
-            answer_time=self._capacity.answer_time(self._service),
-            wait_share=settings.queue_wait_share,
-        )
-        if until <= now or now + self._forecast(record) > until:
+        until = self._forecast.latest_start(record, settings.queue_wait_share, now)
+        wait = self._forecast.wait(record, self._allowance)
+        if until <= now or now + wait > until:
             self._refuse(record, OverloadReason.FORECAST, now)
             return
+        request = record.call.request
         displaced = None
         if len(self._queue) >= max_waiting(self._allowance):
             displaced = self._queue.displaceable_by(
@@ -362,19 +283,10 @@
         if record.state is AdmissionState.WAITING:
             self._leave_queue(record, AdmissionState.REFUSED, now)
         record.state = AdmissionState.REFUSED
-        request = record.call.request
+        organisation = record.call.request.organisation
         waiting = len(self._queue)
-        self._episodes.refused(
-            request.organisation, reason, self._allowance, waiting, now
-        )
-        delay = retry_after(
-            self._forecast_return(request, now),
-            request.route.latency_objective,
-            request.deadline - now,
-            self._rng.uniform(*RETRY_JITTER),
-        )
-        if not record.is_returning:
-            self._returns.add(request.organisation, now + delay)
+        self._episodes.refused(organisation, reason, self._allowance, waiting, now)
+        delay = self._forecast.refused(record, self._allowance, now)
         record.call.refuse(Refusal.OVERLOADED, delay)
 
     def _start_removed(self, record: AdmissionRecord, now: float) -> None:
@@ -401,24 +313,3 @@
             left = record.queued.deadline - now
             record.waited = max(0.0, record.longest_wait - left)
         self._episodes.waited(record.waited, now)
-
-    def _forecast(self, record: AdmissionRecord) -> float:
-        """Return how long the call would wait if it joined the queue now."""
-        request = record.call.request
-        ahead = self._queue.calls_ahead(
-            request.organisation, request.priority, is_returning=record.is_returning
-        )
-        return self._time_to_start(ahead)
-
-    def _forecast_return(self, request: IncomingRequest, now: float) -> float:
-        """Return after which time there is capacity for a caller that returns."""
-        ahead = self._queue.calls_ahead(
-            request.organisation, request.priority, is_returning=True
-        )
-        ahead += self._returns.ahead(request.organisation, now)
-        # It needs a place itself, which is never free while the allowance is 0.
-        return self._time_to_start(ahead + 1)
-
-    def _time_to_start(self, calls: float) -> float:
-        answer_time = self._capacity.answer_time(self._service)
-        return forecast_wait(calls, self._allowance, answer_time)
