Do not refuse a waiting call whose caller left while others were refused

A call that had expired with others, and whose caller left while the first of them was refused, was counted as refused and its caller expected to return.

--- a/src/primrosescale/request/capacity/service_admission.py
+++ b/src/primrosescale/request/capacity/service_admission.py
@@ -157,8 +157,9 @@
             if len(self._queue):
                 self.process(now)
         elif record.state is AdmissionState.WAITING and record.queued is not None:
-            if self._queue.discard(record.queued):
-                self._leave_queue(record, AdmissionState.LEFT, now)
+            # It is no longer in the queue if it is about to be refused with others.
+            self._queue.discard(record.queued)
+            self._leave_queue(record, AdmissionState.LEFT, now)
 
     def process(self, now: float) -> None:
         """Refuse calls that have waited for too long, and start those that may.
@@ -300,6 +301,8 @@
         self, record: AdmissionRecord, reason: OverloadReason, now: float
     ) -> None:
         """Refuse a call that waited; an error in it affects no other call."""
+        if record.state is AdmissionState.LEFT:
+            return
         try:
             self._refuse(record, reason, now)
         except Exception as error:  # noqa: BLE001 - raised later
--- a/tests/request/test_request_admission.py
+++ b/tests/request/test_request_admission.py
@@ -434,6 +434,22 @@
 
         setattr(call, action, fail)
 
+    # A caller that left was refused, and counted as one that returns.
+    def test_a_caller_that_leaves_while_others_are_refused_is_not_refused(self):
+        for stops in (False, True):
+            site = OverloadSite(requests=1, answer_time=None)
+            site.fill()
+            first, leaves, last = [site.call(name) for name in ("a", "b", "c")]
+            first.on_refused = lambda _, leaves=leaves: leaves.end()
+            if stops:
+                site.admission.stop(site.clock.seconds())
+            else:
+                site.pass_time(LONGEST_WAIT + 0.1)
+            refusals = [call.refusals for call in (first, leaves, last)]
+            overloaded = [Refusal.OVERLOADED]
+            self.assertEqual([overloaded, [], overloaded], refusals)
+            self.assertEqual(2, len(site.overloads.reasons))
+
     # An error in refusing one call left others that had expired without an answer.
     def test_an_error_in_a_refusal_does_not_keep_others_from_being_refused(self):
         site = OverloadSite(requests=1, answer_time=None)
