Shorten the choice of the call that gives up its place

All organisations have the same weight in this queue, so that their waiting work is compared as it is, and one function names the organisation with the most. Behaviour is unchanged.

--- a/src/primrosescale/request/capacity/request_queue.py
+++ b/src/primrosescale/request/capacity/request_queue.py
@@ -74,7 +74,12 @@
 
 
 class RequestQueue(Generic[T]):
-    """Waiting calls of one service; those of returning callers are preferred."""
+    """Waiting calls of one service, in the order in which they are started.
+
+    `FairQueue` orders the calls within a priority; calls of returning callers are those
+    that it prefers. This class adds the share of the least urgent priority, the choice
+    of the call that gives up its place in a full queue, and the time of expiry.
+    """
 
     __slots__ = (
         "_calls",
@@ -201,15 +206,15 @@
         Returns
         -------
         QueuedCall[T] | None
-            The last call of the organisation with the most waiting work for its
-            weight, of the least urgent priority if that has more than its share of
-            places; None if no call waits.
+            The last call of the organisation with the most waiting work; of those
+            with calls of the least urgent priority if that has more than its share of
+            places. None if no call waits.
         """
         if not len(self._calls):
             return None
         least = self._least_urgent()
-        worst = self._calls.most_over_share(least if self._is_over_share(least) else 0)
-        return None if worst is None else self._calls.last_of(worst.organisation)
+        largest = self._largest_organisation(least)
+        return None if largest is None else self._calls.last_of(largest)
 
     def displaceable_by(self, organisation: str, priority: int) -> QueuedCall[T] | None:
         """Return the call that gives up its place to a new one in a full queue.
@@ -228,22 +233,20 @@
         -------
         QueuedCall[T] | None
             A call of a less urgent priority, or else the last call of the
-            organisation with the most waiting work for its weight; None if that has
-            not more than the organisation of the new call, or is more urgent.
+            organisation with the most waiting work; None if that has not more than
+            the organisation of the new call, or is more urgent.
         """
         if not len(self._calls):
             return None
         least = self._least_urgent()
         if least > priority and self._is_over_share(least):
             return self.displaceable()
-        is_over = self._is_over_share(priority)
-        worst = self._calls.most_over_share(priority if is_over else 0)
-        if worst is None:
-            return None
-        own = self._calls.work_of(organisation) / ORGANISATION_WEIGHT
-        theirs = self._calls.work_of(worst.organisation) / max(1, worst.weight)
+        largest = self._largest_organisation(priority)
         # The work of the new call does not count, or the largest would never fit.
-        return self._calls.last_of(worst.organisation) if theirs > own else None
+        own = self._calls.work_of(organisation)
+        if largest is None or self._calls.work_of(largest) <= own:
+            return None
+        return self._calls.last_of(largest)
 
     def calls_ahead(
         self, organisation: str, priority: int, *, is_returning: bool
@@ -280,15 +283,27 @@
         return max(self._work)
 
     def _is_over_share(self, priority: int) -> bool:
-        """Return whether a priority has more places than the least urgent is given."""
+        """Return whether a priority has more than an eighth of the waiting calls."""
         return self._waiting[priority] * LEAST_URGENT_INTERVAL > len(self._calls)
 
+    def _largest_organisation(self, priority: int) -> str | None:
+        """Return the organisation with the most waiting work.
+
+        If the priority has more than its share of places, only organisations with calls
+        of it, or of less urgent ones, count.
+        """
+        least_priority = priority if self._is_over_share(priority) else 0
+        call = self._calls.most_over_share(least_priority)
+        return None if call is None else call.organisation
+
     def _next(self) -> QueuedCall[T] | None:
+        """Return the next call to be started, which stays in the queue."""
         if len(self._calls) and (self._starts + 1) % LEAST_URGENT_INTERVAL == 0:
             return self._calls.head_from(self._least_urgent())
         return self._calls.head()
 
     def _removed(self, call: QueuedCall[T]) -> None:
+        """Subtract a call that has been removed from the sums of its priority."""
         self._waiting[call.priority] -= 1
         self._work[call.priority] -= call.work
         if not self._work[call.priority]:
--- a/src/primrosescale/request/capacity/service_admission.py
+++ b/src/primrosescale/request/capacity/service_admission.py
@@ -29,6 +29,11 @@
 class ServiceAdmission:
     """Starts, queues or refuses the calls of one service.
 
+    A submitted call is started if the router has fewer calls at the targets than its
+    allowance and none waits. Otherwise it waits, or is refused if the forecast of its
+    wait is too long or the queue is full. `process` starts waiting calls when places
+    are free and refuses those that have waited for too long.
+
     Parameters
     ----------
     service : str
@@ -220,6 +225,7 @@
             self._allowance = None
 
     def _has_place(self) -> bool:
+        """Return whether the allowance permits one more call at the targets."""
         allowance = self._allowance
         return allowance is None or self._running < allowance.requests
 
@@ -311,6 +317,7 @@
     def _leave_queue(
         self, record: AdmissionRecord, state: AdmissionState, now: float
     ) -> None:
+        """Record for how long a call waited."""
         record.state = state
         if record.queued is not None:
             left = record.queued.deadline - now
