Compare the time of an answer with its caller's whole time budget

The limit was the time from the beginning of the attempt to the deadline. The simulated routers of test_capacity_fleet send all their requests with one deadline, so that no answer counted there, and two tests failed: 78 requests at the targets instead of at most 69, and 403 instead of 276. The whole budget is as good a limit for answers that a set clock makes too long, and does not depend on the present time.

--- a/src/primrosescale/request/capacity/service_capacity.py
+++ b/src/primrosescale/request/capacity/service_capacity.py
@@ -203,7 +203,7 @@
                 met_queue = attempt.report is None or attempt.report.waiting > 0
                 seconds = attempt.ended_at - attempt.began_at
                 # Other times are measured only if the clock was set meanwhile.
-                if 0 <= seconds <= call.request.deadline - attempt.began_at:
+                if 0 <= seconds <= call.request.deadline - call.request.received_at:
                     self._answer_times.record(service, seconds, met_queue=met_queue)
 
     def is_in_force(self, service: str) -> bool:
