Let requests at leaving targets take no place of those at others

A router counts all its started requests of a service against its allowance, which is computed from the targets that get new requests. While streams lasted at targets that were leaving or evacuated, waiting requests were held although the other targets had places. The allowance now includes the router's requests at leaving and evacuated targets.

--- a/src/primrosescale/request/capacity/capacity_view.py
+++ b/src/primrosescale/request/capacity/capacity_view.py
@@ -15,7 +15,7 @@
     ----------
     requests : int
         The number, rounded at random so that the sum over all routers equals the
-        capacity on average.
+        capacity on average, and those that it has at targets that are leaving.
     mean : float
         The number before rounding.
     capacity : float
--- a/src/primrosescale/request/capacity/service_capacity.py
+++ b/src/primrosescale/request/capacity/service_capacity.py
@@ -94,6 +94,9 @@
         Requests that the targets can take.
     own : int
         Requests of this router at them.
+    own_at_leaving : int
+        Requests of this router at targets that are leaving or evacuated. Those at
+        avoided ones do not count: these soon get requests again.
     others : float
         Requests of other routers, at the targets and waiting.
     routers : int
@@ -107,6 +110,7 @@
     taken_at: float
     capacity: float
     own: int
+    own_at_leaving: int
     others: float
     routers: int
     has_current_loads: bool
@@ -227,6 +231,7 @@
             rounding = self._roundings[service] = FractionRounding(self._rng)
         running = share.own - max(0, waiting)
         requests = rounding.round(mean, running, self.answer_time(service), now)
+        requests += self._sums[service].own_at_leaving
         return Allowance(requests, mean, share.capacity, share.demand)
 
     def answer_time(self, service: str) -> float | None:
@@ -278,7 +283,8 @@
         capacity = others = 0.0
         own = 0
         wait_factor = self._wait_factor(service, now)
-        for state in self._usable(service, now):
+        states = list(self._sources.states_of(service))
+        for state in _usable(states, now):
             capacity += self._capacity_of(state, wait_factor, now)
             own += state.own_running
             others += max(0.0, state.load(now) - state.own_running)
@@ -289,24 +295,13 @@
             now,
             capacity,
             own,
+            sum(state.own_running for state in states if not state.takes_work),
             others,
             self._sources.routers(),
             self._sources.has_current_loads(now),
             self._calls[service] - waiting,
         )
 
-    def _usable(self, service: str, now: float) -> list[TargetState]:
-        """Return the targets that get new requests.
-
-        Avoided ones are included only where all are avoided, as in the choice.
-        """
-        found = [
-            state
-            for state in self._sources.states_of(service)
-            if state.takes_work and not state.self_reports.has_requested_pause(now)
-        ]
-        return [state for state in found if not state.is_avoided(now)] or found
-
     def _wait_factor(self, service: str, now: float) -> float | None:
         """Return how many requests may wait at a plain target at the usual pace.
 
@@ -340,3 +335,16 @@
             if now - seen_at > OBJECTIVE_SECONDS:
                 del seen[objective]
         return min(seen, default=None)
+
+
+def _usable(states: list[TargetState], now: float) -> list[TargetState]:
+    """Return the targets that get new requests.
+
+    Avoided ones are included only where all are avoided, as in the choice.
+    """
+    found = [
+        state
+        for state in states
+        if state.takes_work and not state.self_reports.has_requested_pause(now)
+    ]
+    return [state for state in found if not state.is_avoided(now)] or found
--- a/tests/request/test_service_capacity.py
+++ b/tests/request/test_service_capacity.py
@@ -229,6 +229,18 @@
         self.assertEqual(60, found.demand)
         self.assertAlmostEqual(self.full * 10 / 60, found.mean)
 
+    def test_requests_at_targets_that_get_no_new_ones_take_no_place_of_others(self):
+        # Guards against idle targets while streams last at others that are leaving.
+        leaving = self.site.states[MODEL][0]
+        for _ in range(SLOTS):
+            leaving.sent(START)
+        leaving.evacuate(START)
+        for _ in range(2 * SLOTS + 10):
+            self.site.capacity.request_received(request(STREAM), START)
+        found = self.site.allowance(SLOTS + 10, service=MODEL)
+        self.assertEqual(2 * SLOTS, found.mean)
+        self.assertEqual(2 * SLOTS + SLOTS, found.requests)
+
     def test_calls_that_begin_count_at_once(self):
         # Guards against a burst of starts between two computations of the sums.
         self.assertIsNone(self.site.allowance())
