--- a/src/primrosescale/request/capacity/capacity_view.py
+++ b/src/primrosescale/request/capacity/capacity_view.py
@@ -15,7 +15,7 @@
     ----------
     requests : int
         The number, rounded at random so that the sum over all routers equals the
-        capacity on average.
+        capacity on average, and those that it has at targets that are leaving.
     mean : float
         The number before rounding.
     capacity : float
@@ -57,7 +57,7 @@
         service : str
             Name of the service.
         waiting : int
-            Requests for it that wait in this router.
+            Requests for it that wait in this router, including one that arrives now.
         now : float
             Current time in seconds.
 
--- a/src/primrosescale/request/capacity/request_admission.py
+++ b/src/primrosescale/request/capacity/request_admission.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from primrosescale.clock import cancel_timer
-from primrosescale.request.capacity.service_admission import AdmissionRecord
+from primrosescale.request.capacity.admission_record import AdmissionRecord
 from primrosescale.request.capacity.service_admission import ServiceAdmission
 from primrosescale.request.capacity.time_budgets import TimeBudgets
 from primrosescale.request.capacity.wait_forecast import is_returning_caller
@@ -15,10 +15,10 @@
 
     from primrosescale.clock import Clock
     from primrosescale.clock import Timer
+    from primrosescale.request.capacity.admission_record import AdmissibleCall
     from primrosescale.request.capacity.capacity_view import CapacityView
     from primrosescale.request.capacity.overload_episode import OverloadObserver
     from primrosescale.request.capacity.overload_settings import OverloadSettings
-    from primrosescale.request.capacity.service_admission import AdmissibleCall
 
 # Allowances change every 0.25 s, and whenever targets or other routers report.
 PROCESS_SECONDS = 0.025
@@ -103,9 +103,10 @@
             Current time in seconds.
         """
         name = call.request.service
-        if self._services:
+        is_in_force = self._capacity.is_in_force(name)
+        if is_in_force or self._services:
             self._check_clock(now)
-        if not self._capacity.is_in_force(name):
+        if not is_in_force:
             call.start(now)
             return
         record = self._records[call] = self._new_record(call, now)
@@ -136,30 +137,6 @@
             self._schedule(service, now)
         return record
 
-    def withdraw(self, call: AdmissibleCall, now: float) -> bool:
-        """Remove a waiting call without an answer.
-
-        Parameters
-        ----------
-        call : AdmissibleCall
-            The call.
-        now : float
-            Current time in seconds.
-
-        Returns
-        -------
-        bool
-            Whether it was waiting; it has not been sent and will not be.
-        """
-        record = self._records.get(call)
-        if record is None:
-            return False
-        service = self._services[call.request.service]
-        if not service.withdraw(record, now):
-            return False
-        del self._records[call]
-        return True
-
     def stop(self, now: float) -> None:
         """Refuse all waiting calls; from now on no call waits.
 
@@ -185,10 +162,16 @@
         return AdmissionRecord(call, is_returning_caller(budget, longest))
 
     def _new_service(self, name: str) -> ServiceAdmission:
-        service = ServiceAdmission(name, self._capacity, self._observer, self._rng)
+        service = ServiceAdmission(
+            name, self._capacity, self._observer, self._rng, self._raise_later
+        )
         self._services[name] = service
         return service
 
+    def _raise_later(self, error: Exception) -> None:
+        """Raise an error in a turn of its own, in which the reactor logs it."""
+        self._clock.callLater(0.0, _raise, error)
+
     def _check_clock(self, now: float) -> None:
         """Shift the times of waiting calls if the clock was set back.
 
@@ -230,6 +213,10 @@
                 self._schedule(service, now)
 
 
+def _raise(error: Exception) -> None:
+    raise error
+
+
 def _due_at(service: ServiceAdmission, now: float) -> float | None:
     """Return when a service is to be processed; None if nothing is due."""
     if service.waiting:
--- a/src/primrosescale/request/capacity/service_admission.py
+++ b/src/primrosescale/request/capacity/service_admission.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from enum import Enum
 from typing import TYPE_CHECKING
-from typing import Protocol
 
 from primrosescale.request.attempt.forwarding_interfaces import Refusal
-from primrosescale.request.capacity.expected_returns import ExpectedReturns
+from primrosescale.request.capacity.admission_record import AdmissionState
 from primrosescale.request.capacity.fair_queue import QueuedCall
 from primrosescale.request.capacity.overload_episode import OverloadEpisodes
 from primrosescale.request.capacity.overload_episode import OverloadReason
@@ -16,90 +13,27 @@
 from primrosescale.request.capacity.request_queue import RequestQueue
 from primrosescale.request.capacity.request_queue import max_waiting
 from primrosescale.request.capacity.request_queue import work_of
-from primrosescale.request.capacity.wait_forecast import RETRY_JITTER
-from primrosescale.request.capacity.wait_forecast import forecast_wait
-from primrosescale.request.capacity.wait_forecast import latest_start
-from primrosescale.request.capacity.wait_forecast import retry_after
+from primrosescale.request.capacity.service_forecast import ServiceForecast
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
+    from primrosescale.request.capacity.admission_record import AdmissionRecord
     from primrosescale.request.capacity.capacity_view import Allowance
     from primrosescale.request.capacity.capacity_view import CapacityView
     from primrosescale.request.capacity.overload_episode import OverloadObserver
     from primrosescale.request.capacity.overload_settings import OverloadSettings
-    from primrosescale.request.incoming_request import IncomingRequest
-
-
-class AdmissibleCall(Protocol):
-    """A call that can be started or refused."""
-
-    @property
-    def request(self) -> IncomingRequest:
-        """Return the request."""
-
-    def start(self, now: float) -> None:
-        """Send the request, or refuse it at once.
-
-        Parameters
-        ----------
-        now : float
-            Current time in seconds.
-        """
-
-    def refuse(self, refusal: Refusal, retry_after: float | None) -> None:
-        """Refuse the request, which has not been sent.
-
-        Parameters
-        ----------
-        refusal : Refusal
-            Why.
-        retry_after : float | None
-            Seconds after which the caller should return; None to use the setting.
-        """
-
-
-class AdmissionState(Enum):
-    """What admission has done with a call."""
-
-    SUBMITTED = "submitted"
-    WAITING = "waiting"
-    STARTED = "started"
-    REFUSED = "refused"
-    WITHDRAWN = "withdrawn"
-
-
-@dataclass(slots=True, eq=False)
-class AdmissionRecord:
-    """Admission of one call.
-
-    Parameters
-    ----------
-    call : AdmissibleCall
-        The call.
-    is_returning : bool
-        Whether its caller returns after a refusal.
-    state : AdmissionState
-        What has been done with it.
-    queued : QueuedCall[AdmissionRecord] | None
-        Its place in the queue; None if it never waited.
-    longest_wait : float
-        For how long it may wait, in seconds.
-    waited : float
-        For how long it waited, in seconds.
-    """
-
-    call: AdmissibleCall
-    is_returning: bool
-    state: AdmissionState = AdmissionState.SUBMITTED
-    queued: QueuedCall[AdmissionRecord] | None = None
-    longest_wait: float = 0.0
-    waited: float = 0.0
 
 
 class ServiceAdmission:
     """Starts, queues or refuses the calls of one service.
 
+    A submitted call is started if the router has fewer calls at the targets than its
+    allowance and none waits. Otherwise it waits, or is refused if the forecast of its
+    wait is too long or the queue is full. `process` starts waiting calls when places
+    are free and refuses those that have waited for too long.
+
     Parameters
     ----------
     service : str
@@ -110,16 +44,19 @@
         Receives what happens during overloads.
     rng : Random
         Random generator for the jitter.
+    raise_later : Callable[[Exception], None]
+        Raises an error of a call where it affects no other call.
     """
 
     __slots__ = (
         "_allowance",
+        "_arriving",
         "_capacity",
         "_episodes",
+        "_forecast",
         "_is_processing",
         "_queue",
-        "_returns",
-        "_rng",
+        "_raise_later",
         "_running",
         "_service",
     )
@@ -130,15 +67,18 @@
         capacity: CapacityView,
         observer: OverloadObserver,
         rng: Random,
+        raise_later: Callable[[Exception], None],
     ) -> None:
         self._service = service
         self._capacity = capacity
-        self._rng = rng
+        self._raise_later = raise_later
         self._queue: RequestQueue[AdmissionRecord] = RequestQueue()
         self._episodes = OverloadEpisodes(service, observer)
-        self._returns = ExpectedReturns()
+        self._forecast = ServiceForecast(service, capacity, self._queue, rng)
         self._running = 0
         self._allowance: Allowance | None = None
+        # Calls that are neither at a target nor in the queue yet.
+        self._arriving = 0
         self._is_processing = False
 
     @property
@@ -192,10 +132,14 @@
         is_stopping : bool
             Whether the router is stopping, so that no call may wait.
         """
-        if len(self._queue):
-            self.process(now)
-        else:
-            self._update_allowance(now)
+        self._arriving += 1
+        try:
+            if len(self._queue):
+                self.process(now)
+            else:
+                self._update_allowance(now)
+        finally:
+            self._arriving -= 1
         if not len(self._queue) and self._has_place():
             self._start(record, now)
         elif is_stopping:
@@ -217,29 +161,10 @@
             self._running -= 1
             if len(self._queue):
                 self.process(now)
-        elif record.state is AdmissionState.WAITING:
-            self.withdraw(record, now)
-
-    def withdraw(self, record: AdmissionRecord, now: float) -> bool:
-        """Remove a waiting call without an answer.
-
-        Parameters
-        ----------
-        record : AdmissionRecord
-            The call.
-        now : float
-            Current time in seconds.
-
-        Returns
-        -------
-        bool
-            Whether it was waiting; it has not been sent and will not be.
-        """
-        queued = record.queued
-        if queued is None or not self._queue.discard(queued):
-            return False
-        self._leave_queue(record, AdmissionState.WITHDRAWN, now)
-        return True
+        elif record.state is AdmissionState.WAITING and record.queued is not None:
+            # It is no longer in the queue if it is about to be refused with others.
+            self._queue.discard(record.queued)
+            self._leave_queue(record, AdmissionState.LEFT, now)
 
     def process(self, now: float) -> None:
         """Refuse calls that have waited for too long, and start those that may.
@@ -258,12 +183,12 @@
         try:
             self._update_allowance(now)
             for queued in self._queue.expired(now):
-                self._refuse(queued.item, OverloadReason.WAITED, now)
+                self._refuse_removed(queued.item, OverloadReason.WAITED, now)
             while self._has_place():
                 queued_next = self._queue.pop()
                 if queued_next is None:
                     break
-                self._start(queued_next.item, now)
+                self._start_removed(queued_next.item, now)
             self._trim(now)
         finally:
             self._is_processing = False
@@ -278,7 +203,7 @@
             Current time in seconds.
         """
         for queued in self._queue.clear():
-            self._refuse(queued.item, OverloadReason.STOPPING, now)
+            self._refuse_removed(queued.item, OverloadReason.STOPPING, now)
 
     def shift_times(self, seconds: float) -> None:
         """Move the times of waiting calls, after the clock was set.
@@ -290,16 +215,17 @@
         """
         self._queue.shift_expiry(seconds)
         self._episodes.shift_times(seconds)
-        self._returns.shift_times(seconds)
+        self._forecast.shift_times(seconds)
 
     def _update_allowance(self, now: float) -> None:
         if self._capacity.is_in_force(self._service):
-            waiting = len(self._queue)
+            waiting = len(self._queue) + self._arriving
             self._allowance = self._capacity.allowance(self._service, waiting, now)
         else:
             self._allowance = None
 
     def _has_place(self) -> bool:
+        """Return whether the allowance permits one more call at the targets."""
         allowance = self._allowance
         return allowance is None or self._running < allowance.requests
 
@@ -313,17 +239,12 @@
     def _queue_or_refuse(
         self, record: AdmissionRecord, settings: OverloadSettings, now: float
     ) -> None:
-        request = record.call.request
-        until = latest_start(
-            request,
-            now,
-            is_returning=record.is_returning,
-            answer_time=self._capacity.answer_time(self._service),
-            wait_share=settings.queue_wait_share,
-        )
-        if until <= now or now + self._forecast(record) > until:
+        until = self._forecast.latest_start(record, settings.queue_wait_share, now)
+        wait = self._forecast.wait(record, self._allowance)
+        if until <= now or now + wait > until:
             self._refuse(record, OverloadReason.FORECAST, now)
             return
+        request = record.call.request
         displaced = None
         if len(self._queue) >= max_waiting(self._allowance):
             displaced = self._queue.displaceable_by(
@@ -335,7 +256,7 @@
             self._queue.discard(displaced)
         self._push(record, until, now)
         if displaced is not None:
-            self._refuse(displaced.item, OverloadReason.DISPLACED, now)
+            self._refuse_removed(displaced.item, OverloadReason.DISPLACED, now)
 
     def _push(self, record: AdmissionRecord, until: float, now: float) -> None:
         request = record.call.request
@@ -361,7 +282,7 @@
             if displaced is None:
                 return
             self._queue.discard(displaced)
-            self._refuse(displaced.item, OverloadReason.DISPLACED, now)
+            self._refuse_removed(displaced.item, OverloadReason.DISPLACED, now)
 
     def _refuse(
         self, record: AdmissionRecord, reason: OverloadReason, now: float
@@ -369,47 +290,36 @@
         if record.state is AdmissionState.WAITING:
             self._leave_queue(record, AdmissionState.REFUSED, now)
         record.state = AdmissionState.REFUSED
-        request = record.call.request
+        organisation = record.call.request.organisation
         waiting = len(self._queue)
-        self._episodes.refused(
-            request.organisation, reason, self._allowance, waiting, now
-        )
-        delay = retry_after(
-            self._forecast_return(request, now),
-            request.route.latency_objective,
-            request.deadline - now,
-            self._rng.uniform(*RETRY_JITTER),
-        )
-        if not record.is_returning:
-            self._returns.add(request.organisation, now + delay)
+        self._episodes.refused(organisation, reason, self._allowance, waiting, now)
+        delay = self._forecast.refused(record, self._allowance, now)
         record.call.refuse(Refusal.OVERLOADED, delay)
 
+    def _start_removed(self, record: AdmissionRecord, now: float) -> None:
+        """Start a call that waited; an error in it affects no other call."""
+        try:
+            self._start(record, now)
+        except Exception as error:  # noqa: BLE001 - raised later
+            self._raise_later(error)
+
+    def _refuse_removed(
+        self, record: AdmissionRecord, reason: OverloadReason, now: float
+    ) -> None:
+        """Refuse a call that waited; an error in it affects no other call."""
+        if record.state is AdmissionState.LEFT:
+            return
+        try:
+            self._refuse(record, reason, now)
+        except Exception as error:  # noqa: BLE001 - raised later
+            self._raise_later(error)
+
     def _leave_queue(
         self, record: AdmissionRecord, state: AdmissionState, now: float
     ) -> None:
+        """Record for how long a call waited."""
         record.state = state
         if record.queued is not None:
             left = record.queued.deadline - now
             record.waited = max(0.0, record.longest_wait - left)
         self._episodes.waited(record.waited, now)
-
-    def _forecast(self, record: AdmissionRecord) -> float:
-        """Return how long the call would wait if it joined the queue now."""
-        request = record.call.request
-        ahead = self._queue.calls_ahead(
-            request.organisation, request.priority, is_returning=record.is_returning
-        )
-        return self._time_to_start(ahead)
-
-    def _forecast_return(self, request: IncomingRequest, now: float) -> float:
-        """Return after which time there is capacity for a caller that returns."""
-        ahead = self._queue.calls_ahead(
-            request.organisation, request.priority, is_returning=True
-        )
-        ahead += self._returns.ahead(request.organisation, now)
-        # It needs a place itself, which is never free while the allowance is 0.
-        return self._time_to_start(ahead + 1)
-
-    def _time_to_start(self, calls: float) -> float:
-        answer_time = self._capacity.answer_time(self._service)
-        return forecast_wait(calls, self._allowance, answer_time)
