--- a/src/primrosescale/process/entry/overload_control.py
+++ b/src/primrosescale/process/entry/overload_control.py
@@ -23,9 +23,9 @@
     from primrosescale.process.entry.state_exchange import StateExchange
     from primrosescale.process.entry.target_list import TargetList
     from primrosescale.request.attempt.forwarded_call import ForwardedCall
+    from primrosescale.request.capacity.admission_record import AdmissionRecord
     from primrosescale.request.capacity.overload_settings import OverloadSettings
     from primrosescale.request.capacity.router_shares import RouterShares
-    from primrosescale.request.capacity.service_admission import AdmissionRecord
     from primrosescale.version.routing_table import Service
 
 
