--- a/tests/request/test_request_admission.py
+++ b/tests/request/test_request_admission.py
@@ -135,6 +135,10 @@
     def test_callers_that_return_are_served_after_6_times_the_load_for_2_s(self):
         self.check_returns(6, 2)
 
+    # A larger surge leaves more callers that return than places in the queue.
+    def test_callers_that_return_are_served_after_12_times_the_load_for_2_s(self):
+        self.check_returns(12, 2)
+
     # Returning too early must not push out those that wait as they were told.
     def test_callers_that_return_early_leave_others_their_share(self):
         surge, *_ = self.served_after(lambda: 0.3)
