Log the software version of each attempt, and what a caller resumes

Whether a router or its caller went on with a stream at another software version could not be told from the logs: the version of an entry was dropped, and a request that takes a stream up again looked like a new one.

No decision changes.

--- a/src/primrosescale/platform/http_codec.py
+++ b/src/primrosescale/platform/http_codec.py
@@ -40,6 +40,8 @@
 FETCH_FROM = b"Kv-Fetch"
 # Number of the last event received of a stream that is resumed.
 LAST_EVENT = b"Last-Event-Id"
+# Request id of the caller's attempt that began the stream that is resumed.
+RESUMES = b"Resumes"
 AUTHORIZATION = b"Authorization"
 BEARER_PREFIX = "bearer "
 RETRY_AFTER = b"Retry-After"
@@ -105,6 +107,7 @@
             last_event=int(last) if last.isdigit() else None,
             headers=_forwarded_headers(headers),
             traceparent=_first(headers, TRACE_CONTEXT),
+            first_attempt_id=_first(headers, RESUMES),
         )
 
     def target_headers(self, sending: OutgoingRequest) -> Headers:
--- a/src/primrosescale/platform/records.py
+++ b/src/primrosescale/platform/records.py
@@ -242,7 +242,6 @@
     if state not in IS_DRAINING_BY_STATE:
         reader.refuse("state", "not one of " + ", ".join(IS_DRAINING_BY_STATE))
     # Not used, but a value of another type shows that another writer made the entry.
-    reader.text_or("version", "")
     reader.integer_or("sequence", 0)
     return ServingTarget(
         name=record_name(stored, REMEDY_TARGET),
@@ -257,6 +256,7 @@
         )
         * SECONDS_PER_MILLISECOND,
         started_at=reader.integer("born") if reader.has("born") else None,
+        software_version=reader.text_or("version", ""),
     )
 
 
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import math
 import socket
 from collections import Counter
 from dataclasses import replace
@@ -32,7 +31,7 @@
 from primrosescale.process.entry.harm_report_exchange import HarmReportExchange
 from primrosescale.process.entry.leaving_exchange import LeavingTargetExchange
 from primrosescale.process.entry.overload_control import OverloadControl
-from primrosescale.process.entry.overload_report import admission_fields
+from primrosescale.process.entry.request_log import call_fields
 from primrosescale.process.entry.router_datagrams import RouterRegistry
 from primrosescale.process.entry.router_datagrams import StateExchangeProtocol
 from primrosescale.process.entry.state_exchange import StateExchange
@@ -57,7 +56,6 @@
 from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
 from primrosescale.request.choice.target_choice import TargetChooser
 from primrosescale.request.freshness import Freshness
-from primrosescale.request.harm.content_fingerprint import fingerprint_text
 from primrosescale.request.harm.harmful_requests import HarmfulRequests
 from primrosescale.request.request_resolver import RequestResolver
 from primrosescale.request.target.evacuations import Evacuations
@@ -470,45 +468,11 @@
         now = self._now()
         admission = self._overload.ended(call, now)
         self._metrics.ended(call, outcome, now)
-        request = call.request
-        first = call.first_byte_at
         self._log.emit(
             Event.REQUEST_ENDED,
-            request=request.request_id,
-            route=request.route.name,
-            service=request.service,
-            organisation=request.organisation,
-            version=request.version,
             knowledge_age=self._store_state.rounded_age(now),
             outcome=outcome,
-            status=call.status,
-            fingerprint=(
-                fingerprint_text(request.fingerprint) if call.is_suspect else None
-            ),
-            prompt_tokens=0 if request.prompt is None else request.prompt.prompt_tokens,
-            took=round(now - request.received_at, 3),
-            first_byte=None if first is None else round(first - request.received_at, 3),
-            **admission_fields(admission),
-            attempts=[
-                {
-                    "target": item.target,
-                    "after": round(item.began_at - request.received_at, 3),
-                    "until": round((item.ended_at or now) - request.received_at, 3),
-                    "load": item.load,
-                    "mean": item.mean,
-                    "load_age": _rounded_load_age(item.load_age),
-                    "cached_tokens": item.held,
-                    "is_home": item.is_home,
-                    "passed_cold": item.passed_cold,
-                    "passed_resting": item.passed_resting,
-                    "fetched_from": item.fetched_from,
-                    "said_leaving": item.said_leaving,
-                    "asked_rest": item.asked_rest,
-                    "is_rest_odd": item.is_rest_odd,
-                    "outcome": item.outcome,
-                }
-                for item in call.attempts
-            ],
+            **call_fields(call, admission, now),
         )
 
     def _silence_judged(self, request: IncomingRequest, silence: SilenceReport) -> None:
@@ -747,8 +711,3 @@
 
     def _now(self) -> float:
         return float(self._reactor.seconds())
-
-
-def _rounded_load_age(seconds: float) -> float | None:
-    """Return a load age rounded for the log; None if no load was ever reported."""
-    return round(seconds, 2) if math.isfinite(seconds) else None
--- /dev/null
+++ b/src/primrosescale/process/entry/request_log.py
@@ -0,0 +1,89 @@
+"""Fields of the log line of a forwarded request that has ended."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+from typing import Any
+
+from primrosescale.process.entry.overload_report import admission_fields
+from primrosescale.process.log_text import escape_for_log
+from primrosescale.request.harm.content_fingerprint import fingerprint_text
+
+if TYPE_CHECKING:
+    from primrosescale.request.attempt.forwarded_call import ForwardedCall
+    from primrosescale.request.attempt.target_attempt import AttemptRecord
+    from primrosescale.request.capacity.admission_record import AdmissionRecord
+
+
+def call_fields(
+    call: ForwardedCall, admission: AdmissionRecord | None, now: float
+) -> dict[str, Any]:
+    """Return what is logged of a request and its attempts.
+
+    Parameters
+    ----------
+    call : ForwardedCall
+        The request, which has ended.
+    admission : AdmissionRecord | None
+        How it was admitted; None if overload control was not in force.
+    now : float
+        Current time in seconds.
+
+    Returns
+    -------
+    dict[str, Any]
+        The fields.
+    """
+    request = call.request
+    first = call.first_byte_at
+    return {
+        "request": request.request_id,
+        "route": request.route.name,
+        "service": request.service,
+        "organisation": request.organisation,
+        "version": request.version,
+        "status": call.status,
+        "fingerprint": (
+            fingerprint_text(request.fingerprint) if call.is_suspect else None
+        ),
+        "prompt_tokens": 0 if request.prompt is None else request.prompt.prompt_tokens,
+        "took": round(now - request.received_at, 3),
+        "first_byte": None if first is None else round(first - request.received_at, 3),
+        "resumes": escape_for_log(request.first_attempt_id) or None,
+        "last_event": request.last_event,
+        **admission_fields(admission),
+        "attempts": [
+            _attempt_fields(attempt, request.received_at, now)
+            for attempt in call.attempts
+        ],
+    }
+
+
+def _attempt_fields(
+    attempt: AttemptRecord, received_at: float, now: float
+) -> dict[str, Any]:
+    return {
+        "target": attempt.target,
+        "software_version": escape_for_log(attempt.software_version),
+        "after": round(attempt.began_at - received_at, 3),
+        "until": round((attempt.ended_at or now) - received_at, 3),
+        "resumed_after": attempt.resumed_after,
+        "load": attempt.load,
+        "mean": attempt.mean,
+        "load_age": _rounded_load_age(attempt.load_age),
+        "cached_tokens": attempt.held,
+        "is_home": attempt.is_home,
+        "passed_cold": attempt.passed_cold,
+        "passed_resting": attempt.passed_resting,
+        "fetched_from": attempt.fetched_from,
+        "said_leaving": attempt.said_leaving,
+        "asked_rest": attempt.asked_rest,
+        "is_rest_odd": attempt.is_rest_odd,
+        "outcome": attempt.outcome,
+    }
+
+
+def _rounded_load_age(seconds: float) -> float | None:
+    """Return a load age rounded for the log; None if no load was ever reported."""
+    return round(seconds, 2) if math.isfinite(seconds) else None
--- a/src/primrosescale/process/entry/target_list_sync.py
+++ b/src/primrosescale/process/entry/target_list_sync.py
@@ -149,6 +149,7 @@
                 endpoint=str(target.endpoint),
                 is_draining=target.is_draining,
                 started_at=target.started_at,
+                software_version=target.software_version,
             )
 
     def _with_remaining_warm_up(
--- a/src/primrosescale/request/attempt/forwarded_call.py
+++ b/src/primrosescale/request/attempt/forwarded_call.py
@@ -412,6 +412,8 @@
             source.target.name if source is not None else "",
             passed_cold=choice.passed_cold,
             passed_resting=choice.passed_resting,
+            software_version=choice.state.target.software_version,
+            resumed_after=self._relay.last_event,
         )
         self._attempts.append(record)
         self._tried.attempted(choice.state.incarnation)
--- a/src/primrosescale/request/attempt/target_attempt.py
+++ b/src/primrosescale/request/attempt/target_attempt.py
@@ -66,6 +66,11 @@
         Whether that pause had to be bounded or could not be parsed.
     report : LoadReport | None
         Load that the target reported with the answer, if any.
+    software_version : str
+        The software version of the target; empty when not known.
+    resumed_after : int | None
+        Id of the last event that the caller had when it began; None for a request
+        that started from the beginning.
     """
 
     target: str
@@ -84,6 +89,8 @@
     asked_rest: float | None = None
     is_rest_odd: bool = False
     report: LoadReport | None = None
+    software_version: str = ""
+    resumed_after: int | None = None
 
 
 class AttemptListener(ABC):
--- a/src/primrosescale/request/incoming_request.py
+++ b/src/primrosescale/request/incoming_request.py
@@ -97,6 +97,9 @@
         Trace context of the caller; empty for none.
     allowed_regions : frozenset[str] | None
         Regions whose targets may receive it; None for all.
+    first_attempt_id : str
+        Id of the caller's attempt that began the stream that this one resumes; empty
+        when not given.
     """
 
     request_id: str
@@ -115,6 +118,7 @@
     version: int
     traceparent: str = ""
     allowed_regions: frozenset[str] | None = None
+    first_attempt_id: str = ""
 
     @property
     def fingerprint(self) -> int:
--- a/src/primrosescale/request/request_resolver.py
+++ b/src/primrosescale/request/request_resolver.py
@@ -53,6 +53,8 @@
         Headers to forward.
     traceparent : str
         Trace context; empty for none.
+    first_attempt_id : str
+        Id of the caller's attempt that began the stream to resume; empty when missing.
     """
 
     method: bytes
@@ -65,6 +67,7 @@
     last_event: int | None
     headers: tuple[tuple[bytes, bytes], ...]
     traceparent: str = ""
+    first_attempt_id: str = ""
 
 
 class RequestResolver:
@@ -159,6 +162,7 @@
             version=table.version,
             traceparent=head.traceparent,
             allowed_regions=_common_regions(restrictions),
+            first_attempt_id=head.first_attempt_id,
         )
 
     def _unless_outdated(self, refusal: Refusal, now: float) -> Refusal:
--- a/src/primrosescale/request/target/serving_target.py
+++ b/src/primrosescale/request/target/serving_target.py
@@ -33,6 +33,8 @@
         Seconds for which it is still cold (slow after its start).
     started_at : int | None
         Its start, in Unix milliseconds of its own clock; None when not given.
+    software_version : str
+        The version of its software; empty when not given.
     """
 
     name: str
@@ -43,6 +45,7 @@
     is_draining: bool = False
     warm_up_seconds: float = 0.0
     started_at: int | None = None
+    software_version: str = ""
 
     @property
     def incarnation(self) -> TargetIncarnation:
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -144,7 +144,10 @@
             "state": "draining",
             "slots": 4,
         }
+        found = decode_target(stored({**fields, "version": "v3"}, "servers/i-1"))
+        self.assertEqual("v3", found.software_version)
         found = decode_target(stored(fields, "servers/i-1"))
+        self.assertEqual("", found.software_version)
         self.assertEqual(
             ("i-1", "llm", True), (found.name, found.service, found.is_draining)
         )
@@ -244,6 +247,10 @@
         self.assertEqual([800, 410], [part.tokens for part in found.prompt.parts])
         self.assertEqual(80, found.prompt.output_tokens)
 
+    def test_the_first_attempt_of_a_resumed_stream_is_decoded(self):
+        self.assertEqual("r0", self.head(Resumes=" r0 ").first_attempt_id)
+        self.assertEqual("", self.head().first_attempt_id)
+
     def decoded(self, found):
         return found.request_id, found.key, found.time_left, found.last_event
 
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -343,6 +343,17 @@
         details = [values for name, values in self.events if name == "REQUEST_ENDED"]
         self.assertEqual([200, 500, None], [item.get("status") for item in details])
 
+    @inlineCallbacks
+    def test_the_line_of_a_resumed_stream_identifies_its_first_attempt(self):
+        yield self.start()
+        resumed = b"Last-Event-Id: 2\r\nResumes: r0\r\n"
+        yield self.ask(text(b"/story/x", headers=resumed), b"0\r\n\r\n")
+        [details] = [values for name, values in self.events if name == "REQUEST_ENDED"]
+        self.assertEqual(("r0", 2), (details["resumes"], details["last_event"]))
+        [attempt] = details["attempts"]
+        self.assertEqual(2, attempt["resumed_after"])
+        self.assertEqual("", attempt["software_version"])
+
     @inlineCallbacks
     def test_what_is_not_allowed_is_refused_with_its_status(self):
         yield self.start()
