--- a/src/primrosescale/connection/codec.py
+++ b/src/primrosescale/connection/codec.py
@@ -45,6 +45,9 @@
     | wire.CacheImport
     | wire.CacheQuestion
     | wire.CacheAnswer
+    | wire.StreamOriginReport
+    | wire.StreamOriginQuestion
+    | wire.StreamOriginAnswer
 )
 
 KIND = wire.MessageKind
@@ -75,6 +78,9 @@
     KIND.CACHE_IMPORT: wire.CacheImport,
     KIND.CACHE_QUESTION: wire.CacheQuestion,
     KIND.CACHE_ANSWER: wire.CacheAnswer,
+    KIND.STREAM_ORIGIN_REPORT: wire.StreamOriginReport,
+    KIND.STREAM_ORIGIN_QUESTION: wire.StreamOriginQuestion,
+    KIND.STREAM_ORIGIN_ANSWER: wire.StreamOriginAnswer,
 }
 PREFIX_BY_CLASS = {item: bytes([kind]) for kind, item in CLASS_BY_KIND.items()}
 DECODE_ERRORS = (
--- a/src/primrosescale/connection/wire.thrift
+++ b/src/primrosescale/connection/wire.thrift
@@ -13,7 +13,8 @@
   DOMAIN_SUMS = 34, ROUTER_NEWS = 35,
   SECTION_REQUEST = 40, SECTION_REPLY = 41,
   CLAIM_REQUEST = 50, CLAIM_REPLY = 51,
-  CACHE_IMPORT = 60, CACHE_QUESTION = 61, CACHE_ANSWER = 62
+  CACHE_IMPORT = 60, CACHE_QUESTION = 61, CACHE_ANSWER = 62,
+  STREAM_ORIGIN_REPORT = 70, STREAM_ORIGIN_QUESTION = 71, STREAM_ORIGIN_ANSWER = 72
 }
 
 /* What is known about a call that has no answer. */
@@ -222,6 +223,28 @@
   3: required bool is_last
 }
 
+/* Which service and software version began a stream, so that any router can resume it
+ * there. A router reports it to some others when the first event is sent to the caller.
+ * "key" is a digest of the caller's organisation and its attempt. Without a version the
+ * stream must not be resumed, since it may have come from either of two. */
+struct StreamOriginReport {
+  1: required binary key, 2: required string service_name,
+  3: required i32 expires_in_ms, 4: optional string software_version
+}
+/* A question without a key asks only whether the receiver knows these messages. The
+ * answer has the service and version as reported, if they are known. Otherwise it has the only
+ * version of the service that the sender has seen while the stream may have begun
+ * ("window_ms"), or states that there were several; neither if the sender cannot tell. */
+struct StreamOriginQuestion {
+  1: required string origin, 2: required binary key, 3: required string service_name,
+  4: required i32 window_ms
+}
+struct StreamOriginAnswer {
+  1: required string origin, 2: required binary key, 3: optional string service_name,
+  4: optional string software_version, 5: optional string only_version,
+  6: optional bool has_several_versions
+}
+
 struct SectionRequest { 1: required string digest }
 struct SectionReply {
   1: required string digest, 2: required bool found, 3: required binary data
--- a/src/primrosescale/connection/wire/ttypes.py
+++ b/src/primrosescale/connection/wire/ttypes.py
@@ -44,6 +44,9 @@
     CACHE_IMPORT = 60
     CACHE_QUESTION = 61
     CACHE_ANSWER = 62
+    STREAM_ORIGIN_REPORT = 70
+    STREAM_ORIGIN_QUESTION = 71
+    STREAM_ORIGIN_ANSWER = 72
 
 
 
@@ -5123,6 +5126,360 @@
         return not (self == other)
 
 
+class StreamOriginReport(object):
+    """
+    Attributes:
+     - key
+     - service_name
+     - expires_in_ms
+     - software_version
+
+    """
+
+    __slots__ = (
+        'key',
+        'service_name',
+        'expires_in_ms',
+        'software_version',
+    )
+
+
+    def __init__(self, key=None, service_name=None, expires_in_ms=None, software_version=None,):
+        self.key = key
+        self.service_name = service_name
+        self.expires_in_ms = expires_in_ms
+        self.software_version = software_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.expires_in_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamOriginReport')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeBinary(self.key)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.expires_in_ms is not None:
+            oprot.writeFieldBegin('expires_in_ms', TType.I32, 3)
+            oprot.writeI32(self.expires_in_ms)
+            oprot.writeFieldEnd()
+        if self.software_version is not None:
+            oprot.writeFieldBegin('software_version', TType.STRING, 4)
+            oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.expires_in_ms is None:
+            raise TProtocolException(message='Required field expires_in_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamOriginQuestion(object):
+    """
+    Attributes:
+     - origin
+     - key
+     - service_name
+     - window_ms
+
+    """
+
+    __slots__ = (
+        'origin',
+        'key',
+        'service_name',
+        'window_ms',
+    )
+
+
+    def __init__(self, origin=None, key=None, service_name=None, window_ms=None,):
+        self.origin = origin
+        self.key = key
+        self.service_name = service_name
+        self.window_ms = window_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.origin = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.key = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.window_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamOriginQuestion')
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.STRING, 1)
+            oprot.writeString(self.origin.encode('utf-8') if sys.version_info[0] == 2 else self.origin)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 2)
+            oprot.writeBinary(self.key)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 3)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.window_ms is not None:
+            oprot.writeFieldBegin('window_ms', TType.I32, 4)
+            oprot.writeI32(self.window_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.origin is None:
+            raise TProtocolException(message='Required field origin is unset!')
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.window_ms is None:
+            raise TProtocolException(message='Required field window_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamOriginAnswer(object):
+    """
+    Attributes:
+     - origin
+     - key
+     - service_name
+     - software_version
+     - only_version
+     - has_several_versions
+
+    """
+
+    __slots__ = (
+        'origin',
+        'key',
+        'service_name',
+        'software_version',
+        'only_version',
+        'has_several_versions',
+    )
+
+
+    def __init__(self, origin=None, key=None, service_name=None, software_version=None, only_version=None, has_several_versions=None,):
+        self.origin = origin
+        self.key = key
+        self.service_name = service_name
+        self.software_version = software_version
+        self.only_version = only_version
+        self.has_several_versions = has_several_versions
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.origin = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.key = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.only_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.has_several_versions = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamOriginAnswer')
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.STRING, 1)
+            oprot.writeString(self.origin.encode('utf-8') if sys.version_info[0] == 2 else self.origin)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 2)
+            oprot.writeBinary(self.key)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 3)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.software_version is not None:
+            oprot.writeFieldBegin('software_version', TType.STRING, 4)
+            oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
+            oprot.writeFieldEnd()
+        if self.only_version is not None:
+            oprot.writeFieldBegin('only_version', TType.STRING, 5)
+            oprot.writeString(self.only_version.encode('utf-8') if sys.version_info[0] == 2 else self.only_version)
+            oprot.writeFieldEnd()
+        if self.has_several_versions is not None:
+            oprot.writeFieldBegin('has_several_versions', TType.BOOL, 6)
+            oprot.writeBool(self.has_several_versions)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.origin is None:
+            raise TProtocolException(message='Required field origin is unset!')
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SectionRequest(object):
     """
     Attributes:
@@ -6354,6 +6711,32 @@
     (2, TType.LIST, 'caches', (TType.STRUCT, [TargetCache, None], False), None, ),  # 2
     (3, TType.BOOL, 'is_last', None, None, ),  # 3
 )
+all_structs.append(StreamOriginReport)
+StreamOriginReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'expires_in_ms', None, None, ),  # 3
+    (4, TType.STRING, 'software_version', 'UTF8', None, ),  # 4
+)
+all_structs.append(StreamOriginQuestion)
+StreamOriginQuestion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'origin', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'key', 'BINARY', None, ),  # 2
+    (3, TType.STRING, 'service_name', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'window_ms', None, None, ),  # 4
+)
+all_structs.append(StreamOriginAnswer)
+StreamOriginAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'origin', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'key', 'BINARY', None, ),  # 2
+    (3, TType.STRING, 'service_name', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'software_version', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'only_version', 'UTF8', None, ),  # 5
+    (6, TType.BOOL, 'has_several_versions', None, None, ),  # 6
+)
 all_structs.append(SectionRequest)
 SectionRequest.thrift_spec = (
     None,  # 0
--- a/src/primrosescale/connection/wire/ttypes.pyi
+++ b/src/primrosescale/connection/wire/ttypes.pyi
@@ -29,6 +29,9 @@
     CACHE_IMPORT = 60
     CACHE_QUESTION = 61
     CACHE_ANSWER = 62
+    STREAM_ORIGIN_REPORT = 70
+    STREAM_ORIGIN_QUESTION = 71
+    STREAM_ORIGIN_ANSWER = 72
 
 class Outcome(IntEnum):
     RAN = 1
@@ -462,6 +465,35 @@
     def read(self, iprot: object) -> None: ...
     def write(self, oprot: object) -> None: ...
 
+class StreamOriginReport:
+    key: bytes
+    service_name: str
+    expires_in_ms: int
+    software_version: str | None
+    def __init__(self, key: bytes, service_name: str, expires_in_ms: int, software_version: str | None = ...) -> None: ...
+    def read(self, iprot: object) -> None: ...
+    def write(self, oprot: object) -> None: ...
+
+class StreamOriginQuestion:
+    origin: str
+    key: bytes
+    service_name: str
+    window_ms: int
+    def __init__(self, origin: str, key: bytes, service_name: str, window_ms: int) -> None: ...
+    def read(self, iprot: object) -> None: ...
+    def write(self, oprot: object) -> None: ...
+
+class StreamOriginAnswer:
+    origin: str
+    key: bytes
+    service_name: str | None
+    software_version: str | None
+    only_version: str | None
+    has_several_versions: bool | None
+    def __init__(self, origin: str, key: bytes, service_name: str | None = ..., software_version: str | None = ..., only_version: str | None = ..., has_several_versions: bool | None = ...) -> None: ...
+    def read(self, iprot: object) -> None: ...
+    def write(self, oprot: object) -> None: ...
+
 class SectionRequest:
     digest: str
     def __init__(self, digest: str) -> None: ...
--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from primrosescale.request.attempt.forwarded_call import ForwardedCall
     from primrosescale.request.attempt.silent_target import SilenceReport
+    from primrosescale.request.stream.origin_search import OriginSource
 
 # Finest between 0.3 s and 1 s, where the latency objectives lie.
 LATENCY_BUCKETS_SECONDS = (
@@ -80,6 +81,12 @@
             ["verdict"],
             registry=self._registry,
         )
+        self._resumed_streams = Counter(
+            "primrosescale_resumed_streams",
+            "Streams that callers took up again, by what their version is known from",
+            ["source"],
+            registry=self._registry,
+        )
         self._restarts = Counter(
             "primrosescale_target_restarts",
             "Targets that started again under their names",
@@ -146,6 +153,7 @@
                     "target_connections_closed",
                     "Idle connections closed to stay within a share",
                 ),
+                ("stream_origins", "Streams whose software version is kept"),
                 ("store_calls", "Calls made to the store"),
                 ("news_bytes", "Bytes of news sent to other routers"),
                 ("peers", "Other routers heard of lately"),
@@ -218,6 +226,16 @@
         """
         self._silences.labels(silence.verdict.name.lower()).inc()
 
+    def stream_resumed(self, source: OriginSource) -> None:
+        """Count a stream that its caller took up again.
+
+        Parameters
+        ----------
+        source : OriginSource
+            From where the version that began it is known.
+        """
+        self._resumed_streams.labels(source.name.lower()).inc()
+
     def target_restarted(self) -> None:
         """Count the restart of a target."""
         self._restarts.inc()
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -36,6 +36,8 @@
 from primrosescale.process.entry.router_datagrams import StateExchangeProtocol
 from primrosescale.process.entry.state_exchange import StateExchange
 from primrosescale.process.entry.store_state import StoreState
+from primrosescale.process.entry.stream_origin_exchange import StreamOriginExchange
+from primrosescale.process.entry.stream_resumption import StreamResumption
 from primrosescale.process.entry.target_client import HttpTargetClient
 from primrosescale.process.entry.target_list import TARGET
 from primrosescale.process.entry.target_list import TargetList
@@ -71,6 +73,7 @@
     from primrosescale.process.entry.entry_dependencies import EntryDependencies
     from primrosescale.process.entry.entry_settings import EntrySettings
     from primrosescale.process.entry.entry_settings import WatchedPrefixes
+    from primrosescale.process.entry.target_list import IncarnationStart
     from primrosescale.process.tracing import Tracing
     from primrosescale.request.attempt.forwarding_interfaces import AnswerHead
     from primrosescale.request.attempt.silent_target import SilenceReport
@@ -156,7 +159,11 @@
         )
         self._prefix_index = PrefixCacheIndex()
         restarts = TargetRestarts(
-            self._target_client, self._prefix_index, parts, self._target_ended
+            self._target_client,
+            self._prefix_index,
+            parts,
+            self._target_replaced,
+            self._target_ended,
         )
         targets = TargetList(settings.drain, restarts.incarnation_started)
         self._evacuations = Evacuations(self._domains_evacuated)
@@ -181,7 +188,11 @@
         )
         self._overload.connect(targets, self._routers, self._state_exchange)
         self._registry = RouterRegistry(
-            settings, incarnation, self._state_exchange, parts
+            settings,
+            incarnation,
+            self._state_exchange,
+            parts,
+            lambda: self._resumption.refresh(self._now()),
         )
         shares = CacheOwnership(
             settings.name,
@@ -190,6 +201,13 @@
             lambda: self._state_exchange.others,
             self._state_exchange.find,
         )
+        self._stream_origins = StreamOriginExchange(
+            settings.name,
+            lambda: self._state_exchange.others,
+            targets,
+            freshness,
+            is_first_start=settings.is_first_start,
+        )
         self._exchange_protocol = StateExchangeProtocol(
             self._state_exchange,
             self._version,
@@ -197,6 +215,10 @@
             lambda: self._store_state.target_list_sync.revision,
             parts,
             shares,
+            self._stream_origins,
+        )
+        self._resumption = StreamResumption(
+            self._stream_origins, self._exchange_protocol, self._overload.submit, parts
         )
         self._cache_discovery = CacheDiscovery(
             shares, self._exchange_protocol, targets, self._prefix_index, parts
@@ -252,6 +274,7 @@
             regions=settings.regions,
             overload_scope=self._overload.scope,
             target_work=self._overload.work,
+            stream_began=self._resumption.began,
         )
         self._tracing: Tracing | None = None
         self._factory = EntryFactory(self, parts.reactor)
@@ -420,7 +443,7 @@
         self._calls.add(call)
         request.attach_call(call)
         sink.apply_backpressure(call)
-        self._overload.submit(call, now)
+        self._resumption.submit(call, now)
 
     def _retry_delay(self, refusal: Refusal, now: float) -> float | None:
         """Return the Retry-After of a request that is refused on arrival."""
@@ -512,6 +535,12 @@
             self._tracing = Tracing(self._log, 0.0, self._dependencies.rng)
         return self._tracing.start(name, traceparent, may_begin=False)
 
+    def _target_replaced(self, start: IncarnationStart) -> None:
+        if start.former is None:
+            return
+        for call in tuple(self._calls):
+            call.target_replaced(start.former, start.software_version, self._now())
+
     def _target_ended(self, former: TargetIncarnation) -> None:
         self._harm_monitor.target_ended(former, STARTED_AGAIN, self._now())
 
@@ -565,6 +594,7 @@
         self._update_cache_limits()
         self._registry.remove_silent(now)
         self._set_routers(now)
+        self._resumption.refresh(now)
         self._store_state.poll_if_stale(
             self._state_exchange.newest_version(now),
             self._state_exchange.newest_list_revision(),
@@ -678,6 +708,7 @@
             "news_bytes": self._exchange_protocol.bytes_out,
             "news_age_seconds": self._state_exchange.age(now),
             "relay_rank": -1.0 if rank is None else rank,
+            "stream_origins": self._stream_origins.records,
             "store_calls": self._store_state.store_calls,
             "requests_held_back": len(self._harmful_requests.held(now)),
             "requests_suspected": len(self._harmful_requests),
--- a/src/primrosescale/process/entry/entry_settings.py
+++ b/src/primrosescale/process/entry/entry_settings.py
@@ -73,6 +73,8 @@
     max_paced_read : float
         Seconds after which the rest of a large answer of the store is read without
         pauses.
+    is_first_start : bool
+        Whether the deployment starts for the first time, so that no router ran before.
     """
 
     name: str
@@ -97,6 +99,7 @@
     regions: dict[str, str] = field(default_factory=dict)
     link_rate: float | None = None
     max_paced_read: float = DEFAULT_MAX_PACED_SECONDS
+    is_first_start: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/primrosescale/process/entry/request_log.py
+++ b/src/primrosescale/process/entry/request_log.py
@@ -65,7 +65,11 @@
 ) -> dict[str, Any]:
     return {
         "target": attempt.target,
-        "software_version": escape_for_log(attempt.software_version),
+        "software_version": (
+            None
+            if attempt.software_version is None
+            else escape_for_log(attempt.software_version)
+        ),
         "after": round(attempt.began_at - received_at, 3),
         "until": round((attempt.ended_at or now) - received_at, 3),
         "resumed_after": attempt.resumed_after,
--- a/src/primrosescale/process/entry/router_datagrams.py
+++ b/src/primrosescale/process/entry/router_datagrams.py
@@ -37,6 +37,7 @@
     from primrosescale.process.entry.entry_settings import EntrySettings
     from primrosescale.process.entry.peer_router import PeerRouter
     from primrosescale.process.entry.state_exchange import StateExchange
+    from primrosescale.process.entry.stream_origin_exchange import StreamOriginExchange
     from primrosescale.process.transport.platform import StoredObject
 
 # Urgent state, such as where a prompt part was sent, is sent after this delay, together
@@ -62,6 +63,8 @@
         Collaborators of the router.
     shares : CacheOwnership
         Requests and answers about the cache contents of targets.
+    stream_origins : StreamOriginExchange | None
+        Origins of streams that are known here; None to exchange none.
     """
 
     def __init__(
@@ -72,9 +75,11 @@
         list_revision: Callable[[], int],
         parts: EntryDependencies,
         shares: CacheOwnership,
+        stream_origins: StreamOriginExchange | None = None,
     ) -> None:
         self._exchange = exchange
         self._shares = shares
+        self._stream_origins = stream_origins
         self._version = version
         self._is_store_lost = is_store_lost
         self._list_revision = list_revision
@@ -135,6 +140,32 @@
             self._write_all(self._shares.receive_request(message, now))
         elif isinstance(message, wire.CacheAnswer):
             self._shares.receive_answer(message, now)
+        elif self._stream_origins is not None:
+            self._receive_origin(self._stream_origins, message, addr, now)
+
+    def _receive_origin(
+        self, origins: StreamOriginExchange, message: Message, addr: Any, now: float
+    ) -> None:
+        if isinstance(message, wire.StreamOriginReport):
+            origins.receive_report(message, now)
+        elif isinstance(message, wire.StreamOriginAnswer):
+            origins.receive_answer(message, now)
+        elif isinstance(message, wire.StreamOriginQuestion):
+            # Sent to where the question came from: a router that has just started asks
+            # before its entry is known here.
+            answer = origins.receive_question(message, now)
+            self._write(encode(answer), addr, message.origin)
+
+    def send(self, messages: Sequence[tuple[PeerRouter, Message]]) -> None:
+        """Send messages to other routers at once; one that cannot be sent is dropped.
+
+        Parameters
+        ----------
+        messages : Sequence[tuple[PeerRouter, Message]]
+            The messages with their receivers.
+        """
+        if not self._is_stopped:
+            self._write_all(messages)
 
     def request_caches(self) -> None:
         """Ask the routers that have not answered yet what their targets have cached."""
@@ -189,18 +220,20 @@
         self._write_all(messages)
 
     def _write_all(self, messages: Sequence[tuple[PeerRouter, Message]]) -> None:
-        transport: Any = self.transport
         for router, message in messages:
-            frame = encode(message)
             address = (router.endpoint.address, router.endpoint.port)
-            try:
-                transport.write(frame, address)
-            except OSError as error:
-                # The next round sends the same state again.
-                detail = f"{router.name}: {error}"
-                self._log.emit(Event.NEWS_NOT_SENT, detail=detail)
-                continue
-            self._bytes_out += len(frame)
+            self._write(encode(message), address, router.name)
+
+    def _write(self, frame: bytes, address: tuple[str, int], router: str) -> None:
+        transport: Any = self.transport
+        try:
+            transport.write(frame, address)
+        except OSError as error:
+            # State is sent again with the next round, and questions are asked again.
+            detail = f"{router}: {error}"
+            self._log.emit(Event.NEWS_NOT_SENT, detail=detail)
+            return
+        self._bytes_out += len(frame)
 
 
 class RouterRegistry(WatchListener):
@@ -216,6 +249,8 @@
         Notified of changes of the list of other routers.
     parts : EntryDependencies
         Collaborators of the router.
+    on_change : Callable[[], None]
+        Called after entries were read.
     """
 
     def __init__(
@@ -224,8 +259,10 @@
         incarnation: int,
         exchange: StateExchange,
         parts: EntryDependencies,
+        on_change: Callable[[], None] = lambda: None,
     ) -> None:
         self._settings = settings
+        self._on_change = on_change
         self._incarnation = incarnation
         self._exchange = exchange
         self._parts = parts
@@ -289,6 +326,7 @@
                 self._exchange.remove(router.name)
         if self._settings.name not in names:
             self._announce()
+        self._on_change()
 
     def changed(self, objects: tuple[StoredObject, ...], asked_at: float) -> None:
         """Apply changed entries; see `WatchListener.changed`."""
@@ -296,6 +334,7 @@
             self._apply(stored)
             if stored.is_deleted and stored.name == self._settings.name:
                 self._announce()
+        self._on_change()
 
     def remove_silent(self, now: float) -> None:
         """Remove the entries of routers that have been silent for long.
--- a/src/primrosescale/process/entry/target_list.py
+++ b/src/primrosescale/process/entry/target_list.py
@@ -47,11 +47,14 @@
         The incarnation that it replaces; None when the target was not known.
     told_by : str
         Source of the report.
+    software_version : str
+        Its software version; empty when not given.
     """
 
     present: TargetIncarnation
     former: TargetIncarnation | None
     told_by: str
+    software_version: str = ""
 
 
 class TargetList:
@@ -100,7 +103,7 @@
 
     @property
     def generation(self) -> int:
-        """Return a number that increases when targets are added or forgotten."""
+        """Return a number that increases with the targets and their versions."""
         return self._generation
 
     @property
@@ -189,8 +192,8 @@
     def put(self, target: ServingTarget, now: float, told_by: str = STORE) -> bool:
         """Add or update a target from a report.
 
-        A start time later than the known one creates a new state; a report with an
-        earlier one is outdated and ignored.
+        A start time later than the known one, or another software version, creates a
+        new state; a report with an earlier start time is outdated and ignored.
 
         Parameters
         ----------
@@ -217,11 +220,17 @@
         self._forget_at.pop(target.name, None)
         self._delisted.pop(target.name, None)
         self._restore_readable(target.name)
-        if known is None or known.incarnation.is_followed_by(reported):
+        if (
+            known is None
+            or known.incarnation.is_followed_by(reported)
+            or _is_other_software(known.target, target)
+        ):
             self._add_incarnation(target, known, now, told_by)
             return True
         before = known.target
         known.update_entry(target)
+        if target.software_version != before.software_version:
+            self._generation += 1
         known.set_cold_for(target.warm_up_seconds, now)
         self._apply_evacuation(known, now)
         return known.target != before
@@ -239,7 +248,10 @@
         self._generation += 1
         if self._on_incarnation is not None:
             before = None if former is None else former.incarnation
-            self._on_incarnation(IncarnationStart(target.incarnation, before, told_by))
+            version = target.software_version
+            self._on_incarnation(
+                IncarnationStart(target.incarnation, before, told_by, version)
+            )
 
     def evacuate(self, domains: frozenset[str], now: float) -> None:
         """Apply the set of failure domains that get no new requests.
@@ -348,3 +360,9 @@
         state = self._known.pop(name, None) or self._unreadable.pop(name)
         self._self_reports.keep(state.incarnation, state.self_reports, now)
         return state.incarnation
+
+
+def _is_other_software(known: ServingTarget, reported: ServingTarget) -> bool:
+    """Return whether another process has the name, as its software is another one."""
+    versions = {known.software_version, reported.software_version}
+    return len(versions) > 1 and "" not in versions
--- a/src/primrosescale/process/entry/target_restarts.py
+++ b/src/primrosescale/process/entry/target_restarts.py
@@ -31,6 +31,9 @@
         Prefix cache index of this router.
     parts : EntryDependencies
         Collaborators of the router.
+    on_start : Callable[[IncarnationStart], None]
+        Called with each incarnation that replaces another, before the requests of the
+        former one are ended.
     on_end : Callable[[TargetIncarnation], None]
         Called with each former incarnation, after its requests have been ended.
     """
@@ -40,10 +43,12 @@
         target_client: TargetClient,
         prefix_index: PrefixCacheIndex,
         parts: EntryDependencies,
+        on_start: Callable[[IncarnationStart], None],
         on_end: Callable[[TargetIncarnation], None],
     ) -> None:
         self._target_client = target_client
         self._prefix_index = prefix_index
+        self._on_start = on_start
         self._on_end = on_end
         self._reactor: Any = parts.reactor
         self._log = parts.log
@@ -75,6 +80,9 @@
 
     def _end_former(self) -> None:
         known, self._pending = self._pending, []
+        for start in known:
+            if start.former is not None:
+                self._on_start(start)
         for start in known:
             # Also without a former incarnation: a target that was forgotten in the
             # meantime may still have requests in flight.
--- a/src/primrosescale/request/attempt/forwarded_call.py
+++ b/src/primrosescale/request/attempt/forwarded_call.py
@@ -23,20 +23,22 @@
 
 from primrosescale.clock import cancel_timer
 from primrosescale.request.answer.answer_relay import AnswerRelay
+from primrosescale.request.answer.head_check import fault_of
+from primrosescale.request.answer.head_check import is_success
+from primrosescale.request.attempt.candidate_targets import CandidateTargets
 from primrosescale.request.attempt.forwarding_interfaces import OutgoingRequest
 from primrosescale.request.attempt.forwarding_interfaces import Refusal
 from primrosescale.request.attempt.hedged_attempts import HedgedAttempts
 from primrosescale.request.attempt.silent_target import SilenceReport
 from primrosescale.request.attempt.silent_target import SilenceVerdict
 from primrosescale.request.attempt.silent_target import silence_timeout
+from primrosescale.request.attempt.stream_binding import StreamBinding
 from primrosescale.request.attempt.target_attempt import AttemptListener
 from primrosescale.request.attempt.target_attempt import AttemptRecord
 from primrosescale.request.attempt.target_attempt import TargetAttempt
-from primrosescale.request.attempt.tried_targets import TriedTargets
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Sequence
 
     from primrosescale.clock import Timer
     from primrosescale.request.attempt.forwarding_context import ForwardingContext
@@ -44,10 +46,8 @@
     from primrosescale.request.attempt.forwarding_interfaces import CallerSink
     from primrosescale.request.choice.target_choice import Choice
     from primrosescale.request.incoming_request import IncomingRequest
-    from primrosescale.request.target.target_state import TargetState
+    from primrosescale.request.target.target_incarnation import TargetIncarnation
 
-MIN_SUCCESS_STATUS = 200
-MIN_REDIRECT_STATUS = 300
 MIN_SERVER_ERROR_STATUS = 500
 # A timer may fire early by up to this much because of rounding.
 TIMER_SLACK_SECONDS = 0.001
@@ -81,7 +81,8 @@
         self._on_end = on_end
         self._attempts: list[AttemptRecord] = []
         self._active = HedgedAttempts()
-        self._tried = TriedTargets(request.route.max_targets)
+        self._candidates = CandidateTargets(request, tools)
+        self._binding = StreamBinding(request, tools)
         self._unreachable_count = 0
         self._may_have_run = False
         self._is_suspect = False
@@ -177,12 +178,33 @@
             primary.resume(now)
             self._track_silence(now)
 
+    def target_replaced(
+        self, former: TargetIncarnation, software_version: str, now: float
+    ) -> None:
+        """Handle that a target has restarted; see `StreamBinding.target_replaced`.
+
+        Parameters
+        ----------
+        former : TargetIncarnation
+            Its incarnation as known until now.
+        software_version : str
+            Its present software version.
+        now : float
+            Present time in seconds.
+        """
+        attempt = self._active.primary
+        if attempt is None or attempt.incarnation != former:
+            return
+        is_other = self._binding.target_replaced(attempt, software_version, now)
+        if is_other and attempt.continues_stream:
+            self._handle_lost(attempt, "target of another version", now)
+
     # Events of attempts
 
     def attempt_sent(self, attempt: TargetAttempt) -> None:
         """Record that the target may run it; see `AttemptListener.attempt_sent`."""
         now = self._now()
-        self._tried.sent(attempt.incarnation)
+        self._candidates.tried.sent(attempt.incarnation)
         self._tools.harm.sent(self._request, now)
         prompt = self._request.prompt
         if prompt is not None:
@@ -203,12 +225,12 @@
         attempt.state.unreachable(now)
         self._tools.harm.not_reached(attempt.state, now)
         attempt.close(f"not sent: {detail}", now)
-        self._tried.not_sent(attempt.incarnation)
+        self._candidates.tried.not_sent(attempt.incarnation)
         was_primary = attempt is self._active.primary
         if self._continue_with_other(attempt, now):
             # The hedge that was not sent is replaced; its retry was already charged.
             may_hedge = not was_primary and not self._held_for(now)
-            choice = self._choose_healthy(now) if may_hedge else None
+            choice = self._candidates.choose_healthy(now) if may_hedge else None
             if choice is not None:
                 self._start_hedge(choice, now)
             return
@@ -236,7 +258,9 @@
             self._handle_declined(attempt, head, now)
             return
         self._may_have_run = True
-        fault = self._fault_of(head)
+        fault = fault_of(
+            head, self._request.request_id, continues_stream=self._relay.is_stream
+        )
         if fault:
             self._handle_lost(attempt, fault, now)
             return
@@ -247,7 +271,7 @@
         self._keep_only(attempt, now)
         attempt.head = head
         self._status = head.status
-        if self._request.route.is_stream and _is_success(head):
+        if self._request.route.is_stream and is_success(head):
             self._relay.begin_stream(head)
         self._track_silence(now)
 
@@ -295,16 +319,6 @@
         else:
             self._drop_hedge("not needed: the target before went on", now)
 
-    def _fault_of(self, head: AnswerHead) -> str:
-        """Return why an answer cannot be used for this request; empty if it can."""
-        if head.request_id != self._request.request_id:
-            return "answer of another request"
-        if _is_success(head):
-            return "" if head.has_receipt else "no receipt"
-        if self._relay.is_stream:
-            return f"status {head.status} in place of the rest"
-        return ""
-
     # Choice of targets
 
     def _send_to_any(self, now: float) -> None:
@@ -315,7 +329,7 @@
         if self._held_for(now):
             self._fail(Refusal.HELD_BACK)
             return
-        choice = self._choose(now)
+        choice = self._candidates.choose(now)
         if choice is not None:
             self._start_primary(choice, now)
         else:
@@ -323,9 +337,11 @@
 
     def _wait_for_available_target(self, now: float) -> None:
         """Wait until a target is available, or refuse with the time until then."""
-        states = self._states()
-        excluded = self._tried.excluded(states)
-        left = [state for state in states if state.incarnation not in excluded]
+        if not self._candidates.has_version():
+            self._fail(Refusal.VERSION_GONE)
+            return
+        states = self._candidates.states()
+        left = self._candidates.left()
         availability = self._tools.availability
         available_in = availability.shortest_wait(left, now)
         crowded = (
@@ -378,27 +394,6 @@
         self._active.set_hedge(attempt)
         self._begin(attempt, choice, now)
 
-    def _choose(self, now: float) -> Choice | None:
-        states = self._states()
-        return self._tools.chooser.choose(
-            states, self._tried.excluded(states), self._request.prompt, now
-        )
-
-    def _states(self) -> Sequence[TargetState]:
-        states = self._tools.states_of(self._request.service)
-        allowed = self._request.allowed_regions
-        if allowed is None:
-            return states
-        region_of = self._tools.regions.get
-        return [state for state in states if region_of(state.target.domain) in allowed]
-
-    def _choose_healthy(self, now: float) -> Choice | None:
-        """Return a target that is not avoided, such as for failures or silence."""
-        choice = self._choose(now)
-        if choice is None or choice.state.is_avoided(now):
-            return None
-        return choice
-
     def _new_attempt(self, choice: Choice, now: float) -> TargetAttempt:
         source = choice.fetch_from
         record = AttemptRecord(
@@ -416,7 +411,7 @@
             resumed_after=self._relay.last_event,
         )
         self._attempts.append(record)
-        self._tried.attempted(choice.state.incarnation)
+        self._candidates.tried.attempted(choice.state.incarnation)
         span = self._tools.start_span("target", self._span.traceparent)
         prefill = self._tools.target_work.prefill_of(choice.state, choice.prefill)
         return TargetAttempt(self, choice.state, record, span, prefill)
@@ -461,7 +456,9 @@
         """Return another target and charge the retry; None if it may not retry."""
         if not self._has_time_left(now):
             return None
-        choice = self._choose_healthy(now) if must_be_healthy else self._choose(now)
+        candidates = self._candidates
+        choose = candidates.choose_healthy if must_be_healthy else candidates.choose
+        choice = choose(now)
         if choice is None or not self._spend_retry(now):
             return None
         return choice
@@ -499,7 +496,8 @@
         if choice is not None:
             self._start_primary(choice, now)
             return
-        available_in = self._tools.availability.shortest_wait(self._states(), now)
+        states = self._candidates.of_version()
+        available_in = self._tools.availability.shortest_wait(states, now)
         if available_in and attempt.state.self_reports.has_requested_pause(now):
             self._fail_all_paused(available_in)
         else:
@@ -557,7 +555,7 @@
     def _drop_hedge(self, outcome: str, now: float) -> None:
         closed = self._active.drop_hedge(outcome, now)
         if closed is not None:
-            self._tried.allow_again(closed.incarnation)
+            self._candidates.tried.allow_again(closed.incarnation)
 
     def _fail(self, refusal: Refusal, retry_after: float | None = None) -> None:
         """End without an answer; state "not run" only if that is certain."""
@@ -594,6 +592,7 @@
             return
         if is_first:
             self._record_lateness(attempt, now)
+            self._binding.first_event_sent(attempt, now)
         self._track_silence(now)
 
     def _send_buffered(self, attempt: TargetAttempt, now: float) -> None:
@@ -684,7 +683,7 @@
             return
         if not self._may_retry(now) or not self._has_time_left(now):
             return
-        choice = self._choose_healthy(now)
+        choice = self._candidates.choose_healthy(now)
         if choice is None:
             self._report_silence(primary, SilenceVerdict.NO_OTHER, now)
             return
@@ -707,18 +706,14 @@
         if verdict is self._last_verdict:
             return
         self._last_verdict = verdict
-        tools = self._tools
-        states = self._states()
         silence = SilenceReport(
             target=attempt.name,
             silent_for=attempt.state.silence(now),
             waited=now - self._waiting_since,
-            others=tools.chooser.count_available(
-                states, self._tried.excluded(states), now
-            ),
+            others=self._candidates.count_available(now),
             verdict=verdict,
         )
-        tools.silence_judged(self._request, silence)
+        self._tools.silence_judged(self._request, silence)
 
     # End of the call
 
@@ -750,7 +745,3 @@
 
     def _now(self) -> float:
         return self._tools.clock.seconds()
-
-
-def _is_success(head: AnswerHead) -> bool:
-    return MIN_SUCCESS_STATUS <= head.status < MIN_REDIRECT_STATUS
--- a/src/primrosescale/request/attempt/forwarding_context.py
+++ b/src/primrosescale/request/attempt/forwarding_context.py
@@ -137,6 +137,10 @@
     pass
 
 
+def _ignore_stream(_: IncomingRequest, __: float) -> None:
+    pass
+
+
 def _default_scope() -> OverloadScope:
     return OverloadScope(OverloadSettings())
 
@@ -194,6 +198,9 @@
         Determines for which services overload control is in force.
     target_work : TargetWork
         Prefill backlog and pace of targets; by default nothing is recorded.
+    stream_began : Callable[[IncomingRequest, float], None]
+        Called with the request and the current time when the first event of a stream
+        is sent to its caller.
     """
 
     settings: ForwardingSettings
@@ -216,6 +223,7 @@
     regions: Mapping[str, str] = field(default_factory=dict)
     overload_scope: OverloadScope = field(default_factory=_default_scope)
     target_work: TargetWork = field(default_factory=_default_work)
+    stream_began: Callable[[IncomingRequest, float], None] = _ignore_stream
 
     def limits_idle_time(self, service: str) -> bool:
         """Return whether requests that may run once use pooled connections.
--- a/src/primrosescale/request/attempt/forwarding_interfaces.py
+++ b/src/primrosescale/request/attempt/forwarding_interfaces.py
@@ -243,6 +243,8 @@
     CONNECTIONS_IN_USE = (503, "all connections to targets that may be used are busy")
     TARGETS_CROWDED = (503, "most targets leave, and the others are at their bound")
     TARGETS_FULL = (503, "every target of the service declined")
+    VERSION_GONE = (503, "no target of the version that began the stream is left")
+    ORIGIN_UNKNOWN = (503, "it is not known which version began the stream")
     STALE = (503, "the configuration here is too old to accept keys")
     NO_CONFIGURATION = (503, "no configuration is known yet")
     OVERLOADED = (503, "the service has more requests than its targets can serve now")
--- a/src/primrosescale/request/attempt/target_attempt.py
+++ b/src/primrosescale/request/attempt/target_attempt.py
@@ -66,8 +66,9 @@
         Whether that pause had to be bounded or could not be parsed.
     report : LoadReport | None
         Load that the target reported with the answer, if any.
-    software_version : str
-        The software version of the target; empty when not known.
+    software_version : str | None
+        The software version of the target; empty when not stated, None if the target
+        may have been replaced by one of another version.
     resumed_after : int | None
         Id of the last event that the caller had when it began; None for a request
         that started from the beginning.
@@ -89,7 +90,7 @@
     asked_rest: float | None = None
     is_rest_odd: bool = False
     report: LoadReport | None = None
-    software_version: str = ""
+    software_version: str | None = ""
     resumed_after: int | None = None
 
 
@@ -230,6 +231,16 @@
         """Return the target's name."""
         return self._record.target
 
+    @property
+    def software_version(self) -> str | None:
+        """Return the software version of the target; None if it is uncertain."""
+        return self._record.software_version
+
+    @property
+    def continues_stream(self) -> bool:
+        """Return whether the caller had events of the stream when it began."""
+        return self._record.resumed_after is not None
+
     @property
     def incarnation(self) -> TargetIncarnation:
         """Return the incarnation of the target that it was sent to."""
@@ -265,6 +276,10 @@
         """Return how many bytes of the body are buffered."""
         return self._buffered_bytes
 
+    def version_uncertain(self) -> None:
+        """Record that the target may have had another version when it answered."""
+        self._record.software_version = None
+
     def begin(self, client: TargetClient, sending: OutgoingRequest, now: float) -> None:
         """Send the request.
 
--- a/src/primrosescale/request/incoming_request.py
+++ b/src/primrosescale/request/incoming_request.py
@@ -12,6 +12,7 @@
 from primrosescale.request.harm.content_fingerprint import content_fingerprint
 
 if TYPE_CHECKING:
+    from primrosescale.request.stream.stream_origin import StreamOrigin
     from primrosescale.version.routing_table import Route
 
 
@@ -100,6 +101,8 @@
     first_attempt_id : str
         Id of the caller's attempt that began the stream that this one resumes; empty
         when not given.
+    stream_origin : StreamOrigin | None
+        What began the stream, of which the caller has an event; None before that.
     """
 
     request_id: str
@@ -119,12 +122,20 @@
     traceparent: str = ""
     allowed_regions: frozenset[str] | None = None
     first_attempt_id: str = ""
+    stream_origin: StreamOrigin | None = None
 
     @property
     def fingerprint(self) -> int:
         """Return a digest of the content, equal for retries under other ids."""
         return content_fingerprint(self.organisation, self.path, self.body)
 
+    @property
+    def resumes_stream(self) -> bool:
+        """Return whether the caller already has events of the stream."""
+        if not self.route.is_stream:
+            return False
+        return self.last_event is not None or bool(self.first_attempt_id)
+
     @property
     def give_up_at(self) -> float:
         """Return the time by which the router answers at the latest, in seconds."""
--- /dev/null
+++ b/src/primrosescale/request/stream/__init__.py
@@ -0,0 +1,1 @@
+"""Resumption of streams at the software version that began them."""
--- a/tests/entry/test_entry_router.py
+++ b/tests/entry/test_entry_router.py
@@ -346,9 +346,13 @@
     @inlineCallbacks
     def test_the_line_of_a_resumed_stream_identifies_its_first_attempt(self):
         yield self.start()
+        yield self.ask(text(b"/story/x", rid=b"r0"), b"0\r\n\r\n")
         resumed = b"Last-Event-Id: 2\r\nResumes: r0\r\n"
         yield self.ask(text(b"/story/x", headers=resumed), b"0\r\n\r\n")
-        [details] = [values for name, values in self.events if name == "REQUEST_ENDED"]
+        first, details = [
+            values for name, values in self.events if name == "REQUEST_ENDED"
+        ]
+        self.assertEqual((None, None), (first["resumes"], first["last_event"]))
         self.assertEqual(("r0", 2), (details["resumes"], details["last_event"]))
         [attempt] = details["attempts"]
         self.assertEqual(2, attempt["resumed_after"])
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -7,12 +7,16 @@
 
 from __future__ import annotations
 
+import math
+from dataclasses import replace
+
 from testtools import TestCase
 from twisted.internet import reactor
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.endpoints import connectProtocol
 
+from entry.fakes import FRAGILE_STREAM
 from entry.fakes import STREAM
 from entry.fakes import ForwardingHarness
 from entry.fakes import event
@@ -20,9 +24,14 @@
 from entry.fakes import prompt
 from entry.fakes import request
 from entry.fakes import target
+from primrosescale.process.entry.target_list import TargetList
+from primrosescale.request.attempt.forwarding_interfaces import Refusal
+from primrosescale.request.stream.stream_origin import StreamOrigin
+from primrosescale.request.stream.stream_origin import stream_key
 from primrosescale.standin.scripted_engine import EngineScript
 from support.entry_site import Caller
 from support.entry_site import ask
+from support.entry_site import configuration
 from support.entry_site import text
 from support.router_site import LoopbackRouterTest
 
@@ -99,6 +108,158 @@
         self.assertTrue(sink.is_finished)
 
 
+class TakenUpStreamTest(TestCase):
+    """A request that takes a stream up whose version is known."""
+
+    def resume(self, versions, version, route=STREAM):
+        harness = ForwardingHarness(
+            [target(name, software_version=item) for name, item in versions.items()]
+        )
+        now = harness.clock.seconds()
+        origin = StreamOrigin("model", version)
+        values = {"last_event": 2, "deadline": now + 9.0, "stream_origin": origin}
+        call, sink = harness.call(request(route, now=now, **values))
+        return harness, call, sink
+
+    # Guards against leaving the version when one of its two targets fails.
+    def test_with_two_targets_of_its_version_it_may_change_between_them(self):
+        harness, _, sink = self.resume(VERSIONS, "v2")
+        first = harness.caller.last
+        first.observer.response_lost("reset")
+        second = harness.caller.last
+        self.assertEqual({"m3", "m4"}, {first.name, second.name})
+        self.assertEqual(2, second.sending.resume_after)
+        second.observer.response_lost("reset")
+        self.assertEqual(2, len(harness.caller.runs))
+        self.assertEqual(Refusal.CUT, sink.refusal)
+
+    def test_with_one_target_of_its_version_it_goes_there(self):
+        harness, _, sink = self.resume({"m1": "v1", "m2": "v2", "m3": "v1"}, "v2")
+        self.assertEqual(["m2"], [run.name for run in harness.caller.runs])
+        harness.caller.last.observer.response_lost("reset")
+        self.assertEqual(["m2"], [run.name for run in harness.caller.runs])
+        self.assertEqual(Refusal.CUT, sink.refusal)
+
+    # Guards against holding a request that no target can serve.
+    def test_without_a_target_of_its_version_it_is_refused_at_once(self):
+        for versions in ({"m1": "v1"}, {"m1": "v1", "m2": ""}):
+            harness, call, sink = self.resume(versions, "v2")
+            self.assertEqual([], harness.caller.runs)
+            self.assertTrue(call.is_over)
+            self.assertEqual(Refusal.VERSION_GONE, sink.refusal)
+            self.assertTrue(sink.refusal.is_not_run)
+
+    # Guards against a stream of a route that does not allow the router to resume it.
+    def test_a_caller_may_take_up_what_the_router_may_not(self):
+        versions = {"m1": "v1", "m2": "v2", "m3": "v1"}
+        harness, _, _ = self.resume(versions, "v2", route=FRAGILE_STREAM)
+        self.assertEqual(["m2"], [run.name for run in harness.caller.runs])
+
+    def test_targets_without_a_version_continue_streams_among_themselves(self):
+        harness, _, _ = self.resume({"m1": "", "m2": ""}, "")
+        harness.caller.last.observer.response_lost("reset")
+        self.assertEqual({"m1", "m2"}, {run.name for run in harness.caller.runs})
+
+
+class ReplacedTargetTest(TestCase):
+    """A target that restarts at its address with another software version."""
+
+    def harness(self):
+        self.began = []
+        harness = ForwardingHarness(
+            [
+                target("m1", software_version="v1", started_at=1),
+                target("m2", software_version="v1"),
+                target("m3", software_version="v2"),
+            ]
+        )
+        harness.tools.stream_began = lambda item, _: self.began.append(
+            item.stream_origin
+        )
+        return harness
+
+    def begin(self, harness):
+        """Begin a stream at the target that will be replaced; return call and run."""
+        others = [harness.state("m2"), harness.state("m3")]
+        for state in others:
+            state.update_entry(replace(state.target, is_draining=True))
+        now = harness.clock.seconds()
+        call, sink = harness.call(request(STREAM, now=now, deadline=now + 9.0))
+        for state in others:
+            state.update_entry(replace(state.target, is_draining=False))
+        run = harness.caller.last
+        self.assertEqual("m1", run.name)
+        return call, run, sink
+
+    def replaced(self, harness, call, version):
+        former = harness.state("m1").incarnation
+        call.target_replaced(former, version, harness.clock.seconds())
+
+    # Guards against continuing at v1 a stream that may have come from v2 already.
+    def test_a_stream_that_may_have_come_from_either_version_does_not_continue(self):
+        harness = self.harness()
+        call, run, sink = self.begin(harness)
+        run.observer.response_head(head())
+        run.observer.response_data(event(1))
+        self.replaced(harness, call, "v2")
+        run.observer.response_data(event(2))
+        self.assertIn(event(2), sink.body)
+        run.observer.response_lost("reset")
+        self.assertTrue(sink.is_broken)
+        versions = [origin.software_version for origin in self.began]
+        self.assertEqual(["v1", None], versions)
+
+    # Guards against recording the former version for the first event of the next.
+    def test_a_stream_that_begins_later_has_no_known_version(self):
+        harness = self.harness()
+        call, run, _ = self.begin(harness)
+        self.replaced(harness, call, "v2")
+        run.observer.response_head(head())
+        run.observer.response_data(event(1))
+        self.assertEqual([StreamOrigin("model", None)], self.began)
+
+    # Guards against appending events of the next version to those of the former.
+    def test_a_stream_that_was_continued_at_the_replaced_target_ends(self):
+        harness = self.harness()
+        call, run, sink = self.begin(harness)
+        run.observer.response_head(head())
+        run.observer.response_data(event(1))
+        run.observer.response_lost("reset")
+        second = harness.caller.last
+        self.assertEqual("m2", second.name)
+        former = harness.state("m2").incarnation
+        call.target_replaced(former, "v2", harness.clock.seconds())
+        self.assertTrue(second.is_cancelled)
+        self.assertTrue(sink.is_broken)
+
+    def test_a_restart_with_the_same_version_changes_nothing(self):
+        harness = self.harness()
+        call, run, _ = self.begin(harness)
+        run.observer.response_head(head())
+        run.observer.response_data(event(1))
+        self.replaced(harness, call, "v1")
+        run.observer.response_lost("reset")
+        self.assertEqual("m2", harness.caller.last.name)
+
+    # Guards against taking the next process for the former one because its entry
+    # states no start.
+    def test_an_entry_with_another_version_is_another_incarnation(self):
+        starts = []
+        targets = TargetList(2.0, starts.append)
+        targets.put(target("m1", software_version="v1"), 1.0)
+        first = targets.state("m1")
+        self.assertFalse(targets.put(target("m1", software_version="v1"), 2.0))
+        self.assertIs(first, targets.state("m1"))
+        # An entry of another writer that lacks the version says nothing of it.
+        targets.put(target("m1"), 3.0)
+        self.assertIs(first, targets.state("m1"))
+        targets.put(target("m1", software_version="v1"), 4.0)
+        self.assertIs(first, targets.state("m1"))
+        targets.put(target("m1", software_version="v2"), 5.0)
+        self.assertIsNot(first, targets.state("m1"))
+        self.assertEqual(["v1", "v2"], [item.software_version for item in starts])
+
+
 class ResumedStreamTest(LoopbackRouterTest):
     """A caller that takes its stream up again, at the same or at another router."""
 
@@ -198,3 +359,39 @@
             status = yield self.resume(self.routers[0], next_id, first_id)
             self.assertIn(b" 503 ", status)
             self.assertIs(None, self.version_of(next_id))
+
+    # Guards against a resumed stream that is sent to another service than its own.
+    @inlineCallbacks
+    def test_a_stream_whose_route_moved_to_another_service_is_refused(self):
+        yield self.start(1)
+        yield self.interrupt(self.routers[0], b"first")
+        moved = configuration(2)
+        moved["routes"][2]["service"] = "portal"
+        self.store.write("config", "main", moved)
+        yield self.until(lambda: self.routers[0]._version() == 2)
+        status = yield self.resume(self.routers[0], b"next", b"first")
+        self.assertIn(b" 503 ", status)
+
+    # Guards against drawing a service of a split route for a resumed stream.
+    @inlineCallbacks
+    def test_a_stream_of_a_split_route_resumes_at_its_service(self):
+        split = configuration()
+        weights = [
+            {"service": "model", "weight": 1},
+            {"service": "portal", "weight": 9},
+        ]
+        split["routes"][2]["split"] = weights
+        self.store.write("config", "main", split)
+        yield self.start(1, VERSIONS)
+        for number in range(PROMPTS):
+            self.start_target(EngineScript(name=f"p{number}"), version="v1")
+        router = self.routers[0]
+        records = router._stream_origins._records
+        origin = StreamOrigin("model", "v2")
+        for number in range(PROMPTS):
+            first_id, next_id = b"first%d" % number, b"next%d" % number
+            key = stream_key("bakery", first_id.decode())
+            records.record(key, origin, math.inf, 0.0)
+            status = yield self.resume(router, next_id, first_id)
+            self.assertEqual(b"HTTP/1.1 200 OK", status)
+            self.assertEqual("v2", self.version_of(next_id))
--- a/tools/generate_wire.py
+++ b/tools/generate_wire.py
@@ -103,6 +103,11 @@
     ("EndNews", "target"),
     ("EndNews", "is_try"),
     ("EndNews", "was_answered"),
+    ("StreamOriginReport", "software_version"),
+    ("StreamOriginAnswer", "service_name"),
+    ("StreamOriginAnswer", "software_version"),
+    ("StreamOriginAnswer", "only_version"),
+    ("StreamOriginAnswer", "has_several_versions"),
 ]
 ENUM_FIELDS = {
     ("CallFailed", "outcome"): "Outcome",
