Close hedges at a target that restarts with another version; split routes

A hedge at a target that was replaced by one of another version kept the former version, and would have bound the stream to it had it answered first. A continuation that was not answered yet withdrew the version of the stream although all its events had come from the former version. A stream of a split route without a record went on at a service drawn by lot.

--- a/src/primrosescale/process/entry/stream_resumption.py
+++ b/src/primrosescale/process/entry/stream_resumption.py
@@ -164,6 +164,10 @@
         if origin is None or version is None or origin.service not in services:
             call.refuse(Refusal.ORIGIN_UNKNOWN, None)
             return
+        if found.source is OriginSource.ONLY_VERSION and len(services) > 1:
+            # The route is split, and any of its services may have begun the stream.
+            call.refuse(Refusal.ORIGIN_UNKNOWN, None)
+            return
         request.service = origin.service
         request.stream_origin = origin
         self._submit(call, now)
--- a/src/primrosescale/request/attempt/forwarded_call.py
+++ b/src/primrosescale/request/attempt/forwarded_call.py
@@ -192,12 +192,14 @@
         now : float
             Present time in seconds.
         """
-        attempt = self._active.primary
-        if attempt is None or attempt.incarnation != former:
-            return
-        is_other = self._binding.target_replaced(attempt, software_version, now)
-        if is_other and attempt.continues_stream:
-            self._handle_lost(attempt, "target of another version", now)
+        primary, hedge = self._active.primary, self._active.hedge
+        if hedge is not None and hedge.incarnation == former:
+            self._drop_hedge("target started again", now)
+        if primary is None or primary.incarnation != former or not primary.was_sent:
+            return
+        is_other = self._binding.target_replaced(primary, software_version, now)
+        if is_other and primary.continues_stream:
+            self._handle_lost(primary, "target of another version", now)
 
     # Events of attempts
 
--- a/src/primrosescale/request/attempt/stream_binding.py
+++ b/src/primrosescale/request/attempt/stream_binding.py
@@ -74,7 +74,7 @@
         if attempt.software_version == software_version:
             return False
         attempt.version_uncertain()
-        if self._has_begun:
+        if self._has_begun and attempt.head is not None:
             request = self._request
             request.stream_origin = StreamOrigin(request.service, None)
             self._tools.stream_began(request, now)
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -17,6 +17,7 @@
 from twisted.internet.endpoints import connectProtocol
 
 from entry.fakes import FRAGILE_STREAM
+from entry.fakes import START
 from entry.fakes import STREAM
 from entry.fakes import ForwardingHarness
 from entry.fakes import event
@@ -218,19 +219,46 @@
         run.observer.response_data(event(1))
         self.assertEqual([StreamOrigin("model", None)], self.began)
 
+    def continue_at(self, harness, run, name):
+        """Interrupt a stream after an event; return the run that continues it."""
+        run.observer.response_head(head())
+        run.observer.response_data(event(1))
+        run.observer.response_lost("reset")
+        self.assertEqual(name, harness.caller.last.name)
+        return harness.caller.last
+
     # Guards against appending events of the next version to those of the former.
     def test_a_stream_that_was_continued_at_the_replaced_target_ends(self):
         harness = self.harness()
         call, run, sink = self.begin(harness)
-        run.observer.response_head(head())
-        run.observer.response_data(event(1))
-        run.observer.response_lost("reset")
-        second = harness.caller.last
-        self.assertEqual("m2", second.name)
-        former = harness.state("m2").incarnation
-        call.target_replaced(former, "v2", harness.clock.seconds())
+        second = self.continue_at(harness, run, "m2")
+        second.observer.response_head(head())
+        call.target_replaced(second.sending.target.incarnation, "v2", START)
         self.assertTrue(second.is_cancelled)
         self.assertTrue(sink.is_broken)
+        self.assertIsNone(self.began[-1].software_version)
+
+    # Guards against giving up a stream of which the replaced target sent nothing.
+    def test_a_stream_that_the_replaced_target_has_not_answered_keeps_its_version(self):
+        harness = self.harness()
+        call, run, _ = self.begin(harness)
+        second = self.continue_at(harness, run, "m2")
+        call.target_replaced(second.sending.target.incarnation, "v2", START)
+        self.assertTrue(second.is_cancelled)
+        self.assertEqual(["v1"], [origin.software_version for origin in self.began])
+
+    # Guards against a hedge that answers from the next version.
+    def test_a_hedge_at_the_replaced_target_is_closed(self):
+        harness = self.harness()
+        call, run, _ = self.begin(harness)
+        run.observer.response_head(head())
+        run.observer.response_data(event(1))
+        harness.pass_time(0.6)
+        hedge = harness.caller.last
+        self.assertEqual("m2", hedge.name)
+        call.target_replaced(hedge.sending.target.incarnation, "v2", START)
+        self.assertTrue(hedge.is_cancelled)
+        self.assertFalse(run.is_cancelled)
 
     def test_a_restart_with_the_same_version_changes_nothing(self):
         harness = self.harness()
@@ -289,13 +317,19 @@
     @inlineCallbacks
     def interrupt(self, router, request_id):
         """Begin a stream and reset the caller's connection after its second event."""
+        caller = yield self.begin(router, request_id)
+        caller.transport.abortConnection()
+
+    @inlineCallbacks
+    def begin(self, router, request_id):
+        """Begin a stream; return the caller's connection after its second event."""
         bound = router.bound[router._settings.callers]
         client = TCP4ClientEndpoint(reactor, bound.address, bound.port)
         caller = yield connectProtocol(client, Caller())
         caller.transport.write(self.story(request_id))
         yield caller.until(lambda c: c.is_closed or b"id: 2\n" in c.data)
         self.assertFalse(caller.is_closed, caller.data)
-        caller.transport.abortConnection()
+        return caller
 
     @inlineCallbacks
     def resume(self, router, request_id, first_id):
@@ -360,6 +394,21 @@
             self.assertIn(b" 503 ", status)
             self.assertIs(None, self.version_of(next_id))
 
+    # Guards against resuming at the former version what the next one may have sent.
+    @inlineCallbacks
+    def test_a_stream_whose_target_changed_its_version_meanwhile_is_refused(self):
+        yield self.start(2, {"m1": "v1"})
+        caller = yield self.begin(self.routers[0], b"first")
+        entry = self.store.content("servers", "m1")
+        self.store.write("servers", "m1", {**entry, "version": "v2"})
+        self.start_target(EngineScript(name="m2"), service="model", version="v1")
+        for router in self.routers:
+            yield self.until(lambda router=router: self.knows(router, 2))
+        caller.transport.abortConnection()
+        for router in self.routers:
+            status = yield self.resume(router, b"next", b"first")
+            self.assertIn(b" 503 ", status)
+
     # Guards against a resumed stream that is sent to another service than its own.
     @inlineCallbacks
     def test_a_stream_whose_route_moved_to_another_service_is_refused(self):
@@ -395,3 +444,31 @@
             status = yield self.resume(router, next_id, first_id)
             self.assertEqual(b"HTTP/1.1 200 OK", status)
             self.assertEqual("v2", self.version_of(next_id))
+
+    # Guards against guessing the service of a stream of a split route.
+    @inlineCallbacks
+    def test_a_stream_of_a_split_route_without_a_record_is_refused(self):
+        split = configuration()
+        weights = [
+            {"service": "model", "weight": 1},
+            {"service": "portal", "weight": 9},
+        ]
+        split["routes"][2]["split"] = weights
+        self.store.write("config", "main", split)
+        for service in ("model", "portal"):
+            self.start_target(EngineScript(name=service), service=service, version="v1")
+        router = self.start_router("r1", is_first_start=True)
+        yield self.until(lambda: self.knows(router, 2))
+        status = yield self.resume(router, b"next", b"unheard-of")
+        self.assertIn(b" 503 ", status)
+
+    # Guards against refusing streams where the service has had one version only.
+    @inlineCallbacks
+    def test_a_stream_without_a_record_goes_on_at_the_only_version(self):
+        self.start_target(EngineScript(events=4), service="model", version="v1")
+        router = self.start_router("r1", is_first_start=True)
+        yield self.until(lambda: self.knows(router, 1))
+        yield self.until(lambda: router._stream_origins._history._last_listed)
+        for first_id in (b"unheard-of", b""):
+            status = yield self.resume(router, b"next", first_id)
+            self.assertEqual(b"HTTP/1.1 200 OK", status)
