Soak: engines of two software versions, and callers that take streams up again

All events of a stream come from one version, over all attempts; where two targets of the version serve, at least half as many of the streams that are taken up begin as of new ones.

Recovery does not count a request that one of these callers left by plan.

--- a/src/primrosescale/standin/scripted_engine.py
+++ b/src/primrosescale/standin/scripted_engine.py
@@ -167,6 +167,8 @@
         Returns how long work takes at present, as a multiple of the usual time.
     padding : dict[bytes, int]
         Bytes that plain answers get in addition, by the first part of the path.
+    event_suffix : bytes
+        Added to the data of each event, such as the version of its software.
     current_incarnation : EngineIncarnation
         State of its present incarnation.
     """
@@ -191,6 +193,7 @@
     max_waiting: int = 0
     pace: Callable[[], float] = lambda: 1.0
     padding: dict[bytes, int] = field(default_factory=dict)
+    event_suffix: bytes = b""
     current_incarnation: EngineIncarnation = field(default_factory=EngineIncarnation)
 
     @property
@@ -301,6 +304,7 @@
             content.read(),
         )
         self._receipt = self._script.receipt
+        self._event_suffix = self._script.event_suffix
         self._script.arrivals.append(self._received)
         fault = self._script.faults.pop(0) if self._script.faults else None
         self._is_over_slots = self._script.is_full
@@ -407,7 +411,7 @@
             channel.call_later(0.01, channel.transport.abortConnection)
             return
         word = self._request_id if self._script.echoes_request_id else b"word"
-        self.write(b"id: %d\ndata: %b\n\n" % (number, word))
+        self.write(b"id: %d\ndata: %b%b\n\n" % (number, word, self._event_suffix))
         channel.call_later(
             self._script.gap * self._script.pace(),
             lambda: self._send_event(number + 1, fault),
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from dataclasses import field
 from math import inf
 
+# An event with its id, the request that it answers and the version of its engine.
+EVENT = re.compile(rb"id: (\d+)\ndata: ([^\s@]+)(?:@(\S+))?\n\n")
 ANSWERED = "answered"
 CUT = "cut"
 LEFT = "left"
@@ -44,6 +47,12 @@
     # Seconds after which the refused caller is asked to return.
     retry_after: float | None = None
     is_return: bool = False
+    # Attempt that began the stream which this one takes up, and the last event that
+    # the caller has of it.
+    first_attempt: str = ""
+    last_event: int = 0
+    # Whether its caller is one of those that leave many streams before their end.
+    leaves_early: bool = False
 
     @property
     def may_retry(self):
@@ -98,6 +107,7 @@
     at: float
     until: float = inf
     domain: str = ""
+    software_version: str = ""
 
     @property
     def scopes(self):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -31,6 +31,7 @@
 from soak import promises
 from soak import schedule
 from soak import surges
+from soak import versions
 from soak.backends import COLD_SECONDS
 from soak.backends import DOMAINS
 from soak.backends import EVENTS
@@ -120,6 +121,7 @@
         domains=False,
         statements=False,
         surge=False,
+        has_versions=False,
     ):
         self._rng = random.Random(seed)
         # A separate generator, so that its draws do not change those of the main one.
@@ -150,6 +152,10 @@
             self._callers += surges.apply(
                 self._backends, seed, self._fleet, self.history
             )
+        if has_versions:
+            self._callers += versions.apply(
+                self._backends, seed, self._fleet, self.history
+            )
         self._harmful = [
             HarmfulCaller(
                 b"harm%d" % n,
@@ -706,6 +712,11 @@
         action="store_true",
         help="also exceed the capacity of the targets, whose hosts vary in pace",
     )
+    parser.add_argument(
+        "--versions",
+        action="store_true",
+        help="also run engines of two software versions, and take streams up again",
+    )
     parser.add_argument(
         "--overload",
         action="store_true",
@@ -729,6 +740,7 @@
             domains=arguments.domains,
             statements=arguments.statements,
             surge=arguments.surges,
+            has_versions=arguments.versions,
         )
         # Runs also when the soak is terminated.
         reactor.addSystemEventTrigger("before", "shutdown", soak.stop)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -61,6 +61,9 @@
     def test_demand_over_capacity_breaks_no_promise(self):
         self.assert_no_promise_broken({20261207: 15}, extra_series=["surges"])
 
+    def test_streams_among_two_versions_break_no_promise(self):
+        self.assert_no_promise_broken({20261208: 15}, extra_series=["versions"])
+
     def assert_no_promise_broken(
         self, wanted, without=(), harmful=0, *, extra_series=()
     ):
