Do not give up attempts at a target that restarted with the same version

A hedge at a target that started again with the version that it had was closed, and a plain request with Last-Event-Id at one that changed its version was given up, though its answer comes whole from one target. Found by reading; two tests.

--- a/src/primrosescale/request/attempt/forwarded_call.py
+++ b/src/primrosescale/request/attempt/forwarded_call.py
@@ -193,8 +193,11 @@
             Present time in seconds.
         """
         primary, hedge = self._active.primary, self._active.hedge
+        if not self._request.route.is_stream:
+            return
         if hedge is not None and hedge.incarnation == former:
-            self._drop_hedge("target started again", now)
+            if hedge.software_version != software_version:
+                self._drop_hedge("target of another version", now)
         if primary is None or primary.incarnation != former or not primary.was_sent:
             return
         is_other = self._binding.target_replaced(primary, software_version, now)
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -256,10 +256,21 @@
         harness.pass_time(0.6)
         hedge = harness.caller.last
         self.assertEqual("m2", hedge.name)
+        call.target_replaced(hedge.sending.target.incarnation, "v1", START)
+        self.assertFalse(hedge.is_cancelled)
         call.target_replaced(hedge.sending.target.incarnation, "v2", START)
         self.assertTrue(hedge.is_cancelled)
         self.assertFalse(run.is_cancelled)
 
+    # Guards against giving up plain answers, which come whole from one target.
+    def test_a_plain_request_at_the_replaced_target_goes_on(self):
+        harness = ForwardingHarness([target("p1", "portal", software_version="v1")])
+        call, sink = harness.call(request(last_event=2))
+        run = harness.caller.last
+        call.target_replaced(run.sending.target.incarnation, "v2", START)
+        run.answer(200, b"whole")
+        self.assertEqual(b"whole", sink.body)
+
     def test_a_restart_with_the_same_version_changes_nothing(self):
         harness = self.harness()
         call, run, _ = self.begin(harness)
