--- a/review/standins.py
+++ b/review/standins.py
@@ -16,7 +16,9 @@
 import signal
 import socket
 import subprocess
+import sys
 import time
+import tomllib
 from pathlib import Path
 from urllib.parse import parse_qs
 from urllib.parse import unquote
@@ -27,7 +29,6 @@
 MODEL = "model-desk"
 PORTAL = "portal-api"
 HEARTBEAT_SECONDS = 1.2
-METRICS_PORT = 9464
 # The figures of rpe-maina (SYSTEM.md).
 BOUNDS = {
     "seed_lag_s": 3,
@@ -401,9 +402,10 @@
         """Return the first lines of an answer."""
         lines = [
             f"HTTP/1.1 {status} X",
-            f"Primrosescale-Request-Id: {number}",
             "Keep-Alive: timeout=30",
         ]
+        if number:
+            lines.append(f"Primrosescale-Request-Id: {number}")
         if is_run:
             lines.append(f"Primrosescale-Response-Signature: {self.name}.{number}")
         else:
@@ -547,9 +549,9 @@
         settings.write_text(json.dumps(self._settings()))
         self._is_first = False
         log = (self._folder / f"{self.name}.log").open("ab")
-        words = ["python3", "-S", "-OO", "-m", "primrosescale.platform"]
+        deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self._process = subprocess.Popen(
-            [*words, f"--metrics_port={METRICS_PORT}"],
+            deploy["roles"]["router"]["run"].split(" "),
             cwd=ROOT,
             env={
                 "PATH": os.environ["PATH"],
@@ -724,6 +726,7 @@
     is_troubled = os.environ.get("TROUBLE", "1") != "0"
     record.line("trouble: " + ("yes" if is_troubled else "none"))
     routers = []
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     async def bounded():
         async with asyncio.timeout(110):
@@ -731,7 +734,7 @@
 
     try:
         broken = asyncio.run(bounded())
-    except (CouldNotRunError, TimeoutError, OSError) as error:
+    except Exception as error:  # noqa: BLE001 - says nothing about the rule
         record.line(f"could not run: {error!r}")
         return 2
     finally:
