Log what each router uses of the shared retry budgets

Whether routers exceed the bound on retries because they forget what they sent, because they divide by too few routers or because nobody charged a retry could not be told from the lines of a fleet. The budgets move to a class of their own; nothing else changes.

--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from primrosescale.request.attempt.forwarded_call import ForwardedCall
+    from primrosescale.request.attempt.shared_retry_budget import RetryUsage
     from primrosescale.request.attempt.silent_target import SilenceReport
     from primrosescale.request.stream.origin_search import OriginSource
 
@@ -114,6 +115,18 @@
             ["kind"],
             registry=self._registry,
         )
+        self._retries = Gauge(
+            "primrosescale_retries",
+            "Retries in the window of the shared retry budget",
+            ["service"],
+            registry=self._registry,
+        )
+        self._refused_retries = Counter(
+            "primrosescale_refused_retries",
+            "Retries that the shared retry budget did not allow",
+            ["service"],
+            registry=self._registry,
+        )
         self._capacity = Gauge(
             "primrosescale_overload_capacity",
             "Requests that all routers together should have at the targets",
@@ -277,6 +290,19 @@
         """
         self._unreadable_records.labels(kind).set(number)
 
+    def retries_used(self, service: str, usage: RetryUsage) -> None:
+        """Record what was used of the retry budget of a service.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        usage : RetryUsage
+            The usage since the last record.
+        """
+        self._retries.labels(service).set(usage.retries)
+        self._refused_retries.labels(service).inc(usage.refused)
+
     def capacity(self, service: str, capacity: float, demand: float) -> None:
         """Set capacity and demand of a service with overload control.
 
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -35,6 +35,7 @@
 from primrosescale.process.entry.planned_stop import PlannedStop
 from primrosescale.process.entry.request_log import call_fields
 from primrosescale.process.entry.request_log import refused_fields
+from primrosescale.process.entry.retry_reports import RetryReports
 from primrosescale.process.entry.router_datagrams import RouterRegistry
 from primrosescale.process.entry.router_datagrams import StateExchangeProtocol
 from primrosescale.process.entry.start_version_exchange import StartVersionExchange
@@ -53,7 +54,7 @@
 from primrosescale.request.attempt.forwarded_call import ForwardedCall
 from primrosescale.request.attempt.forwarding_context import ForwardingContext
 from primrosescale.request.attempt.forwarding_interfaces import Refusal
-from primrosescale.request.attempt.shared_retry_budget import SharedRetryBudget
+from primrosescale.request.attempt.shared_retry_budgets import SharedRetryBudgets
 from primrosescale.request.capacity.cold_targets import ColdTargets
 from primrosescale.request.capacity.isolated_retry import isolated_retry_delay
 from primrosescale.request.capacity.router_shares import RouterShares
@@ -246,7 +247,8 @@
             parts,
             self._exchange_protocol.send_soon,
         )
-        self._budgets: dict[str, SharedRetryBudget] = {}
+        self._retry_budgets = SharedRetryBudgets(settings.repeats)
+        self._retry_reports = RetryReports(self._retry_budgets, self._routers, parts)
         self._resolver = RequestResolver(
             self._store_state.freshness, settings.not_found_max_age, parts.rng
         )
@@ -268,7 +270,7 @@
             ),
             parts=self._prefix_index,
             states_of=targets.of_service,
-            budget_of=self._budget_of,
+            budget_of=self._retry_budgets.of,
             routers=self._routers,
             parts_changed=self._exchange_protocol.send_soon,
             start_span=self._start_span,
@@ -393,7 +395,7 @@
             self._harmful_requests.configure(settings.harm)
             self._cold_targets.configure(settings.cold)
             self._overload.configure(settings.overload)
-            self._budgets.clear()
+            self._retry_budgets.configure(settings.repeats)
         if is_requested or is_changed:
             self._log.emit(Event.SETTINGS_RELOADED, is_changed=is_changed)
 
@@ -552,12 +554,6 @@
             told_by=evacuation_list.told_by,
         )
 
-    def _budget_of(self, service: str) -> SharedRetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = SharedRetryBudget(self._settings.repeats)
-        return budget
-
     def _routers(self) -> int:
         listed = self._registry.routers
         return ASSUMED_ROUTERS if listed is None else listed
@@ -609,6 +605,7 @@
             self._harm_monitor.target_ended(incarnation, ENTRY_GONE, now)
             self._target_client.forget(incarnation.name)
         self._cold_targets.sweep(now)
+        self._retry_reports.emit_due(now)
         self._log_readiness(now)
         dropped = (
             self._dependencies.writer.take_dropped() if self._dependencies.writer else 0
--- a/src/primrosescale/request/attempt/shared_retry_budget.py
+++ b/src/primrosescale/request/attempt/shared_retry_budget.py
@@ -35,6 +35,25 @@
     extra: float
 
 
+@dataclass(frozen=True, slots=True)
+class RetryUsage:
+    """What one router used of the retry budget of one service, for the log.
+
+    Parameters
+    ----------
+    requests : int
+        New requests of callers in the window.
+    retries : int
+        Retries in the window.
+    refused : int
+        Retries that the budget did not allow, since the last report.
+    """
+
+    requests: int
+    retries: int
+    refused: int
+
+
 class SharedRetryBudget:
     """One router's share of the retry budget of one service.
 
@@ -44,12 +63,13 @@
         The limits for all routers together.
     """
 
-    __slots__ = ("_bounds", "_requests", "_retries")
+    __slots__ = ("_bounds", "_refused", "_requests", "_retries")
 
     def __init__(self, bounds: SharedRetryLimits) -> None:
         self._bounds = bounds
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
+        self._refused = 0
 
     def requested(self, now: float) -> None:
         """Count a new request of a caller.
@@ -81,10 +101,28 @@
         bounds = self._bounds
         allowed = bounds.ratio * len(self._requests) + bounds.extra / max(1, routers)
         if len(self._retries) + 1 > SAFETY_FACTOR * allowed:
+            self._refused += 1
             return False
         self._retries.append(now)
         return True
 
+    def take_usage(self, now: float) -> RetryUsage:
+        """Return what was used, and count refused retries anew.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        RetryUsage
+            The usage.
+        """
+        self._drop_expired(now)
+        refused, self._refused = self._refused, 0
+        return RetryUsage(len(self._requests), len(self._retries), refused)
+
     def _drop_expired(self, now: float) -> None:
         for times in (self._requests, self._retries):
             while times and now - times[0] > self._bounds.window:
