--- /dev/null
+++ b/tests/entry/test_retry_budget.py
@@ -0,0 +1,151 @@
+"""Routers on sockets stay within the retry budget that they share.
+
+Guards against retries that pile up beyond the bound of a service: what a router had
+sent was forgotten when it started again or read new settings, and the others' shares
+grew as soon as it stopped. All targets decline all requests, so that each budget is
+used up.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+from testtools.matchers import GreaterThan
+from twisted.internet import reactor
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import LoopingCall
+from twisted.internet.task import deferLater
+
+from primrosescale.platform.http_codec import REQUEST_ID
+from primrosescale.request.attempt.shared_retry_budget import SharedRetryLimits
+from primrosescale.standin.scripted_engine import EngineFault
+from primrosescale.standin.scripted_engine import EngineScript
+from support.entry_site import router_settings
+from support.retry_rule import worst_excess
+from support.router_site import LoopbackRouterTest
+
+LIMITS = SharedRetryLimits(ratio=0.2, window=2.0, extra=30.0)
+ROUTERS = 4
+TARGETS = 3
+REQUESTS_PER_SECOND = 80
+WARM_UP_SECONDS = 2.5
+PLAY_SECONDS = 4.0
+
+
+class EveryRequest(list):
+    """Faults of an engine that declines all requests."""
+
+    def __bool__(self):
+        return True
+
+    def pop(self, index=0):
+        return EngineFault.DECLINE
+
+
+class RetryBudgetTest(LoopbackRouterTest):
+    @inlineCallbacks
+    def setUp(self):
+        super().setUp()
+        self.rng = random.Random(7)
+        self.requests = []
+        self.arrivals = []
+        self.retries = []
+        self.seen = set()
+        for number in range(TARGETS):
+            script = EngineScript(
+                name=f"i-{number}", faults=EveryRequest(), on_arrival=self.arrived
+            )
+            self.start_target(script, slots=64)
+        self.routers = {}
+        self.numbers = itertools.count(1)
+        self.hosts = [f"r{next(self.numbers)}" for _ in range(ROUTERS)]
+        for name in self.hosts:
+            self.begin(name)
+        yield self.until(
+            lambda: all(self.knows(each, TARGETS) for each in self.routers.values())
+        )
+
+    def begin(self, name):
+        self.routers[name] = self.start_router(
+            name, repeats=LIMITS, is_first_start=not self.requests
+        )
+
+    def arrived(self, received):
+        now = reactor.seconds()
+        self.arrivals.append(now)
+        request_id = received.headers[REQUEST_ID.lower()]
+        if request_id in self.seen:
+            self.retries.append(now)
+        self.seen.add(request_id)
+
+    def send(self):
+        ready = [each for each in self.routers.values() if each.is_ready]
+        if ready:
+            self.requests.append(reactor.seconds())
+            self.ask(self.rng.choice(ready)).addErrback(lambda _: None)
+
+    @inlineCallbacks
+    def play(self, disturb, interval):
+        """Send requests while one router after the other is disturbed."""
+        callers = LoopingCall(self.send)
+        callers.start(1 / REQUESTS_PER_SECOND)
+        try:
+            yield deferLater(reactor, WARM_UP_SECONDS, lambda: None)
+            until = reactor.seconds() + PLAY_SECONDS
+            while reactor.seconds() < until:
+                self.hosts.append(self.hosts.pop(0))
+                yield disturb(self.hosts[-1])
+                yield deferLater(reactor, interval, lambda: None)
+        finally:
+            callers.stop()
+        self.assertThat(len(self.retries), GreaterThan(0.1 * len(self.requests)))
+        self.assertEqual(0, worst_excess(self.requests, self.retries, LIMITS))
+
+    def end(self, router):
+        """End a router as a kill does; its entry stays in the store."""
+        router._store_state.stop()
+        router._close()
+
+    def kill(self, name):
+        self.end(self.routers[name])
+        self.begin(name)
+
+    def replace(self, name):
+        """Kill a router whose host is removed, and start one on a new host."""
+        self.end(self.routers.pop(name))
+        self.store.remove("routers", name)
+        self.hosts = [each for each in self.hosts if each != name]
+        self.hosts.append(f"r{next(self.numbers)}")
+        self.begin(self.hosts[-1])
+
+    def change_settings(self, name):
+        router = self.routers[name]
+        settings = router_settings(
+            name, repeats=LIMITS, max_requests=self.rng.randrange(90, 110)
+        )
+        router._dependencies.read_settings = lambda: settings
+        router.reload()
+
+    def test_routers_that_nothing_happens_to(self):
+        return self.play(lambda name: None, 0.2)
+
+    # Each start gave a router its whole share anew.
+    def test_routers_that_are_killed_one_after_the_other(self):
+        return self.play(self.kill, 0.2)
+
+    # The shares of the others grew while what a removed router had sent still counted.
+    def test_routers_that_are_removed_and_added(self):
+        return self.play(self.replace, 0.2)
+
+    # Routers that start together were each given a whole share anew.
+    def test_routers_that_are_all_killed_at_once(self):
+        def kill_all(_):
+            for name in self.hosts:
+                self.kill(name)
+
+        return self.play(kill_all, 1.0)
+
+    # A change of any setting dropped the counts.
+    def test_routers_whose_settings_change(self):
+        return self.play(self.change_settings, 0.1)
--- /dev/null
+++ b/tests/support/retry_fleet.py
@@ -0,0 +1,153 @@
+"""Simulates the retry budgets of many routers on a virtual clock.
+
+Only the budgets are real. Each request fails as often as it is sent, so that each
+budget is used up; the routers start, end and learn of each other as a test says.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+
+from primrosescale.request.attempt.shared_retry_budgets import SharedRetryBudgets
+from support.retry_rule import worst_excess
+
+SERVICE = "portal"
+START = 1000.0
+STEP_SECONDS = 0.05
+# After this time a router knows of a change of the list, if it reaches the store.
+LIST_DELAY_SECONDS = 1.0
+ASSUMED_ROUTERS = 8
+
+
+class BudgetRouter:
+    """One router: its budgets and the number of routers that it knows of."""
+
+    def __init__(self, name, limits, now, known):
+        self.name = name
+        self.known = known
+        self.reaches_store = True
+        self.budgets = SharedRetryBudgets(limits)
+
+    def requested(self, now):
+        self.budgets.of(SERVICE).requested(now)
+
+    def spend(self, now):
+        routers = ASSUMED_ROUTERS if self.known is None else self.known
+        return self.budgets.of(SERVICE).spend(routers, now)
+
+
+class RetryFleet:
+    """Routers, the list of them, and callers whose requests all fail.
+
+    Parameters
+    ----------
+    routers : int
+        How many.
+    limits : SharedRetryLimits
+        The bound for all of them.
+    rate : float
+        Requests a second.
+    wanted : int
+        Retries that each request needs.
+    failure_delay : float
+        Seconds from a request to its first failure.
+    """
+
+    def __init__(self, routers, limits, rate, *, wanted=3, failure_delay=0.0):
+        self.limits = limits
+        self.rate = rate
+        self.wanted = wanted
+        self.failure_delay = failure_delay
+        self.now = START
+        self.requests = []
+        self.retries = []
+        self.refused = 0
+        self.rng = random.Random(f"{routers} {rate}")
+        # Share of the requests of each router, by name; equal for all without an entry.
+        self.weights = {}
+        self.routers = {}
+        self.listed = set()
+        self._lists = [(START - LIST_DELAY_SECONDS, 0)]
+        self._failing = []
+        self._order = itertools.count()
+        self._open = 0.0
+        for number in range(routers):
+            self.listed.add(f"r{number}")
+        self._note_list()
+        self._lists = [(START - LIST_DELAY_SECONDS, routers)]
+        for name in sorted(self.listed):
+            self.start(name)
+
+    def start(self, name, *, reaches_store=True):
+        """Start a router, without what an earlier process of it knew."""
+        known = len(self.listed) if reaches_store else None
+        self.routers[name] = BudgetRouter(name, self.limits, self.now, known)
+        self.routers[name].reaches_store = reaches_store
+
+    def kill(self, name):
+        self.routers.pop(name, None)
+
+    def restart(self, name):
+        self.kill(name)
+        self.start(name)
+
+    def list(self, name):
+        self.listed.add(name)
+        self._note_list()
+
+    def delist(self, name):
+        self.listed.discard(name)
+        self._note_list()
+
+    def _note_list(self):
+        self._lists.append((self.now, len(self.listed)))
+
+    def run(self, seconds, disturb=None, interval=1.0):
+        """Let time pass; call `disturb` with a number at each interval."""
+        until = self.now + seconds
+        due, number = self.now, 0
+        while self.now < until:
+            if disturb is not None and self.now >= due:
+                disturb(number)
+                number += 1
+                due += interval
+            self._step()
+            self.now += STEP_SECONDS
+
+    def _step(self):
+        known = [n for at, n in self._lists if at + LIST_DELAY_SECONDS <= self.now][-1]
+        for router in self.routers.values():
+            if router.reaches_store:
+                router.known = known
+        self._open += self.rate * STEP_SECONDS
+        names = list(self.routers)
+        weights = [self.weights.get(name, 1.0) for name in names]
+        while self._open >= 1.0:
+            self._open -= 1.0
+            self.requests.append(self.now)
+            if names and sum(weights):
+                router = self.routers[self.rng.choices(names, weights)[0]]
+                router.requested(self.now)
+                self._fail_later(router)
+        while self._failing and self._failing[0][0] <= self.now:
+            self._fail(heapq.heappop(self._failing)[-1])
+
+    def _fail_later(self, router):
+        at = self.now + self.failure_delay
+        heapq.heappush(self._failing, (at, next(self._order), router))
+
+    def _fail(self, router):
+        if self.routers.get(router.name) is not router:
+            return
+        for _ in range(self.wanted):
+            if not router.spend(self.now):
+                self.refused += 1
+                return
+            self.retries.append(self.now)
+
+    @property
+    def excess(self):
+        """Return by how much the bound was exceeded; 0 if it held."""
+        return worst_excess(self.requests, self.retries, self.limits)
