Keep the retries of all routers within their bound when routers start, stop and move

Callers' requests were sent again more often than all routers together may: a service got more arrivals beyond the first of each request than 0.2 x its requests + a fixed number in 10 s, which adds load where targets fail already.

Cause: each router counted for itself what it had sent, in its memory, and took its share of the fixed number whole from the first moment on. A process that started again had it anew, a change of the settings dropped the counts, and the number of routers that it is divided by fell as soon as one stopped, while what that one had sent counted on. Besides, requests paid for retries in two windows. Class: an allowance that is granted whole to whoever has forgotten what he used.

Evidence: real routers on the code before, 212 lines (r0 16 retries, stopped, started, 17 retries within 2 s of 26 requests, divided by 5 of 8 routers); the tests named below.

Now a router saves its part of the fixed number up, from nothing at its start, divides by the largest list of the last window, and lets a request pay for half a retry share in each of two windows. So what all processes of a host send together is bounded as for one that never ends, and the sum over routers by one window's requests, whatever the traffic did. Silent routers that are taken off the list without the store's consent still count.

entry.test_retry_budget: 9 to 71 retries above the bound in 2 s before, none after; request.test_retry_budget_fleet: 9.6 to 690 in 10 s before, none after.

--- a/src/primrosescale/platform/entry.py
+++ b/src/primrosescale/platform/entry.py
@@ -27,7 +27,7 @@
 from primrosescale.process.entry.log_writer import LogWriter
 from primrosescale.process.entry.store_watch import WatchedPrefix
 from primrosescale.process.events import EventLog
-from primrosescale.request.attempt.shared_retry_budget import SharedRetryLimits
+from primrosescale.request.attempt.retry_share import SharedRetryLimits
 from primrosescale.request.capacity.cold_targets import ColdSettings
 from primrosescale.request.capacity.overload_settings import OverloadMode
 from primrosescale.request.capacity.overload_settings import OverloadSettings
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -115,6 +115,9 @@
 # keys may be accepted for 5 s. In an outage that affects all routers, they notice it up
 # to 2 s apart.
 STORE_LOST_SECONDS = 1.0
+# Routers that reach the store take one that is cut off from it and from them off the
+# list 60 s later, and use its share.
+MAX_LIST_AGE_SECONDS = 50.0
 # The settings file is polled because it may change without a signal. Reading its 2 KB
 # takes 0.1 ms.
 REREAD_SECONDS = 2.0
@@ -247,8 +250,10 @@
             parts,
             self._exchange_protocol.send_soon,
         )
-        self._retry_budgets = SharedRetryBudgets(settings.repeats)
-        self._retry_reports = RetryReports(self._retry_budgets, self._routers, parts)
+        self._retry_budgets = SharedRetryBudgets(
+            settings.repeats, is_first_start=settings.is_first_start
+        )
+        self._retry_reports = RetryReports(self._retry_budgets, parts)
         self._resolver = RequestResolver(
             self._store_state.freshness, settings.not_found_max_age, parts.rng
         )
@@ -271,7 +276,6 @@
             parts=self._prefix_index,
             states_of=targets.of_service,
             budget_of=self._retry_budgets.of,
-            routers=self._routers,
             parts_changed=self._exchange_protocol.send_soon,
             start_span=self._start_span,
             silence_judged=self._silence_judged,
@@ -560,16 +564,20 @@
 
     def _routers_changed(self) -> None:
         now = self._now()
+        self._set_routers(now)
         self._resumption.refresh(now)
         self._start_versions.begin(self._exchange_protocol.send, now)
 
     def _set_routers(self, now: float) -> None:
         """Divide the rates that all routers share among the routers listed now."""
-        if self._registry.routers is None:
+        names = self._registry.names
+        if names is None:
             return
-        others = {router.name for router in self._state_exchange.others}
-        names = frozenset({self._settings.name, *others})
-        self._shares.set_routers(names, now, was_listed=self._registry.was_listed)
+        was_listed = self._registry.was_listed
+        self._shares.set_routers(names, now, was_listed=was_listed)
+        is_list_old = self._store_state.lost_for(now) >= MAX_LIST_AGE_SECONDS
+        routers = None if is_list_old else len(names)
+        self._retry_budgets.set_routers(routers, now, was_listed=was_listed)
 
     def _service(self, name: str) -> Service | None:
         table = self._store_state.table
--- a/src/primrosescale/process/entry/entry_settings.py
+++ b/src/primrosescale/process/entry/entry_settings.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from primrosescale.connection.endpoint import Endpoint
     from primrosescale.process.entry.store_watch import WatchedPrefix
-    from primrosescale.request.attempt.shared_retry_budget import SharedRetryLimits
+    from primrosescale.request.attempt.retry_share import SharedRetryLimits
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/primrosescale/process/entry/retry_reports.py
+++ b/src/primrosescale/process/entry/retry_reports.py
@@ -7,8 +7,6 @@
 from primrosescale.process.events import Event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from primrosescale.process.entry.entry_dependencies import EntryDependencies
     from primrosescale.request.attempt.shared_retry_budgets import SharedRetryBudgets
 
@@ -23,20 +21,12 @@
     ----------
     budgets : SharedRetryBudgets
         The budgets.
-    routers : Callable[[], int]
-        Returns the number of routers that share them, as known here.
     parts : EntryDependencies
         Collaborators of the router.
     """
 
-    def __init__(
-        self,
-        budgets: SharedRetryBudgets,
-        routers: Callable[[], int],
-        parts: EntryDependencies,
-    ) -> None:
+    def __init__(self, budgets: SharedRetryBudgets, parts: EntryDependencies) -> None:
         self._budgets = budgets
-        self._routers = routers
         self._log = parts.log
         self._metrics = parts.metrics
         self._next_at = 0.0
@@ -61,5 +51,5 @@
                     requests=usage.requests,
                     retries=usage.retries,
                     refused=usage.refused,
-                    routers=self._routers(),
+                    routers=self._budgets.routers,
                 )
--- a/src/primrosescale/process/entry/router_datagrams.py
+++ b/src/primrosescale/process/entry/router_datagrams.py
@@ -291,6 +291,8 @@
         self._was_listed = False
         self._links = settings.links
         self._overwritten_value: bytes | None = None
+        # Silent routers whose removal the store has not confirmed.
+        self._removals: set[str] = set()
         self._refused = RefusedRecords(RecordKind.ROUTER, parts.log, parts.metrics)
 
     @property
@@ -298,6 +300,18 @@
         """Return how many routers are listed; None before the list was received."""
         return len(self._exchange.others) + 1 if self._has_list else None
 
+    @property
+    def names(self) -> frozenset[str] | None:
+        """Return the routers that share limits; None before the list was received.
+
+        Routers whose entries were to be removed count until the store has confirmed
+        it: they may be alive and reach the store, unlike this one.
+        """
+        if not self._has_list:
+            return None
+        others = (router.name for router in self._exchange.others)
+        return frozenset({self._settings.name, *others, *self._removals})
+
     @property
     def was_listed(self) -> bool:
         """Return whether the first list had an entry of an earlier incarnation.
@@ -337,6 +351,7 @@
         if not self._has_list:
             self._was_listed = any(map(self._is_of_earlier_incarnation, objects))
         self._has_list = True
+        self._removals.clear()
         self._refused.retain_only(stored.key for stored in objects)
         for stored in objects:
             self._apply(stored)
@@ -369,8 +384,12 @@
             return
         for name in self._exchange.silent_routers(now):
             self._exchange.remove(name)
+            self._removals.add(name)
             gone = self._parts.platform.announce(self._entry(name, gone=True))
-            gone.addErrback(self._removal_failed)
+            gone.addCallbacks(self._removed, self._removal_failed, (name,))
+
+    def _removed(self, _: object, name: str) -> None:
+        self._removals.discard(name)
 
     def _removal_failed(self, failure: Failure) -> None:
         failure.trap(PlatformError)
@@ -393,6 +412,7 @@
     def _apply(self, stored: StoredObject) -> None:
         if stored.is_deleted:
             self._refused.clear(stored.key)
+            self._removals.discard(stored.name)
             self._exchange.remove(stored.name)
             return
         try:
@@ -408,6 +428,7 @@
         self._refused.clear(stored.key)
         if router.name == self._settings.name:
             self._overwritten_value = None
+        self._removals.discard(router.name)
         self._exchange.put(router, self._parts.reactor.seconds())
 
     def _rewrite_entry(self, stored: StoredObject) -> None:
--- a/src/primrosescale/request/attempt/forwarded_call.py
+++ b/src/primrosescale/request/attempt/forwarded_call.py
@@ -139,7 +139,8 @@
             return
         left = self._request.give_up_at - now
         self._deadline_timer = self._tools.clock.callLater(left, self.time_out)
-        self._tools.budget_of(self._request.service).requested(now)
+        budget = self._tools.budget_of(self._request.service)
+        budget.requested(self._request.received_at)
         self._send_to_any(now)
 
     def refuse(self, refusal: Refusal, retry_after: float | None) -> None:
@@ -490,8 +491,7 @@
         return self._tools.harm.held_for(self._request, now)
 
     def _spend_retry(self, now: float) -> bool:
-        budget = self._tools.budget_of(self._request.service)
-        return budget.spend(self._tools.routers(), now)
+        return self._tools.budget_of(self._request.service).spend(now)
 
     def _handle_declined(
         self, attempt: TargetAttempt, head: AnswerHead, now: float
--- a/src/primrosescale/request/attempt/forwarding_context.py
+++ b/src/primrosescale/request/attempt/forwarding_context.py
@@ -175,8 +175,6 @@
         Returns the targets of a service.
     budget_of : Callable[[str], SharedRetryBudget]
         Returns the retry budget of a service.
-    routers : Callable[[], int]
-        Returns how many routers share the budgets.
     parts_changed : Callable[[], None]
         Called when a part of a prompt was sent to a target that was not known to have
         it cached.
@@ -211,7 +209,6 @@
     parts: PrefixCacheIndex
     states_of: Callable[[str], list[TargetState]]
     budget_of: Callable[[str], SharedRetryBudget]
-    routers: Callable[[], int]
     parts_changed: Callable[[], None]
     start_span: Callable[[str, str], TraceSpan] = _start_unrecorded
     silence_judged: Callable[[IncomingRequest, SilenceReport], None] = _ignore_silence
--- a/src/primrosescale/request/attempt/shared_retry_budgets.py
+++ b/src/primrosescale/request/attempt/shared_retry_budgets.py
@@ -4,11 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from primrosescale.request.attempt.retry_share import RetryShare
 from primrosescale.request.attempt.shared_retry_budget import SharedRetryBudget
 
 if TYPE_CHECKING:
+    from primrosescale.request.attempt.retry_share import SharedRetryLimits
     from primrosescale.request.attempt.shared_retry_budget import RetryUsage
-    from primrosescale.request.attempt.shared_retry_budget import SharedRetryLimits
 
 
 class SharedRetryBudgets:
@@ -16,16 +17,25 @@
 
     Parameters
     ----------
-    bounds : SharedRetryLimits
+    limits : SharedRetryLimits
         The limits for all routers together, for each service.
+    is_first_start : bool
+        Whether the whole deployment starts for the first time.
     """
 
-    __slots__ = ("_bounds", "_budgets")
+    __slots__ = ("_budgets", "_share")
 
-    def __init__(self, bounds: SharedRetryLimits) -> None:
-        self._bounds = bounds
+    def __init__(
+        self, limits: SharedRetryLimits, *, is_first_start: bool = False
+    ) -> None:
+        self._share = RetryShare(limits, is_first_start=is_first_start)
         self._budgets: dict[str, SharedRetryBudget] = {}
 
+    @property
+    def routers(self) -> int | None:
+        """Return how many routers share the budgets; see `RetryShare.routers`."""
+        return self._share.routers
+
     def of(self, service: str) -> SharedRetryBudget:
         """Return the budget of a service.
 
@@ -41,19 +51,34 @@
         """
         budget = self._budgets.get(service)
         if budget is None:
-            budget = self._budgets[service] = SharedRetryBudget(self._bounds)
+            budget = self._budgets[service] = SharedRetryBudget(self._share)
         return budget
 
-    def configure(self, bounds: SharedRetryLimits) -> None:
-        """Replace the limits.
+    def configure(self, limits: SharedRetryLimits) -> None:
+        """Replace the limits; what was spent counts on.
 
         Parameters
         ----------
-        bounds : SharedRetryLimits
+        limits : SharedRetryLimits
             The limits.
         """
-        self._bounds = bounds
-        self._budgets.clear()
+        self._share.configure(limits)
+
+    def set_routers(
+        self, count: int | None, now: float, *, was_listed: bool = False
+    ) -> None:
+        """Record how many routers share the budgets; see `RetryShare.set_routers`.
+
+        Parameters
+        ----------
+        count : int | None
+            Number of routers, including this one; None if it is not known.
+        now : float
+            Present time in seconds.
+        was_listed : bool
+            Whether this router was listed before it started.
+        """
+        self._share.set_routers(count, now, was_listed=was_listed)
 
     def take_usage(self, now: float) -> dict[str, RetryUsage]:
         """Return what was used of each budget; see `SharedRetryBudget.take_usage`.
--- a/tests/entry/test_retry_budget.py
+++ b/tests/entry/test_retry_budget.py
@@ -18,7 +18,7 @@
 from twisted.internet.task import deferLater
 
 from primrosescale.platform.http_codec import REQUEST_ID
-from primrosescale.request.attempt.shared_retry_budget import SharedRetryLimits
+from primrosescale.request.attempt.retry_share import SharedRetryLimits
 from primrosescale.standin.scripted_engine import EngineFault
 from primrosescale.standin.scripted_engine import EngineScript
 from support.entry_site import router_settings
--- a/tests/support/entry_site.py
+++ b/tests/support/entry_site.py
@@ -24,7 +24,7 @@
 from primrosescale.process.entry.entry_settings import WatchedPrefixes
 from primrosescale.process.entry.store_watch import WatchedPrefix
 from primrosescale.process.events import EventLog
-from primrosescale.request.attempt.shared_retry_budget import SharedRetryLimits
+from primrosescale.request.attempt.retry_share import SharedRetryLimits
 
 LOOPBACK = "127.0.0.1"
 
