Give up answers whose bytes never end

A target in trouble may send bytes without end. Other callers of the router waited for up to 1.7 s meanwhile (interim answers; 1.0 s for a body in chunks of one byte), and a head of many or continued headers was collected until the request's time was over; answers of the store and states of a target at an agent were collected without any bound.

Cause: only a line of a head, the size of a chunk, trailers and an event had a bound each; nothing bounded the head as a whole, a body that is read whole, or what processing an answer takes. A read of 64 KiB in the smallest chunks took half a second.

--- a/src/primrosescale/connection/target_channel.py
+++ b/src/primrosescale/connection/target_channel.py
@@ -10,8 +10,8 @@
 from twisted.internet.defer import fail
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory
-from twisted.web._newclient import HTTP11ClientProtocol
 
+from primrosescale.connection.bounded_http import BoundedHttpProtocol
 from primrosescale.connection.connection_limit import UNLIMITED
 from primrosescale.connection.exceptions import ConnectionLimitError
 from primrosescale.connection.keepalive import set_keepalive_options
@@ -42,7 +42,7 @@
 EXCESS_RESET_SECONDS = 0.25
 
 
-class TargetChannel(HTTP11ClientProtocol):
+class TargetChannel(BoundedHttpProtocol):
     """An HTTP connection that detects bytes which belong to no request.
 
     Parameters
--- a/src/primrosescale/process/transport/http_client.py
+++ b/src/primrosescale/process/transport/http_client.py
@@ -45,6 +45,8 @@
 # Limit for receiving the body of an answer, even if bytes keep arriving. An object
 # of 1 MB takes 0.8 s over the slowest known link.
 MAX_ANSWER_SECONDS = 8.0
+# Limit for the body of an answer; a page of a list, or the largest object, has 1 MB.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Receive buffer of a paced connection, in bytes. In a larger one the kernel would
 # receive most of an answer at the full rate of the link during the first pause.
 PACED_BUFFER_BYTES = 2 * PORTION_BYTES
@@ -109,6 +111,7 @@
     ) -> None:
         self._clock = clock
         self._chunks: list[bytes] = []
+        self._received = 0
         self._missing = length if isinstance(length, int) else None
         self._connection = connection
         self._pacing = pacing
@@ -124,6 +127,14 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Store bytes, restart the stall timer and pause if it is time to."""
+        self._received += len(data)
+        if self.collected.called:
+            return
+        if self._received > MAX_ANSWER_BYTES:
+            self._chunks.clear()
+            detail = f"answer of more than {MAX_ANSWER_BYTES} bytes"
+            self.collected.errback(PlatformUnavailableError(detail))
+            return
         self._chunks.append(data)
         if self._stall_timer.active():
             self._stall_timer.reset(self._stall_timeout)
--- a/src/primrosescale/process/transport/http_target.py
+++ b/src/primrosescale/process/transport/http_target.py
@@ -11,24 +11,27 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectError
 from twisted.internet.error import ConnectionRefusedError as RefusedError
+from twisted.internet.protocol import Factory
 from twisted.internet.protocol import Protocol
 from twisted.internet.protocol import connectionDone
 from twisted.web.client import Agent
 from twisted.web.client import HTTPConnectionPool
 from twisted.web.client import ResponseDone
-from twisted.web.client import readBody
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
+from primrosescale.connection.bounded_http import BoundedHttpProtocol
 from primrosescale.connection.wire import ttypes as wire
 from primrosescale.connection.wire.ttypes import Outcome
 from primrosescale.process.exceptions import TargetError
 from primrosescale.process.transport.http_bodies import body_producer
+from primrosescale.process.transport.http_bodies import read_body
 from primrosescale.process.transport.local_engine_client import LocalEngineClient
 from primrosescale.request.attempt.local_target_client import TargetRun
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Generator
 
     from twisted.python.failure import Failure
@@ -173,6 +176,26 @@
             self._receiver.target_failed(outcome, detail)
 
 
+class _BoundedFactory(Factory):
+    """Builds connections whose answers are bounded."""
+
+    noisy = False
+
+    def __init__(self, on_quiescent: Callable[[Any], Any], _: object) -> None:
+        self._on_quiescent = on_quiescent
+
+    def buildProtocol(self, addr: Any) -> BoundedHttpProtocol:
+        """Return the protocol of a new connection."""
+        return BoundedHttpProtocol(self._on_quiescent)
+
+
+def _bounded_pool(reactor: Any, *, persistent: bool = True) -> Any:
+    """Return a pool of connections whose answers are bounded."""
+    pool: Any = HTTPConnectionPool(reactor, persistent=persistent)
+    pool._factory = _BoundedFactory  # noqa: SLF001 - the only way to another protocol
+    return pool
+
+
 @implementer(IAgentEndpointFactory)
 class _FixedEndpoint:
     """Sends every request to one IP address, without name resolution."""
@@ -217,12 +240,13 @@
         must_echo: bool,
         timeout: float,
     ) -> None:
+        self._reactor = reactor
         self._base = f"http://{endpoint}".encode()
         self._must_echo = must_echo
-        self._pool = HTTPConnectionPool(reactor)
+        self._pool = _bounded_pool(reactor)
         self._pool.retryAutomatically = False
         self._pool.maxPersistentPerHost = MAX_KEPT_CONNECTIONS
-        single_use_pool = HTTPConnectionPool(reactor, persistent=False)
+        single_use_pool = _bounded_pool(reactor, persistent=False)
         agent_endpoint = _FixedEndpoint(reactor, endpoint, timeout)
         self._persistent_agent = Agent.usingEndpointFactory(
             reactor, agent_endpoint, self._pool
@@ -267,7 +291,7 @@
         """Export the cache of a chat; see `LocalTargetClient.export_cache`."""
         url = self._base + b"/cache/" + chat.encode()
         response = yield self._persistent_agent.request(b"GET", url)
-        body = yield readBody(response)
+        body = yield read_body(response, self._reactor)
         return bytes(body) if response.code == OK else b""
 
     @inlineCallbacks
@@ -276,7 +300,7 @@
         url = self._base + b"/cache/" + chat.encode()
         producer = body_producer(data)
         response = yield self._persistent_agent.request(b"PUT", url, None, producer)
-        yield readBody(response)
+        yield read_body(response, self._reactor)
         return bool(response.code == OK)
 
     @inlineCallbacks
@@ -296,7 +320,7 @@
         producer = body_producer(body)
         url = self._base + b"/orders"
         response = yield self._persistent_agent.request(b"POST", url, None, producer)
-        content = yield readBody(response)
+        content = yield read_body(response, self._reactor)
         if response.code != OK:
             raise TargetError(f"order refused with status {response.code}")
         return bytes(content)
@@ -311,7 +335,7 @@
             The state in JSON; fails with `TargetError`.
         """
         response = yield self._persistent_agent.request(b"GET", self._base + b"/state")
-        content = yield readBody(response)
+        content = yield read_body(response, self._reactor)
         if response.code != OK:
             raise TargetError(f"state refused with status {response.code}")
         return bytes(content)
--- a/src/primrosescale/request/answer/event_stream.py
+++ b/src/primrosescale/request/answer/event_stream.py
@@ -36,12 +36,12 @@
     __slots__ = ("_remainder",)
 
     def __init__(self) -> None:
-        self._remainder = b""
+        self._remainder = bytearray()
 
     @property
     def remainder(self) -> bytes:
         """Return the bytes of the last, incomplete event."""
-        return self._remainder
+        return bytes(self._remainder)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes of the stream.
@@ -61,18 +61,21 @@
         ValueError
             When an event exceeds `MAX_EVENT_BYTES`.
         """
-        text = self._remainder + data
+        text = self._remainder
+        # What was there before holds no blank line, except for its first half.
+        searched = max(0, len(text) - len(BLANK_LINE) + 1)
+        text += data
         events: list[StreamEvent] = []
         start = 0
         while True:
-            end = text.find(BLANK_LINE, start)
+            end = text.find(BLANK_LINE, max(start, searched))
             if end < 0:
                 break
             end += len(BLANK_LINE)
-            piece = text[start:end]
+            piece = bytes(text[start:end])
             events.append(StreamEvent(_number(piece), piece))
             start = end
-        self._remainder = text[start:]
+        del text[:start]
         if len(self._remainder) > MAX_EVENT_BYTES:
             raise ValueError(f"event over {MAX_EVENT_BYTES} bytes")
         return events
