--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,12 +5,14 @@
 
 from __future__ import annotations
 
+from primrosescale.request.attempt.retry_share import SharedRetryLimits
 from soak import versions
 from soak.backends import LARGE_BYTES
 from soak.history import ANSWERED
 from soak.history import CUT
 from soak.history import EVENT
 from soak.history import LEFT
+from support.retry_rule import worst_excess
 
 OK = 200
 REFUSALS = {408, 421, 429, 503}
@@ -35,9 +37,7 @@
 MAX_COLD_RUNS_PER_SECOND = 20
 # Tolerance for times recorded by callers and targets, which share one process.
 SLACK_SECONDS = 0.1
-BUDGET_RATIO = 0.2
-BUDGET_WINDOW_SECONDS = 10.0
-BUDGET_EXTRA_REQUESTS = 30.0
+RETRY_LIMITS = SharedRetryLimits(ratio=0.2, window=10.0, extra=30.0)
 LOAD_MULTIPLE = 2.0
 LOAD_MARGIN_REQUESTS = 3.0
 MAX_OVERLOAD_SHARE = 0.03
@@ -250,22 +250,12 @@
             arrivals.setdefault(delivery.service, []).append(delivery.at)
         seen.add(delivery.name)
     for service, times in arrivals.items():
-        sent = [
+        sent = sorted(
             a.sent_at for a in history.sent_requests.values() if a.service == service
-        ]
-        for end in times:
-            retries = sum(1 for at in times if end - BUDGET_WINDOW_SECONDS < at <= end)
-            sent_count = max(
-                sum(
-                    1
-                    for at in sent
-                    if end - back - BUDGET_WINDOW_SECONDS < at <= end - back
-                )
-                for back in (0.0, BUDGET_WINDOW_SECONDS / 2, BUDGET_WINDOW_SECONDS)
-            )
-            if retries > BUDGET_RATIO * sent_count + BUDGET_EXTRA_REQUESTS:
-                yield f"{service} got {retries} retries for {sent_count} requests"
-                break
+        )
+        excess = worst_excess(sent, times, RETRY_LIMITS)
+        if excess > 0:
+            yield f"{service} got {excess:.1f} retries more than allowed in a window"
 
 
 def load_is_even(history):
