Begin a forgotten retry budget of an organisation with one retry

It now begins with one; 14,000 organisations are more than the 4096 budgets that are kept. The new test fails before (the second retry is granted).

--- a/src/primrosescale/request/attempt/retry_budget.py
+++ b/src/primrosescale/request/attempt/retry_budget.py
@@ -9,6 +9,8 @@
 from primrosescale.ini.options import option
 
 MAX_BUDGETS = 4096
+# A router that has restarted, or evicted a budget, does not know what was spent of it.
+INITIAL_RETRIES = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +40,7 @@
 
     def __init__(self, settings: RetryBudgetSettings) -> None:
         self._settings = settings
-        self._tokens = settings.burst
+        self._tokens = min(INITIAL_RETRIES, settings.burst)
 
     @property
     def tokens(self) -> float:
--- a/tests/request/test_attempts.py
+++ b/tests/request/test_attempts.py
@@ -14,6 +14,7 @@
 from primrosescale.request.attempt.attempts import StepKind
 from primrosescale.request.attempt.backoff import Backoff
 from primrosescale.request.attempt.backoff import BackoffSettings
+from primrosescale.request.attempt.retry_budget import MAX_BUDGETS
 from primrosescale.request.attempt.retry_budget import RetryBudget
 from primrosescale.request.attempt.retry_budget import RetryBudgets
 from primrosescale.request.attempt.retry_budget import RetryBudgetSettings
@@ -138,6 +139,15 @@
         self.assertFalse(budgets.of("large").spend())
         self.assertTrue(budgets.of("small").spend())
 
+    # A router that had restarted, or evicted a budget, granted the whole burst again.
+    def test_a_budget_that_was_forgotten_begins_with_one_retry(self):
+        budgets = RetryBudgets(RetryBudgetSettings(share=0.1, burst=20.0))
+        for _ in range(3):
+            self.assertTrue(budgets.of("bakery").spend())
+            self.assertFalse(budgets.of("bakery").spend())
+            for number in range(MAX_BUDGETS):
+                budgets.of(f"other-{number}")
+
 
 class BackoffTest(TestCase):
     def test_waits_grow_within_limits_and_differ_between_callers(self):
