--- a/tests/entry/test_rules_of_knowledge.py
+++ b/tests/entry/test_rules_of_knowledge.py
@@ -146,6 +146,20 @@
         # What is counted by periods may stay one below it.
         self.assertIn(max(found), (bound - 1, bound))
 
+    # Counts that were dropped too early would allow more, or less.
+    def test_the_bound_holds_for_minutes(self):
+        budget = retry_budget(SharedRetryLimits(0.5, 10.0, 0.0), 1, START)
+        bound = 0.8 * 0.5 * 200
+        spent = []
+        for number in range(2400):
+            now = START + number / 20
+            budget.requested(now)
+            spent += [now] * sum(budget.spend(now) for _ in range(9))
+            in_window = sum(at > now - 10 for at in spent[-400:])
+            self.assertTrue(in_window <= bound, (number, in_window))
+            if number > 400:
+                self.assertTrue(in_window >= 0.9 * bound, (number, in_window))
+
     def test_the_window_slides(self):
         budget = retry_budget(SharedRetryLimits(0.0, 10.0, 5.0), 1, START)
         # Half of the four at once, the others as time passes.
