Count silent routers in all shares until the store has confirmed their removal

A router that cannot reach the store, nor some of the others, took these off its own list after 60 s and divided places at targets by those that were left, while they might be serving with the same shares. The number of routers now is that of the names that shares are divided by; for the retry budget that was so already. The test failed before.

--- a/src/primrosescale/process/entry/router_datagrams.py
+++ b/src/primrosescale/process/entry/router_datagrams.py
@@ -297,8 +297,9 @@
 
     @property
     def routers(self) -> int | None:
-        """Return how many routers are listed; None before the list was received."""
-        return len(self._exchange.others) + 1 if self._has_list else None
+        """Return how many routers share limits; None before the list was received."""
+        names = self.names
+        return None if names is None else len(names)
 
     @property
     def names(self) -> frozenset[str] | None:
--- a/tests/entry/test_router_registry.py
+++ b/tests/entry/test_router_registry.py
@@ -83,12 +83,13 @@
         self.receive_list("r-0", *OTHERS)
         self.registry.remove_silent(100.0)
         self.assertEqual({"r-0", *OTHERS}, self.registry.names)
-        self.assertEqual(3, self.registry.routers)
+        self.assertEqual(4, self.registry.routers)
         self.removals.pop().errback(PlatformUnavailableError("cut off"))
         self.assertEqual({"r-0", *OTHERS}, self.registry.names)
         self.registry.remove_silent(101.0)
         self.removals.pop().callback(None)
         self.assertEqual({"r-0", "r-1", "r-3"}, self.registry.names)
+        self.assertEqual(3, self.registry.routers)
 
     def test_the_next_list_of_the_store_decides(self):
         self.receive_list("r-0", *OTHERS)
