--- a/src/primrosescale/connection/bounded_http.py
+++ b/src/primrosescale/connection/bounded_http.py
@@ -20,12 +20,13 @@
 
     from twisted.internet.defer import Deferred
 
-# Heads of real answers have less than 2 KiB.
+# Far above the heads of model engines and services, which have some hundred bytes.
 MAX_HEAD_BYTES = 64 * 1024
-# Passing on a stream of 5,000 events takes about a quarter of this.
+# Other callers wait while an answer is processed, so one that never ends must not be
+# left to run until the time of its request is over.
 MAX_PROCESSOR_SECONDS = 1.0
-# Read at once; other connections wait while it is processed, for 50 ms where each byte
-# comes as a chunk.
+# Read at once. Each byte may come as a chunk of its own, and other connections wait
+# until all of them are processed.
 READ_BYTES = 8 * 1024
 
 
--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -100,7 +100,7 @@
         )
         self._closed_unread = Counter(
             "primrosescale_connections_closed_unread",
-            "Targets that ended with requests of this router on board",
+            "New connections closed before their requests were read",
             registry=self._registry,
         )
         self._refused_records = Counter(
--- a/src/primrosescale/process/entry/router_datagrams.py
+++ b/src/primrosescale/process/entry/router_datagrams.py
@@ -292,7 +292,7 @@
         self._links = settings.links
         self._overwritten_value: bytes | None = None
         # Silent routers whose removal the store has not confirmed.
-        self._removals: set[str] = set()
+        self._unconfirmed_removals: set[str] = set()
         self._refused = RefusedRecords(RecordKind.ROUTER, parts.log, parts.metrics)
 
     @property
@@ -311,7 +311,7 @@
         if not self._has_list:
             return None
         others = (router.name for router in self._exchange.others)
-        return frozenset({self._settings.name, *others, *self._removals})
+        return frozenset({self._settings.name, *others, *self._unconfirmed_removals})
 
     @property
     def was_listed(self) -> bool:
@@ -352,7 +352,7 @@
         if not self._has_list:
             self._was_listed = any(map(self._is_of_earlier_incarnation, objects))
         self._has_list = True
-        self._removals.clear()
+        self._unconfirmed_removals.clear()
         self._refused.retain_only(stored.key for stored in objects)
         for stored in objects:
             self._apply(stored)
@@ -385,12 +385,12 @@
             return
         for name in self._exchange.silent_routers(now):
             self._exchange.remove(name)
-            self._removals.add(name)
+            self._unconfirmed_removals.add(name)
             gone = self._parts.platform.announce(self._entry(name, gone=True))
             gone.addCallbacks(self._removed, self._removal_failed, (name,))
 
     def _removed(self, _: object, name: str) -> None:
-        self._removals.discard(name)
+        self._unconfirmed_removals.discard(name)
 
     def _removal_failed(self, failure: Failure) -> None:
         failure.trap(PlatformError)
@@ -413,7 +413,7 @@
     def _apply(self, stored: StoredObject) -> None:
         if stored.is_deleted:
             self._refused.clear(stored.key)
-            self._removals.discard(stored.name)
+            self._unconfirmed_removals.discard(stored.name)
             self._exchange.remove(stored.name)
             return
         try:
@@ -429,7 +429,7 @@
         self._refused.clear(stored.key)
         if router.name == self._settings.name:
             self._overwritten_value = None
-        self._removals.discard(router.name)
+        self._unconfirmed_removals.discard(router.name)
         self._exchange.put(router, self._parts.reactor.seconds())
 
     def _rewrite_entry(self, stored: StoredObject) -> None:
--- a/src/primrosescale/request/attempt/shared_retry_budget.py
+++ b/src/primrosescale/request/attempt/shared_retry_budget.py
@@ -63,6 +63,11 @@
         self._retries: dict[int, int] = {}
         self._refused = 0
 
+    @property
+    def _slots(self) -> int:
+        """Return the number of complete periods in a window."""
+        return max(1, int(self._share.limits.window / SLOT_SECONDS))
+
     def requested(self, at: float) -> None:
         """Count a new request of a caller.
 
@@ -113,11 +118,6 @@
             refused,
         )
 
-    @property
-    def _slots(self) -> int:
-        """Return the number of complete periods in a window."""
-        return max(1, int(self._share.limits.window / SLOT_SECONDS))
-
     def _allows_one(self, now: float) -> bool:
         """Return whether the retries since any moment of the window leave one more."""
         share, slots, newest = self._share, self._slots, _slot(now)
--- a/tests/entry/test_endless_answers.py
+++ b/tests/entry/test_endless_answers.py
@@ -8,6 +8,7 @@
 
 from pathlib import Path
 
+from testtools.matchers import GreaterThan
 from testtools.matchers import LessThan
 from twisted.internet import reactor
 from twisted.internet.defer import inlineCallbacks
@@ -30,6 +31,8 @@
 # Longest time that a request of another caller may take meanwhile.
 MAX_OTHER_SECONDS = 0.5
 PLAIN_TIMEOUT_SECONDS = 1.5
+LONG_EVENTS = 5000
+LONG_BODY_BYTES = 4_000_000
 TIMEOUT_SLACK_SECONDS = 1.0
 HEAD = (
     b"HTTP/1.1 200 OK\r\nPrimrosescale-Request-Id: r1\r\n"
@@ -150,3 +153,23 @@
         yield self.check(
             {**IN_A_HEAD, **IN_A_STREAM}, b"/draft/x", limit, service="model"
         )
+
+    # Guards against a bound that a sound answer exceeds.
+    @inlineCallbacks
+    def test_long_answers_are_passed_on_whole(self):
+        event = b"data: " + b"x" * 400 + b"\n\n"
+        events = b"".join(b"id: %d\n" % n + event for n in range(1, LONG_EVENTS + 1))
+        stream = HEAD + b"Content-Length: %d\r\n\r\n" % len(events) + events
+        body = b"y" * LONG_BODY_BYTES
+        plain = HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body
+        for answer, service in ((stream, "model"), (plain, "portal")):
+            target = EndlessTarget(answer, b"")
+            self.addCleanup(target.close)
+            entry = target_entry(service, target.address)
+            self.store.write("servers", f"i-{service}", entry)
+        router = self.start_router("r1")
+        yield self.until(lambda: self.knows(router, 2))
+        for content, path in ((events, b"/story/x"), (body, b"/plain/x")):
+            data = yield ask(router, text(path, headers=b"Connection: close\r\n"))
+            self.assertIn(content[-1000:], data)
+            self.assertThat(len(data), GreaterThan(len(content)))
--- a/tests/support/endless_target.py
+++ b/tests/support/endless_target.py
@@ -12,7 +12,7 @@
 
 
 class EndlessTarget:
-    """Answers each request with a beginning and then, without end, the same bytes."""
+    """Answers with a beginning and then, without end, the same bytes, if any."""
 
     def __init__(self, beginning, repeated):
         self._answer = beginning, repeated
@@ -42,8 +42,9 @@
             began = reactor.seconds()
             try:
                 connection.sendall(beginning)
-                while True:
+                while repeated:
                     connection.sendall(repeated)
+                connection.recv(1)
             finally:
                 took = reactor.seconds() - began
                 self.longest_seconds = max(self.longest_seconds, took)
