Let requests pay sooner for retries, by a weighted mean of three windows

Half of the requests since one window before count little while traffic rises and after a start.

Now half of a window's requests pay for its retries, and a quarter of those of each of the two windows that the bound knows besides; that is still below the largest of the three for all routers together. 0.95 of the fraction is used, as nothing but the delay of up to 0.4 s between counting and arrival speaks for less; 0.8 of the fixed number as before.

The tests of the fleet hold unchanged.

--- a/src/primrosescale/request/attempt/retry_share.py
+++ b/src/primrosescale/request/attempt/retry_share.py
@@ -14,8 +14,11 @@
 
 from primrosescale.request.capacity.router_shares import SETTLING_SECONDS
 
-# Part of the limits that is used, because retries arrive later than they are counted,
-# and routers learn with a delay how many share the limits.
+# Part of the limit by requests that is used: retries arrive up to 0.4 s later than they
+# are counted, which is a twenty-fifth of a window.
+REQUESTS_SAFETY_FACTOR = 0.95
+# Part of the fixed number that is used; smaller, because routers also learn with a delay
+# how many share it.
 SAFETY_FACTOR = 0.8
 # Part of a share that can be saved up, for many failures at once. The rest is what can
 # be sent meanwhile, so that both together stay within the share in any window.
@@ -78,7 +81,7 @@
     @property
     def retries_per_request(self) -> float:
         """Return how many retries a request allows."""
-        return SAFETY_FACTOR * self._limits.ratio
+        return REQUESTS_SAFETY_FACTOR * self._limits.ratio
 
     def configure(self, limits: SharedRetryLimits) -> None:
         """Replace the limits.
--- a/src/primrosescale/request/attempt/shared_retry_budget.py
+++ b/src/primrosescale/request/attempt/shared_retry_budget.py
@@ -5,16 +5,17 @@
 fixed number, counted in any window. Each router stays within its own share; see
 `RetryShare` for the fixed number.
 
-Requests that came before a window may pay for retries in it, as requests fail later
-than they come. If all of them did, those of a burst would pay for retries in two
-windows. So half of the requests that came since one window before any moment pay for
-the retries since that moment: the mean of two windows, which holds for all routers
-together if it holds for each, and is no more than the larger of the two.
+The requests of a window may pay for its retries, or those of the window before or of
+the one half a window before, since requests fail later than they come. If each router
+chose among the three, requests at one router and later ones at another would pay for
+retries in the same window. So all routers take the same weighted mean of the three,
+which is below the largest of the three for all routers together if it is for each.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from itertools import accumulate
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -22,8 +23,10 @@
 
 # Requests and retries are counted by periods of this length.
 SLOT_SECONDS = 0.25
-# Weight of a request in each of two windows.
-REQUEST_WEIGHT = 0.5
+# Weights of the requests of a window, of the one half a window before, and of the one
+# before. The first pays for what fails while it comes, also after a start; the others
+# for many failures at once.
+WINDOW_WEIGHTS = (0.5, 0.25, 0.25)
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,24 +123,20 @@
 
     def _allows_one(self, now: float) -> bool:
         """Return whether the retries since any moment of the window leave one more."""
-        share, slots, newest = self._share, self._slots, _slot(now)
-        oldest = _slot(now - share.limits.window)
-        per_request = REQUEST_WEIGHT * share.retries_per_request
+        share, newest = self._share, _slot(now)
+        paying = _PayingRequests(self._requests, newest, self._slots)
         retries = 1
-        paying = sum(
-            self._requests.get(slot, 0)
-            for slot in range(newest - slots + 1, newest + 1)
-        )
-        for slot in range(newest, oldest - 1, -1):
+        for slot in range(newest, _slot(now - share.limits.window) - 1, -1):
             sent = self._retries.get(slot, 0)
             retries += sent
-            if sent or slot == newest:
-                # Counted from the end of the period: the moment may be any within it.
-                since = min((slot + 1) * SLOT_SECONDS, now)
-                allowed = share.fixed_retries(since, now) + per_request * paying
-                if retries > allowed:
-                    return False
-            paying += self._requests.get(slot - slots, 0)
+            if not sent and slot != newest:
+                continue
+            # The moment may be any within the period; the latest has least to spend.
+            since = min((slot + 1) * SLOT_SECONDS, now)
+            allowed = share.fixed_retries(since, now)
+            allowed += share.retries_per_request * paying.since(slot)
+            if retries > allowed:
+                return False
         return True
 
     def _count(self, counts: dict[int, int], at: float) -> None:
@@ -149,6 +148,59 @@
                 del counts[expired]
 
 
+class _PayingRequests:
+    """The requests that pay for the retries since any moment of a window.
+
+    Parameters
+    ----------
+    requests : dict[int, int]
+        Requests by period.
+    newest : int
+        The present period.
+    slots : int
+        Number of periods in a window.
+    """
+
+    __slots__ = ("_first", "_newest", "_slots", "_totals")
+
+    def __init__(self, requests: dict[int, int], newest: int, slots: int) -> None:
+        self._first = newest - 2 * slots - 1
+        self._newest = newest
+        self._slots = slots
+        counts = (requests.get(slot, 0) for slot in range(self._first, newest + 1))
+        self._totals = list(accumulate(counts, initial=0))
+
+    def since(self, slot: int) -> float:
+        """Return the weighted mean of the three windows from a period on.
+
+        Parameters
+        ----------
+        slot : int
+            The period.
+
+        Returns
+        -------
+        float
+            Requests, of those that the three windows have whenever in the period the
+            first of them begins.
+        """
+        half, whole = self._slots // 2, self._slots
+        own, shifted, former = WINDOW_WEIGHTS
+        return (
+            own * self._between(slot + 1, self._newest + 1)
+            + shifted * self._between(slot + 1 - half, slot + half)
+            + former * self._between(slot + 1 - whole, slot)
+        )
+
+    def _between(self, begin: int, end: int) -> int:
+        """Return the requests from a period on, up to another one."""
+        begin = max(begin, self._first)
+        end = min(end, self._newest + 1)
+        if end <= begin:
+            return 0
+        return self._totals[end - self._first] - self._totals[begin - self._first]
+
+
 def _slot(at: float) -> int:
     """Return the number of the period that contains a time."""
     return int(at // SLOT_SECONDS)
