--- a/src/primrosescale/request/attempt/retry_share.py
+++ b/src/primrosescale/request/attempt/retry_share.py
@@ -17,8 +17,8 @@
 # Part of the limit by requests that is used: retries arrive up to 0.4 s later than they
 # are counted, which is a twenty-fifth of a window.
 REQUESTS_SAFETY_FACTOR = 0.95
-# Part of the fixed number that is used; smaller, because routers also learn with a delay
-# how many share it.
+# Part of the fixed number that is used; less, as routers learn with a delay how many
+# share it.
 SAFETY_FACTOR = 0.8
 # Part of a share that can be saved up, for many failures at once. The rest is what can
 # be sent meanwhile, so that both together stay within the share in any window.
