--- a/tests/connection/test_endless_answers.py
+++ b/tests/connection/test_endless_answers.py
@@ -21,6 +21,9 @@
 from primrosescale.connection.wire import ttypes as wire
 from primrosescale.connection.wire.ttypes import Outcome
 from primrosescale.process.exceptions import PlatformError
+from primrosescale.process.exceptions import TargetError
+from primrosescale.process.transport.http_bodies import MAX_BODY_BYTES
+from primrosescale.process.transport.http_bodies import read_body
 from primrosescale.process.transport.http_client import HttpClient
 from primrosescale.process.transport.http_target import HttpTarget
 from primrosescale.request.attempt.local_target_client import TargetReceiver
@@ -118,6 +121,28 @@
     return done
 
 
+class FakeResponse:
+    """An answer whose body a test gives."""
+
+    def deliverBody(self, reader):
+        self.reader = reader
+        reader.makeConnection(AbortableTransport())
+
+
+class BodyTest(LiveTest):
+    # Guards against a body that is read whole, fast and with little work.
+    def test_a_body_beyond_the_bound_is_given_up(self):
+        response = FakeResponse()
+        errors = []
+        read_body(response, Clock()).addErrback(errors.append)
+        for _ in range(MAX_BODY_BYTES // 65536):
+            response.reader.dataReceived(b"x" * 65536)
+        self.assertEqual([], errors)
+        response.reader.dataReceived(b"x")
+        self.assertTrue(errors[0].check(TargetError))
+        self.assertTrue(response.reader.transport.is_aborted)
+
+
 class AbortableTransport(StringTransport):
     is_aborted = False
 
