--- a/src/primrosescale/connection/bounded_http.py
+++ b/src/primrosescale/connection/bounded_http.py
@@ -27,7 +27,7 @@
 MAX_PROCESSOR_SECONDS = 1.0
 # Read at once. Each byte may come as a chunk of its own, and other connections wait
 # until all of them are processed.
-READ_BYTES = 8 * 1024
+READ_BYTES = 4 * 1024
 
 
 class BoundedHttpProtocol(HTTP11ClientProtocol):
