Keep the maximum age of the list of routers beside the budgets that use it

The limit and the decision move to SharedRetryBudgets.set_routers, which gets the age of the list. No behaviour changes: tests of the registry, the shares, the reports and the fleets pass as before.

--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -115,9 +115,6 @@
 # keys may be accepted for 5 s. In an outage that affects all routers, they notice it up
 # to 2 s apart.
 STORE_LOST_SECONDS = 1.0
-# Routers that reach the store take one that is cut off from it and from them off the
-# list 60 s later, and use its share.
-MAX_LIST_AGE_SECONDS = 50.0
 # The settings file is polled because it may change without a signal. Reading its 2 KB
 # takes 0.1 ms.
 REREAD_SECONDS = 2.0
@@ -575,9 +572,8 @@
             return
         was_listed = self._registry.was_listed
         self._shares.set_routers(names, now, was_listed=was_listed)
-        is_list_old = self._store_state.lost_for(now) >= MAX_LIST_AGE_SECONDS
-        routers = None if is_list_old else len(names)
-        self._retry_budgets.set_routers(routers, now, was_listed=was_listed)
+        age = self._store_state.lost_for(now)
+        self._retry_budgets.set_routers(len(names), now, age, was_listed=was_listed)
 
     def _service(self, name: str) -> Service | None:
         table = self._store_state.table
@@ -615,9 +611,8 @@
         self._cold_targets.sweep(now)
         self._retry_reports.emit_due(now)
         self._log_readiness(now)
-        dropped = (
-            self._dependencies.writer.take_dropped() if self._dependencies.writer else 0
-        )
+        writer = self._dependencies.writer
+        dropped = writer.take_dropped() if writer else 0
         if dropped:
             self._lines_dropped += dropped
             self._log.emit(Event.LOG_DROPPED, lines=dropped)
--- a/src/primrosescale/request/attempt/shared_retry_budgets.py
+++ b/src/primrosescale/request/attempt/shared_retry_budgets.py
@@ -11,6 +11,10 @@
     from primrosescale.request.attempt.retry_share import SharedRetryLimits
     from primrosescale.request.attempt.shared_retry_budget import RetryUsage
 
+# Routers that reach the store take one that is cut off from it and from them off the
+# list 60 s later, and use its share.
+MAX_LIST_AGE_SECONDS = 50.0
+
 
 class SharedRetryBudgets:
     """Retry budgets by service.
@@ -65,7 +69,12 @@
         self._share.configure(limits)
 
     def set_routers(
-        self, count: int | None, now: float, *, was_listed: bool = False
+        self,
+        count: int | None,
+        now: float,
+        list_age: float = 0.0,
+        *,
+        was_listed: bool = False,
     ) -> None:
         """Record how many routers share the budgets; see `RetryShare.set_routers`.
 
@@ -75,10 +84,13 @@
             Number of routers, including this one; None if it is not known.
         now : float
             Present time in seconds.
+        list_age : float
+            Time in seconds since the list of routers was last known to be current.
         was_listed : bool
             Whether this router was listed before it started.
         """
-        self._share.set_routers(count, now, was_listed=was_listed)
+        known = None if list_age >= MAX_LIST_AGE_SECONDS else count
+        self._share.set_routers(known, now, was_listed=was_listed)
 
     def take_usage(self, now: float) -> dict[str, RetryUsage]:
         """Return what was used of each budget; see `SharedRetryBudget.take_usage`.
--- a/tests/entry/test_router_registry.py
+++ b/tests/entry/test_router_registry.py
@@ -12,13 +12,13 @@
 from primrosescale.connection.endpoint import Endpoint
 from primrosescale.platform.entry import PlatformRecordDecoder
 from primrosescale.process.entry.entry_metrics import EntryMetrics
-from primrosescale.process.entry.entry_router import MAX_LIST_AGE_SECONDS
 from primrosescale.process.entry.router_datagrams import RouterRegistry
 from primrosescale.process.entry.state_exchange import SILENT_REMOVAL_SECONDS
 from primrosescale.process.entry.state_exchange import StateExchange
 from primrosescale.process.entry.target_list import TargetList
 from primrosescale.process.exceptions import PlatformUnavailableError
 from primrosescale.process.transport.platform import StoredObject
+from primrosescale.request.attempt.shared_retry_budgets import MAX_LIST_AGE_SECONDS
 from primrosescale.request.choice.prefix_cache_index import PrefixCacheIndex
 from primrosescale.request.freshness import Freshness
 from support.router_site import LoopbackRouterTest
