Stand-in store: a lagging store answers no watch

Cause: the stand-in. While its watches lag ("store lags") one whose time to wait was over was answered without events and with the store's new revision. That says that nothing has changed since; routers r3 and r2 took version 1 as current as of 1.73 and 1.95 s before they accepted the key. Responses of the store are linearizable by its contract, and its watches hear nothing while they lag, so that such an answer cannot occur. Routers could not know better: they ask nothing else while a watch is answered.

The new test fails on the store as it was: both watches were answered.

--- a/src/primrosescale/standin/object_platform_store.py
+++ b/src/primrosescale/standin/object_platform_store.py
@@ -98,6 +98,8 @@
     kind: str
     since: int
     timer: Any = None
+    # Whether it has waited for as long as it was to, but could not be answered.
+    is_overdue: bool = False
 
 
 @dataclass(slots=True)
@@ -113,7 +115,8 @@
     page : int
         Maximum number of objects on one page of a list.
     drops_watch_events : bool
-        Whether watches report no changes.
+        Whether watches are not answered, neither at a change nor when their time to
+        wait is over; see `ObjectPlatformStore.catch_up`.
     is_stale : bool
         Whether reads that allow stale data get a copy; see
         `ObjectPlatformStore.fall_behind`.
@@ -243,8 +246,9 @@
         """End stale reads and report the missed changes to waiting watches."""
         self.faults.is_stale = self.faults.drops_watch_events = False
         for waiting_watch in list(self._waiting_watches):
-            if self._events(waiting_watch.kind, waiting_watch.since):
-                waiting_watch.timer.cancel()
+            has_events = self._events(waiting_watch.kind, waiting_watch.since)
+            if has_events or waiting_watch.is_overdue:
+                _cancel(waiting_watch.timer)
                 self._end_watch(waiting_watch)
 
     def forget_history(self) -> None:
@@ -253,7 +257,7 @@
         self._history.clear()
         for waiting_watch in list(self._waiting_watches):
             self._waiting_watches.remove(waiting_watch)
-            waiting_watch.timer.cancel()
+            _cancel(waiting_watch.timer)
             waiting_watch.request.transport.abortConnection()
 
     def render(self, request: Any) -> int:
@@ -353,7 +357,7 @@
             return HISTORY_GONE, {"error": "gone"}
         events = self._events(kind, since)
         wait = int(request.args.get(b"wait_ms", [b"0"])[0]) / 1000
-        if events or not wait:
+        if (events or not wait) and not self.faults.drops_watch_events:
             return OK, {"events": events, "current_rev": self._revision}
         waiting_watch = _WaitingWatch(request, kind, since)
         waiting_watch.timer = self._reactor.callLater(
@@ -364,12 +368,12 @@
         return OK, None
 
     def _end_watch(self, waiting_watch: _WaitingWatch) -> None:
+        # An answer without events would claim that nothing has changed.
+        if self.faults.drops_watch_events:
+            waiting_watch.is_overdue = True
+            return
         self._waiting_watches.remove(waiting_watch)
-        events = (
-            []
-            if self.faults.drops_watch_events
-            else self._events(waiting_watch.kind, waiting_watch.since)
-        )
+        events = self._events(waiting_watch.kind, waiting_watch.since)
         _send_json(
             waiting_watch.request, OK, {"events": events, "current_rev": self._revision}
         )
@@ -377,11 +381,9 @@
     def _remove_watch(self, waiting_watch: _WaitingWatch) -> None:
         if waiting_watch in self._waiting_watches:
             self._waiting_watches.remove(waiting_watch)
-            waiting_watch.timer.cancel()
+            _cancel(waiting_watch.timer)
 
     def _events(self, kind: str, since: int) -> list[dict[str, Any]]:
-        if self.faults.drops_watch_events:
-            return []
         return [
             {"deleted": is_deleted, "object": item}
             for revision, of_kind, is_deleted, item in self._history
@@ -398,6 +400,11 @@
                 self._end_watch(waiting_watch)
 
 
+def _cancel(timer: Any) -> None:
+    if timer.active():
+        timer.cancel()
+
+
 def _send_json(request: Any, status: int, fields: Any) -> None:
     raw: dict[bytes, bytes] = {}
 
--- a/tests/standin/test_users_store.py
+++ b/tests/standin/test_users_store.py
@@ -88,6 +88,22 @@
         yield watching
         self.assertEqual("t2", found[0]["events"][0]["object"]["metadata"]["name"])
 
+    # An empty answer made routers accept keys longer than the bound after their end.
+    @inlineCallbacks
+    def test_a_lagging_store_does_not_answer_that_nothing_has_changed(self):
+        self.store.faults.drops_watch_events = True
+        found = []
+        for wait in (0, 100):
+            path = f"{LIST}?watch=2&wait_ms={wait}"
+            self.read(path).addCallback(found.append)
+        self.store.write("servers", "t2", ENTRY)
+        yield deferLater(reactor, 0.3, lambda: None)
+        self.assertEqual([], found)
+        self.store.catch_up()
+        yield deferLater(reactor, 0.1, lambda: None)
+        names = [a["events"][0]["object"]["metadata"]["name"] for a in found]
+        self.assertEqual(["t2", "t2"], names)
+
     @inlineCallbacks
     def test_bytes_that_cannot_be_read_are_answered_as_they_are(self):
         self.store.write("servers", "t2", RawContent(b'"\xff"'))
