--- a/tests/entry/test_endless_answers.py
+++ b/tests/entry/test_endless_answers.py
@@ -31,6 +31,9 @@
 # Longest time that a request of another caller may take meanwhile.
 MAX_OTHER_SECONDS = 0.5
 PLAIN_TIMEOUT_SECONDS = 1.5
+REQUESTS = 60
+# A tenth of an even part.
+MAX_FAILED = REQUESTS // 20
 LONG_EVENTS = 5000
 LONG_BODY_BYTES = 4_000_000
 TIMEOUT_SLACK_SECONDS = 1.0
@@ -154,6 +157,34 @@
             {**IN_A_HEAD, **IN_A_STREAM}, b"/draft/x", limit, service="model"
         )
 
+    # Guards against such a target getting its whole part of the requests for ever.
+    @inlineCallbacks
+    def test_a_target_that_sends_without_end_is_avoided(self):
+        # Bytes past a whole answer do not spoil it.
+        sound = {"past the length"}
+        for name, kind in {**IN_A_HEAD, **IN_A_BODY}.items():
+            endless = EndlessTarget(*kind)
+            self.addCleanup(endless.close)
+            self.start_target(EngineScript(name="i-good", body=b"done"))
+            self.store.write(
+                "servers", "i-endless", target_entry("portal", endless.address)
+            )
+            router = self.start_router("r1")
+            yield self.until(lambda router=router: self.knows(router, 2))
+            failed = 0
+            for _ in range(REQUESTS):
+                headers = b"Connection: close\r\n"
+                data = yield ask(router, text(b"/plain/x", headers=headers))
+                failed += b" 200 OK" not in data
+            self.assertThat(failed, LessThan(MAX_FAILED + 1), name)
+            if name in sound:
+                self.assertEqual(0, failed, name)
+            else:
+                self.assertThat(endless.requests, LessThan(MAX_FAILED + 1), name)
+            router._store_state.stop()
+            router._close()
+            self.store.remove("servers", "i-endless")
+
     # Guards against a bound that a sound answer exceeds.
     @inlineCallbacks
     def test_long_answers_are_passed_on_whole(self):
