Review: a stand-in of the balancer, and engines that tell their memory

Checked against the issue again: case 5 opened channels to a router that the platform may have taken out by then.

--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -41,6 +41,9 @@
 PAGE_OBJECTS = 500
 READ_BYTES = 65_536
 MOST_SECONDS = 110.0
+PROBE_SECONDS = 1.0
+MOST_MISSES = 2
+_TAKEN_PORTS: set[tuple[str, int]] = set()
 MAX_WAIT_SECONDS = 30.0
 BOUNDS = {
     "seed_lag_s": 3,
@@ -400,6 +403,8 @@
         self._sequence = 0
         self._state = "ready"
         self._born = int(time.time() * 1000)
+        # Parts of prompts that it has read since its start, with their tokens.
+        self._parts: dict[str, int] = {}
         self.crashes: list[float] = []
 
     @property
@@ -456,6 +461,7 @@
     async def _come_back(self) -> None:
         await asyncio.sleep(self.settings.restart_seconds)
         self._born = int(time.time() * 1000)
+        self._parts.clear()
         await self.start()
         self._record.say(f"engine {self.name} is back, version {self.settings.version}")
 
@@ -503,6 +509,7 @@
                     await self.crash()
                     return
                 if is_run and self.settings.events:
+                    self._keep_parts(message)
                     await self._stream(message, writer)
                 else:
                     writer.write(data)
@@ -520,13 +527,29 @@
             item.split(":")[0] == part for item in prefix.split(",")
         )
 
+    def _answer_call(self, message: Message) -> bytes:
+        """Answer what is asked of its memory; other calls aren't for its service."""
+        if not message.target.startswith("/api/kv-list"):
+            return answer_bytes(404, {}, b"")
+        held = [["", part, tokens, "m"] for part, tokens in self._parts.items()]
+        fields = {"epoch": self._born, "next": len(held), "held": held}
+        fields["born"] = self._born
+        headers = {"Content-Type": "application/json"}
+        return answer_bytes(200, headers, json.dumps(fields).encode())
+
+    def _keep_parts(self, message: Message) -> None:
+        prefix = message.headers.get("primrosescale-prompt-prefix", "")
+        for item in filter(None, prefix.split(",")):
+            part, _, tokens = item.partition(":")
+            self._parts[part] = int(tokens)
+
     async def _answer(self, message: Message) -> bytes:
         settings = self.settings
         headers = message.headers
-        if message.target.startswith(("/health", "/api/")):
-            return answer_bytes(
-                200, {"Primrosescale-Instance-Id": settings.name}, b"{}"
-            )
+        if message.target.startswith("/health"):
+            return answer_bytes(200, {"Primrosescale-Instance-Id": settings.name}, b"")
+        if message.target.startswith("/api/"):
+            return self._answer_call(message)
         request_id = headers.get("primrosescale-request-id", "")
         is_mine = headers.get("primrosescale-expect-instance", "") in {
             "",
@@ -754,6 +777,27 @@
         return b" 200 " in line
 
 
+class Balancer:
+    """The platform's choice of routers: two misses in a row take one out."""
+
+    def __init__(self, routers: list[Router]) -> None:
+        self._misses = dict.fromkeys((router.name for router in routers), 0)
+        self._routers = routers
+
+    async def run(self) -> None:
+        """Ask each router once a second whether it is ready."""
+        while True:
+            answers = await asyncio.gather(*(it.is_ready() for it in self._routers))
+            for router, is_ready in zip(self._routers, answers, strict=True):
+                misses = 0 if is_ready else self._misses[router.name] + 1
+                self._misses[router.name] = misses
+            await asyncio.sleep(PROBE_SECONDS)
+
+    def gives(self, router: Router) -> bool:
+        """Return whether a router gets new channels."""
+        return self._misses[router.name] < MOST_MISSES
+
+
 @dataclass(slots=True)
 class Answer:
     """What a consumer got; the status is 0 for a channel that ended unanswered."""
@@ -862,7 +906,16 @@
     fields: dict[str, Any] = {
         "version": version,
         "routes": routes,
-        "services": [{"name": name} for name in services],
+        "services": [
+            {
+                "name": name,
+                "health_path": "/health",
+                "max_connections": 370,
+                "protocol": "h1",
+                "tls": False,
+            }
+            for name in services
+        ],
         "limits": {
             "max_header_bytes": 16384,
             "max_body_bytes": 4194304,
@@ -885,7 +938,9 @@
         port = random.randrange(*SERVER_PORTS)
         with socket.socket(socket.AF_INET, kind) as probe, contextlib.suppress(OSError):
             probe.bind((address, port))
-            return port
+            if (address, port) not in _TAKEN_PORTS:
+                _TAKEN_PORTS.add((address, port))
+                return port
 
 
 def has_disruption() -> bool:
