--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -121,6 +121,12 @@
             ["service"],
             registry=self._registry,
         )
+        self._unread_retries = Gauge(
+            "primrosescale_unread_retries",
+            "Retries that are not known to have been read by their targets",
+            ["service"],
+            registry=self._registry,
+        )
         self._refused_retries = Counter(
             "primrosescale_refused_retries",
             "Retries that the shared retry budget did not allow",
@@ -302,6 +308,7 @@
         """
         self._retries.labels(service).set(usage.retries)
         self._refused_retries.labels(service).inc(usage.refused)
+        self._unread_retries.labels(service).set(usage.unread)
 
     def capacity(self, service: str, capacity: float, demand: float) -> None:
         """Set capacity and demand of a service with overload control.
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -258,7 +258,7 @@
             settings=settings.forward,
             clock=parts.reactor,
             rng=parts.rng,
-            client=self._target_client,
+            client=self._retry_budgets.tracked(self._target_client, parts.reactor),
             chooser=TargetChooser(
                 settings.choice,
                 self._prefix_index,
--- a/src/primrosescale/process/entry/retry_reports.py
+++ b/src/primrosescale/process/entry/retry_reports.py
@@ -44,12 +44,13 @@
         self._next_at = now + REPORT_INTERVAL_SECONDS
         for service, usage in self._budgets.take_usage(now).items():
             self._metrics.retries_used(service, usage)
-            if usage.retries or usage.refused:
+            if usage.retries or usage.refused or usage.unread:
                 self._log.emit(
                     Event.RETRIES_USED,
                     service=service,
                     requests=usage.requests,
                     retries=usage.retries,
                     refused=usage.refused,
+                    unread=usage.unread,
                     routers=self._budgets.routers,
                 )
--- a/src/primrosescale/request/attempt/shared_retry_budget.py
+++ b/src/primrosescale/request/attempt/shared_retry_budget.py
@@ -41,11 +41,14 @@
         Retries in the window.
     refused : int
         Retries that the budget did not allow, since the last report.
+    unread : int
+        Retries that are not known to have been read by their targets.
     """
 
     requests: int
     retries: int
     refused: int
+    unread: int
 
 
 class SharedRetryBudget:
@@ -57,7 +60,7 @@
         The router's share of the limits.
     """
 
-    __slots__ = ("_refused", "_requests", "_retries", "_share")
+    __slots__ = ("_refused", "_requests", "_retries", "_share", "_unread")
 
     def __init__(self, share: RetryShare) -> None:
         self._share = share
@@ -65,6 +68,7 @@
         self._requests: dict[int, int] = {}
         self._retries: dict[int, int] = {}
         self._refused = 0
+        self._unread = 0
 
     @property
     def _slots(self) -> int:
@@ -100,6 +104,26 @@
         self._count(self._retries, now)
         return True
 
+    def sent(self, now: float) -> None:
+        """Record that a retry is being sent.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+        """
+        self._unread += 1
+
+    def read(self, now: float) -> None:
+        """Record that a retry has been read by its target.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+        """
+        self._unread -= 1
+
     def take_usage(self, now: float) -> RetryUsage:
         """Return what was used, and count refused retries anew.
 
@@ -119,6 +143,7 @@
             sum(count for slot, count in self._requests.items() if slot >= first),
             sum(count for slot, count in self._retries.items() if slot >= first),
             refused,
+            self._unread,
         )
 
     def _allows_one(self, now: float) -> bool:
--- a/src/primrosescale/request/attempt/shared_retry_budgets.py
+++ b/src/primrosescale/request/attempt/shared_retry_budgets.py
@@ -4,10 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from primrosescale.request.attempt.delivery_tracker import DeliveryTracker
 from primrosescale.request.attempt.retry_share import RetryShare
 from primrosescale.request.attempt.shared_retry_budget import SharedRetryBudget
+from primrosescale.request.attempt.tracked_target_client import TrackedTargetClient
 
 if TYPE_CHECKING:
+    from primrosescale.clock import Clock
+    from primrosescale.request.attempt.forwarding_interfaces import TargetClient
     from primrosescale.request.attempt.retry_share import SharedRetryLimits
     from primrosescale.request.attempt.shared_retry_budget import RetryUsage
 
@@ -27,13 +31,14 @@
         Whether the whole deployment starts for the first time.
     """
 
-    __slots__ = ("_budgets", "_share")
+    __slots__ = ("_budgets", "_share", "_tracker")
 
     def __init__(
         self, limits: SharedRetryLimits, *, is_first_start: bool = False
     ) -> None:
         self._share = RetryShare(limits, is_first_start=is_first_start)
         self._budgets: dict[str, SharedRetryBudget] = {}
+        self._tracker = DeliveryTracker(self.of)
 
     @property
     def routers(self) -> int | None:
@@ -58,6 +63,23 @@
             budget = self._budgets[service] = SharedRetryBudget(self._share)
         return budget
 
+    def tracked(self, client: TargetClient, clock: Clock) -> TargetClient:
+        """Return a client that tells the budgets which retries have been read.
+
+        Parameters
+        ----------
+        client : TargetClient
+            Sends the requests.
+        clock : Clock
+            Source of time.
+
+        Returns
+        -------
+        TargetClient
+            The client to send requests by.
+        """
+        return TrackedTargetClient(client, self._tracker, clock)
+
     def configure(self, limits: SharedRetryLimits) -> None:
         """Replace the limits; what was spent counts on.
 
--- a/tests/entry/test_retry_reports.py
+++ b/tests/entry/test_retry_reports.py
@@ -47,6 +47,7 @@
             "requests": 10,
             "retries": 4,
             "refused": 2,
+            "unread": 0,
             "routers": 4,
         }
         self.assertEqual([(Event.RETRIES_USED, fields)], self.parts.lines)
