Count retries until their targets have read them

Cause: the bound counts a retry when its target reads it, the budgets counted it when it was sent. What is sent to a target that stands still waits in the buffers of its host, also after the connection was aborted, and is read together with the retries of the window that begins then. Of a request that was hedged the late one is the first attempt.

Now a retry that no target has shown to have read counts in every window that ends now, and from then on as if it had been sent when it was read. An attempt has been read when its answer begins, or the answer to one that was sent to its target later, or when its target closes the connection; after 15 s it is given up.

--- a/src/primrosescale/request/attempt/delivery_tracker.py
+++ b/src/primrosescale/request/attempt/delivery_tracker.py
@@ -15,6 +15,8 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from primrosescale.request.attempt.retry_share import MAX_UNREAD_SECONDS
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -22,8 +24,6 @@
     from primrosescale.request.incoming_request import IncomingRequest
     from primrosescale.request.target.target_incarnation import TargetIncarnation
 
-# A target that has answered nothing for longer is taken to have ended.
-MAX_UNREAD_SECONDS = 15.0
 EXPIRY_INTERVAL_SECONDS = 1.0
 
 
--- a/src/primrosescale/request/attempt/retry_share.py
+++ b/src/primrosescale/request/attempt/retry_share.py
@@ -23,6 +23,9 @@
 # Part of a share that can be saved up, for many failures at once. The rest is what can
 # be sent meanwhile, so that both together stay within the share in any window.
 SAVED_PART = 0.5
+# A target that has answered nothing for longer is taken to have ended, with what it has
+# not read.
+MAX_UNREAD_SECONDS = 15.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primrosescale/request/attempt/shared_retry_budget.py
+++ b/src/primrosescale/request/attempt/shared_retry_budget.py
@@ -10,6 +10,10 @@
 chose among the three, requests at one router and later ones at another would pay for
 retries in the same window. So all routers take the same weighted mean of the three,
 which is below the largest of the three for all routers together if it is for each.
+
+A retry counts when its target reads it, which may be seconds after it was sent. So one
+that has not been read counts in every window that ends now, and one that has been read
+counts from then on as if it had been sent at that time.
 """
 
 from __future__ import annotations
@@ -60,13 +64,15 @@
         The router's share of the limits.
     """
 
-    __slots__ = ("_refused", "_requests", "_retries", "_share", "_unread")
+    __slots__ = ("_granted", "_read", "_refused", "_requests", "_share", "_unread")
 
     def __init__(self, share: RetryShare) -> None:
         self._share = share
-        # Numbers by period.
+        # Numbers by period: retries are those granted that have not been sent, and
+        # those that have been read.
         self._requests: dict[int, int] = {}
-        self._retries: dict[int, int] = {}
+        self._granted: dict[int, int] = {}
+        self._read: dict[int, int] = {}
         self._refused = 0
         self._unread = 0
 
@@ -101,7 +107,7 @@
         if not self._allows_one(now):
             self._refused += 1
             return False
-        self._count(self._retries, now)
+        self._count(self._granted, now)
         return True
 
     def sent(self, now: float) -> None:
@@ -113,6 +119,11 @@
             Present time in seconds.
         """
         self._unread += 1
+        newest = _slot(now)
+        for slot in range(newest, newest - self._slots - 1, -1):
+            if self._granted.get(slot, 0):
+                self._granted[slot] -= 1
+                return
 
     def read(self, now: float) -> None:
         """Record that a retry has been read by its target.
@@ -123,6 +134,7 @@
             Present time in seconds.
         """
         self._unread -= 1
+        self._count(self._read, now)
 
     def take_usage(self, now: float) -> RetryUsage:
         """Return what was used, and count refused retries anew.
@@ -141,7 +153,8 @@
         refused, self._refused = self._refused, 0
         return RetryUsage(
             sum(count for slot, count in self._requests.items() if slot >= first),
-            sum(count for slot, count in self._retries.items() if slot >= first),
+            self._unread
+            + sum(self._in_period(slot) for slot in range(first, first + self._slots)),
             refused,
             self._unread,
         )
@@ -150,11 +163,11 @@
         """Return whether the retries since any moment of the window leave one more."""
         share, newest = self._share, _slot(now)
         paying = _PayingRequests(self._requests, newest, self._slots)
-        retries = 1
+        retries = 1 + self._unread
         for slot in range(newest, _slot(now - share.limits.window) - 1, -1):
-            sent = self._retries.get(slot, 0)
-            retries += sent
-            if not sent and slot != newest:
+            counted = self._in_period(slot)
+            retries += counted
+            if not counted and slot != newest:
                 continue
             # The moment may be any within the period; the latest has least to spend.
             since = min((slot + 1) * SLOT_SECONDS, now)
@@ -164,6 +177,10 @@
                 return False
         return True
 
+    def _in_period(self, slot: int) -> int:
+        """Return the retries of a period, without those that have not been read."""
+        return self._granted.get(slot, 0) + self._read.get(slot, 0)
+
     def _count(self, counts: dict[int, int], at: float) -> None:
         slot = _slot(at)
         counts[slot] = counts.get(slot, 0) + 1
--- a/tests/request/test_retry_budget_fleet.py
+++ b/tests/request/test_retry_budget_fleet.py
@@ -1,8 +1,8 @@
 """The retries of all routers together, while routers start, end and lose each other.
 
 Guards against retries that pile up beyond the bound of a service: a router that started
-again, or stopped, gave out a share that had been used already, and a request paid for
-retries in two windows.
+again, or stopped, gave out a share that had been used already, a request paid for
+retries in two windows, and what targets had not read yet did not count.
 """
 
 from __future__ import annotations
@@ -158,3 +158,22 @@
         fleet.failure_delay = 0.0
         fleet.run(25)
         self.check(fleet)
+
+    # Retries counted when they were sent, and were read with those of a later window.
+    def test_targets_that_stand_still_and_go_on(self):
+        for size in SIZES:
+            for seconds in (5, 14):
+                fleet = self.fleet(size, rate=130.0)
+                for _ in range(2):
+                    fleet.stand_still(seconds)
+                    fleet.run(12)
+                self.check(fleet, (size, seconds))
+
+    def test_requests_that_fall_while_targets_stand_still(self):
+        for before in (2, 8):
+            fleet = self.fleet(rate=130.0)
+            fleet.stand_still(before)
+            fleet.rate = 2.0
+            fleet.stand_still(13 - before)
+            fleet.run(15)
+            self.check(fleet, before)
--- a/tests/support/retry_fleet.py
+++ b/tests/support/retry_fleet.py
@@ -1,7 +1,8 @@
 """Simulates the retry budgets of many routers on a virtual clock.
 
 Only the budgets are real. Each request fails as often as it is sent, so that each
-budget is used up; the routers start, end and learn of each other as a test says.
+budget is used up; the routers start, end and learn of each other as a test says. The
+targets may stand still: what they are sent meanwhile is read when they go on.
 """
 
 from __future__ import annotations
@@ -39,8 +40,16 @@
     def requested(self, now):
         self.budgets.of(SERVICE).requested(now)
 
-    def spend(self, now):
-        return self.budgets.of(SERVICE).spend(now)
+    def send_retry(self, now):
+        """Send a retry if the budget allows it; return whether it does."""
+        budget = self.budgets.of(SERVICE)
+        if not budget.spend(now):
+            return False
+        budget.sent(now)
+        return True
+
+    def retry_read(self, now):
+        self.budgets.of(SERVICE).read(now)
 
 
 class RetryFleet:
@@ -75,6 +84,9 @@
         self.routers = {}
         self.listed = {f"r{number}" for number in range(routers)}
         self._lists = [(START - LIST_DELAY_SECONDS, frozenset(self.listed))]
+        self.targets_stand_still = False
+        # The routers whose retries the targets have not read, once for each.
+        self._unread = []
         self._failing = []
         self._order = itertools.count()
         self._open = 0.0
@@ -113,6 +125,20 @@
         known_since = self.now - LIST_DELAY_SECONDS
         return [names for at, names in self._lists if at <= known_since][-1]
 
+    def stand_still(self, seconds, disturb=None, interval=1.0):
+        """Let time pass while the targets read nothing; then they read all."""
+        self.targets_stand_still = True
+        self.run(seconds, disturb, interval)
+        self.targets_stand_still = False
+        unread, self._unread = self._unread, []
+        for router in unread:
+            self._read(router)
+
+    def _read(self, router):
+        self.retries.append(self.now)
+        if self.routers.get(router.name) is router:
+            router.retry_read(self.now)
+
     def run(self, seconds, disturb=None, interval=1.0):
         """Let time pass; call `disturb` with a number at each interval."""
         until = self.now + seconds
@@ -151,10 +177,13 @@
         if self.routers.get(router.name) is not router:
             return
         for _ in range(self.wanted):
-            if not router.spend(self.now):
+            if not router.send_retry(self.now):
                 self.refused += 1
                 return
-            self.retries.append(self.now)
+            if self.targets_stand_still:
+                self._unread.append(router)
+            else:
+                self._read(router)
 
     @property
     def excess(self):
