Reserve what the former process of a router may have unread at targets

A router that starts again does not know which of its former retries are still to be read.

For the 15 s after which a target counts as ended a router that has started saves nothing of the fixed part, and until a window later its requests pay for a third. What is unread at an end is at most half of the fixed part and 0.375 of the fraction, and what further processes leave unread meanwhile is paid by their own requests.

--- a/src/primrosescale/request/attempt/retry_share.py
+++ b/src/primrosescale/request/attempt/retry_share.py
@@ -3,8 +3,10 @@
 The limits allow a number of retries for each request and a fixed number in each window.
 Requests are counted by the router that received them. The fixed number is divided among
 the routers, and each router saves its share up over time, beginning with nothing: one
-that has started again does not know what its former process has sent. All of its
-processes together can thus spend no more than one that never ends.
+that has started again does not know what its former process has sent, nor what targets
+have not read of it. So a router that has started spends little until all of that has
+been read or given up, and all of its processes together spend no more than one that
+never ends.
 """
 
 from __future__ import annotations
@@ -12,8 +14,6 @@
 from collections import deque
 from dataclasses import dataclass
 
-from primrosescale.request.capacity.router_shares import SETTLING_SECONDS
-
 # Part of the limit by requests that is used: retries arrive up to 0.4 s later than they
 # are counted, which is a twenty-fifth of a window.
 REQUESTS_SAFETY_FACTOR = 0.95
@@ -26,6 +26,10 @@
 # A target that has answered nothing for longer is taken to have ended, with what it has
 # not read.
 MAX_UNREAD_SECONDS = 15.0
+# Part of the limit by requests that is used while the retries of a former process may
+# be unread. These can be 0.375 of the limit, and those of further processes that end
+# meanwhile add to them.
+STARTING_PART = 1 / 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +63,13 @@
         process can have sent retries.
     """
 
-    __slots__ = ("_counts", "_is_first_start", "_limits", "_saves_since")
+    __slots__ = (
+        "_counts",
+        "_is_first_start",
+        "_limits",
+        "_saves_since",
+        "_started_at",
+    )
 
     def __init__(
         self, limits: SharedRetryLimits, *, is_first_start: bool = False
@@ -70,6 +80,8 @@
         # first; only those that a later, larger one does not outdate.
         self._counts: deque[tuple[float, int]] = deque()
         self._saves_since = 0.0
+        # When the first list of routers was known; None before that.
+        self._started_at: float | None = None
 
     @property
     def limits(self) -> SharedRetryLimits:
@@ -81,11 +93,6 @@
         """Return how many routers the fixed number is divided by; None if unknown."""
         return self._counts[0][1] if self._counts else None
 
-    @property
-    def retries_per_request(self) -> float:
-        """Return how many retries a request allows."""
-        return REQUESTS_SAFETY_FACTOR * self._limits.ratio
-
     def configure(self, limits: SharedRetryLimits) -> None:
         """Replace the limits.
 
@@ -96,9 +103,7 @@
         """
         self._limits = limits
 
-    def set_routers(
-        self, count: int | None, now: float, *, was_listed: bool = False
-    ) -> None:
+    def set_routers(self, count: int | None, now: float) -> None:
         """Record how many routers share the limits.
 
         What a router that has gone sent before counts for one more window, so the
@@ -111,15 +116,19 @@
             old to rely on.
         now : float
             Present time in seconds.
-        was_listed : bool
-            Whether this router was listed before it started, so that the others
-            already count it.
         """
         if count is None:
             self._counts.clear()
             return
+        if self._started_at is None:
+            self._started_at = now
+            if self._is_first_start:
+                # No former process has sent anything: all is saved up, none reserved.
+                self._started_at -= MAX_UNREAD_SECONDS + self._limits.window
         if not self._counts:
-            self._saves_since = now + self._saves_after(was_listed=was_listed)
+            self._saves_since = self._started_at + MAX_UNREAD_SECONDS
+            if not self._is_first_start:
+                self._saves_since = max(now, self._saves_since)
             self._is_first_start = False
         while self._counts and self._counts[-1][1] <= count:
             self._counts.pop()
@@ -127,12 +136,26 @@
         while self._counts[0][0] < now - self._limits.window:
             self._counts.popleft()
 
-    def _saves_after(self, *, was_listed: bool) -> float:
-        """Return after which time from its first list on the router saves."""
-        if self._is_first_start:
-            return -self._limits.window
-        # Routers that start together have not read each other's new entries yet.
-        return 0.0 if was_listed else SETTLING_SECONDS
+    def retries_per_request(self, now: float) -> float:
+        """Return how many retries a request allows.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        float
+            Retries.
+        """
+        allowed = REQUESTS_SAFETY_FACTOR * self._limits.ratio
+        # What a former process sent is read within the first time, and counts for a
+        # window then.
+        reserved_for = MAX_UNREAD_SECONDS + self._limits.window
+        if self._started_at is None or now < self._started_at + reserved_for:
+            return STARTING_PART * allowed
+        return allowed
 
     def fixed_retries(self, since: float, now: float) -> float:
         """Return how many retries may be sent without requests in a period.
--- a/src/primrosescale/request/attempt/shared_retry_budget.py
+++ b/src/primrosescale/request/attempt/shared_retry_budget.py
@@ -164,6 +164,7 @@
         share, newest = self._share, _slot(now)
         paying = _PayingRequests(self._requests, newest, self._slots)
         retries = 1 + self._unread
+        per_request = share.retries_per_request(now)
         for slot in range(newest, _slot(now - share.limits.window) - 1, -1):
             counted = self._in_period(slot)
             retries += counted
@@ -172,7 +173,7 @@
             # The moment may be any within the period; the latest has least to spend.
             since = min((slot + 1) * SLOT_SECONDS, now)
             allowed = share.fixed_retries(since, now)
-            allowed += share.retries_per_request * paying.since(slot)
+            allowed += per_request * paying.since(slot)
             if retries > allowed:
                 return False
         return True
