Require keys also when the last one has been taken away

Cause: whether callers need a key was derived from the number of keys, so that a version in which none is left looked like one without organisations. Only the absence of the list means that nobody needs a key; it is kept apart now, and an empty list admits nobody.

--- a/src/primrosescale/platform/records.py
+++ b/src/primrosescale/platform/records.py
@@ -361,12 +361,17 @@
 
 def _keys(
     table: FieldReader, regions: Collection[str]
-) -> Generator[None, None, dict[str, Organisation]]:
-    """Decode the organisations by their keys; yield after each."""
-    keys: dict[str, Organisation] = {}
-    # Without the list, no caller needs a key. Only leaving the list out has this
-    # meaning, so null is refused.
+) -> Generator[None, None, dict[str, Organisation] | None]:
+    """Decode the organisations by their keys; yield after each.
+
+    Without the list, no caller needs a key, and None is returned. Only leaving the list
+    out has this meaning: null is refused, and a list in which no key is left admits
+    nobody.
+    """
     table.refuse_null("tenants")
+    if not table.has("tenants"):
+        return None
+    keys: dict[str, Organisation] = {}
     for item in table.children("tenants"):
         rank = item.integer("priority", MAX_PRIORITY) if item.has("priority") else None
         allowed = _allowed_regions(item, regions)
--- a/src/primrosescale/process/entry/store_state.py
+++ b/src/primrosescale/process/entry/store_state.py
@@ -436,7 +436,7 @@
             return "no configuration"
         if self._missing_list:
             return self._missing_list
-        if self.table.has_keys and not self._freshness.allows_keys(now):
+        if self.table.requires_keys and not self._freshness.allows_keys(now):
             return "configuration too old"
         return ""
 
--- a/src/primrosescale/request/request_resolver.py
+++ b/src/primrosescale/request/request_resolver.py
@@ -134,7 +134,7 @@
             return Refusal.NO_REQUEST_ID
         organisation_name, priority = "", route.priority
         restrictions = [route.allowed_regions]
-        if table.has_keys and not route.allows_anonymous:
+        if table.requires_keys and not route.allows_anonymous:
             organisation = table.organisation(head.key)
             if organisation is None:
                 return self._unless_outdated(Refusal.UNKNOWN_KEY, now)
--- a/src/primrosescale/version/routing_table.py
+++ b/src/primrosescale/version/routing_table.py
@@ -185,20 +185,27 @@
         All routes.
     services : Iterable[Service]
         All services.
-    keys : Mapping[str, Organisation]
-        Organisation by bearer key.
+    keys : Mapping[str, Organisation] | None
+        Organisation by bearer key; None where callers need no key.
     limits : CallerLimits
         Limits on callers.
     """
 
-    __slots__ = ("_keys", "_limits", "_routes", "_services", "_version")
+    __slots__ = (
+        "_keys",
+        "_limits",
+        "_requires_keys",
+        "_routes",
+        "_services",
+        "_version",
+    )
 
     def __init__(
         self,
         version: int,
         routes: Iterable[Route],
         services: Iterable[Service],
-        keys: Mapping[str, Organisation],
+        keys: Mapping[str, Organisation] | None,
         limits: CallerLimits,
     ) -> None:
         self._version = version
@@ -208,7 +215,8 @@
         for found in self._routes.values():
             found.sort(key=lambda route: len(route.path_prefix), reverse=True)
         self._services = {service.name: service for service in services}
-        self._keys = dict(keys)
+        self._requires_keys = keys is not None
+        self._keys = dict(keys or {})
         self._limits = limits
 
     @property
@@ -222,9 +230,9 @@
         return self._limits
 
     @property
-    def has_keys(self) -> bool:
-        """Return whether the version has any keys; without any, callers need none."""
-        return bool(self._keys)
+    def requires_keys(self) -> bool:
+        """Return whether callers need a key, also when the version has none."""
+        return self._requires_keys
 
     def service(self, name: str) -> Service | None:
         """Return a service by name.
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -103,6 +103,15 @@
         self.assertEqual(9, table.service("llm").cache_tokens)
         self.assertEqual(15.0, table.limits.idle_timeout)
 
+    # Once the last key of a version was taken away, no caller needed a key.
+    def test_only_a_version_without_organisations_needs_no_keys(self):
+        bakery = CONFIGURATION["tenants"][0]
+        for tenants in ([], [{**bakery, "api_keys": []}], [bakery]):
+            table = decode_routing_table(stored({**CONFIGURATION, "tenants": tenants}))
+            self.assertTrue(table.requires_keys, tenants)
+        without = {k: v for k, v in CONFIGURATION.items() if k != "tenants"}
+        self.assertFalse(decode_routing_table(stored(without)).requires_keys)
+
     def times(self, table, route):
         return (
             table.version,
--- a/tests/entry/test_rules_of_knowledge.py
+++ b/tests/entry/test_rules_of_knowledge.py
@@ -109,6 +109,16 @@
         self.assertNotEqual(Refusal.STALE, self.resolve(START + 4.6))
         self.assertEqual(Refusal.STALE, self.resolve(START + 4.8))
 
+    # Revoked and unknown keys, and none, were accepted once no key was left.
+    def test_without_any_key_left_nobody_is_admitted(self):
+        known = table(keys=())
+        for key in ("k", "x", ""):
+            self.assertEqual(Refusal.UNKNOWN_KEY, self.resolve(known=known, key=key))
+
+    def test_a_version_without_organisations_admits_everybody(self):
+        known = RoutingTable(1, (LOOKUP,), (), None, LIMITS)
+        self.assertEqual("", self.resolve(START + 60, known=known, key="").organisation)
+
     def test_an_open_route_needs_no_key_and_no_recent_configuration(self):
         known = table(routes=(replace(LOOKUP, allows_anonymous=True),))
         found = self.resolve(START + 60, known=known, key="")
