Reserve retries after a start only while targets read late

The test of a target that asks for a pause failed: two of 235 requests that it declined were not retried, as requests paid for a third for 25 s after each start.

What a former process left unread matters only if targets have stood still since the start: otherwise it was read before, and the requests of the present process pay less anyhow until a window has passed. So requests pay for a third only while an attempt of this process is unread for 1 s or was read that late in the last window.

--- a/src/primrosescale/request/attempt/delivery_tracker.py
+++ b/src/primrosescale/request/attempt/delivery_tracker.py
@@ -53,14 +53,16 @@
 
     def add(self, now: float) -> None:
         """Count an attempt that is sent."""
+        self.budget.delays.sent(now)
         before = max(0, self.unread_retries)
         self.sent += 1
         self.unread += 1
         if self.unread_retries > before:
             self.budget.sent(now)
 
-    def read(self, now: float) -> None:
-        """Count an attempt that has been read."""
+    def read(self, sent_at: float, now: float) -> None:
+        """Count an attempt that has been read, and was sent at a given time."""
+        self.budget.delays.read(sent_at, now)
         before = self.unread_retries
         self.unread -= 1
         if self.unread_retries < before:
@@ -110,7 +112,7 @@
         """
         if not self._is_read:
             self._is_read = True
-            self._deliveries.read(now)
+            self._deliveries.read(self._sent_at, now)
 
 
 class DeliveryTracker:
--- a/src/primrosescale/request/attempt/retry_share.py
+++ b/src/primrosescale/request/attempt/retry_share.py
@@ -26,9 +26,9 @@
 # A target that has answered nothing for longer is taken to have ended, with what it has
 # not read.
 MAX_UNREAD_SECONDS = 15.0
-# Part of the limit by requests that is used while the retries of a former process may
-# be unread. These can be 0.375 of the limit, and those of further processes that end
-# meanwhile add to them.
+# Part of the limit by requests that is used after a start if targets read late: the
+# retries that a former process left unread can be 0.375 of the limit, and those of
+# further processes that end meanwhile add to them.
 STARTING_PART = 1 / 3
 
 
@@ -136,13 +136,18 @@
         while self._counts[0][0] < now - self._limits.window:
             self._counts.popleft()
 
-    def retries_per_request(self, now: float) -> float:
+    def retries_per_request(
+        self, now: float, *, targets_were_late: bool = False
+    ) -> float:
         """Return how many retries a request allows.
 
         Parameters
         ----------
         now : float
             Present time in seconds.
+        targets_were_late : bool
+            Whether targets of the service have read requests late in the last window,
+            so that they may have read late what a former process sent, too.
 
         Returns
         -------
@@ -153,9 +158,8 @@
         # What a former process sent is read within the first time, and counts for a
         # window then.
         reserved_for = MAX_UNREAD_SECONDS + self._limits.window
-        if self._started_at is None or now < self._started_at + reserved_for:
-            return STARTING_PART * allowed
-        return allowed
+        is_starting = self._started_at is None or now < self._started_at + reserved_for
+        return STARTING_PART * allowed if is_starting and targets_were_late else allowed
 
     def fixed_retries(self, since: float, now: float) -> float:
         """Return how many retries may be sent without requests in a period.
--- a/src/primrosescale/request/attempt/shared_retry_budget.py
+++ b/src/primrosescale/request/attempt/shared_retry_budget.py
@@ -22,6 +22,8 @@
 from itertools import accumulate
 from typing import TYPE_CHECKING
 
+from primrosescale.request.attempt.reading_delays import ReadingDelays
+
 if TYPE_CHECKING:
     from primrosescale.request.attempt.retry_share import RetryShare
 
@@ -64,7 +66,15 @@
         The router's share of the limits.
     """
 
-    __slots__ = ("_granted", "_read", "_refused", "_requests", "_share", "_unread")
+    __slots__ = (
+        "_granted",
+        "_read",
+        "_refused",
+        "_requests",
+        "_share",
+        "_unread",
+        "delays",
+    )
 
     def __init__(self, share: RetryShare) -> None:
         self._share = share
@@ -75,6 +85,8 @@
         self._read: dict[int, int] = {}
         self._refused = 0
         self._unread = 0
+        # When its targets have read attempts, first ones and retries.
+        self.delays = ReadingDelays()
 
     @property
     def _slots(self) -> int:
@@ -164,7 +176,8 @@
         share, newest = self._share, _slot(now)
         paying = _PayingRequests(self._requests, newest, self._slots)
         retries = 1 + self._unread
-        per_request = share.retries_per_request(now)
+        were_late = self.delays.were_late(now - share.limits.window, now)
+        per_request = share.retries_per_request(now, targets_were_late=were_late)
         for slot in range(newest, _slot(now - share.limits.window) - 1, -1):
             counted = self._in_period(slot)
             retries += counted
--- a/tests/request/test_delivery_tracker.py
+++ b/tests/request/test_delivery_tracker.py
@@ -17,6 +17,8 @@
 from primrosescale.request.attempt.delivery_tracker import DeliveryTracker
 from primrosescale.request.attempt.forwarding_interfaces import OutgoingRequest
 from primrosescale.request.attempt.forwarding_interfaces import ResponseObserver
+from primrosescale.request.attempt.reading_delays import LATE_SECONDS
+from primrosescale.request.attempt.reading_delays import ReadingDelays
 from primrosescale.request.attempt.retry_share import MAX_UNREAD_SECONDS
 from primrosescale.request.attempt.tracked_target_client import TrackedTargetClient
 
@@ -29,6 +31,7 @@
     def __init__(self):
         self.sent_at = []
         self.read_at = []
+        self.delays = ReadingDelays()
 
     @property
     def unread(self):
@@ -125,6 +128,33 @@
         self.assertEqual(0, len(self.tracker._unread["a"]))
 
 
+class ReadingDelaysTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.delays = ReadingDelays()
+
+    def were_late(self, after, since=0.0):
+        return self.delays.were_late(START + since, START + after)
+
+    def test_what_is_read_soon_is_not_late(self):
+        self.delays.sent(START)
+        self.delays.read(START, START + LATE_SECONDS - 0.1)
+        self.assertFalse(self.were_late(5))
+
+    def test_what_is_unread_for_long_is_late(self):
+        self.delays.sent(START)
+        self.delays.sent(START)
+        self.delays.read(START, START + 0.1)
+        self.assertFalse(self.were_late(LATE_SECONDS - 0.3))
+        self.assertTrue(self.were_late(LATE_SECONDS))
+
+    def test_what_was_read_late_counts_for_the_time_that_is_asked_for(self):
+        self.delays.sent(START)
+        self.delays.read(START, START + 3)
+        self.assertTrue(self.were_late(9, since=3))
+        self.assertFalse(self.were_late(9, since=3.1))
+
+
 class Observer(ResponseObserver):
     """Records the calls that are passed on to it."""
 
