--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -573,7 +573,7 @@
         was_listed = self._registry.was_listed
         self._shares.set_routers(names, now, was_listed=was_listed)
         age = self._store_state.lost_for(now)
-        self._retry_budgets.set_routers(len(names), now, age)
+        self._retry_budgets.set_routers(len(names), now, age, was_listed=was_listed)
 
     def _service(self, name: str) -> Service | None:
         table = self._store_state.table
--- a/src/primrosescale/request/attempt/retry_share.py
+++ b/src/primrosescale/request/attempt/retry_share.py
@@ -4,9 +4,9 @@
 Requests are counted by the router that received them. The fixed number is divided among
 the routers, and each router saves its share up over time, beginning with nothing: one
 that has started again does not know what its former process has sent, nor what targets
-have not read of it. So a router that has started spends little until all of that has
-been read or given up, and all of its processes together spend no more than one that
-never ends.
+have not read of it. So it spends little after a start while targets read late, until
+all of that has been read or given up. All of its processes together thus spend no more
+than one that never ends.
 """
 
 from __future__ import annotations
@@ -14,6 +14,8 @@
 from collections import deque
 from dataclasses import dataclass
 
+from primrosescale.request.capacity.router_shares import SETTLING_SECONDS
+
 # Part of the limit by requests that is used: retries arrive up to 0.4 s later than they
 # are counted, which is a twenty-fifth of a window.
 REQUESTS_SAFETY_FACTOR = 0.95
@@ -103,7 +105,9 @@
         """
         self._limits = limits
 
-    def set_routers(self, count: int | None, now: float) -> None:
+    def set_routers(
+        self, count: int | None, now: float, *, was_listed: bool = False
+    ) -> None:
         """Record how many routers share the limits.
 
         What a router that has gone sent before counts for one more window, so the
@@ -116,6 +120,9 @@
             old to rely on.
         now : float
             Present time in seconds.
+        was_listed : bool
+            Whether this router was listed before it started, so that the others
+            already count it.
         """
         if count is None:
             self._counts.clear()
@@ -126,9 +133,7 @@
                 # No former process has sent anything: all is saved up, none reserved.
                 self._started_at -= MAX_UNREAD_SECONDS + self._limits.window
         if not self._counts:
-            self._saves_since = self._started_at + MAX_UNREAD_SECONDS
-            if not self._is_first_start:
-                self._saves_since = max(now, self._saves_since)
+            self._saves_since = now + self._saves_after(was_listed=was_listed)
             self._is_first_start = False
         while self._counts and self._counts[-1][1] <= count:
             self._counts.pop()
@@ -136,18 +141,40 @@
         while self._counts[0][0] < now - self._limits.window:
             self._counts.popleft()
 
-    def retries_per_request(
-        self, now: float, *, targets_were_late: bool = False
-    ) -> float:
-        """Return how many retries a request allows.
+    def _saves_after(self, *, was_listed: bool) -> float:
+        """Return after which time from its first list on the router saves."""
+        if self._is_first_start:
+            return -self._limits.window
+        # Routers that start together have not read each other's new entries yet.
+        return 0.0 if was_listed else SETTLING_SECONDS
+
+    def reserves_unread(self, now: float) -> bool:
+        """Return whether a former process may have left retries that count now.
+
+        They are read within `MAX_UNREAD_SECONDS` after its end, and count for a window
+        then.
 
         Parameters
         ----------
         now : float
             Present time in seconds.
-        targets_were_late : bool
-            Whether targets of the service have read requests late in the last window,
-            so that they may have read late what a former process sent, too.
+
+        Returns
+        -------
+        bool
+            True for some time after a start, and before the first list of routers.
+        """
+        if self._started_at is None:
+            return True
+        return now < self._started_at + MAX_UNREAD_SECONDS + self._limits.window
+
+    def retries_per_request(self, *, is_reserved: bool = False) -> float:
+        """Return how many retries a request allows.
+
+        Parameters
+        ----------
+        is_reserved : bool
+            Whether retries of a former process are to be expected.
 
         Returns
         -------
@@ -155,13 +182,11 @@
             Retries.
         """
         allowed = REQUESTS_SAFETY_FACTOR * self._limits.ratio
-        # What a former process sent is read within the first time, and counts for a
-        # window then.
-        reserved_for = MAX_UNREAD_SECONDS + self._limits.window
-        is_starting = self._started_at is None or now < self._started_at + reserved_for
-        return STARTING_PART * allowed if is_starting and targets_were_late else allowed
+        return STARTING_PART * allowed if is_reserved else allowed
 
-    def fixed_retries(self, since: float, now: float) -> float:
+    def fixed_retries(
+        self, since: float, now: float, *, is_reserved: bool = False
+    ) -> float:
         """Return how many retries may be sent without requests in a period.
 
         Parameters
@@ -170,6 +195,8 @@
             Begin of the period, in seconds; it is at most a window ago.
         now : float
             Present time in seconds.
+        is_reserved : bool
+            Whether retries of a former process are to be expected.
 
         Returns
         -------
@@ -181,6 +208,9 @@
             return 0.0
         share = SAFETY_FACTOR * self._limits.extra / routers
         added_per_second = (1 - SAVED_PART) * share / self._limits.window
-        saving = max(0.0, since - self._saves_since)
+        saves_since = self._saves_since
+        if is_reserved and self._started_at is not None:
+            saves_since = max(saves_since, self._started_at + MAX_UNREAD_SECONDS)
+        saving = max(0.0, since - saves_since)
         saved = min(SAVED_PART * share, added_per_second * saving)
-        return saved + added_per_second * (max(0.0, now - self._saves_since) - saving)
+        return saved + added_per_second * (max(0.0, now - saves_since) - saving)
--- a/src/primrosescale/request/attempt/shared_retry_budget.py
+++ b/src/primrosescale/request/attempt/shared_retry_budget.py
@@ -176,8 +176,10 @@
         share, newest = self._share, _slot(now)
         paying = _PayingRequests(self._requests, newest, self._slots)
         retries = 1 + self._unread
-        were_late = self.delays.were_late(now - share.limits.window, now)
-        per_request = share.retries_per_request(now, targets_were_late=were_late)
+        is_reserved = share.reserves_unread(now) and self.delays.were_late(
+            now - share.limits.window, now
+        )
+        per_request = share.retries_per_request(is_reserved=is_reserved)
         for slot in range(newest, _slot(now - share.limits.window) - 1, -1):
             counted = self._in_period(slot)
             retries += counted
@@ -185,7 +187,7 @@
                 continue
             # The moment may be any within the period; the latest has least to spend.
             since = min((slot + 1) * SLOT_SECONDS, now)
-            allowed = share.fixed_retries(since, now)
+            allowed = share.fixed_retries(since, now, is_reserved=is_reserved)
             allowed += per_request * paying.since(slot)
             if retries > allowed:
                 return False
--- a/src/primrosescale/request/attempt/shared_retry_budgets.py
+++ b/src/primrosescale/request/attempt/shared_retry_budgets.py
@@ -95,6 +95,8 @@
         count: int | None,
         now: float,
         list_age: float = 0.0,
+        *,
+        was_listed: bool = False,
     ) -> None:
         """Record how many routers share the budgets; see `RetryShare.set_routers`.
 
@@ -106,9 +108,11 @@
             Present time in seconds.
         list_age : float
             Time in seconds since the list of routers was last known to be current.
+        was_listed : bool
+            Whether this router was listed before it started.
         """
         known = None if list_age >= MAX_LIST_AGE_SECONDS else count
-        self._share.set_routers(known, now)
+        self._share.set_routers(known, now, was_listed=was_listed)
 
     def take_usage(self, now: float) -> dict[str, RetryUsage]:
         """Return what was used of each budget; see `SharedRetryBudget.take_usage`.
--- a/tests/request/test_retry_budget_fleet.py
+++ b/tests/request/test_retry_budget_fleet.py
@@ -17,7 +17,7 @@
 RATE = 40.0
 MIN_RATE_PER_ROUTER = 2.0
 SIZES = (4, 8, 30)
-# Routers that have started save up nothing for 15 s, and spend little for 25 s.
+# Routers that have started may reserve retries of a former process for 25 s.
 WARM_UP_SECONDS = 40
 
 
