--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -121,6 +121,12 @@
             ["service"],
             registry=self._registry,
         )
+        self._assumed_read_retries = Counter(
+            "primrosescale_assumed_read_retries",
+            "Retries taken as read by their targets without an answer to them",
+            ["service"],
+            registry=self._registry,
+        )
         self._unread_retries = Gauge(
             "primrosescale_unread_retries",
             "Retries that are not known to have been read by their targets",
@@ -309,6 +315,7 @@
         self._retries.labels(service).set(usage.retries)
         self._refused_retries.labels(service).inc(usage.refused)
         self._unread_retries.labels(service).set(usage.unread)
+        self._assumed_read_retries.labels(service).inc(usage.assumed_read)
 
     def capacity(self, service: str, capacity: float, demand: float) -> None:
         """Set capacity and demand of a service with overload control.
--- a/src/primrosescale/process/entry/retry_reports.py
+++ b/src/primrosescale/process/entry/retry_reports.py
@@ -52,5 +52,6 @@
                     retries=usage.retries,
                     refused=usage.refused,
                     unread=usage.unread,
+                    assumed_read=usage.assumed_read,
                     routers=self._budgets.routers,
                 )
--- a/src/primrosescale/request/attempt/delivery_tracker.py
+++ b/src/primrosescale/request/attempt/delivery_tracker.py
@@ -60,13 +60,13 @@
         if self.unread_retries > before:
             self.budget.sent(now)
 
-    def read(self, sent_at: float, now: float) -> None:
+    def read(self, sent_at: float, now: float, *, is_answered: bool) -> None:
         """Count an attempt that has been read, and was sent at a given time."""
         self.budget.delays.read(sent_at, now)
         before = self.unread_retries
         self.unread -= 1
         if self.unread_retries < before:
-            self.budget.read(now)
+            self.budget.read(now, is_answered=is_answered)
 
 
 class SentAttempt:
@@ -102,17 +102,19 @@
         """Return when it was sent, in seconds."""
         return self._sent_at
 
-    def read(self, now: float) -> None:
+    def read(self, now: float, *, is_answered: bool = False) -> None:
         """Record that the target has read it, or never will.
 
         Parameters
         ----------
         now : float
             Present time in seconds.
+        is_answered : bool
+            Whether its own answer shows that.
         """
         if not self._is_read:
             self._is_read = True
-            self._deliveries.read(self._sent_at, now)
+            self._deliveries.read(self._sent_at, now, is_answered=is_answered)
 
 
 class DeliveryTracker:
@@ -178,7 +180,7 @@
         now : float
             Present time in seconds.
         """
-        attempt.read(now)
+        attempt.read(now, is_answered=True)
         unread = self._unread.get(attempt.target.name)
         while unread and unread[0].sent_at <= attempt.sent_at:
             unread.popleft().read(now)
--- a/src/primrosescale/request/attempt/shared_retry_budget.py
+++ b/src/primrosescale/request/attempt/shared_retry_budget.py
@@ -49,12 +49,15 @@
         Retries that the budget did not allow, since the last report.
     unread : int
         Retries that are not known to have been read by their targets.
+    assumed_read : int
+        Retries taken as read without an answer to them, since the last report.
     """
 
     requests: int
     retries: int
     refused: int
     unread: int
+    assumed_read: int
 
 
 class SharedRetryBudget:
@@ -67,6 +70,7 @@
     """
 
     __slots__ = (
+        "_assumed_read",
         "_granted",
         "_read",
         "_refused",
@@ -84,6 +88,7 @@
         self._granted: dict[int, int] = {}
         self._read: dict[int, int] = {}
         self._refused = 0
+        self._assumed_read = 0
         self._unread = 0
         # When its targets have read attempts, first ones and retries.
         self.delays = ReadingDelays()
@@ -137,19 +142,22 @@
                 self._granted[slot] -= 1
                 return
 
-    def read(self, now: float) -> None:
+    def read(self, now: float, *, is_answered: bool = True) -> None:
         """Record that a retry has been read by its target.
 
         Parameters
         ----------
         now : float
             Present time in seconds.
+        is_answered : bool
+            Whether its own answer shows that.
         """
         self._unread -= 1
+        self._assumed_read += not is_answered
         self._count(self._read, now)
 
     def take_usage(self, now: float) -> RetryUsage:
-        """Return what was used, and count refused retries anew.
+        """Return what was used, and count refused and assumed retries anew.
 
         Parameters
         ----------
@@ -163,12 +171,14 @@
         """
         first = _slot(now) - self._slots + 1
         refused, self._refused = self._refused, 0
+        assumed_read, self._assumed_read = self._assumed_read, 0
         return RetryUsage(
             sum(count for slot, count in self._requests.items() if slot >= first),
             self._unread
             + sum(self._in_period(slot) for slot in range(first, first + self._slots)),
             refused,
             self._unread,
+            assumed_read,
         )
 
     def _allows_one(self, now: float) -> bool:
--- a/tests/entry/test_retry_reports.py
+++ b/tests/entry/test_retry_reports.py
@@ -50,6 +50,7 @@
             "retries": 4,
             "refused": 2,
             "unread": 0,
+            "assumed_read": 0,
             "routers": 4,
         }
         self.assertEqual([(Event.RETRIES_USED, fields)], self.parts.lines)
--- a/tests/request/test_delivery_tracker.py
+++ b/tests/request/test_delivery_tracker.py
@@ -31,6 +31,7 @@
     def __init__(self):
         self.sent_at = []
         self.read_at = []
+        self.assumed_read = 0
         self.delays = ReadingDelays()
 
     @property
@@ -40,8 +41,9 @@
     def sent(self, now):
         self.sent_at.append(now)
 
-    def read(self, now):
+    def read(self, now, *, is_answered=True):
         self.read_at.append(now)
+        self.assumed_read += not is_answered
 
 
 class DeliveryTrackerTest(TestCase):
@@ -66,6 +68,7 @@
         self.assertEqual([START + 1], self.budget.sent_at)
         self.tracker.answered(retry, START + 3)
         self.assertEqual([START + 3], self.budget.read_at)
+        self.assertEqual(0, self.budget.assumed_read)
 
     # The target that a request was sent to first read it last, and that did not count.
     def test_the_attempt_that_is_read_last_is_the_retry(self):
@@ -119,6 +122,7 @@
         for seconds, left in ((MAX_UNREAD_SECONDS - 1, 1), (MAX_UNREAD_SECONDS + 1, 0)):
             self.send(C, seconds, request(request_id=f"r{seconds}"))
             self.assertEqual(left, self.budget.unread)
+        self.assertEqual(1, self.budget.assumed_read)
 
     def test_requests_that_ended_are_forgotten(self):
         for second in range(200):
