--- a/tests/entry/test_retry_budget.py
+++ b/tests/entry/test_retry_budget.py
@@ -2,8 +2,9 @@
 
 Guards against retries that pile up beyond the bound of a service: what a router had
 sent was forgotten when it started again or read new settings, the others' shares grew
-as soon as it stopped, and what targets had not read yet did not count when they did.
-All targets decline all requests, so that each budget is used up.
+as soon as it stopped, and what targets had not read yet did not count when they did,
+or only until its connection was reset. All targets decline all requests, so that each
+budget is used up.
 """
 
 from __future__ import annotations
@@ -171,6 +172,7 @@
     warm_up_seconds = 5.0
     play_seconds = 7.5
     standstill_seconds = 3.5
+    reset_interval = 0.5
 
     def setUp(self):
         self.links = []
@@ -186,10 +188,14 @@
         self.store.write("servers", script.name, {**entry, "address": address})
 
     @inlineCallbacks
-    def stand_still(self, links):
+    def stand_still(self, links, *, is_reset=False):
         for link in links:
             link.set(LinkFault.SILENT)
-        yield deferLater(reactor, self.standstill_seconds, lambda: None)
+        until = reactor.seconds() + self.standstill_seconds
+        while reactor.seconds() < until:
+            yield deferLater(reactor, self.reset_interval, lambda: None)
+            for link in links if is_reset else ():
+                link.reset_callers()
         for link in links:
             link.set(LinkFault.NONE)
 
@@ -201,3 +207,9 @@
     def test_some_targets_stand_still_and_go_on(self):
         links = self.links[::2]
         return self.play(lambda _: self.stand_still(links), self.limits.window)
+
+    # A reset counted as read, and targets read the request when they went on.
+    def test_connections_are_reset_while_all_targets_stand_still(self):
+        return self.play(
+            lambda _: self.stand_still(self.links, is_reset=True), self.limits.window
+        )
--- a/tests/request/test_retry_budget_fleet.py
+++ b/tests/request/test_retry_budget_fleet.py
@@ -2,7 +2,8 @@
 
 Guards against retries that pile up beyond the bound of a service: a router that started
 again, or stopped, gave out a share that had been used already, a request paid for
-retries in two windows, and what targets had not read yet did not count.
+retries in two windows, what targets had not read yet did not count, and a reset or an
+answer on another connection was taken as proof that they had.
 """
 
 from __future__ import annotations
@@ -21,7 +22,9 @@
 WARM_UP_SECONDS = 40
 
 
-class RetryBudgetFleetTest(TestCase):
+class FleetBudgetTest(TestCase):
+    """Runs fleets and judges their retries by the bound."""
+
     def fleet(self, routers=8, rate=None, **options):
         if rate is None:
             rate = max(RATE, MIN_RATE_PER_ROUTER * routers)
@@ -36,6 +39,8 @@
     def names(self, fleet):
         return sorted(fleet.listed)
 
+
+class RetryBudgetFleetTest(FleetBudgetTest):
     def test_routers_that_nothing_happens_to(self):
         for size in SIZES:
             fleet = self.fleet(size)
@@ -204,3 +209,71 @@
         fleet.stand_still(14, kill_one, 0.5)
         fleet.run(20, kill_one, 1.0)
         self.check(fleet)
+
+
+class LateReadingTest(FleetBudgetTest):
+    """Connections to many targets are reset or hold their bytes."""
+
+    def late_fleet(self, size=8, rate=130.0):
+        return self.fleet(size, rate=rate, targets=39)
+
+    def resetting(self, fleet, kill_at=None):
+        """Return a disturbance, twice a second, that resets all connections."""
+
+        def disturb(number):
+            fleet.reset_connections()
+            if number == kill_at:
+                for name in self.names(fleet):
+                    fleet.restart(name)
+
+        return disturb
+
+    # A connection that was reset counted as read, and its target read it later.
+    def test_connections_are_reset_while_targets_stand_still(self):
+        for size, seconds in ((8, 5), (8, 18), (11, 9), (30, 14)):
+            fleet = self.late_fleet(size)
+            for _ in range(2):
+                fleet.stand_still(seconds, self.resetting(fleet), 0.5)
+                fleet.run(8)
+            fleet.run(4)
+            self.check(fleet, (size, seconds))
+
+    # An answer on another connection was taken as proof that held bytes had been read.
+    def test_half_of_the_connections_hold_their_bytes(self):
+        for seconds in (5, 14):
+            fleet = self.late_fleet()
+            for _ in range(2):
+                fleet.hold(0.5, seconds)
+                fleet.run(8)
+            fleet.run(4)
+            self.check(fleet, seconds)
+
+    def test_connections_that_hold_their_bytes_are_reset(self):
+        for share in (0.3, 0.7):
+            fleet = self.late_fleet()
+            for _ in range(2):
+                fleet.hold(share, 8, self.resetting(fleet), 0.5)
+                fleet.run(8)
+            fleet.run(4)
+            self.check(fleet, share)
+
+    # Routers that started again saw no late attempt, as resets counted as read.
+    def test_routers_are_killed_while_connections_are_reset(self):
+        for seconds in (5, 14):
+            fleet = self.late_fleet()
+            disturb = self.resetting(fleet, kill_at=seconds)
+            fleet.stand_still(seconds, disturb, 0.5)
+            fleet.run(20)
+            self.check(fleet, seconds)
+
+    def test_routers_are_killed_while_half_of_the_connections_hold_bytes(self):
+        for seconds in (5, 14):
+            fleet = self.late_fleet()
+
+            def herd(number, fleet=fleet):
+                for name in self.names(fleet) if number else ():
+                    fleet.restart(name)
+
+            fleet.hold(0.5, seconds, herd, seconds / 2)
+            fleet.run(20)
+            self.check(fleet, seconds)
--- a/tests/soak/fault_proxy.py
+++ b/tests/soak/fault_proxy.py
@@ -178,6 +178,11 @@
         for end in list(self.open_ends):
             end.transport.abortConnection()
 
+    def reset_callers(self):
+        """Reset the open connections of callers; what they sent is still delivered."""
+        for end in list(self._open_callers):
+            end.transport.abortConnection()
+
     def close(self):
         self.reset()
         return self._listener.stopListening()
