Count a retry as read only once the target has answered it

Callers saw services get more repeats within 10 s than all routers may send together: targets that stand still read what lies in their sockets when they go on, also from connections that were reset meanwhile, and a connection that holds its bytes delivers them later than others to the same target.

Cause: the tracker took a connection that ended, or an answer to a later attempt on another connection, for proof that a target had read an attempt.

Now only the answer to an attempt settles it, or a later incarnation of its target, or 20 s (15 s before).

Two unit tests said that an answer to a later request, and a connection closed by its target, settle an attempt. That is the fault; they say now that neither does.

--- a/src/primrosescale/request/attempt/delivery_tracker.py
+++ b/src/primrosescale/request/attempt/delivery_tracker.py
@@ -1,9 +1,10 @@
 """Tracks which requests the targets have read, for the budgets of their retries.
 
-What is sent to a target that stands still, or over a link that is interrupted, waits in
-the buffers of the network and of the target's host, also after the connection has been
-aborted. The target reads it when it goes on. A request is known to have been read when
-its answer begins, or the answer to one that was sent to the target later.
+What is sent to a target that stands still, or over a connection that is interrupted,
+waits in the buffers of the network and of the target's host, also after the connection
+has ended. The target reads it when it goes on. Only the answer to an attempt shows that
+this attempt has been read: another connection to the same target has buffers of its
+own, and a connection can be reset by anything on its way.
 
 Of a request that is sent several times, the target that reads it last gets a retry,
 whichever it was sent to first. So the retries of a request that are still to be read
@@ -12,7 +13,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import TYPE_CHECKING
 
 from primrosescale.request.attempt.retry_share import MAX_UNREAD_SECONDS
@@ -53,16 +53,14 @@
 
     def add(self, now: float) -> None:
         """Count an attempt that is sent."""
-        self.budget.delays.sent(now)
         before = max(0, self.unread_retries)
         self.sent += 1
         self.unread += 1
         if self.unread_retries > before:
             self.budget.sent(now)
 
-    def read(self, sent_at: float, now: float, *, is_answered: bool) -> None:
-        """Count an attempt that has been read, and was sent at a given time."""
-        self.budget.delays.read(sent_at, now)
+    def read(self, now: float, *, is_answered: bool) -> None:
+        """Count an attempt that has been read."""
         before = self.unread_retries
         self.unread -= 1
         if self.unread_retries < before:
@@ -82,7 +80,7 @@
         When it was sent, in seconds.
     """
 
-    __slots__ = ("_deliveries", "_is_read", "_sent_at", "_target")
+    __slots__ = ("_deliveries", "_is_followed", "_sent_at", "_target")
 
     def __init__(
         self, deliveries: _RequestDeliveries, target: TargetIncarnation, sent_at: float
@@ -90,7 +88,10 @@
         self._deliveries = deliveries
         self._target = target
         self._sent_at = sent_at
-        self._is_read = False
+        # Whether its target has answered it or a later one.
+        self._is_followed = False
+        deliveries.budget.delays.sent(sent_at)
+        deliveries.add(sent_at)
 
     @property
     def target(self) -> TargetIncarnation:
@@ -102,8 +103,20 @@
         """Return when it was sent, in seconds."""
         return self._sent_at
 
+    def followed(self, now: float) -> None:
+        """Record that its target has answered it or a later one.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+        """
+        if not self._is_followed:
+            self._is_followed = True
+            self._deliveries.budget.delays.answered(self._sent_at, now)
+
     def read(self, now: float, *, is_answered: bool = False) -> None:
-        """Record that the target has read it, or never will.
+        """Record that the target has read it, or never will; called once.
 
         Parameters
         ----------
@@ -112,9 +125,11 @@
         is_answered : bool
             Whether its own answer shows that.
         """
-        if not self._is_read:
-            self._is_read = True
-            self._deliveries.read(self._sent_at, now, is_answered=is_answered)
+        if is_answered:
+            self.followed(now)
+        elif not self._is_followed:
+            self._deliveries.budget.delays.given_up(self._sent_at)
+        self._deliveries.read(now, is_answered=is_answered)
 
 
 class DeliveryTracker:
@@ -133,7 +148,7 @@
         # By identity of the request.
         self._requests: dict[int, _RequestDeliveries] = {}
         # By name of the target, in the order in which they were sent.
-        self._unread: dict[str, deque[SentAttempt]] = {}
+        self._unread: dict[str, dict[SentAttempt, None]] = {}
         self._expires_at = 0.0
 
     def sent(
@@ -162,12 +177,12 @@
             budget = self._budget_of(request.service)
             deliveries = _RequestDeliveries(request, budget)
             self._requests[id(request)] = deliveries
-        deliveries.add(now)
         attempt = SentAttempt(deliveries, target, now)
-        unread = self._unread.setdefault(target.name, deque())
-        while unread and unread[0].target.is_followed_by(target):
-            unread.popleft().read(now)
-        unread.append(attempt)
+        unread = self._unread.setdefault(target.name, {})
+        for former in [each for each in unread if each.target.is_followed_by(target)]:
+            del unread[former]
+            former.read(now)
+        unread[attempt] = None
         return attempt
 
     def answered(self, attempt: SentAttempt, now: float) -> None:
@@ -176,21 +191,28 @@
         Parameters
         ----------
         attempt : SentAttempt
-            The attempt. Those that were sent to its target before have been read too.
+            The attempt. Its target has been running since those before it were sent.
         now : float
             Present time in seconds.
         """
+        unread = self._unread.get(attempt.target.name, {})
+        if attempt not in unread:
+            return
+        del unread[attempt]
         attempt.read(now, is_answered=True)
-        unread = self._unread.get(attempt.target.name)
-        while unread and unread[0].sent_at <= attempt.sent_at:
-            unread.popleft().read(now)
+        for former in unread:
+            if former.sent_at > attempt.sent_at:
+                break
+            former.followed(now)
 
     def _expire(self, now: float) -> None:
         """Give up attempts that are still unread, and forget requests that ended."""
         self._expires_at = now + EXPIRY_INTERVAL_SECONDS
+        oldest = now - MAX_UNREAD_SECONDS
         for name, unread in list(self._unread.items()):
-            while unread and unread[0].sent_at < now - MAX_UNREAD_SECONDS:
-                unread.popleft().read(now)
+            for expired in [each for each in unread if each.sent_at < oldest]:
+                del unread[expired]
+                expired.read(now)
             if not unread:
                 del self._unread[name]
         for key, deliveries in list(self._requests.items()):
--- a/src/primrosescale/request/attempt/reading_delays.py
+++ b/src/primrosescale/request/attempt/reading_delays.py
@@ -1,23 +1,36 @@
-"""Whether targets of a service have read requests late, as ones that stand still do."""
+"""Whether targets of a service have stood still, by how late they answered.
+
+A target that has answered an attempt, or a later one, has been running since that was
+sent. It need not have read all that was sent to it before.
+"""
 
 from __future__ import annotations
 
 import math
 
-# A target that works reads within milliseconds, and answers most requests sooner.
+# A target that works answers most requests sooner.
 LATE_SECONDS = 1.0
-SLOT_SECONDS = 0.25
+# Targets stand still if this part of the recent attempts is late, and so many. Single
+# ones are late without: after an abort, the target has to answer another request.
+STANDSTILL_PART = 0.25
+MIN_LATE_ATTEMPTS = 3
+# Attempts are counted by periods of this length; these are recent.
+PERIOD_SECONDS = 0.25
+RECENT_PERIODS = 10
 
 
 class ReadingDelays:
-    """The attempts of a service that are unread, and when one was last read late."""
+    """Counts the attempts of a service by when they were sent and answered."""
 
-    __slots__ = ("_late_at", "_unread")
+    __slots__ = ("_answered", "_late", "_open", "_stood_still_at")
 
     def __init__(self) -> None:
-        self._late_at = -math.inf
-        # Number of unread attempts by the period in which they were sent.
-        self._unread: dict[int, int] = {}
+        # By period: open ones by when they were sent, the others by when they or later
+        # ones were answered. Late ones are counted in both of the latter.
+        self._open: dict[int, int] = {}
+        self._answered: dict[int, int] = {}
+        self._late: dict[int, int] = {}
+        self._stood_still_at = -math.inf
 
     def sent(self, now: float) -> None:
         """Record that an attempt is being sent.
@@ -27,11 +40,10 @@
         now : float
             Present time in seconds.
         """
-        slot = int(now // SLOT_SECONDS)
-        self._unread[slot] = self._unread.get(slot, 0) + 1
+        _count(self._open, now)
 
-    def read(self, sent_at: float, now: float) -> None:
-        """Record that an attempt has been read.
+    def answered(self, sent_at: float, now: float) -> None:
+        """Record that the target of an attempt has answered it or a later one.
 
         Parameters
         ----------
@@ -40,29 +52,64 @@
         now : float
             Present time in seconds.
         """
-        slot = int(sent_at // SLOT_SECONDS)
-        left = self._unread.pop(slot) - 1
-        if left:
-            self._unread[slot] = left
+        self.given_up(sent_at)
+        self._drop_old(now)
+        _count(self._answered, now)
         if now - sent_at >= LATE_SECONDS:
-            self._late_at = now
+            _count(self._late, now)
+            self._check_standstill(now)
+
+    def given_up(self, sent_at: float) -> None:
+        """Record that no answer to an attempt is awaited any more.
+
+        Parameters
+        ----------
+        sent_at : float
+            When it was sent, in seconds.
+        """
+        left = self._open.pop(_period(sent_at)) - 1
+        if left:
+            self._open[_period(sent_at)] = left
 
-    def were_late(self, since: float, now: float) -> bool:
-        """Return whether an attempt was read late, or is unread for as long.
+    def stood_still(self, since: float, now: float) -> bool:
+        """Return whether targets stand still, or did in a given time.
 
         Parameters
         ----------
         since : float
-            Begin of the time that counts, in seconds.
+            Begin of the time, in seconds.
         now : float
             Present time in seconds.
 
         Returns
         -------
         bool
-            True if one was read late since then, or has not been read yet.
+            True if many attempts were late at once.
         """
-        if self._late_at >= since:
-            return True
-        latest = (now - LATE_SECONDS) // SLOT_SECONDS
-        return any(slot <= latest for slot in self._unread)
+        self._drop_old(now)
+        self._check_standstill(now)
+        return self._stood_still_at >= since
+
+    def _check_standstill(self, now: float) -> None:
+        newest_late = _period(now - LATE_SECONDS)
+        late = sum(count for sent, count in self._open.items() if sent < newest_late)
+        late += sum(self._late.values())
+        attempts = sum(self._open.values()) + sum(self._answered.values())
+        if late >= max(MIN_LATE_ATTEMPTS, STANDSTILL_PART * attempts):
+            self._stood_still_at = now
+
+    def _drop_old(self, now: float) -> None:
+        oldest = _period(now) - RECENT_PERIODS
+        for counts in (self._answered, self._late):
+            for period in [each for each in counts if each < oldest]:
+                del counts[period]
+
+
+def _period(at: float) -> int:
+    """Return the number of the period that contains a time."""
+    return int(at // PERIOD_SECONDS)
+
+
+def _count(counts: dict[int, int], at: float) -> None:
+    period = _period(at)
+    counts[period] = counts.get(period, 0) + 1
--- a/src/primrosescale/request/attempt/retry_share.py
+++ b/src/primrosescale/request/attempt/retry_share.py
@@ -27,7 +27,7 @@
 SAVED_PART = 0.5
 # A target that has answered nothing for longer is taken to have ended, with what it has
 # not read.
-MAX_UNREAD_SECONDS = 15.0
+MAX_UNREAD_SECONDS = 20.0
 # Part of the limit by requests that is used after a start if targets read late: the
 # retries that a former process left unread can be 0.375 of the limit, and those of
 # further processes that end meanwhile add to them.
--- a/src/primrosescale/request/attempt/shared_retry_budget.py
+++ b/src/primrosescale/request/attempt/shared_retry_budget.py
@@ -186,7 +186,7 @@
         share, newest = self._share, _slot(now)
         paying = _PayingRequests(self._requests, newest, self._slots)
         retries = 1 + self._unread
-        is_reserved = share.reserves_unread(now) and self.delays.were_late(
+        is_reserved = share.reserves_unread(now) and self.delays.stood_still(
             now - share.limits.window, now
         )
         per_request = share.retries_per_request(is_reserved=is_reserved)
--- a/src/primrosescale/request/attempt/tracked_target_client.py
+++ b/src/primrosescale/request/attempt/tracked_target_client.py
@@ -80,12 +80,7 @@
         self._observer.response_done()
 
     def response_lost(self, detail: str) -> None:
-        """Settle it: its target has ended or closed the connection.
-
-        See `ResponseObserver.response_lost`.
-        """
-        if self._attempt is not None:
-            self._attempt.read(self._clock.seconds())
+        """Pass it on: the target may still read it; see `ResponseObserver`."""
         self._observer.response_lost(detail)
 
 
--- a/tests/request/test_delivery_tracker.py
+++ b/tests/request/test_delivery_tracker.py
@@ -18,6 +18,7 @@
 from primrosescale.request.attempt.forwarding_interfaces import OutgoingRequest
 from primrosescale.request.attempt.forwarding_interfaces import ResponseObserver
 from primrosescale.request.attempt.reading_delays import LATE_SECONDS
+from primrosescale.request.attempt.reading_delays import MIN_LATE_ATTEMPTS
 from primrosescale.request.attempt.reading_delays import ReadingDelays
 from primrosescale.request.attempt.retry_share import MAX_UNREAD_SECONDS
 from primrosescale.request.attempt.tracked_target_client import TrackedTargetClient
@@ -87,15 +88,22 @@
             self.tracker.answered(attempts[n], START + 3)
             self.assertEqual(left, self.budget.unread)
 
-    # An aborted attempt waits in the buffers of its target's host and is still read.
-    def test_an_answer_to_a_later_request_settles_those_before(self):
-        self.send(A, 0)
+    # A connection that held its bytes was taken as read by an answer on another one.
+    def test_an_answer_to_a_later_request_settles_only_that(self):
+        first = self.send(A, 0)
         self.tracker.answered(self.send(B, 1), START + 1)
-        other = request(request_id="r2")
-        later = self.send(A, 2, other)
-        self.assertEqual(1, self.budget.unread)
+        later = self.send(A, 2, request(request_id="r2"))
         self.tracker.answered(later, START + 4)
-        self.assertEqual([START + 4], self.budget.read_at)
+        self.assertEqual(1, self.budget.unread)
+        self.tracker.answered(first, START + 6)
+        self.assertEqual([START + 6], self.budget.read_at)
+
+    def test_a_target_that_answers_later_requests_does_not_stand_still(self):
+        for number in range(2 * MIN_LATE_ATTEMPTS):
+            self.send(A, 0, request(request_id=f"r{number}"))
+        self.assertTrue(self.budget.delays.stood_still(START, START + 2))
+        self.tracker.answered(self.send(A, 2, request(request_id="later")), START + 2)
+        self.assertFalse(self.budget.delays.stood_still(START + 5, START + 5))
 
     def test_an_answer_to_an_earlier_request_settles_nothing(self):
         earlier = self.send(A, 0, request(request_id="r2"))
@@ -137,26 +145,61 @@
         super().setUp()
         self.delays = ReadingDelays()
 
-    def were_late(self, after, since=0.0):
-        return self.delays.were_late(START + since, START + after)
-
-    def test_what_is_read_soon_is_not_late(self):
-        self.delays.sent(START)
-        self.delays.read(START, START + LATE_SECONDS - 0.1)
-        self.assertFalse(self.were_late(5))
-
-    def test_what_is_unread_for_long_is_late(self):
-        self.delays.sent(START)
-        self.delays.sent(START)
-        self.delays.read(START, START + 0.1)
-        self.assertFalse(self.were_late(LATE_SECONDS - 0.3))
-        self.assertTrue(self.were_late(LATE_SECONDS))
-
-    def test_what_was_read_late_counts_for_the_time_that_is_asked_for(self):
-        self.delays.sent(START)
-        self.delays.read(START, START + 3)
-        self.assertTrue(self.were_late(9, since=3))
-        self.assertFalse(self.were_late(9, since=3.1))
+    def send(self, count, at=0.0):
+        for _ in range(count):
+            self.delays.sent(START + at)
+
+    def answer(self, count, sent_at, at):
+        for _ in range(count):
+            self.delays.answered(START + sent_at, START + at)
+
+    def stood_still(self, after, since=0.0):
+        return self.delays.stood_still(START + since, START + after)
+
+    def test_targets_that_answer_soon_do_not_stand_still(self):
+        self.assertFalse(self.stood_still(1))
+        self.send(8)
+        self.answer(8, 0, LATE_SECONDS - 0.1)
+        self.assertFalse(self.stood_still(5))
+
+    def test_targets_that_answer_nothing_stand_still(self):
+        self.send(8)
+        self.assertFalse(self.stood_still(LATE_SECONDS))
+        self.assertTrue(self.stood_still(LATE_SECONDS + 0.3))
+
+    def test_a_standstill_counts_for_the_time_that_is_asked_for(self):
+        self.send(8)
+        self.answer(8, 0, 3)
+        self.send(100, 3.1)
+        self.answer(100, 3.1, 3.2)
+        self.assertTrue(self.stood_still(9, since=3))
+        self.assertFalse(self.stood_still(9, since=3.1))
+
+    # An aborted attempt at a sound target reserved the retries of a former process.
+    def test_few_late_attempts_are_no_standstill(self):
+        self.send(MIN_LATE_ATTEMPTS - 1)
+        self.assertFalse(self.stood_still(5))
+        self.send(1)
+        self.send(10, 4.5)
+        self.assertFalse(self.stood_still(5))
+
+    def test_half_of_the_targets_may_stand_still(self):
+        self.send(8)
+        self.answer(4, 0, 0.1)
+        self.assertTrue(self.stood_still(2))
+
+    def test_attempts_that_are_given_up_are_not_late(self):
+        self.send(8)
+        for _ in range(8):
+            self.delays.given_up(START)
+        self.send(1, 20)
+        self.assertFalse(self.stood_still(20))
+
+    def test_old_counts_are_dropped(self):
+        for second in range(100):
+            self.send(1, second)
+            self.answer(1, second, second + 0.1)
+        self.assertLess(len(self.delays._answered), 10)
 
 
 class Observer(ResponseObserver):
@@ -223,13 +266,14 @@
         first.response_head(head(request_id="another"))
         self.assertEqual(1, self.budget.unread)
 
-    def test_a_connection_that_its_target_closed_settles_its_attempt(self):
+    # A reset counted as read, and the target read the request when it went on.
+    def test_a_connection_that_ends_settles_nothing(self):
         first, _ = self.send("m-1")
         second, observer = self.send("m-2")
         first.response_lost("reset")
         second.response_lost("reset")
         self.assertEqual(["sent", "reset"], observer.calls)
-        self.assertEqual(0, self.budget.unread)
+        self.assertEqual(1, self.budget.unread)
 
     def test_an_attempt_that_is_not_sent_does_not_count(self):
         self.caller.unreachable.add("m-1")
