Keep which version began a stream in the store while a service has several

Cause: the origins of streams were known to routers only, at the one that began a stream and at three others; after all of them ended nobody knew, and nothing is guessed.

Each router keeps the records of the streams that it began in an object of its own, written at most every 0.5 s, in all at most 100 times a second, only while one of their services has had a second version within a stream's life; it reads them at a start and reports them to the keepers again. So whoever asks finds what the router that began the stream had known.

Failed before: streams that go on after all routers were killed, 0 of 300, now all at 2, 4 and 30 routers; over sockets all eight (the same test without the archive: refused).

--- a/src/primrosescale/platform/records.py
+++ b/src/primrosescale/platform/records.py
@@ -30,6 +30,7 @@
 TARGETS = "servers/"
 ROUTERS = "routers/"
 EVACUATIONS = "evacuations/"
+STREAM_ORIGINS = "stream-origins/"
 
 RETRY_POLICIES = {
     "safe": RetryPolicy.IDEMPOTENT,
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -41,6 +41,7 @@
 from primrosescale.process.entry.start_version_exchange import StartVersionExchange
 from primrosescale.process.entry.state_exchange import StateExchange
 from primrosescale.process.entry.store_state import StoreState
+from primrosescale.process.entry.stream_origin_archive import StreamOriginArchive
 from primrosescale.process.entry.stream_origin_exchange import StreamOriginExchange
 from primrosescale.process.entry.stream_resumption import StreamResumption
 from primrosescale.process.entry.target_client import HttpTargetClient
@@ -224,7 +225,11 @@
             self._start_versions,
         )
         self._resumption = StreamResumption(
-            self._stream_origins, self._exchange_protocol, self._overload.submit, parts
+            self._stream_origins,
+            self._exchange_protocol,
+            self._overload.submit,
+            parts,
+            StreamOriginArchive(settings, self._stream_origins, self._routers, parts),
         )
         self._cache_discovery = CacheDiscovery(
             shares, self._exchange_protocol, targets, self._prefix_index, parts
--- a/src/primrosescale/process/entry/entry_settings.py
+++ b/src/primrosescale/process/entry/entry_settings.py
@@ -75,6 +75,9 @@
         pauses.
     is_first_start : bool
         Whether the deployment starts for the first time, so that no router ran before.
+    archive : str
+        Prefix of the store's objects in which routers keep the origins of streams;
+        empty to keep none.
     """
 
     name: str
@@ -100,6 +103,7 @@
     link_rate: float | None = None
     max_paced_read: float = DEFAULT_MAX_PACED_SECONDS
     is_first_start: bool = False
+    archive: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/primrosescale/process/entry/stream_origin_exchange.py
+++ b/src/primrosescale/process/entry/stream_origin_exchange.py
@@ -12,6 +12,7 @@
 
 from primrosescale.connection.wire import ttypes as wire
 from primrosescale.process.entry.load_codec import MILLISECONDS_PER_SECOND
+from primrosescale.request.stream.archived_origins import ArchivedOrigin
 from primrosescale.request.stream.origin_holders import ASKED
 from primrosescale.request.stream.origin_holders import COPIES
 from primrosescale.request.stream.origin_holders import OriginHolders
@@ -69,12 +70,15 @@
     """
 
     __slots__ = (
+        "_changes",
         "_find",
         "_freshness",
         "_history",
         "_holders",
+        "_longest_window",
         "_name",
         "_others",
+        "_own",
         "_records",
         "_searches",
         "_targets",
@@ -96,6 +100,10 @@
         self._targets = targets
         self._freshness = freshness
         self._records = StreamOriginRecords()
+        # Those of them that this router began, also in its former process.
+        self._own = StreamOriginRecords()
+        self._changes = 0
+        self._longest_window = 0.0
         self._history = VersionHistory(is_first_start=is_first_start)
         self._holders = OriginHolders()
         self._searches: dict[bytes, list[_OpenSearch]] = {}
@@ -105,6 +113,11 @@
         """Return how many origins are kept here."""
         return len(self._records)
 
+    @property
+    def changes(self) -> int:
+        """Return a number that grows with the streams that this router begins."""
+        return self._changes
+
     def refresh(self, now: float) -> Messages:
         """Apply the present lists of targets and routers.
 
@@ -144,14 +157,74 @@
             return []
         key = self.key_of(request)
         expires_in = max(0.0, request.give_up_at - now) + RETENTION_SECONDS
-        self._records.record(key, origin, now + expires_in, now)
-        report = wire.StreamOriginReport(
-            key,
-            origin.service,
-            _milliseconds(expires_in),
-            origin.software_version,
+        self._longest_window = max(self._longest_window, _window(request))
+        return self._record_own(key, origin, expires_in, now)
+
+    def own(self, now: float) -> list[ArchivedOrigin]:
+        """Return the records of the streams that this router began.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        list[ArchivedOrigin]
+            The records, the oldest first.
+        """
+        return [
+            ArchivedOrigin(key, origin, expires_at - now)
+            for key, origin, expires_at in self._own.unexpired(now)
+        ]
+
+    def has_several_versions(self, now: float) -> bool:
+        """Return whether a service has had several versions while a stream may last.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        bool
+            True if a stream of this router could not be resumed without its record.
+        """
+        services = {origin.service for _, origin, _ in self._own.unexpired(now)}
+        return any(
+            self._history.view(service, self._longest_window, now).has_several
+            for service in services
         )
-        return self._addressed(self._holders.of(key, COPIES), report)
+
+    def restore(self, archived: Iterable[ArchivedOrigin], now: float) -> None:
+        """Keep records that a former process of this router has archived.
+
+        Parameters
+        ----------
+        archived : Iterable[ArchivedOrigin]
+            The records.
+        now : float
+            Current time in seconds.
+        """
+        for item in archived:
+            self._longest_window = max(self._longest_window, item.expires_in)
+            self._record_own(item.key, item.origin, item.expires_in, now)
+
+    def reports(self, now: float) -> Messages:
+        """Return reports of all streams that this router began.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        Messages
+            Reports to the routers that keep copies.
+        """
+        return [message for item in self.own(now) for message in self._reports_of(item)]
 
     def key_of(self, request: IncomingRequest) -> bytes:
         """Return the key of the stream of a request.
@@ -325,6 +398,26 @@
             item.search.answered(message.origin, origin, view)
             item.on_answer()
 
+    def _record_own(
+        self, key: bytes, origin: StreamOrigin, expires_in: float, now: float
+    ) -> Messages:
+        """Record a stream that this router began, and return reports of it."""
+        expires_in = min(expires_in, MAX_RETENTION_SECONDS)
+        for records in (self._records, self._own):
+            records.record(key, origin, now + expires_in, now)
+        self._changes += 1
+        return self._reports_of(ArchivedOrigin(key, origin, expires_in))
+
+    def _reports_of(self, item: ArchivedOrigin) -> Messages:
+        origin = item.origin
+        report = wire.StreamOriginReport(
+            item.key,
+            origin.service,
+            _milliseconds(item.expires_in),
+            origin.software_version,
+        )
+        return self._addressed(self._holders.of(item.key, COPIES), report)
+
     def _is_current(self, now: float) -> bool:
         age = self._freshness.age(now)
         return age is not None and age <= CURRENT_LIST_AGE_SECONDS
--- /dev/null
+++ b/src/primrosescale/request/stream/archived_origins.py
@@ -0,0 +1,123 @@
+"""The form in which the origins of streams outlast the routers that know them.
+
+Records are kept by service and version, as a router has thousands of streams and
+targets of few versions.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+from primrosescale.request.stream.stream_origin import KEY_BYTES
+from primrosescale.request.stream.stream_origin import StreamOrigin
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# The newest streams are archived; so many take 320 kB.
+MAX_ARCHIVED = 20_000
+SECONDS_PER_MILLISECOND = 0.001
+
+
+class ArchivedOrigin(NamedTuple):
+    """What began one stream, and for how long that is kept.
+
+    Parameters
+    ----------
+    key : bytes
+        Key of the stream.
+    origin : StreamOrigin
+        What began it.
+    expires_in : float
+        Seconds for which the record is kept.
+    """
+
+    key: bytes
+    origin: StreamOrigin
+    expires_in: float
+
+
+def encode_origins(archived: Iterable[ArchivedOrigin]) -> bytes:
+    """Return the content of an archive.
+
+    Parameters
+    ----------
+    archived : Iterable[ArchivedOrigin]
+        The records, the oldest first.
+
+    Returns
+    -------
+    bytes
+        A JSON text. Records of one origin share the longest time of them.
+    """
+    groups: dict[StreamOrigin, list[bytes]] = {}
+    times: dict[StreamOrigin, float] = {}
+    for item in list(archived)[-MAX_ARCHIVED:]:
+        groups.setdefault(item.origin, []).append(item.key)
+        times[item.origin] = max(item.expires_in, times.get(item.origin, 0.0))
+    streams = [
+        {
+            "service": origin.service,
+            "software_version": origin.software_version,
+            "expires_in_ms": round(times[origin] / SECONDS_PER_MILLISECOND),
+            "keys": base64.b64encode(b"".join(keys)).decode(),
+        }
+        for origin, keys in groups.items()
+    ]
+    return json.dumps({"streams": streams}).encode()
+
+
+def decode_origins(content: bytes) -> list[ArchivedOrigin]:
+    """Return the records of an archive.
+
+    Parameters
+    ----------
+    content : bytes
+        The content, as read from the store.
+
+    Returns
+    -------
+    list[ArchivedOrigin]
+        The records.
+
+    Raises
+    ------
+    ValueError
+        When the content is not that of an archive; nothing of it is used then.
+    """
+    try:
+        fields = json.loads(content)
+        return [found for item in fields["streams"] for found in _records(item)]
+    except (KeyError, TypeError, ValueError, RecursionError) as error:
+        raise ValueError(f"malformed archive of streams: {error!r}") from error
+
+
+def _records(fields: dict[str, Any]) -> list[ArchivedOrigin]:
+    """Return the records of one origin."""
+    service, version = fields["service"], fields["software_version"]
+    milliseconds = fields["expires_in_ms"]
+    is_version = version is None or isinstance(version, str)
+    if not isinstance(service, str) or not is_version:
+        raise TypeError("service or version is no text")
+    if not isinstance(milliseconds, int) or isinstance(milliseconds, bool):
+        raise TypeError("expires_in_ms is no number")
+    try:
+        keys = base64.b64decode(fields["keys"], validate=True)
+    except binascii.Error as error:
+        raise TypeError(f"keys are no base64: {error}") from error
+    if len(keys) % KEY_BYTES:
+        raise TypeError(f"{len(keys)} bytes are no keys")
+    origin = StreamOrigin(service, version)
+    return [
+        ArchivedOrigin(
+            keys[begin : begin + KEY_BYTES],
+            origin,
+            milliseconds * SECONDS_PER_MILLISECOND,
+        )
+        for begin in range(0, len(keys), KEY_BYTES)
+    ]
--- a/src/primrosescale/request/stream/stream_origin.py
+++ b/src/primrosescale/request/stream/stream_origin.py
@@ -9,8 +9,12 @@
 
 from collections import OrderedDict
 from hashlib import blake2b
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 KEY_BYTES = 12
 # Seconds for which a record outlasts the attempt: the caller may be told to wait before
 # it takes the stream up again.
@@ -126,6 +130,23 @@
         known = self._records.get(key)
         return None if known is None or known.expires_at <= now else known.origin
 
+    def unexpired(self, now: float) -> Iterator[tuple[bytes, StreamOrigin, float]]:
+        """Yield the records that are kept, with the time until which they are.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+
+        Yields
+        ------
+        tuple[bytes, StreamOrigin, float]
+            Key, origin and time in seconds, in the order in which they were recorded.
+        """
+        for key, known in self._records.items():
+            if known.expires_at > now:
+                yield key, known.origin, known.expires_at
+
     def _drop_oldest(self, now: float) -> None:
         while self._records:
             first = next(iter(self._records.values()))
--- /dev/null
+++ b/tests/entry/test_stream_origin_archive.py
@@ -0,0 +1,245 @@
+"""Routers that all end at once still know which version began a stream.
+
+Guards against refusing each stream that is taken up after that, although targets of
+its version serve, and against continuing one at another version.
+"""
+
+from __future__ import annotations
+
+from testtools import TestCase
+from testtools.matchers import GreaterThan
+from twisted.internet.defer import fail
+from twisted.internet.defer import succeed
+
+from entry.fakes import target
+from entry.test_stream_origin_exchange import MIN_RESUMED_SHARE
+from entry.test_stream_origin_exchange import NOW
+from entry.test_stream_origin_exchange import STREAMS
+from entry.test_stream_origin_exchange import Fleet
+from entry.test_stream_origin_exchange import OriginTest
+from primrosescale.process.entry.stream_origin_archive import MAX_READ_SECONDS
+from primrosescale.process.entry.stream_origin_archive import MAX_WRITES_PER_SECOND
+from primrosescale.process.entry.stream_origin_archive import StreamOriginArchive
+from primrosescale.process.events import Event
+from primrosescale.process.exceptions import PlatformConflictError
+from primrosescale.process.exceptions import PlatformUnavailableError
+from primrosescale.process.transport.platform import StoredObject
+from primrosescale.request.stream.archived_origins import ArchivedOrigin
+from primrosescale.request.stream.archived_origins import decode_origins
+from primrosescale.request.stream.archived_origins import encode_origins
+from primrosescale.request.stream.stream_origin import KEY_BYTES
+from primrosescale.request.stream.stream_origin import StreamOrigin
+from support.entry_site import router_settings
+
+KINDS = "stream-origins/"
+
+
+class MemoryStore:
+    """Objects by key; away, or losing the answers to writes, as a test says."""
+
+    def __init__(self):
+        self.objects = {}
+        self.revision = 0
+        self.is_away = False
+        self.loses_answers = False
+        self.writes = []
+        self.reads = 0
+
+    def get(self, key):
+        self.reads += 1
+        if self.is_away:
+            return fail(PlatformUnavailableError("away"))
+        return succeed(self.objects.get(key))
+
+    def put(self, key, value, expected):
+        if self.is_away:
+            return fail(PlatformUnavailableError("away"))
+        known = self.objects.get(key)
+        current = known.version if known else 0
+        if expected != current:
+            return fail(PlatformConflictError(key, current))
+        self.revision += 1
+        self.writes.append(key)
+        self.objects[key] = StoredObject(key, self.revision, value)
+        if self.loses_answers:
+            return fail(PlatformUnavailableError("no answer"))
+        return succeed(self.revision)
+
+
+class ArchivingFleet(Fleet):
+    """Routers that keep the origins of their streams in a store."""
+
+    def __init__(self, count, *args, **fields):
+        self.store = self.platform = MemoryStore()
+        self.log = self
+        self.lines = []
+        self.archives = {}
+        super().__init__(count, *args, **fields)
+
+    def emit(self, event, **fields):
+        self.lines.append((event, fields))
+
+    def archive_of(self, router):
+        archive = self.archives.get(router.name)
+        if archive is None or archive._exchange is not router.exchange:
+            settings = router_settings(router.name, archive=KINDS)
+            archive = self.archives[router.name] = StreamOriginArchive(
+                settings, router.exchange, self.__len__, self
+            )
+        return archive
+
+    def pass_time(self, seconds, *, has_store=True):
+        for _ in range(round(seconds / 0.25)):
+            super().pass_time(0.25, has_store=has_store)
+            for router in self.alive():
+                self.send(router, self.archive_of(router).refresh(self.now))
+
+    def restart_all(self):
+        for router in self.values():
+            router.start()
+        self.dead = set()
+
+
+class StreamOriginArchiveTest(OriginTest):
+    def killed_all(self, count, after=0.0, **fields):
+        fleet = ArchivingFleet(count, **fields)
+        versions = self.begin_all(fleet)
+        fleet.pass_time(after)
+        fleet.restart_all()
+        return fleet, versions
+
+    # All that knew which version began a stream had been killed.
+    def test_streams_go_on_after_all_routers_were_killed(self):
+        for count in (2, 4, 30):
+            fleet, versions = self.killed_all(count, after=1.0)
+            fleet.pass_time(4.0)
+            self.assertEqual(1.0, self.resumed_share(fleet, versions), count)
+
+    def test_routers_that_come_back_one_after_the_other_know_the_streams(self):
+        fleet, versions = self.killed_all(10, after=1.0)
+        fleet.dead = set(fleet)
+        for name in sorted(fleet):
+            fleet.dead.discard(name)
+            fleet.pass_time(0.25)
+        fleet.pass_time(2.0)
+        share = self.resumed_share(fleet, versions)
+        self.assertTrue(share >= MIN_RESUMED_SHARE, share)
+
+    def test_streams_that_began_at_the_only_version_are_kept_once_there_are_two(self):
+        fleet = ArchivingFleet(6, versions=("v1", "v1"))
+        for number in range(STREAMS):
+            fleet.begin(fleet[f"r{number % 6}"], f"s{number}", "v1")
+        fleet.pass_time(2.0)
+        self.assertEqual([], fleet.store.writes)
+        for router in fleet.values():
+            states = router.targets
+            for number in range(2):
+                item = target(f"n{number}", software_version="v2")
+                states.put(item, fleet.now)
+        fleet.pass_time(1.0)
+        fleet.restart_all()
+        fleet.pass_time(4.0)
+        versions = {f"s{number}": "v1" for number in range(STREAMS)}
+        self.assertEqual(1.0, self.resumed_share(fleet, versions))
+
+    def test_a_stream_with_two_possible_versions_is_not_resumed_after_a_restart(self):
+        fleet = ArchivingFleet(4)
+        fleet.begin(fleet["r0"], "s1", "v1")
+        fleet.begin(fleet["r0"], "s1", "v2")
+        fleet.pass_time(1.0)
+        fleet.restart_all()
+        fleet.pass_time(4.0)
+        for router in fleet.values():
+            self.assertIsNone(fleet.resume(router, "s1")[0])
+
+    def test_while_one_version_serves_nothing_is_written(self):
+        fleet = ArchivingFleet(4, versions=("v1", "v1"))
+        for number in range(20):
+            fleet.begin(fleet["r0"], f"s{number}", "v1")
+            fleet.pass_time(0.5)
+        self.assertEqual([], fleet.store.writes)
+
+    def test_without_new_streams_nothing_is_written_again(self):
+        fleet = ArchivingFleet(4)
+        self.begin_all(fleet)
+        fleet.pass_time(10.0)
+        self.assertEqual(sorted(set(fleet.store.writes)), sorted(fleet.store.writes))
+
+    def test_a_large_fleet_writes_less_often(self):
+        fleet = ArchivingFleet(420)
+        began = fleet.now
+        while fleet.now < began + 10.0:
+            self.begin_all(fleet)
+            fleet.pass_time(0.5)
+        rate = len(fleet.store.writes) / (fleet.now - began)
+        self.assertTrue(rate <= MAX_WRITES_PER_SECOND, rate)
+
+    def test_the_store_is_away_at_the_start_for_some_seconds(self):
+        fleet, versions = self.killed_all(4, after=1.0)
+        fleet.store.is_away = True
+        fleet.pass_time(5.0)
+        self.assertEqual(0.0, self.resumed_share(fleet, versions))
+        fleet.store.is_away = False
+        fleet.pass_time(3.0)
+        self.assertEqual(1.0, self.resumed_share(fleet, versions))
+
+    def test_a_store_that_stays_away_is_not_asked_for_ever(self):
+        fleet = ArchivingFleet(2)
+        fleet.restart_all()
+        fleet.store.is_away = True
+        fleet.pass_time(MAX_READ_SECONDS + 5.0)
+        reads = fleet.store.reads
+        fleet.pass_time(10.0)
+        self.assertEqual(reads, fleet.store.reads)
+
+    # A write whose answer is lost has taken effect, and its revision is not known.
+    def test_writes_go_on_after_a_lost_answer(self):
+        fleet = ArchivingFleet(2)
+        fleet.store.loses_answers = True
+        versions = self.begin_all(fleet)
+        fleet.pass_time(1.0)
+        fleet.store.loses_answers = False
+        later = {f"later{n}": "v2" for n in range(10)}
+        for first_id in later:
+            fleet.begin(fleet["r1"], first_id, "v2")
+        fleet.pass_time(3.0)
+        fleet.restart_all()
+        fleet.pass_time(4.0)
+        self.assertEqual(1.0, self.resumed_share(fleet, {**versions, **later}))
+
+    def test_an_object_that_cannot_be_decoded_is_ignored(self):
+        fleet = ArchivingFleet(2)
+        for content in (b"{}", b'{"streams": [{"service": 1}]}', b"\xff", b"[]"):
+            fleet.store.objects[KINDS + "r0"] = StoredObject(KINDS + "r0", 1, content)
+            fleet.lines.clear()
+            fleet["r0"].start()
+            fleet.pass_time(0.5)
+            events = [event for event, _ in fleet.lines]
+            self.assertEqual([Event.STREAM_ORIGINS_UNREADABLE], events, content)
+
+    def test_records_expire_as_they_did_before(self):
+        fleet, versions = self.killed_all(4, after=1.0)
+        fleet.pass_time(40.0)
+        self.assertEqual(0.0, self.resumed_share(fleet, versions))
+        self.assertEqual([], fleet["r0"].exchange.own(fleet.now))
+
+
+class ArchivedOriginsTest(TestCase):
+    def test_what_is_encoded_is_decoded(self):
+        origins = (StreamOrigin("model", "v1"), StreamOrigin("model", None))
+        archived = [
+            ArchivedOrigin(bytes([number]) * KEY_BYTES, origins[number % 2], 12.5)
+            for number in range(9)
+        ]
+        self.assertEqual(
+            sorted(archived, key=repr),
+            sorted(decode_origins(encode_origins(archived)), key=repr),
+        )
+
+    def test_a_stream_takes_few_bytes(self):
+        origin = StreamOrigin("model", "v1")
+        archived = [
+            ArchivedOrigin(number.to_bytes(KEY_BYTES, "big"), origin, NOW)
+            for number in range(1000)
+        ]
+        self.assertThat(17 * len(archived), GreaterThan(len(encode_origins(archived))))
--- a/tests/entry/test_stream_origin_exchange.py
+++ b/tests/entry/test_stream_origin_exchange.py
@@ -151,7 +151,9 @@
         return [item for item in self.values() if item.name not in self.dead]
 
 
-class OriginExchangeTest(TestCase):
+class OriginTest(TestCase):
+    """Begins streams and takes them up again."""
+
     def begin_all(self, fleet, beginners=None):
         """Begin streams of both versions; return their versions by id."""
         beginners = beginners or list(fleet.values())
@@ -170,6 +172,8 @@
             resumed += found is not None
         return resumed / len(versions)
 
+
+class OriginExchangeTest(OriginTest):
     def test_a_stream_is_known_at_every_router(self):
         for count in (2, 4, 30):
             fleet = Fleet(count)
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -15,6 +15,7 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.endpoints import connectProtocol
+from twisted.internet.task import deferLater
 
 from entry.fakes import FRAGILE_STREAM
 from entry.fakes import START
@@ -25,6 +26,7 @@
 from entry.fakes import prompt
 from entry.fakes import request
 from entry.fakes import target
+from primrosescale.platform import records
 from primrosescale.process.entry.target_list import TargetList
 from primrosescale.request.attempt.forwarding_interfaces import Refusal
 from primrosescale.request.stream.stream_origin import StreamOrigin
@@ -303,15 +305,21 @@
     """A caller that takes its stream up again, at the same or at another router."""
 
     @inlineCallbacks
-    def start(self, routers, versions=VERSIONS):
+    def start(self, routers, versions=VERSIONS, **settings):
         self.scripts = {name: EngineScript(name=name, events=9) for name in versions}
         for name, version in versions.items():
             script = self.scripts[name]
             script.gap = 0.05
             self.start_target(script, service="model", version=version)
         self.versions = versions
-        self.routers = [self.start_router(f"r{n}") for n in range(1, routers + 1)]
-        yield self.until(lambda: self.all_known(routers, len(versions)))
+        yield self.start_routers(routers, **settings)
+
+    @inlineCallbacks
+    def start_routers(self, count, **settings):
+        self.routers = [
+            self.start_router(f"r{n}", **settings) for n in range(1, count + 1)
+        ]
+        yield self.until(lambda: self.all_known(count, len(self.versions)))
 
     def all_known(self, routers, targets):
         return all(
@@ -393,6 +401,27 @@
             self.assertEqual(b"HTTP/1.1 200 OK", status)
             self.assertEqual(self.version_of(first_id), self.version_of(next_id))
 
+    # Guards against losing the versions of all streams when all routers are killed.
+    @inlineCallbacks
+    def test_a_stream_resumes_at_its_version_after_all_routers_were_killed(self):
+        yield self.start(2, archive=records.STREAM_ORIGINS)
+        for number in range(PROMPTS):
+            yield self.interrupt(self.routers[number % 2], b"first%d" % number)
+        # Until the next write, and a little more.
+        yield deferLater(reactor, 1.0, lambda: None)
+        for router in self.routers:
+            router._store_state.stop()
+            router._close()
+        yield self.start_routers(2, archive=records.STREAM_ORIGINS)
+        yield self.until(
+            lambda: all(r._stream_origins.records >= PROMPTS for r in self.routers)
+        )
+        for number in range(PROMPTS):
+            next_id, first_id = b"next%d" % number, b"first%d" % number
+            status = yield self.resume(self.routers[1], next_id, first_id)
+            self.assertEqual(b"HTTP/1.1 200 OK", status)
+            self.assertEqual(self.version_of(first_id), self.version_of(next_id))
+
     # Guards against guessing the version of a stream whose first attempt is not known.
     @inlineCallbacks
     def test_a_stream_with_an_unknown_first_attempt_is_refused(self):
