Rebuild what was built for another kind of machine or interpreter

The stamps of deploy/build.sh and of the environment named neither, so that a folder that was carried over from x86-64 to arm64 kept libraries that cannot be loaded. The stamps have the machine and the interpreter now, and the environment is cleared first.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,12 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
-STAMP := $(VENV)/.installed
+# A folder that was built on another kind of machine is built again.
+STAMP := $(VENV)/.installed-$(shell uname -m)
 
 .PHONY: demo test lint format check benchmark clean
 
 $(STAMP): requirements/locked.txt pyproject.toml
-	python3.11 -m venv $(VENV)
+	python3.11 -m venv --clear $(VENV)
 	$(PYTHON) -m pip install --quiet --quiet --disable-pip-version-check -r requirements/locked.txt
 	$(PYTHON) -m pip install --quiet --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
 	$(PYTHON) -m compileall -q -j 0 -o 0 -o 2 $(VENV)/lib
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -5,13 +5,19 @@
 cd "$(dirname "$0")/.."
 deps=target/deps
 stamp=target/.built-from
-if ! cat requirements/platform.txt deploy/build.sh | cmp -s - "$stamp"; then
+# Libraries are built for one kind of machine and one interpreter.
+built_from() {
+    uname -m
+    python3 -VV
+    cat requirements/platform.txt deploy/build.sh
+}
+if ! built_from | cmp -s - "$stamp"; then
     rm -rf "$deps"
     mkdir -p "$deps"
     python3 -m pip install --quiet --disable-pip-version-check --no-deps \
         --no-warn-conflicts --target "$deps" -r requirements/platform.txt
     python3 -m compileall -q -o 0 -o 2 "$deps" || true
-    cat requirements/platform.txt deploy/build.sh > "$stamp"
+    built_from > "$stamp"
 fi
 # Processes may be running from here, so the package is replaced only if it changed.
 if ! diff -rq --exclude=__pycache__ src/primrosescale "$deps/primrosescale" \
