Doubt the version of targets that lost connections while the store does not answer

Cause: the version of a target was taken from the last list however old that was, though the router had itself seen the connections to that target end. The age of the configuration does not tell: routers confirm that to each other.

A restart cannot avoid that connections are lost or refused. While the store does not answer this router, and for losses from 4 s before that on, such a target's version is in doubt: no stream continues there, and one that begins there is recorded without a version.

Nothing changes while the store answers.

--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -68,6 +68,7 @@
 from primrosescale.request.harm.harmful_requests import HarmfulRequests
 from primrosescale.request.incoming_request import IncomingRequest
 from primrosescale.request.request_resolver import RequestResolver
+from primrosescale.request.stream.version_doubts import VersionDoubts
 from primrosescale.request.target.evacuations import Evacuations
 from primrosescale.request.target.target_availability import TargetAvailability
 from primrosescale.request.target.target_availability import TargetCondition
@@ -255,6 +256,7 @@
         self._retry_budgets = SharedRetryBudgets(
             settings.repeats, is_first_start=settings.is_first_start
         )
+        version_doubts = VersionDoubts(self._store_state.lost_for)
         self._retry_reports = RetryReports(self._retry_budgets, parts)
         self._resolver = RequestResolver(
             self._store_state.freshness, settings.not_found_max_age, parts.rng
@@ -263,7 +265,9 @@
             settings=settings.forward,
             clock=parts.reactor,
             rng=parts.rng,
-            client=self._retry_budgets.tracked(self._target_client, parts.reactor),
+            client=self._retry_budgets.tracked(
+                self._target_client, parts.reactor, version_doubts.connection_lost
+            ),
             chooser=TargetChooser(
                 settings.choice,
                 self._prefix_index,
@@ -288,6 +292,7 @@
             overload_scope=self._overload.scope,
             target_work=self._overload.work,
             stream_began=self._resumption.began,
+            version_doubts=version_doubts,
         )
         self._tracing: Tracing | None = None
         self._factory = EntryFactory(self, parts.reactor, ConnectionAdmission(parts))
--- a/src/primrosescale/request/attempt/candidate_targets.py
+++ b/src/primrosescale/request/attempt/candidate_targets.py
@@ -65,12 +65,15 @@
         Returns
         -------
         set[TargetIncarnation]
-            Targets that it was sent to, and those of other software versions.
+            Targets that it was sent to, and those that have, or may have, another
+            software version.
         """
         excluded = self._tried.excluded(states)
         origin = self._request.stream_origin
         if origin is not None:
             excluded |= targets_of_other_versions(states, origin.software_version)
+            tools = self._tools
+            excluded |= tools.version_doubts.among(states, tools.clock.seconds())
         return excluded
 
     def left(self) -> list[TargetState]:
--- a/src/primrosescale/request/attempt/forwarding_context.py
+++ b/src/primrosescale/request/attempt/forwarding_context.py
@@ -13,6 +13,7 @@
 from primrosescale.request.capacity.overload_scope import OverloadScope
 from primrosescale.request.capacity.overload_settings import OverloadSettings
 from primrosescale.request.harm.harm_monitor import NoHarmMonitor
+from primrosescale.request.stream.version_doubts import VersionDoubts
 from primrosescale.request.target.target_availability import TargetAvailability
 from primrosescale.request.target.target_work import TargetWork
 from primrosescale.request.trace_span import UnrecordedSpan
@@ -141,6 +142,10 @@
     pass
 
 
+def _no_doubts() -> VersionDoubts:
+    return VersionDoubts(lambda _: 0.0)
+
+
 def _default_scope() -> OverloadScope:
     return OverloadScope(OverloadSettings())
 
@@ -199,6 +204,8 @@
     stream_began : Callable[[IncomingRequest, float], None]
         Called with the request and the current time when the first event of a stream
         is sent to its caller.
+    version_doubts : VersionDoubts
+        Tells which targets may have another software version than the list states.
     """
 
     settings: ForwardingSettings
@@ -221,6 +228,7 @@
     overload_scope: OverloadScope = field(default_factory=_default_scope)
     target_work: TargetWork = field(default_factory=_default_work)
     stream_began: Callable[[IncomingRequest, float], None] = _ignore_stream
+    version_doubts: VersionDoubts = field(default_factory=_no_doubts)
 
     def limits_idle_time(self, service: str) -> bool:
         """Return whether requests that may run once use pooled connections.
--- a/src/primrosescale/request/attempt/shared_retry_budgets.py
+++ b/src/primrosescale/request/attempt/shared_retry_budgets.py
@@ -10,10 +10,13 @@
 from primrosescale.request.attempt.tracked_target_client import TrackedTargetClient
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from primrosescale.clock import Clock
     from primrosescale.request.attempt.forwarding_interfaces import TargetClient
     from primrosescale.request.attempt.retry_share import SharedRetryLimits
     from primrosescale.request.attempt.shared_retry_budget import RetryUsage
+    from primrosescale.request.target.target_incarnation import TargetIncarnation
 
 # Routers that reach the store take one that is cut off from it and from them off the
 # list 60 s later, and use its share.
@@ -63,7 +66,12 @@
             budget = self._budgets[service] = SharedRetryBudget(self._share)
         return budget
 
-    def tracked(self, client: TargetClient, clock: Clock) -> TargetClient:
+    def tracked(
+        self,
+        client: TargetClient,
+        clock: Clock,
+        on_lost: Callable[[TargetIncarnation, float], None] = lambda *_: None,
+    ) -> TargetClient:
         """Return a client that tells the budgets which retries have been read.
 
         Parameters
@@ -72,13 +80,15 @@
             Sends the requests.
         clock : Clock
             Source of time.
+        on_lost : Callable[[TargetIncarnation, float], None]
+            Called with the target and the time when a connection is lost or refused.
 
         Returns
         -------
         TargetClient
             The client to send requests by.
         """
-        return TrackedTargetClient(client, self._tracker, clock)
+        return TrackedTargetClient(client, self._tracker, clock, on_lost)
 
     def configure(self, limits: SharedRetryLimits) -> None:
         """Replace the limits; what was spent counts on.
--- a/src/primrosescale/request/attempt/stream_binding.py
+++ b/src/primrosescale/request/attempt/stream_binding.py
@@ -45,8 +45,11 @@
         """
         self._has_begun = True
         request = self._request
-        if request.stream_origin is None or attempt.software_version is None:
-            origin = StreamOrigin(request.service, attempt.software_version)
+        version = attempt.software_version
+        if self._tools.version_doubts.is_in_doubt(attempt.incarnation, now):
+            version = None
+        if request.stream_origin is None or version is None:
+            origin = StreamOrigin(request.service, version)
             request.stream_origin = origin
         self._tools.stream_began(request, now)
 
--- a/src/primrosescale/request/attempt/tracked_target_client.py
+++ b/src/primrosescale/request/attempt/tracked_target_client.py
@@ -1,4 +1,4 @@
-"""A client of targets that tracks which requests they have read."""
+"""A client of targets that tracks unread requests and reports lost connections."""
 
 from __future__ import annotations
 
@@ -33,9 +33,11 @@
         Tracks what targets have read.
     clock : Clock
         Source of time.
+    on_lost : Callable[[TargetIncarnation, float], None]
+        Called with the target and the time when a connection is lost or refused.
     """
 
-    __slots__ = ("_attempt", "_clock", "_observer", "_sending", "_tracker")
+    __slots__ = ("_attempt", "_clock", "_observer", "_on_lost", "_sending", "_tracker")
 
     def __init__(
         self,
@@ -43,7 +45,9 @@
         observer: ResponseObserver,
         tracker: DeliveryTracker,
         clock: Clock,
+        on_lost: Callable[[TargetIncarnation, float], None],
     ) -> None:
+        self._on_lost = on_lost
         self._sending = sending
         self._observer = observer
         self._tracker = tracker
@@ -60,6 +64,7 @@
 
     def request_not_sent(self, detail: str) -> None:
         """Pass it on; see `ResponseObserver.request_not_sent`."""
+        self._report_loss()
         self._observer.request_not_sent(detail)
 
     def response_head(self, head: AnswerHead) -> None:
@@ -81,8 +86,12 @@
 
     def response_lost(self, detail: str) -> None:
         """Pass it on: the target may still read it; see `ResponseObserver`."""
+        self._report_loss()
         self._observer.response_lost(detail)
 
+    def _report_loss(self) -> None:
+        self._on_lost(self._sending.target.incarnation, self._clock.seconds())
+
 
 class TrackedTargetClient(TargetClient):
     """Sends requests by another client and tracks them.
@@ -95,13 +104,20 @@
         Tracks what targets have read.
     clock : Clock
         Source of time.
+    on_lost : Callable[[TargetIncarnation, float], None]
+        Called with the target and the time when a connection is lost or refused.
     """
 
-    __slots__ = ("_client", "_clock", "_tracker")
+    __slots__ = ("_client", "_clock", "_on_lost", "_tracker")
 
     def __init__(
-        self, client: TargetClient, tracker: DeliveryTracker, clock: Clock
+        self,
+        client: TargetClient,
+        tracker: DeliveryTracker,
+        clock: Clock,
+        on_lost: Callable[[TargetIncarnation, float], None] = lambda *_: None,
     ) -> None:
+        self._on_lost = on_lost
         self._client = client
         self._tracker = tracker
         self._clock = clock
@@ -110,7 +126,9 @@
         self, sending: OutgoingRequest, observer: ResponseObserver
     ) -> InFlightRequest:
         """Send a request; see `TargetClient.send`."""
-        attempt = _TrackedAttempt(sending, observer, self._tracker, self._clock)
+        attempt = _TrackedAttempt(
+            sending, observer, self._tracker, self._clock, self._on_lost
+        )
         return self._client.send(sending, attempt)
 
     def check(
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -31,6 +31,7 @@
 from primrosescale.request.attempt.forwarding_interfaces import Refusal
 from primrosescale.request.stream.stream_origin import StreamOrigin
 from primrosescale.request.stream.stream_origin import stream_key
+from primrosescale.request.stream.version_doubts import VersionDoubts
 from primrosescale.standin.scripted_engine import EngineScript
 from support.entry_site import Caller
 from support.entry_site import ask
@@ -98,6 +99,39 @@
             for hedge in hedges:
                 self.assertEqual(VERSIONS[run.name], VERSIONS[hedge.name])
 
+    # A router that the store turned away continued streams at targets that had come
+    # back with other software.
+    def test_a_stream_does_not_continue_where_the_version_is_in_doubt(self):
+        harness = self.harness({f"m{n}": "v1" for n in range(1, 6)})
+        lost_for = [0.0]
+        doubts = VersionDoubts(lambda _: lost_for[0])
+        harness.tools.version_doubts = doubts
+        run, sink = self.begin(harness)
+        self.pass_first_event(run)
+        lost_for[0] = 2.0
+        sound = next(name for name in ("m4", "m5") if name != run.name)
+        for state in harness.states:
+            if state.target.name != sound:
+                doubts.connection_lost(state.incarnation, harness.clock.seconds())
+        run.observer.response_lost("reset")
+        second = harness.caller.last
+        self.assertEqual(sound, second.name)
+        second.observer.response_head(head())
+        second.observer.response_lost("reset")
+        doubts.connection_lost(second.sending.target.incarnation, START)
+        self.assertTrue(sink.is_broken)
+
+    def test_a_stream_that_begins_where_the_version_is_in_doubt_has_none(self):
+        harness = self.harness()
+        doubts = harness.tools.version_doubts = VersionDoubts(lambda _: 2.0)
+        began = []
+        harness.tools.stream_began = lambda call, _: began.append(call.stream_origin)
+        for state in harness.states:
+            doubts.connection_lost(state.incarnation, harness.clock.seconds())
+        run, _ = self.begin(harness)
+        self.pass_first_event(run)
+        self.assertEqual([None], [origin.software_version for origin in began])
+
     # Guards against binding a stream to the version of a target that sent no event.
     def test_a_stream_without_an_event_may_go_to_any_version(self):
         harness = self.harness({"m1": "v1", "m2": "v2"})
