--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -21,6 +21,7 @@
 from primrosescale.connection.endpoint import Endpoint
 from primrosescale.exceptions import PrimrosescaleError
 from primrosescale.process.entry.cache_discovery import CacheDiscovery
+from primrosescale.process.entry.cache_limits import CacheLimits
 from primrosescale.process.entry.cache_ownership import CacheOwnership
 from primrosescale.process.entry.caller_connections import EntryFactory
 from primrosescale.process.entry.caller_site import DEFAULT_LIMITS
@@ -90,7 +91,6 @@
     from primrosescale.request.attempt.silent_target import SilenceReport
     from primrosescale.request.request_resolver import CallerHead
     from primrosescale.request.target.evacuations import EvacuationList
-    from primrosescale.request.target.serving_target import ServingTarget
     from primrosescale.request.target.target_incarnation import TargetIncarnation
     from primrosescale.request.target.target_state import TargetState
     from primrosescale.request.trace_span import TraceSpan
@@ -123,7 +123,6 @@
 # takes 0.1 ms.
 REREAD_SECONDS = 2.0
 
-
 # Evidence that a target has ended, other than a refused connection, for the log.
 ENTRY_GONE = "entry gone"
 STARTED_AGAIN = "started again"
@@ -252,6 +251,7 @@
             lambda: self._state_exchange.polls_store(self._now()),
             self._evacuations,
         )
+        self._cache_limits = CacheLimits(self._prefix_index, self._store_state)
         self._harm_monitor = EntryHarmMonitor(
             self._harmful_requests,
             harm_reports,
@@ -312,9 +312,6 @@
         self._housekeeping: Timer | None = None
         self._lines_dropped = 0
         self._settings_error = ""
-        # Configuration version and target list generation for which the targets' cache
-        # limits were last set.
-        self._limits_applied_for = (0, 0)
         self._next_reread_at = self._now() + REREAD_SECONDS
 
     @property
@@ -573,8 +570,7 @@
         )
 
     def _routers(self) -> int:
-        listed = self._registry.routers
-        return ASSUMED_ROUTERS if listed is None else listed
+        return self._registry.routers or ASSUMED_ROUTERS
 
     def _routers_changed(self) -> None:
         now = self._now()
@@ -612,7 +608,7 @@
         if now >= self._next_reread_at:
             self._next_reread_at = now + REREAD_SECONDS
             self.reload(is_requested=False)
-        self._update_cache_limits()
+        self._cache_limits.update()
         self._registry.remove_silent(now)
         self._set_routers(now)
         self._resumption.refresh(now)
@@ -650,27 +646,13 @@
             self._cache_discovery.skip()
             self._serve_when_trusted()
             return
-        self._cache_discovery.start(self._has_cache, self._serve_when_trusted)
+        self._cache_discovery.start(
+            self._cache_limits.has_cache, self._serve_when_trusted
+        )
 
     def _serve_when_trusted(self) -> None:
         self._start_versions.when_trusted(self._serve_held_requests)
 
-    def _update_cache_limits(self) -> None:
-        """Set the cache size of each target, whenever it may have changed."""
-        table = self._store_state.table
-        seen = (self._version(), self._store_state.targets.generation)
-        if table is None or seen == self._limits_applied_for:
-            return
-        self._limits_applied_for = seen
-        for state in self._store_state.targets.states:
-            service = table.service(state.target.service)
-            if service is not None:
-                self._prefix_index.limit(state.incarnation, service.cache_tokens)
-
-    def _has_cache(self, target: ServingTarget) -> bool:
-        service = self._service(target.service)
-        return service is not None and bool(service.cache_tokens)
-
     def _is_isolated(self, now: float) -> bool:
         """Return whether the store is lost here while peers still reach it."""
         if self._store_state.lost_for(now) < STORE_LOST_SECONDS:
