--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -42,6 +42,8 @@
 RESTART_INTERVAL_SECONDS = 0.8
 # Targets that stand still and go on; an optional separate series.
 STALL_KINDS = {"stall": 1}
+# The same, while connections are reset, and routers killed too.
+RESET_STALL_KINDS = {"reset_stall": 3, "kill_stall": 1}
 STALL_INTERVAL_SECONDS = 14.0
 MIN_STALL_SECONDS = 3.0
 MAX_STALL_SECONDS = 9.0
@@ -115,9 +117,10 @@
     return _draw_series(rng, seconds, RESTART_KINDS, RESTART_INTERVAL_SECONDS)
 
 
-def draw_stalls(rng, seconds):
+def draw_stalls(rng, seconds, *, has_resets=False):
     """Return the steps in which targets stand still for a while, in order of time."""
-    steps = _draw_series(rng, seconds, STALL_KINDS, STALL_INTERVAL_SECONDS)
+    kinds = RESET_STALL_KINDS if has_resets else STALL_KINDS
+    steps = _draw_series(rng, seconds, kinds, STALL_INTERVAL_SECONDS)
     return [
         replace(step, duration=rng.uniform(MIN_STALL_SECONDS, MAX_STALL_SECONDS))
         for step in steps
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -102,6 +102,7 @@
 MAX_SILENT_SECONDS = 1.5
 # Share of the stalls that all targets have part in.
 ALL_STALL_SHARE = 0.6
+STALL_RESET_SECONDS = 0.5
 # Share of targets that report leaving whose entry lapses and returns meanwhile.
 ENTRY_LAPSE_SHARE = 0.4
 # Length of the pauses that targets request.
@@ -132,6 +133,7 @@
         has_long_streams=False,
         has_declines=False,
         has_stalls=False,
+        has_resets=False,
     ):
         self._rng = random.Random(seed)
         # A separate generator, so that its draws do not change those of the main one.
@@ -176,6 +178,7 @@
             self._stop_declines = declines.apply(self._backends, seed)
         self._restart_rng = random.Random(f"restarts {seed}") if has_declines else None
         self._stall_rng = random.Random(f"stalls {seed}") if has_stalls else None
+        self._has_resets = has_resets
         self._harmful = [
             HarmfulCaller(
                 b"harm%d" % n,
@@ -244,7 +247,9 @@
             steps += schedule.draw_restarts(self._restart_rng, seconds)
         if self._stall_rng is not None:
             # Routers that start again have little of their budgets to use up.
-            steps = schedule.draw_stalls(self._stall_rng, seconds)
+            steps = schedule.draw_stalls(
+                self._stall_rng, seconds, has_resets=self._has_resets
+            )
         if self._stop_rng is not None:
             # Cuts by a stop are judged only where nothing but planned work happens.
             steps = [step for step in steps if step.kind in schedule.PLANNED_KINDS]
@@ -425,6 +430,20 @@
                 functools.partial(target.link.set, LinkFault.NONE),
             )
 
+    def _reset_stall(self, step):
+        """Reset the connections to targets repeatedly while these stand still."""
+        self._stall(step)
+        for number in range(1, int(step.duration / STALL_RESET_SECONDS)):
+            for target in self._backends.targets:
+                reactor.callLater(
+                    number * STALL_RESET_SECONDS, target.link.reset_callers
+                )
+
+    def _kill_stall(self, step):
+        """Kill all routers in the middle of such a stall."""
+        self._reset_stall(step)
+        reactor.callLater(step.duration / 2, self._kill_all, step)
+
     def _target_faults(self, step):
         target = self._target(step)
         fault = list(EngineFault)[int(step.how * len(EngineFault))]
@@ -807,6 +826,11 @@
         action="store_true",
         help="also have targets stand still for seconds and go on",
     )
+    parser.add_argument(
+        "--resets",
+        action="store_true",
+        help="with --stalls, reset connections meanwhile and kill routers",
+    )
     parser.add_argument(
         "--overload",
         action="store_true",
@@ -835,6 +859,7 @@
             has_long_streams=arguments.long_streams,
             has_declines=arguments.declines,
             has_stalls=arguments.stalls,
+            has_resets=arguments.resets,
         )
         # Runs also when the soak is terminated.
         reactor.addSystemEventTrigger("before", "shutdown", soak.stop)
