--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -100,6 +100,11 @@
     def test_targets_that_decline_most_requests_break_no_promise(self):
         self.assert_no_promise_broken({20261211: 15}, extra_series=["declines"])
 
+    # Resets counted as if targets had read what they were sent.
+    def test_targets_that_stand_still_break_no_promise(self):
+        series = ["stalls", "declines", "resets"]
+        self.assert_no_promise_broken({20261214: 20}, extra_series=series)
+
     def assert_no_promise_broken(
         self, wanted, without=(), harmful=0, *, extra_series=()
     ):
