--- a/src/primrosescale/process/entry/harm_report_exchange.py
+++ b/src/primrosescale/process/entry/harm_report_exchange.py
@@ -81,9 +81,15 @@
         self._known_held: set[int] = set()
         self._known_held_parts: set[int] = set()
         self._known_answers = KnownAnswers(requests.parts)
+        self._changes = 0
         # Called for each end that another router reported.
         self.on_end: Callable[[TargetEnd, float], None] = lambda *_: None
 
+    @property
+    def changes(self) -> int:
+        """Return a number that grows with the reports that were new here."""
+        return self._changes
+
     @property
     def is_urgent(self) -> bool:
         """Return whether there is a report that has not been sent yet."""
@@ -250,6 +256,11 @@
         yield from message.held or ()
 
     def _apply(self, item: HarmReport, told_by: str, now: float) -> bool:
+        is_new = self._apply_by_kind(item, told_by, now)
+        self._changes += is_new
+        return is_new
+
+    def _apply_by_kind(self, item: HarmReport, told_by: str, now: float) -> bool:
         if isinstance(item, SuspectTrial):
             is_new = self._requests.record_trial(item)
             return self._requests.parts.record_trial(item, now) or is_new
--- a/src/primrosescale/process/entry/harm_section.py
+++ b/src/primrosescale/process/entry/harm_section.py
@@ -34,7 +34,7 @@
         Returns whether this router keeps them for all.
     """
 
-    __slots__ = ("_is_keeper", "_pending", "_reports", "_written")
+    __slots__ = ("_is_keeper", "_pending", "_reports", "_seen", "_written")
 
     def __init__(
         self, reports: HarmReportExchange, is_keeper: Callable[[float], bool]
@@ -44,6 +44,8 @@
         # The ends that are being written, and that were.
         self._pending: frozenset[TargetEnd] = frozenset()
         self._written: frozenset[TargetEnd] = frozenset()
+        # Number of the last report after which nothing had to be written.
+        self._seen = 0
 
     @property
     def name(self) -> str:
@@ -52,10 +54,13 @@
 
     def has_changed(self, now: float) -> bool:
         """Return whether there are other ends; see `ArchiveSection.has_changed`."""
-        ends = self._reports.held_ends(now)
-        if not ends and not self._written:
+        reports = self._reports
+        if reports.changes == self._seen or not self._is_keeper(now):
+            return False
+        if self._written == frozenset(reports.held_ends(now)):
+            self._seen = reports.changes
             return False
-        return self._is_keeper(now) and self._written != frozenset(ends)
+        return True
 
     def content(self, now: float) -> Any:
         """Return the ends; see `ArchiveSection.content`."""
