Judge late and silent answers by what is usual for their route

What callers saw: whether a request was also sent to a second target, and whether its target counted as failing, followed from the operator's latency objective: a first event was awaited for twice the objective, a pause for one and a half times the allowed one, a plain answer for half of the caller's time, and an answer after the objective was half a failure. With other objectives the same answers of the same targets were treated differently.

Cause: `first_event_patience`, `gap_patience`, `plain_patience`, and `LATE_WEIGHT` applied to `latency_objective`.

Change: `UsualTimes` estimates by route when answers begin and end, by the mean and four mean deviations (RFC 6298), at least twice the mean. A request is hedged, and an answer is late, beyond that. For streams it is at least the time for which a prompt keeps a sound target silent. An attempt that a hedge overtook counts with its age, so that the estimate does not fall by leaving out the slow ones.

Evidence: test_an_unusually_late_first_byte_counts_as_half_a_failure, test_a_request_is_hedged_once_other_targets_would_have_answered and test_an_attempt_that_was_overtaken_counts_as_late fail on the code before, which knows no usual time. Two tests of silent targets wait for 0.46 s in place of half of the time, since targets are silent to all after 0.45 s; they check the same as before.

--- a/src/primrosescale/request/attempt/forwarded_call.py
+++ b/src/primrosescale/request/attempt/forwarded_call.py
@@ -330,6 +330,9 @@
         if not self._relay.has_begun:
             self._send_buffered(attempt, now)
         attempt.close("answered", now, is_complete=True)
+        if head is not None and is_success(head) and not attempt.continues_stream:
+            seconds = now - attempt.began_at
+            self._tools.usual_times.ended(self._request.route.name, seconds)
         self._relay.finish()
         self._end("answered")
 
@@ -342,6 +345,11 @@
         """Close the other attempt, if any: this one was the first to answer."""
         if attempt is self._active.hedge:
             self._may_have_run = True
+            overtaken = self._active.primary
+            if overtaken is not None and self._relay.first_byte_at is None:
+                # Its answer would have begun later.
+                seconds = now - overtaken.began_at
+                self._tools.usual_times.began(self._request.route.name, seconds)
             self._active.promote_hedge("silent", now)
         else:
             self._drop_hedge("not needed: the target before went on", now)
@@ -605,7 +613,7 @@
         if not self._relay.pass_events(events, now):
             return
         if is_first:
-            self._record_lateness(attempt, now)
+            self._record_beginning(attempt, now)
             self._binding.first_event_sent(attempt, now)
         self._track_silence(now)
 
@@ -614,11 +622,15 @@
         head = attempt.head
         if head is None:
             return
-        self._record_lateness(attempt, now)
+        self._record_beginning(attempt, now)
         self._relay.begin(head, attempt.take_buffered(), now)
 
-    def _record_lateness(self, attempt: TargetAttempt, now: float) -> None:
-        if now - attempt.began_at > self._request.route.latency_objective:
+    def _record_beginning(self, attempt: TargetAttempt, now: float) -> None:
+        if attempt.head is None or not is_success(attempt.head):
+            return
+        if self._tools.usual_times.began(
+            self._request.route.name, now - attempt.began_at
+        ):
             attempt.state.answered_late(now)
 
     # Silent targets
@@ -660,9 +672,10 @@
         for one that sends data for other requests.
         """
         settings = self._tools.settings
-        has_begun = self._relay.first_byte_at is not None
         target_silent_in = settings.silence_patience - primary.state.silence(now)
-        request_timeout = silence_timeout(settings, self._request, has_begun=has_begun)
+        request_timeout = silence_timeout(
+            settings, self._request, self._tools.usual_times
+        )
         return min(target_silent_in, request_timeout - (now - self._waiting_since))
 
     def _check_silence(self) -> None:
--- a/src/primrosescale/request/attempt/forwarding_context.py
+++ b/src/primrosescale/request/attempt/forwarding_context.py
@@ -10,6 +10,7 @@
 from primrosescale.ini.options import COUNT
 from primrosescale.ini.options import SECONDS
 from primrosescale.ini.options import option
+from primrosescale.request.answer.usual_times import UsualTimes
 from primrosescale.request.capacity.overload_scope import OverloadScope
 from primrosescale.request.capacity.overload_settings import OverloadSettings
 from primrosescale.request.harm.harm_monitor import NoHarmMonitor
@@ -59,24 +60,11 @@
         "number of unreachable targets after which a request is refused",
         4,
     )
-    plain_patience: float = option(
-        SECONDS,
-        "fraction of the time for a plain request after which it is also sent to "
-        "another target, when its target is silent; nine in ten answers arrive "
-        "within a third of that time",
-        0.5,
-    )
-    first_event_patience: float = option(
-        SECONDS,
-        "multiple of the latency objective after which a stream without an event "
-        "is also requested from another target",
-        2.0,
-    )
     silence_patience: float = option(
         SECONDS,
         "seconds without any data from a target, for any request, after which its "
-        "requests are also sent to another target, so that a stream continues "
-        "within the allowed pause",
+        "requests are also sent to another target; a long prompt that it prefills "
+        "keeps a target silent for nearly as long",
         0.45,
     )
     heard_lately: float = option(
@@ -85,12 +73,6 @@
         "be sent only once may use a pooled connection to it",
         0.15,
     )
-    gap_patience: float = option(
-        SECONDS,
-        "multiple of the allowed pause between events after which a stream is also "
-        "requested from another target",
-        1.5,
-    )
     buffer_limit: int = option(
         COUNT,
         "bytes of a plain answer that are buffered until it is complete, so that "
@@ -201,6 +183,8 @@
         Determines for which services overload control is in force.
     target_work : TargetWork
         Prefill backlog and pace of targets; by default nothing is recorded.
+    usual_times : UsualTimes
+        How long answers of each route take.
     stream_began : Callable[[IncomingRequest, float], None]
         Called with the request and the current time when the first event of a stream
         is sent to its caller.
@@ -227,6 +211,7 @@
     regions: Mapping[str, str] = field(default_factory=dict)
     overload_scope: OverloadScope = field(default_factory=_default_scope)
     target_work: TargetWork = field(default_factory=_default_work)
+    usual_times: UsualTimes = field(default_factory=UsualTimes)
     stream_began: Callable[[IncomingRequest, float], None] = _ignore_stream
     version_doubts: VersionDoubts = field(default_factory=_no_doubts)
 
--- a/src/primrosescale/request/attempt/silent_target.py
+++ b/src/primrosescale/request/attempt/silent_target.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from primrosescale.request.answer.usual_times import UsualTimes
     from primrosescale.request.attempt.forwarding_context import ForwardingSettings
     from primrosescale.request.incoming_request import IncomingRequest
 
@@ -51,27 +52,29 @@
 
 
 def silence_timeout(
-    settings: ForwardingSettings, request: IncomingRequest, *, has_begun: bool
+    settings: ForwardingSettings, request: IncomingRequest, usual_times: UsualTimes
 ) -> float:
     """Return how long a request waits while its target sends data only for others.
 
+    Another target would usually have begun to answer by then, also one that has to
+    prefill the prompt of a stream once more. Between prefills of others a stream may
+    pause for as long as its target may be silent.
+
     Parameters
     ----------
     settings : ForwardingSettings
         Timing settings.
     request : IncomingRequest
         The request.
-    has_begun : bool
-        Whether the caller has received the first byte.
+    usual_times : UsualTimes
+        How long answers of its route take.
 
     Returns
     -------
     float
         Seconds.
     """
-    route = request.route
-    if not route.is_stream:
-        return settings.plain_patience * (request.give_up_at - request.received_at)
-    if not has_begun:
-        return settings.first_event_patience * route.latency_objective
-    return settings.gap_patience * (route.gap_objective or route.latency_objective)
+    usual = usual_times.usual(request.route.name).beginning
+    if not request.route.is_stream:
+        return usual
+    return max(settings.silence_patience, usual)
--- a/src/primrosescale/request/target/target_state.py
+++ b/src/primrosescale/request/target/target_state.py
@@ -47,7 +47,7 @@
 # A target whose entry is gone is assumed to have crashed, and to have lost its
 # requests, when its share of failures is at least this.
 CRASHED_FAILURE_SHARE = 0.25
-# An answer that began after its objective counts as half a failure.
+# Others would have answered sooner, but the caller of a late answer gets it.
 LATE_WEIGHT = 0.5
 # Good outcomes assumed for a target that has not been tried yet.
 PRIOR_GOOD_OUTCOMES = 2.0
@@ -563,7 +563,7 @@
         self.assume_cold_from(self._paused_until)
 
     def answered_late(self, now: float) -> None:
-        """Record an answer that began after its objective.
+        """Record an answer that began later than is usual for its route.
 
         Parameters
         ----------
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -128,6 +128,13 @@
     return b"id: %d\ndata: x\n\n" % number
 
 
+def learn(harness, route, seconds):
+    """Let answers of a route usually begin and end after a time."""
+    for _ in range(40):
+        harness.tools.usual_times.began(route.name, seconds)
+        harness.tools.usual_times.ended(route.name, seconds)
+
+
 class FakeRun(InFlightRequest):
     def __init__(self, sending, observer):
         self.sending = sending
--- a/tests/entry/test_forwarded_call.py
+++ b/tests/entry/test_forwarded_call.py
@@ -11,6 +11,7 @@
 from entry.fakes import ForwardingHarness
 from entry.fakes import event
 from entry.fakes import head
+from entry.fakes import learn
 from entry.fakes import request
 from entry.fakes import target
 from primrosescale.request.attempt.forwarding_interfaces import Refusal
@@ -80,7 +81,7 @@
     def test_a_silent_target_is_left_for_another_that_answers(self):
         _, sink = self.harness.call(request())
         first = self.harness.caller.last
-        self.harness.pass_time(0.45)
+        self.harness.pass_time(0.46)
         second = self.harness.caller.last
         self.assertNotEqual(first.name, second.name)
         self.assertFalse(first.is_cancelled)
@@ -354,15 +355,58 @@
         self.assertFalse(harness.caller.last.is_cancelled)
         self.assertIsNone(sink.refusal)
 
-    def test_a_late_first_byte_counts_as_half_a_failure(self):
+    # What counted as late followed from the objective of the route.
+    def test_an_unusually_late_first_byte_counts_as_half_a_failure(self):
+        for usual, late in ((0.1, 0.5), (0.3, 0.0)):
+            harness = ForwardingHarness(PORTAL[:1])
+            learn(harness, LOOKUP, usual)
+            harness.call(request())
+            name = harness.caller.last.name
+            harness.pass_time(0.35)
+            harness.caller.runs[0].answer(200, b"late")
+            good, bad = harness.state(name).outcomes(harness.clock.seconds())
+            self.assertAlmostEqual(1.0, good)
+            self.assertAlmostEqual(late, bad)
+
+    # A quick failure made all answers look late.
+    def test_failures_say_nothing_on_the_usual_time(self):
         harness = ForwardingHarness(PORTAL)
+        learn(harness, LOOKUP, 0.3)
+        for _ in range(30):
+            harness.call(request())
+            harness.caller.last.answer(404, b"")
+        usual = harness.tools.usual_times.usual(LOOKUP.name)
+        self.assertAlmostEqual(0.6, usual.beginning, places=2)
+
+    # Requests were sent to a second target by a share of their callers' time or of an
+    # objective, whatever is usual for their route.
+    def test_a_request_is_hedged_once_other_targets_would_have_answered(self):
+        for route, usual, earliest in ((LOOKUP, 0.1, 0.2), (STREAM, 0.4, 0.8)):
+            harness = ForwardingHarness(PORTAL if route is LOOKUP else MODEL)
+            learn(harness, route, usual)
+            harness.call(request(route, deadline=1012.0))
+            # Its target sends data for others.
+            self.pass_time_with_data(harness, earliest - 0.02)
+            self.assertEqual(1, len(harness.caller.runs))
+            self.pass_time_with_data(harness, 0.04)
+            self.assertEqual(2, len(harness.caller.runs))
+
+    def pass_time_with_data(self, harness, seconds):
+        state = harness.state(harness.caller.runs[0].name)
+        for _ in range(round(seconds / 0.01)):
+            state.bytes_received(harness.clock.seconds())
+            harness.pass_time(0.01)
+
+    # An attempt that another one overtook did not count, so that the estimate fell.
+    def test_an_attempt_that_was_overtaken_counts_as_late(self):
+        harness = ForwardingHarness(PORTAL)
+        learn(harness, LOOKUP, 0.1)
+        before = harness.tools.usual_times.usual(LOOKUP.name).beginning
         harness.call(request())
-        name = harness.caller.last.name
-        harness.pass_time(0.35)
-        harness.caller.last.answer(200, b"late")
-        good, bad = harness.state(name).outcomes(harness.clock.seconds())
-        self.assertAlmostEqual(1.0, good)
-        self.assertAlmostEqual(0.5, bad)
+        harness.pass_time(0.3)
+        harness.caller.last.answer(200, b"ok")
+        after = harness.tools.usual_times.usual(LOOKUP.name).beginning
+        self.assertTrue(after > 1.5 * before, (before, after))
 
     def test_a_stream_that_may_be_sent_once_avoids_a_stale_connection(self):
         harness = ForwardingHarness(MODEL[:1])
--- a/tests/entry/test_silent_target.py
+++ b/tests/entry/test_silent_target.py
@@ -364,10 +364,10 @@
 
     def test_a_target_that_is_being_connected_to_counts(self):
         harness = ManualHarness(3)
-        harness.call(request(replace(LOOKUP, timeout=0.6)))
+        harness.call(request(replace(LOOKUP, timeout=0.8)))
         first = harness.caller.last
         first.observer.request_sent()
-        harness.pass_time(0.31)
+        harness.pass_time(0.46)
         self.assertEqual(2, len(harness.caller.runs))
         first.observer.response_lost("reset")
         harness.pass_time(0.27)
@@ -396,7 +396,7 @@
         _, sink = harness.call(request(LOOKUP))
         first = harness.caller.last
         first.observer.request_sent()
-        harness.pass_time(0.41)
+        harness.pass_time(0.46)
         self.assertEqual(2, len(harness.caller.runs))
         first.answer(500, b"broken")
         self.assertEqual((500, b"broken"), (sink.head.status, sink.body))
