Let as many requests wait at a plain target as keep its slots busy

What callers saw: in an overload, how long a request stood at its target followed from the shortest latency objective of its route: one target with 4 slots and 0.1 s of work had 6 requests with an objective of 0.2 s and 8 with one of 1.5 s. The longer queue served no one more and made each answer later, and a request at a target can neither be refused nor overtaken.

Cause: `target_wait_share`, a quarter of the shortest objective of the last minute.

Change: a slot that becomes free is idle until the next request arrives, and routers learn late which target has a free one. Each router may therefore have one request at each target that the others do not know of, up to as many as there are slots, fewer at slow hosts. 0.7 of that is planned for; what other routers have not reported comes on top.

--- a/src/primrosescale/process/entry/overload_control.py
+++ b/src/primrosescale/process/entry/overload_control.py
@@ -93,7 +93,6 @@
         """
         parts = self._parts
         self._capacity = ServiceCapacity(
-            self._settings,
             self._scope,
             CapacitySources(
                 targets.of_service,
@@ -123,7 +122,6 @@
         self._settings = settings
         self._scope.configure(settings)
         self._connection_shares.configure(settings)
-        self._capacity.configure(settings)
         self._admission.configure(settings)
 
     def submit(self, call: ForwardedCall, now: float) -> None:
@@ -136,7 +134,7 @@
         now : float
             Current time in seconds.
         """
-        self._capacity.request_received(call.request, now)
+        self._capacity.request_received(call.request)
         self._admission.submit(call, now)
 
     def ended(self, call: ForwardedCall, now: float) -> AdmissionRecord | None:
--- a/src/primrosescale/request/capacity/answer_times.py
+++ b/src/primrosescale/request/capacity/answer_times.py
@@ -27,13 +27,12 @@
 class AnswerTimes:
     """Mean times of answers, by service."""
 
-    __slots__ = ("_all", "_unqueued")
+    __slots__ = ("_by_service",)
 
     def __init__(self) -> None:
-        self._all: dict[str, _LearntMean] = {}
-        self._unqueued: dict[str, _LearntMean] = {}
+        self._by_service: dict[str, _LearntMean] = {}
 
-    def record(self, service: str, seconds: float, *, met_queue: bool) -> None:
+    def record(self, service: str, seconds: float) -> None:
         """Record a complete answer.
 
         Parameters
@@ -42,12 +41,8 @@
             The target's service.
         seconds : float
             Time from sending the request to the end of its answer.
-        met_queue : bool
-            Whether the target reported with it that other requests waited there.
         """
-        self._all.setdefault(service, _LearntMean()).add(seconds)
-        if not met_queue:
-            self._unqueued.setdefault(service, _LearntMean()).add(seconds)
+        self._by_service.setdefault(service, _LearntMean()).add(seconds)
 
     def mean(self, service: str) -> float | None:
         """Return the mean time of answers.
@@ -62,21 +57,5 @@
         float | None
             Seconds; None if no answer has been observed.
         """
-        known = self._all.get(service)
-        return None if known is None else known.mean
-
-    def unqueued_mean(self, service: str) -> float | None:
-        """Return the mean time of answers whose targets reported no queue.
-
-        Parameters
-        ----------
-        service : str
-            Name of the service.
-
-        Returns
-        -------
-        float | None
-            Seconds; None if no such answer has been observed.
-        """
-        known = self._unqueued.get(service)
+        known = self._by_service.get(service)
         return None if known is None else known.mean
--- a/src/primrosescale/request/capacity/overload_settings.py
+++ b/src/primrosescale/request/capacity/overload_settings.py
@@ -36,12 +36,6 @@
         "rest is for connections that are being closed, and for probes",
         0.75,
     )
-    target_wait_share: float = option(
-        Number(0.0, 1.0),
-        "fraction of the latency objective for which a plain request may wait at its "
-        "target",
-        0.25,
-    )
     queue_wait_share: float = option(
         Number(0.0, 1.0),
         "fraction of the latency objective for which a request may wait in the "
--- a/src/primrosescale/request/capacity/service_capacity.py
+++ b/src/primrosescale/request/capacity/service_capacity.py
@@ -3,7 +3,7 @@
 Requests at the targets beyond their capacity would only wait there, where the order
 cannot be chosen and the caller cannot be told. All routers together should therefore
 have about as many requests there as the targets can run, and for plain targets as many
-more as keep them busy without making answers late.
+more as keep them busy.
 """
 
 from __future__ import annotations
@@ -26,7 +26,6 @@
 
     from primrosescale.request.attempt.forwarded_call import ForwardedCall
     from primrosescale.request.capacity.overload_scope import OverloadScope
-    from primrosescale.request.capacity.overload_settings import OverloadSettings
     from primrosescale.request.incoming_request import IncomingRequest
     from primrosescale.request.target.target_state import TargetState
     from primrosescale.version.routing_table import Service
@@ -34,13 +33,14 @@
 # The sums over all targets of a service are computed at most this often. This router's
 # own demand is known exactly in between.
 SUM_SECONDS = 0.05
-# Objectives count for this long after the last request that had them.
-OBJECTIVE_SECONDS = 60.0
 # Factor between capacity and the largest demand of others that is believed, and the
 # number that is believed in any case. A longer queue hardly changes the shares, while a
 # router that reports nonsense must not take the whole capacity from the others.
 MAX_BELIEVED_FACTOR = 8.0
 MIN_BELIEVED = 16.0
+# Share of the requests that may wait at a target which is planned for. Those that other
+# routers have not reported yet come on top.
+PLANNED_SHARE = 0.7
 ANSWERED = "answered"
 MIN_SUCCESS_STATUS = 200
 MAX_SUCCESS_STATUS = 299
@@ -120,8 +120,6 @@
 
     Parameters
     ----------
-    settings : OverloadSettings
-        Settings of overload control.
     scope : OverloadScope
         Services for which it is in force.
     sources : CapacitySources
@@ -133,58 +131,41 @@
     __slots__ = (
         "_answer_times",
         "_calls",
-        "_objectives",
+        "_requested",
         "_rng",
         "_roundings",
         "_scope",
-        "_settings",
         "_sources",
         "_sums",
     )
 
     def __init__(
         self,
-        settings: OverloadSettings,
         scope: OverloadScope,
         sources: CapacitySources,
         rng: Random,
     ) -> None:
-        self._settings = settings
         self._scope = scope
         self._sources = sources
         self._rng = rng
         self._answer_times = AnswerTimes()
         self._calls: Counter[str] = Counter()
-        # By service: objectives of its routes, each with the time of its last request.
-        self._objectives: dict[str, dict[float, float]] = {}
+        # Services in force of which a request has been received.
+        self._requested: set[str] = set()
         self._sums: dict[str, _Sums] = {}
         self._roundings: dict[str, FractionRounding] = {}
 
-    def configure(self, settings: OverloadSettings) -> None:
-        """Apply changed settings.
-
-        Parameters
-        ----------
-        settings : OverloadSettings
-            Settings of overload control.
-        """
-        self._settings = settings
-        self._sums.clear()
-
-    def request_received(self, request: IncomingRequest, now: float) -> None:
+    def request_received(self, request: IncomingRequest) -> None:
         """Count a request that this router has accepted.
 
         Parameters
         ----------
         request : IncomingRequest
             The request.
-        now : float
-            Current time in seconds.
         """
         self._calls[request.service] += 1
         if self._scope.is_in_force(request.service):
-            seen = self._objectives.setdefault(request.service, {})
-            seen[request.route.latency_objective] = now
+            self._requested.add(request.service)
 
     def call_ended(self, call: ForwardedCall) -> None:
         """Count a request as ended, and learn from its answer.
@@ -202,11 +183,10 @@
             return
         for attempt in call.attempts:
             if attempt.outcome == ANSWERED and attempt.ended_at is not None:
-                met_queue = attempt.report is None or attempt.report.waiting > 0
                 seconds = attempt.ended_at - attempt.began_at
                 # Other times are measured only if the clock was set meanwhile.
                 if 0 <= seconds <= call.request.deadline - call.request.received_at:
-                    self._answer_times.record(service, seconds, met_queue=met_queue)
+                    self._answer_times.record(service, seconds)
 
     def is_in_force(self, service: str) -> bool:
         """Return whether requests may have to wait; see `CapacityView`."""
@@ -256,7 +236,7 @@
             that wait.
         """
         found = {}
-        for service in self._objectives:
+        for service in self._requested:
             if self._scope.is_in_force(service):
                 share = self._share(service, waiting_by_service.get(service, 0), now)
                 found[service] = (share.capacity, share.demand)
@@ -280,10 +260,10 @@
         """Compute the sums over the targets of a service."""
         capacity = others = 0.0
         own = 0
-        wait_factor = self._wait_factor(service, now)
+        routers = self._sources.routers()
         states = list(self._sources.states_of(service))
         for state in _usable(states, now):
-            capacity += self._capacity_of(state, wait_factor, now)
+            capacity += self._capacity_of(state, routers, now)
             own += state.own_running
             others += max(0.0, state.load(now) - state.own_running)
         most = MIN_BELIEVED + MAX_BELIEVED_FACTOR * capacity
@@ -295,44 +275,28 @@
             own,
             sum(state.own_running for state in states if not state.takes_work),
             others,
-            self._sources.routers(),
+            routers,
             self._sources.has_current_loads(now),
             self._calls[service] - waiting,
         )
 
-    def _wait_factor(self, service: str, now: float) -> float | None:
-        """Return how many requests may wait at a plain target at the usual pace.
+    def _capacity_of(self, state: TargetState, routers: int, now: float) -> float:
+        """Return how many requests a target can take.
 
-        It is a share of the target's slots, not yet limited to 1. None for model
-        engines, where none may wait: a stream keeps its slot for seconds.
+        A slot that becomes free would be idle until the next request arrives. Routers
+        learn late which target has a free one, so that each of them may have a request
+        there that the others do not know of, up to as many as there are slots; fewer
+        where slots become free more slowly. None may wait at model engines: a stream
+        keeps its slot for seconds.
         """
-        known = self._sources.service_of(service)
+        known = self._sources.service_of(state.target.service)
         if known is not None and known.cache_tokens:
-            return None
-        objective = self._shortest_objective(service, now)
-        call_time = self._answer_times.unqueued_mean(service)
-        if objective is None or not call_time:
-            return 1.0
-        return self._settings.target_wait_share * objective / call_time
-
-    def _capacity_of(
-        self, state: TargetState, wait_factor: float | None, now: float
-    ) -> float:
-        if wait_factor is None:
             return float(state.slots)
         pace = self._sources.pace_of(state, now)
         if not 0 < pace < math.inf:
             pace = 1.0
-        # At least the slots, which would be idle otherwise.
-        return state.slots * (1.0 + max(0.0, min(1.0, wait_factor / pace)))
-
-    def _shortest_objective(self, service: str, now: float) -> float | None:
-        """Return the shortest objective of recent requests in seconds, None if none."""
-        seen = self._objectives.get(service, {})
-        for objective, seen_at in list(seen.items()):
-            if now - seen_at > OBJECTIVE_SECONDS:
-                del seen[objective]
-        return min(seen, default=None)
+        waiting = PLANNED_SHARE * min(state.slots, max(1, routers)) / pace
+        return state.slots + min(float(state.slots), waiting)
 
 
 def _usable(states: list[TargetState], now: float) -> list[TargetState]:
