Let requests wait by the time that their callers have, first tries and retries alike

With 3 in 100 others that had 4.2 s, all with 2 s were taken for returning callers, went first within their organisation and waited until their time was nearly over.

Cause: a first-time caller waited for half of the latency objective; one with less than 0.82 of the longest time budget of its route counted as returning, and waited until its deadline.

Change: - A request waits if the calls ahead of it leave it its usual time to be answered, the time of its caller and its route's timeout counted, for streams also the time after which callers leave for lack of an event (stated by the two objectives of a route; that is all that they still do). Otherwise it is refused at once. What waits and is found to have no chance any more is refused then, not at its deadline. - A burst may wait in full: it can be done in its callers' time. When more is asked for than can be done, for longer than callers can wait, the queue stands. It adds its length to every answer and serves no one more (CoDel). Only as many calls wait then as keep the places busy: two standard deviations of the arrivals, and two. The bound on the queue is what can be started in the callers' time, in place of 20 a place. - A caller that a stopping router refuses is told to return at once: another router serves it.

- Retry-After is when there is room by the forecast, no longer at least the objective and a fifth of the time left, and every caller with time left is expected to return.

--- a/src/primrosescale/platform/records.py
+++ b/src/primrosescale/platform/records.py
@@ -52,6 +52,11 @@
 MAX_SLOTS = 65535
 # One day; no wait is that long.
 MAX_DURATION_MILLISECONDS = 86_400_000
+# Callers leave a stream after the longest of this time without an event, and of these
+# multiples of the two objectives that its route states.
+MIN_EVENT_PATIENCE_MILLISECONDS = 2000.0
+BEGINNINGS_OF_EVENT_PATIENCE = 4.0
+PAUSES_OF_EVENT_PATIENCE = 8.0
 # Upper bound of the configured limits on bytes that a caller may send: a thousand
 # times those of the largest object of the store.
 MAX_CALLER_BYTES = 1_048_576_000
@@ -292,10 +297,6 @@
         item.number_or("timeout_ms", 60000, MAX_DURATION_MILLISECONDS)
         * SECONDS_PER_MILLISECOND
     )
-    objective = (
-        item.number_or("target_latency_ms", 0, MAX_DURATION_MILLISECONDS)
-        * SECONDS_PER_MILLISECOND
-    )
     prefix = item.text("path_prefix", MAX_HEAD_TEXT_LENGTH)
     if not prefix.startswith("/"):
         item.refuse("path_prefix", "does not begin with a slash")
@@ -309,9 +310,12 @@
         # "sticky" only means that requests describe their prompts.
         has_prompt=item.flag_or("sticky", default=False),
         timeout=timeout,
-        latency_objective=objective or timeout,
-        gap_objective=item.number_or("gap_aim_ms", 0, MAX_DURATION_MILLISECONDS)
-        * SECONDS_PER_MILLISECOND,
+        latency_objective=item.number_or(
+            "target_latency_ms", 0, MAX_DURATION_MILLISECONDS
+        )
+        * SECONDS_PER_MILLISECOND
+        or timeout,
+        event_patience=_event_patience(item),
         max_targets=max(1, item.integer_or("max_attempts", 1, MAX_TARGETS_PER_REQUEST)),
         priority=item.integer_or("priority", 5, MAX_PRIORITY),
         allows_anonymous=item.flag_or("skip_auth", default=False),
@@ -319,6 +323,21 @@
     )
 
 
+def _event_patience(item: FieldReader) -> float:
+    """Return after how many seconds without an event callers leave a stream.
+
+    Callers derive it from the two objectives of the route, which have no other effect.
+    """
+    beginning = item.number_or("target_latency_ms", 0, MAX_DURATION_MILLISECONDS)
+    pause = item.number_or("gap_aim_ms", 0, MAX_DURATION_MILLISECONDS)
+    longest = max(
+        MIN_EVENT_PATIENCE_MILLISECONDS,
+        BEGINNINGS_OF_EVENT_PATIENCE * beginning,
+        PAUSES_OF_EVENT_PATIENCE * pause,
+    )
+    return longest * SECONDS_PER_MILLISECOND
+
+
 def _allowed_regions(item: FieldReader, regions: Collection[str]) -> frozenset[str]:
     """Return the regions to which requests may be sent.
 
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -299,6 +299,7 @@
             regions=settings.regions,
             overload_scope=self._overload.scope,
             target_work=self._overload.work,
+            usual_times=self._overload.usual_times,
             stream_began=self._resumption.began,
             version_doubts=version_doubts,
         )
--- a/src/primrosescale/process/entry/overload_control.py
+++ b/src/primrosescale/process/entry/overload_control.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from primrosescale.process.entry.overload_report import OverloadReport
+from primrosescale.request.answer.usual_times import UsualTimes
 from primrosescale.request.capacity.connection_shares import ConnectionShares
 from primrosescale.request.capacity.overload_scope import OverloadScope
 from primrosescale.request.capacity.request_admission import RequestAdmission
@@ -51,7 +52,6 @@
         shares: RouterShares,
         service_of: Callable[[str], Service | None],
     ) -> None:
-        self._settings = settings
         self._parts = parts
         self._service_of = service_of
         self._scope = OverloadScope(settings)
@@ -59,6 +59,7 @@
             settings, shares, service_of, self._scope
         )
         self._work = TargetWork(self._scope)
+        self._usual_times = UsualTimes()
         self._capacity: ServiceCapacity
         self._admission: RequestAdmission
 
@@ -77,6 +78,11 @@
         """Return the prefill backlog and the pace of targets."""
         return self._work
 
+    @property
+    def usual_times(self) -> UsualTimes:
+        """Return how long answers of each route take."""
+        return self._usual_times
+
     def connect(
         self, targets: TargetList, routers: Callable[[], int], exchange: StateExchange
     ) -> None:
@@ -108,7 +114,7 @@
             parts.log, parts.metrics.overload, self._work.usual_pace
         )
         self._admission = RequestAdmission(
-            self._settings, self._capacity, parts.reactor, parts.rng, report
+            self._capacity, self._usual_times, parts.reactor, parts.rng, report
         )
 
     def configure(self, settings: OverloadSettings) -> None:
@@ -119,10 +125,8 @@
         settings : OverloadSettings
             Settings of overload control.
         """
-        self._settings = settings
         self._scope.configure(settings)
         self._connection_shares.configure(settings)
-        self._admission.configure(settings)
 
     def submit(self, call: ForwardedCall, now: float) -> None:
         """Start, queue or refuse a call.
--- a/src/primrosescale/process/entry/overload_metrics.py
+++ b/src/primrosescale/process/entry/overload_metrics.py
@@ -14,9 +14,8 @@
     from primrosescale.request.capacity.overload_episode import OverloadReason
     from primrosescale.request.capacity.service_admission import ServiceAdmission
 
-# First-time callers wait for up to half of an objective of 0.2 to 1.5 s, returning
-# ones for several seconds.
-WAIT_BUCKETS_SECONDS = (0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1.5, 3.0, 10.0)
+# From a tick of the queue to the longest time that callers usually have.
+WAIT_BUCKETS_SECONDS = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0)
 NO_LIMIT = -1.0
 
 
--- a/src/primrosescale/process/entry/overload_report.py
+++ b/src/primrosescale/process/entry/overload_report.py
@@ -100,4 +100,4 @@
     """
     if record is None:
         return {}
-    return {"waited": round(record.waited, 3), "is_returning": record.is_returning}
+    return {"waited": round(record.waited, 3)}
--- a/src/primrosescale/request/capacity/admission_record.py
+++ b/src/primrosescale/request/capacity/admission_record.py
@@ -59,8 +59,6 @@
     ----------
     call : AdmissibleCall
         The call.
-    is_returning : bool
-        Whether its caller returns after a refusal.
     state : AdmissionState
         What has been done with it.
     queued : QueuedCall[AdmissionRecord] | None
@@ -72,7 +70,6 @@
     """
 
     call: AdmissibleCall
-    is_returning: bool
     state: AdmissionState = AdmissionState.SUBMITTED
     queued: QueuedCall[AdmissionRecord] | None = None
     longest_wait: float = 0.0
--- a/src/primrosescale/request/capacity/expected_returns.py
+++ b/src/primrosescale/request/capacity/expected_returns.py
@@ -1,7 +1,7 @@
 """Refused callers of one service that are expected to return.
 
-They are started before first-time callers of their organisation, so that callers
-refused after them find a place only after them.
+Callers that are refused after them are told to return after them, so that not all come
+back to the same free place.
 
 A caller may return at any router, so nothing is kept of a single refusal. Each router
 expects as many returns as it refuses calls, which on average is its share of them.
--- a/src/primrosescale/request/capacity/fair_queue.py
+++ b/src/primrosescale/request/capacity/fair_queue.py
@@ -10,7 +10,6 @@
 import math
 from collections import deque
 from dataclasses import dataclass
-from itertools import islice
 from typing import TYPE_CHECKING
 from typing import Generic
 from typing import TypeVar
@@ -43,8 +42,6 @@
         Object associated with the call by the user of the queue.
     start_tag : float
         Virtual start time; set by the queue.
-    is_preferred : bool
-        Whether it goes before the calls of its organisation and priority that are not.
     """
 
     organisation: str
@@ -54,7 +51,6 @@
     deadline: float
     item: T
     start_tag: float = 0.0
-    is_preferred: bool = False
 
 
 class _PriorityClass(Generic[T]):
@@ -75,7 +71,7 @@
     def push(self, call: QueuedCall[T]) -> None:
         """Add a call to the queue of its organisation."""
         name = call.organisation
-        start = max(self.virtual_time, self.finish_tags.get(name, 0.0))
+        start = self.next_tag(name)
         call.start_tag = start
         self.finish_tags[name] = start + call.work / max(1, call.weight)
         flow = self.flows.get(name)
@@ -83,7 +79,7 @@
             self.flows[name] = deque((call,))
             heapq.heappush(self.heap, (start, name))
         else:
-            self._insert(call, flow)
+            flow.append(call)
 
     def head(self) -> QueuedCall[T] | None:
         """Return the call with the smallest start tag."""
@@ -95,6 +91,15 @@
             heapq.heappop(self.heap)
         return None
 
+    def next_tag(self, organisation: str) -> float:
+        """Return the start tag that a new call of an organisation would get."""
+        return max(self.virtual_time, self.finish_tags.get(organisation, 0.0))
+
+    def last(self) -> QueuedCall[T] | None:
+        """Return the call with the largest start tag."""
+        ends = (flow[-1] for flow in self.flows.values())
+        return max(ends, key=lambda call: call.start_tag, default=None)
+
     def start(self, call: QueuedCall[T]) -> None:
         """Remove the first call of its organisation and advance virtual time."""
         self.virtual_time = max(self.virtual_time, call.start_tag)
@@ -137,17 +142,13 @@
                 self._reinsert_flow(name, kept)
         return late
 
-    def work_ahead(self, organisation: str, *, is_preferred: bool) -> float:
+    def work_ahead(self, organisation: str) -> float:
         """Return the work that would be started before a new call.
 
         The calls of an organisation have consecutive tags, so that the difference of
         its tags is its work in proportion to its weight.
         """
-        start = max(self.virtual_time, self.finish_tags.get(organisation, 0.0))
-        if is_preferred:
-            flow = self.flows.get(organisation, ())
-            behind = (call.start_tag for call in flow if not call.is_preferred)
-            start = next(behind, start)
+        start = self.next_tag(organisation)
         ahead = 0.0
         for name, flow in self.flows.items():
             first = flow[0]
@@ -155,22 +156,6 @@
             ahead += max(0.0, until - first.start_tag) * max(1, first.weight)
         return ahead
 
-    def _insert(self, call: QueuedCall[T], flow: deque[QueuedCall[T]]) -> None:
-        """Add a call behind the preferred ones, or at the end if it is not preferred.
-
-        It takes over the tag of the first call behind it, so that its organisation
-        gets no more than its share.
-        """
-        index = len(flow)
-        if call.is_preferred:
-            index = sum(other.is_preferred for other in flow)
-        if index < len(flow):
-            call.start_tag = flow[index].start_tag
-            share = call.work / max(1, call.weight)
-            for later in islice(flow, index, None):
-                later.start_tag += share
-        flow.insert(index, call)
-
     def _reinsert_flow(self, name: str, flow: deque[QueuedCall[T]]) -> None:
         if flow:
             heapq.heappush(self.heap, (flow[0].start_tag, name))
@@ -244,6 +229,24 @@
         """
         return self._work_by_organisation.get(organisation, 0)
 
+    def count_of(self, organisation: str, priority: int) -> int:
+        """Return the number of waiting calls of an organisation and priority.
+
+        Parameters
+        ----------
+        organisation : str
+            Name of the organisation.
+        priority : int
+            The priority.
+
+        Returns
+        -------
+        int
+            Number of calls.
+        """
+        found = self._classes.get(priority)
+        return 0 if found is None else len(found.flows.get(organisation, ()))
+
     def push(self, call: QueuedCall[T]) -> None:
         """Add a call to the queue of its organisation.
 
@@ -411,28 +414,40 @@
                     most = share
         return worst
 
-    def last_of(self, organisation: str) -> QueuedCall[T] | None:
-        """Return the last call of an organisation, of its least urgent priority.
+    def last_from(self, priority: int) -> QueuedCall[T] | None:
+        """Return the call of a priority that would be started last.
 
         Parameters
         ----------
-        organisation : str
-            Name of the organisation.
+        priority : int
+            The priority.
 
         Returns
         -------
         QueuedCall[T] | None
-            The call; None when it has no waiting calls.
+            The call, which stays in the queue; None when none waits.
         """
-        for priority in sorted(self._classes, reverse=True):
-            flow = self._classes[priority].flows.get(organisation)
-            if flow is not None:
-                return flow[-1]
-        return None
+        found = self._classes.get(priority)
+        return None if found is None else found.last()
+
+    def is_before(self, organisation: str, call: QueuedCall[T]) -> bool:
+        """Return whether a new call would be started before one that waits.
+
+        Parameters
+        ----------
+        organisation : str
+            Organisation of the new call, which has the same priority.
+        call : QueuedCall[T]
+            The waiting call.
+
+        Returns
+        -------
+        bool
+            Whether the share of its organisation has the new call started first.
+        """
+        return self._classes[call.priority].next_tag(organisation) < call.start_tag
 
-    def work_ahead(
-        self, organisation: str, priority: int, *, is_preferred: bool
-    ) -> float:
+    def work_ahead(self, organisation: str, priority: int) -> float:
         """Return the work within a priority that would be started before a new call.
 
         Parameters
@@ -441,8 +456,6 @@
             Organisation of the new call.
         priority : int
             Priority of the new call.
-        is_preferred : bool
-            Whether it goes before those of its organisation that are not.
 
         Returns
         -------
@@ -452,7 +465,7 @@
         found = self._classes.get(priority)
         if found is None:
             return 0.0
-        return found.work_ahead(organisation, is_preferred=is_preferred)
+        return found.work_ahead(organisation)
 
     def calls(self) -> list[QueuedCall[T]]:
         """Return all waiting calls, in no particular order.
--- a/src/primrosescale/request/capacity/overload_episode.py
+++ b/src/primrosescale/request/capacity/overload_episode.py
@@ -21,11 +21,14 @@
 class OverloadReason(Enum):
     """Why a request was refused while its service was overloaded."""
 
-    # It would have had to wait for too long, or no time was left.
+    # It could not have been answered in the time that its caller has.
     FORECAST = "forecast"
-    # It has waited for as long as it may.
+    # It has waited, and can no longer be answered in the time that its caller has.
     WAITED = "waited"
-    # The queue was full, and its organisation had no less work there than others.
+    # More is asked for than can be done, and as many wait as keep the targets busy.
+    STANDING = "standing"
+    # As many wait as can be started in their callers' time, and its organisation had no
+    # less work there than others.
     QUEUE_FULL = "queue_full"
     # Its place was given to an organisation with less waiting work.
     DISPLACED = "displaced"
--- a/src/primrosescale/request/capacity/overload_settings.py
+++ b/src/primrosescale/request/capacity/overload_settings.py
@@ -36,9 +36,3 @@
         "rest is for connections that are being closed, and for probes",
         0.75,
     )
-    queue_wait_share: float = option(
-        Number(0.0, 1.0),
-        "fraction of the latency objective for which a request may wait in the "
-        "router; a longer wait makes its answer late",
-        0.5,
-    )
--- a/src/primrosescale/request/capacity/request_admission.py
+++ b/src/primrosescale/request/capacity/request_admission.py
@@ -7,18 +7,16 @@
 from primrosescale.clock import cancel_timer
 from primrosescale.request.capacity.admission_record import AdmissionRecord
 from primrosescale.request.capacity.service_admission import ServiceAdmission
-from primrosescale.request.capacity.time_budgets import TimeBudgets
-from primrosescale.request.capacity.wait_forecast import is_returning_caller
 
 if TYPE_CHECKING:
     from random import Random
 
     from primrosescale.clock import Clock
     from primrosescale.clock import Timer
+    from primrosescale.request.answer.usual_times import UsualTimes
     from primrosescale.request.capacity.admission_record import AdmissibleCall
     from primrosescale.request.capacity.capacity_view import CapacityView
     from primrosescale.request.capacity.overload_episode import OverloadObserver
-    from primrosescale.request.capacity.overload_settings import OverloadSettings
 
 # Allowances change every 0.25 s, and whenever targets or other routers report.
 PROCESS_SECONDS = 0.025
@@ -29,10 +27,10 @@
 
     Parameters
     ----------
-    settings : OverloadSettings
-        How long calls may wait.
     capacity : CapacityView
         Determines allowances.
+    usual_times : UsualTimes
+        How long answers of each route take.
     clock : Clock
         Source of timers.
     rng : Random
@@ -43,20 +41,19 @@
 
     def __init__(
         self,
-        settings: OverloadSettings,
         capacity: CapacityView,
+        usual_times: UsualTimes,
         clock: Clock,
         rng: Random,
         observer: OverloadObserver,
     ) -> None:
-        self._settings = settings
         self._capacity = capacity
+        self._usual_times = usual_times
         self._clock = clock
         self._rng = rng
         self._observer = observer
         self._services: dict[str, ServiceAdmission] = {}
         self._records: dict[AdmissibleCall, AdmissionRecord] = {}
-        self._budgets = TimeBudgets()
         self._is_stopping = False
         self._is_closed = False
         self._timer: Timer | None = None
@@ -82,16 +79,6 @@
             if service.waiting
         }
 
-    def configure(self, settings: OverloadSettings) -> None:
-        """Apply changed settings to calls that are submitted from now on.
-
-        Parameters
-        ----------
-        settings : OverloadSettings
-            How long calls may wait.
-        """
-        self._settings = settings
-
     def submit(self, call: AdmissibleCall, now: float) -> None:
         """Start a call, queue or refuse it.
 
@@ -109,9 +96,9 @@
         if not is_in_force:
             call.start(now)
             return
-        record = self._records[call] = self._new_record(call, now)
+        record = self._records[call] = AdmissionRecord(call)
         service = self._services.get(name) or self._new_service(name)
-        service.submit(record, self._settings, now, is_stopping=self._is_stopping)
+        service.submit(record, now, is_stopping=self._is_stopping)
         self._schedule(service, now)
 
     def ended(self, call: AdmissibleCall, now: float) -> AdmissionRecord | None:
@@ -155,15 +142,14 @@
         cancel_timer(self._timer)
         self._timer = None
 
-    def _new_record(self, call: AdmissibleCall, now: float) -> AdmissionRecord:
-        request = call.request
-        budget = request.deadline - request.received_at
-        longest = self._budgets.record(request.route.name, budget, now)
-        return AdmissionRecord(call, is_returning_caller(budget, longest))
-
     def _new_service(self, name: str) -> ServiceAdmission:
         service = ServiceAdmission(
-            name, self._capacity, self._observer, self._rng, self._raise_later
+            name,
+            self._capacity,
+            self._usual_times,
+            self._observer,
+            self._rng,
+            self._raise_later,
         )
         self._services[name] = service
         return service
--- a/src/primrosescale/request/capacity/request_queue.py
+++ b/src/primrosescale/request/capacity/request_queue.py
@@ -1,8 +1,8 @@
 """The order in which waiting calls of one service are started, and its bounds.
 
 Calls are started by priority; within a priority, organisations share the starts fairly
-by work; within an organisation, returning callers go first. Every eighth start goes to
-the least urgent priority that has waiting calls.
+by work; within an organisation, calls are started in the order of their arrival. Every
+eighth start goes to the least urgent priority that has waiting calls.
 """
 
 from __future__ import annotations
@@ -24,31 +24,55 @@
 
 # Every so many starts, one goes to the least urgent priority.
 LEAST_URGENT_INTERVAL = 8
-# Plain answers take 0.05 to 0.1 s and callers wait for 1 to 4 s, so that a place at a
-# target serves no more waiting calls than this in their time.
-MAX_WAITING_PER_ALLOWED = 20
-MIN_MAX_WAITING = 16
 ORGANISATION_WEIGHT = 1
 # In the units of `WorkSettings`: a plain request, and a prompt token to prefill.
 PLAIN_WORK = 100
 PREFILL_WORK = 0.05
 
 
-def max_waiting(allowance: Allowance | None) -> int:
-    """Return how many calls of a service may wait.
+def max_burst(
+    allowance: Allowance | None, answer_time: float | None, patience: float
+) -> float:
+    """Return how many calls can wait and be started in their callers' time.
 
     Parameters
     ----------
     allowance : Allowance | None
         The router's allowance; None for no limit.
+    answer_time : float | None
+        Seconds for which a request occupies its place; None if not known.
+    patience : float
+        Seconds for which callers can wait.
 
     Returns
     -------
-    int
-        Number of calls.
+    float
+        Number of calls, at least 1; infinite if nothing is known that limits it.
     """
-    mean = 0.0 if allowance is None else allowance.mean
-    return max(MIN_MAX_WAITING, int(MAX_WAITING_PER_ALLOWED * mean))
+    if allowance is None or not answer_time:
+        return math.inf
+    return max(1.0, math.ceil(allowance.mean * patience / answer_time))
+
+
+def max_standing(allowance: Allowance | None) -> float:
+    """Return how many waiting calls keep the places busy while more always arrive.
+
+    The calls that arrive while all places become free once vary by the square root of
+    that number; two standard deviations cover nearly all of it. Two more show the other
+    routers the demand of one that has a place or less. Further waiting calls would only
+    make each wait longer.
+
+    Parameters
+    ----------
+    allowance : Allowance | None
+        The router's allowance; None for no limit.
+
+    Returns
+    -------
+    float
+        Number of calls; infinite without a limit.
+    """
+    return math.inf if allowance is None else 2.0 * (1.0 + math.sqrt(allowance.mean))
 
 
 def work_of(request: IncomingRequest) -> int:
@@ -76,9 +100,9 @@
 class RequestQueue(Generic[T]):
     """Waiting calls of one service, in the order in which they are started.
 
-    `FairQueue` orders the calls within a priority; calls of returning callers are those
-    that it prefers. This class adds the share of the least urgent priority, the choice
-    of the call that gives up its place in a full queue, and the time of expiry.
+    `FairQueue` orders the calls within a priority. This class adds the share of the
+    least urgent priority, the choice of the call that gives up its place in a full
+    queue, and the time of expiry.
     """
 
     __slots__ = (
@@ -107,6 +131,23 @@
         """Return a time before which no call expires, in seconds."""
         return self._next_expiry
 
+    def waiting_of(self, organisation: str, priority: int) -> int:
+        """Return how many calls of an organisation and priority wait.
+
+        Parameters
+        ----------
+        organisation : str
+            The organisation.
+        priority : int
+            The priority.
+
+        Returns
+        -------
+        int
+            Number of calls.
+        """
+        return self._calls.count_of(organisation, priority)
+
     def push(self, call: QueuedCall[T]) -> None:
         """Add a call.
 
@@ -206,21 +247,18 @@
         Returns
         -------
         QueuedCall[T] | None
-            The last call of the organisation with the most waiting work; of those
-            with calls of the least urgent priority if that has more than its share of
-            places. None if no call waits.
+            The call that would be started last, of the least urgent priority that has
+            more than its share of places. None if no call waits.
         """
-        if not len(self._calls):
-            return None
-        least = self._least_urgent()
-        largest = self._largest_organisation(least)
-        return None if largest is None else self._calls.last_of(largest)
+        over = [other for other in self._waiting if self._is_over_share(other)]
+        over = over or list(self._work)
+        return self._calls.last_from(max(over)) if over else None
 
     def displaceable_by(self, organisation: str, priority: int) -> QueuedCall[T] | None:
         """Return the call that gives up its place to a new one in a full queue.
 
-        The least urgent priority keeps as many places as it gets starts. A priority
-        with fewer may displace any call.
+        Each priority keeps as many places as the least urgent one gets starts. One with
+        fewer may displace any call.
 
         Parameters
         ----------
@@ -232,25 +270,20 @@
         Returns
         -------
         QueuedCall[T] | None
-            A call of a less urgent priority, or else the last call of the
-            organisation with the most waiting work; None if that has not more than
-            the organisation of the new call, or is more urgent.
+            The last call of a less urgent priority, or else a call of the same priority
+            that would be started after the new one; None if there is none.
         """
-        if not len(self._calls):
+        last = self.displaceable()
+        if last is None or last.priority > priority:
+            return last
+        if last.priority < priority and not self._is_over_share(priority):
+            return last
+        same = self._calls.last_from(priority)
+        if same is None or not self._calls.is_before(organisation, same):
             return None
-        least = self._least_urgent()
-        if least > priority and self._is_over_share(least):
-            return self.displaceable()
-        largest = self._largest_organisation(priority)
-        # The work of the new call does not count, or the largest would never fit.
-        own = self._calls.work_of(organisation)
-        if largest is None or self._calls.work_of(largest) <= own:
-            return None
-        return self._calls.last_of(largest)
+        return same
 
-    def calls_ahead(
-        self, organisation: str, priority: int, *, is_returning: bool
-    ) -> float:
+    def calls_ahead(self, organisation: str, priority: int) -> float:
         """Return how many calls would be started before a new one.
 
         Parameters
@@ -259,8 +292,6 @@
             Its organisation.
         priority : int
             Its priority.
-        is_returning : bool
-            Whether its caller returns after a refusal.
 
         Returns
         -------
@@ -270,7 +301,7 @@
         if not len(self._calls):
             return 0.0
         mean_work = self._calls.work / len(self._calls)
-        same = self._calls.work_ahead(organisation, priority, is_preferred=is_returning)
+        same = self._calls.work_ahead(organisation, priority)
         ahead = same + sum(
             work for other, work in self._work.items() if other < priority
         )
@@ -278,6 +309,26 @@
             ahead = min(ahead, LEAST_URGENT_INTERVAL * (same + mean_work))
         return ahead / mean_work
 
+    def calls_ahead_within(self, organisation: str, priority: int) -> float:
+        """Return how many calls of its priority would be started before a new one.
+
+        Parameters
+        ----------
+        organisation : str
+            Its organisation.
+        priority : int
+            Its priority.
+
+        Returns
+        -------
+        float
+            Number of calls, as in `calls_ahead`.
+        """
+        if not len(self._calls):
+            return 0.0
+        mean_work = self._calls.work / len(self._calls)
+        return self._calls.work_ahead(organisation, priority) / mean_work
+
     def _least_urgent(self) -> int:
         """Return the least urgent priority that has waiting calls."""
         return max(self._work)
@@ -286,16 +337,6 @@
         """Return whether a priority has more than an eighth of the waiting calls."""
         return self._waiting[priority] * LEAST_URGENT_INTERVAL > len(self._calls)
 
-    def _largest_organisation(self, priority: int) -> str | None:
-        """Return the organisation with the most waiting work.
-
-        If the priority has more than its share of places, only organisations with calls
-        of it, or of less urgent ones, count.
-        """
-        least_priority = priority if self._is_over_share(priority) else 0
-        call = self._calls.most_over_share(least_priority)
-        return None if call is None else call.organisation
-
     def _next(self) -> QueuedCall[T] | None:
         """Return the next call to be started, which stays in the queue."""
         if len(self._calls) and (self._starts + 1) % LEAST_URGENT_INTERVAL == 0:
@@ -305,6 +346,8 @@
     def _removed(self, call: QueuedCall[T]) -> None:
         """Subtract a call that has been removed from the sums of its priority."""
         self._waiting[call.priority] -= 1
+        if not self._waiting[call.priority]:
+            del self._waiting[call.priority]
         self._work[call.priority] -= call.work
         if not self._work[call.priority]:
             del self._work[call.priority]
--- a/src/primrosescale/request/capacity/service_admission.py
+++ b/src/primrosescale/request/capacity/service_admission.py
@@ -11,28 +11,31 @@
 from primrosescale.request.capacity.overload_episode import OverloadReason
 from primrosescale.request.capacity.request_queue import ORGANISATION_WEIGHT
 from primrosescale.request.capacity.request_queue import RequestQueue
-from primrosescale.request.capacity.request_queue import max_waiting
+from primrosescale.request.capacity.request_queue import max_burst
+from primrosescale.request.capacity.request_queue import max_standing
 from primrosescale.request.capacity.request_queue import work_of
 from primrosescale.request.capacity.service_forecast import ServiceForecast
+from primrosescale.request.capacity.standing_queue import StandingQueue
+from primrosescale.request.capacity.stop_admission import stop_retry_delay
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
 
+    from primrosescale.request.answer.usual_times import UsualTimes
     from primrosescale.request.capacity.admission_record import AdmissionRecord
     from primrosescale.request.capacity.capacity_view import Allowance
     from primrosescale.request.capacity.capacity_view import CapacityView
     from primrosescale.request.capacity.overload_episode import OverloadObserver
-    from primrosescale.request.capacity.overload_settings import OverloadSettings
 
 
 class ServiceAdmission:
     """Starts, queues or refuses the calls of one service.
 
     A submitted call is started if the router has fewer calls at the targets than its
-    allowance and none waits. Otherwise it waits, or is refused if the forecast of its
-    wait is too long or the queue is full. `process` starts waiting calls when places
-    are free and refuses those that have waited for too long.
+    allowance and none waits. Otherwise it waits if it can be answered in its caller's
+    time. While the queue stands, only as many wait as keep the places busy. `process`
+    starts waiting calls when places are free and refuses those whose time is over.
 
     Parameters
     ----------
@@ -40,6 +43,8 @@
         Name of the service.
     capacity : CapacityView
         Determines the allowance.
+    usual_times : UsualTimes
+        How long answers of each route take.
     observer : OverloadObserver
         Receives what happens during overloads.
     rng : Random
@@ -57,24 +62,31 @@
         "_is_processing",
         "_queue",
         "_raise_later",
+        "_rng",
         "_running",
         "_service",
+        "_standing_queue",
     )
 
     def __init__(
         self,
         service: str,
         capacity: CapacityView,
+        usual_times: UsualTimes,
         observer: OverloadObserver,
         rng: Random,
         raise_later: Callable[[Exception], None],
     ) -> None:
         self._service = service
         self._capacity = capacity
+        self._rng = rng
         self._raise_later = raise_later
         self._queue: RequestQueue[AdmissionRecord] = RequestQueue()
         self._episodes = OverloadEpisodes(service, observer)
-        self._forecast = ServiceForecast(service, capacity, self._queue, rng)
+        self._forecast = ServiceForecast(
+            service, capacity, usual_times, self._queue, rng
+        )
+        self._standing_queue = StandingQueue()
         self._running = 0
         self._allowance: Allowance | None = None
         # Calls that are neither at a target nor in the queue yet.
@@ -111,22 +123,13 @@
         """Return when the present overload ends at the earliest; None for none."""
         return self._episodes.ends_at
 
-    def submit(
-        self,
-        record: AdmissionRecord,
-        settings: OverloadSettings,
-        now: float,
-        *,
-        is_stopping: bool,
-    ) -> None:
+    def submit(self, record: AdmissionRecord, now: float, *, is_stopping: bool) -> None:
         """Start, queue or refuse a call.
 
         Parameters
         ----------
         record : AdmissionRecord
             The call.
-        settings : OverloadSettings
-            How long it may wait.
         now : float
             Current time in seconds.
         is_stopping : bool
@@ -140,12 +143,14 @@
                 self._update_allowance(now)
         finally:
             self._arriving -= 1
+        until = self._forecast.latest_start(record)
+        self._count_asked(until, now)
         if not len(self._queue) and self._has_place():
             self._start(record, now)
         elif is_stopping:
             self._refuse(record, OverloadReason.STOPPING, now)
         else:
-            self._queue_or_refuse(record, settings, now)
+            self._queue_or_refuse(record, until, now)
 
     def ended(self, record: AdmissionRecord, now: float) -> None:
         """Handle that a call has ended: start the next one, or free its place.
@@ -216,6 +221,7 @@
         self._queue.shift_expiry(seconds)
         self._episodes.shift_times(seconds)
         self._forecast.shift_times(seconds)
+        self._standing_queue.shift_times(seconds)
 
     def _update_allowance(self, now: float) -> None:
         if self._capacity.is_in_force(self._service):
@@ -236,28 +242,46 @@
         record.state = AdmissionState.STARTED
         record.call.start(now)
 
+    def _count_asked(self, until: float, now: float) -> None:
+        """Count a call that arrives while the targets have no room for all calls."""
+        allowance = self._allowance
+        if allowance is not None:
+            work = self._forecast.time_to_start(1, allowance)
+            slack = self._forecast.time_to_start(max_standing(allowance), allowance)
+            self._standing_queue.asked(work, until - now, slack, now)
+
     def _queue_or_refuse(
-        self, record: AdmissionRecord, settings: OverloadSettings, now: float
+        self, record: AdmissionRecord, until: float, now: float
     ) -> None:
-        until = self._forecast.latest_start(record, settings.queue_wait_share, now)
-        wait = self._forecast.wait(record, self._allowance)
+        request = record.call.request
+        wait = self._forecast.wait(request, self._allowance)
         if until <= now or now + wait > until:
             self._refuse(record, OverloadReason.FORECAST, now)
             return
-        request = record.call.request
+        organisation, priority = request.organisation, request.priority
+        if self._standing_queue.stands(now):
+            ahead = self._queue.calls_ahead_within(organisation, priority)
+            if ahead >= max_standing(self._allowance):
+                self._refuse(record, OverloadReason.STANDING, now)
+                return
         displaced = None
-        if len(self._queue) >= max_waiting(self._allowance):
-            displaced = self._queue.displaceable_by(
-                request.organisation, request.priority
-            )
+        if self._excess() >= 0:
+            displaced = self._queue.displaceable_by(organisation, priority)
             if displaced is None:
                 self._refuse(record, OverloadReason.QUEUE_FULL, now)
                 return
             self._queue.discard(displaced)
-        self._push(record, until, now)
+        self._push(record, self._forecast.expires_at(record), now)
         if displaced is not None:
             self._refuse_removed(displaced.item, OverloadReason.DISPLACED, now)
 
+    def _excess(self) -> float:
+        """Return by how many more calls wait than can be started in their time."""
+        longest = max_burst(
+            self._allowance, self._forecast.answer_time, self._standing_queue.patience
+        )
+        return len(self._queue) - longest
+
     def _push(self, record: AdmissionRecord, until: float, now: float) -> None:
         request = record.call.request
         record.queued = QueuedCall(
@@ -267,7 +291,6 @@
             work_of(request),
             until,
             record,
-            is_preferred=record.is_returning,
         )
         record.longest_wait = until - now
         record.state = AdmissionState.WAITING
@@ -275,14 +298,26 @@
         self._episodes.delayed(self._allowance, len(self._queue), now)
 
     def _trim(self, now: float) -> None:
-        """Displace calls until the queue is within a bound that has decreased."""
-        bound = max_waiting(self._allowance)
-        while len(self._queue) > bound:
-            displaced = self._queue.displaceable()
-            if displaced is None:
+        """Refuse calls that have no chance any more, the last ones first.
+
+        Calls that go before them may have come since they were queued, or the
+        allowance may have decreased.
+        """
+        while True:
+            last = self._queue.displaceable()
+            if last is None:
                 return
-            self._queue.discard(displaced)
-            self._refuse_removed(displaced.item, OverloadReason.DISPLACED, now)
+            if self._excess() > 0:
+                reason = OverloadReason.DISPLACED
+            elif (
+                now + self._forecast.least_wait_of_last(last, self._allowance)
+                > last.deadline
+            ):
+                reason = OverloadReason.FORECAST
+            else:
+                return
+            self._queue.discard(last)
+            self._refuse_removed(last.item, reason, now)
 
     def _refuse(
         self, record: AdmissionRecord, reason: OverloadReason, now: float
@@ -293,8 +328,14 @@
         organisation = record.call.request.organisation
         waiting = len(self._queue)
         self._episodes.refused(organisation, reason, self._allowance, waiting, now)
-        delay = self._forecast.refused(record, self._allowance, now)
-        record.call.refuse(Refusal.OVERLOADED, delay)
+        record.call.refuse(Refusal.OVERLOADED, self._retry_delay(record, reason, now))
+
+    def _retry_delay(
+        self, record: AdmissionRecord, reason: OverloadReason, now: float
+    ) -> float | None:
+        if reason is OverloadReason.STOPPING:
+            return stop_retry_delay(self._rng)
+        return self._forecast.refused(record, self._allowance, now)
 
     def _start_removed(self, record: AdmissionRecord, now: float) -> None:
         """Start a call that waited; an error in it affects no other call."""
@@ -322,4 +363,5 @@
         if record.queued is not None:
             left = record.queued.deadline - now
             record.waited = max(0.0, record.longest_wait - left)
+        self._forecast.left_queue(record.call.request, state, now)
         self._episodes.waited(record.waited, now)
--- a/src/primrosescale/request/capacity/wait_forecast.py
+++ b/src/primrosescale/request/capacity/wait_forecast.py
@@ -6,25 +6,16 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from primrosescale.request.answer.usual_times import AnswerTime
     from primrosescale.request.capacity.capacity_view import Allowance
     from primrosescale.request.incoming_request import IncomingRequest
 
-# The start, the way to the target and the answer must fit into the time that is left
-# to a returning caller; an answer takes up to twice its mean time under load.
-ANSWER_TIMES_LEFT = 2.0
 # Callers comply with a Retry-After of up to a third of the time that they have left.
 # This is a little less because that time is shorter when the answer reaches them, and
 # because the header is rounded to 0.01 s.
 MAX_RETRY_AFTER_SHARE = 0.32
-# A caller is recognised when it returns by the time that it has lost; the budgets of
-# first-time callers differ by up to 0.16.
-MIN_RETRY_AFTER_SHARE = 0.2
 # Callers refused together should not return together.
 RETRY_JITTER = (1.0, 1.5)
-# Budgets of first-time callers differ by up to 0.16 of the longest of their route.
-MAX_RETURNING_BUDGET_SHARE = 0.82
-# Short budgets differ by up to this much on their way to the router.
-MIN_BUDGET_LOSS_SECONDS = 0.05
 
 
 def forecast_wait(
@@ -53,51 +44,35 @@
     return calls_ahead * answer_time / allowance.mean
 
 
-def latest_start(
-    request: IncomingRequest,
-    now: float,
-    *,
-    is_returning: bool,
-    answer_time: float | None,
-    wait_share: float,
-) -> float:
-    """Return until when a request may wait.
+def latest_start(request: IncomingRequest, answer_time: AnswerTime) -> float:
+    """Return when a request must be sent for its caller to get the whole answer.
 
     Parameters
     ----------
     request : IncomingRequest
         The request.
-    now : float
-        Current time in seconds.
-    is_returning : bool
-        Whether its caller returns after a refusal.
-    answer_time : float | None
-        Seconds for which a request occupies its place; None if not known.
-    wait_share : float
-        Fraction of the latency objective for which first-time callers wait.
+    answer_time : AnswerTime
+        How long its answer takes.
 
     Returns
     -------
     float
         Time in seconds.
     """
-    if is_returning:
-        return request.give_up_at - ANSWER_TIMES_LEFT * (answer_time or 0.0)
-    longest = wait_share * request.route.latency_objective
-    return min(now + longest, request.give_up_at)
+    latest = request.give_up_at - answer_time.end
+    if not request.route.is_stream:
+        return latest
+    left_at = request.received_at + request.route.event_patience
+    return min(latest, left_at - answer_time.beginning)
 
 
-def retry_after(
-    forecast: float, objective: float, time_left: float, jitter: float
-) -> float:
+def retry_after(forecast: float, time_left: float, jitter: float) -> float:
     """Return when a refused caller should return.
 
     Parameters
     ----------
     forecast : float
         Seconds until there is capacity for a request of its organisation and priority.
-    objective : float
-        Latency objective of its route, in seconds; it returns no sooner.
     time_left : float
         Seconds that the caller still waits.
     jitter : float
@@ -108,27 +83,4 @@
     float
         Seconds, less than a third of the time left.
     """
-    wanted = max(forecast, objective, time_left * MIN_RETRY_AFTER_SHARE) * jitter
-    return max(0.0, min(wanted, time_left * MAX_RETRY_AFTER_SHARE))
-
-
-def is_returning_caller(budget: float, longest_budget: float) -> bool:
-    """Return whether a caller returns after a refusal, by the time that it has left.
-
-    Parameters
-    ----------
-    budget : float
-        Seconds that the caller waits from the arrival of its request.
-    longest_budget : float
-        Longest time of recent requests of the same route, by `TimeBudgets`, in
-        seconds.
-
-    Returns
-    -------
-    bool
-        Whether the time is shorter by more than budgets of first-time callers differ.
-    """
-    return (
-        budget < MAX_RETURNING_BUDGET_SHARE * longest_budget
-        and budget < longest_budget - MIN_BUDGET_LOSS_SECONDS
-    )
+    return max(0.0, min(forecast * jitter, time_left * MAX_RETRY_AFTER_SHARE))
--- a/src/primrosescale/version/routing_table.py
+++ b/src/primrosescale/version/routing_table.py
@@ -63,8 +63,9 @@
         Maximum time for which a caller waits, in seconds.
     latency_objective : float
         Intended time to the first byte, in seconds.
-    gap_objective : float
-        Intended maximum pause between events of a stream, in seconds; 0 for none.
+    event_patience : float
+        Seconds without an event after which callers of a stream leave it, also before
+        its first event.
     max_targets : int
         Maximum number of targets that one request is sent to.
     priority : int
@@ -84,7 +85,7 @@
     has_prompt: bool
     timeout: float
     latency_objective: float
-    gap_objective: float
+    event_patience: float
     max_targets: int
     priority: int
     allows_anonymous: bool
