Start calls whose turn is the same in the order of their arrival

What callers saw: where several organisations had the same turn, such as all that had not been served lately, those whose names come first in the alphabet went first.

Cause: the heap of the fair queue compared names after start tags, and forecasts did not count calls with the same tag at all.

Change: calls have a number in the order of arrival, which decides between equal tags, and forecasts count those that came before.

--- a/src/primrosescale/request/capacity/fair_queue.py
+++ b/src/primrosescale/request/capacity/fair_queue.py
@@ -1,7 +1,8 @@
 """Start-time fair queueing of calls between organisations, within a priority.
 
 Calls of a lower priority number go first. Within a priority, organisations share
-the target in proportion to their weights, measured in work units.
+the target in proportion to their weights, measured in work units; calls whose turn is
+the same go in the order of their arrival.
 """
 
 from __future__ import annotations
@@ -42,6 +43,8 @@
         Object associated with the call by the user of the queue.
     start_tag : float
         Virtual start time; set by the queue.
+    number : int
+        Position in the order of arrival; set by the queue.
     """
 
     organisation: str
@@ -51,42 +54,51 @@
     deadline: float
     item: T
     start_tag: float = 0.0
+    number: int = 0
+
+    @property
+    def position(self) -> tuple[float, int]:
+        """Return by what it is compared with other calls of its priority."""
+        return self.start_tag, self.number
 
 
 class _PriorityClass(Generic[T]):
     """Queues of the organisations within one priority, and their virtual time.
 
-    The heap may hold stale entries; `head` drops those whose start tag is no
-    longer that of the first call of its organisation.
+    The heap may hold stale entries; `head` drops those whose position is no longer
+    that of the first call of its organisation.
     """
 
-    __slots__ = ("finish_tags", "flows", "heap", "virtual_time")
+    __slots__ = ("arrivals", "finish_tags", "flows", "heap", "virtual_time")
 
     def __init__(self) -> None:
         self.flows: dict[str, deque[QueuedCall[T]]] = {}
         self.finish_tags: dict[str, float] = {}
-        self.heap: list[tuple[float, str]] = []
+        self.heap: list[tuple[tuple[float, int], str]] = []
         self.virtual_time = 0.0
+        self.arrivals = 0
 
     def push(self, call: QueuedCall[T]) -> None:
         """Add a call to the queue of its organisation."""
         name = call.organisation
         start = self.next_tag(name)
         call.start_tag = start
+        self.arrivals += 1
+        call.number = self.arrivals
         self.finish_tags[name] = start + call.work / max(1, call.weight)
         flow = self.flows.get(name)
         if flow is None:
             self.flows[name] = deque((call,))
-            heapq.heappush(self.heap, (start, name))
+            heapq.heappush(self.heap, (call.position, name))
         else:
             flow.append(call)
 
     def head(self) -> QueuedCall[T] | None:
-        """Return the call with the smallest start tag."""
+        """Return the call that is started first."""
         while self.heap:
-            start, name = self.heap[0]
+            position, name = self.heap[0]
             flow = self.flows.get(name)
-            if flow is not None and flow[0].start_tag == start:
+            if flow is not None and flow[0].position == position:
                 return flow[0]
             heapq.heappop(self.heap)
         return None
@@ -96,9 +108,9 @@
         return max(self.virtual_time, self.finish_tags.get(organisation, 0.0))
 
     def last(self) -> QueuedCall[T] | None:
-        """Return the call with the largest start tag."""
+        """Return the call that is started last."""
         ends = (flow[-1] for flow in self.flows.values())
-        return max(ends, key=lambda call: call.start_tag, default=None)
+        return max(ends, key=lambda call: call.position, default=None)
 
     def start(self, call: QueuedCall[T]) -> None:
         """Remove the first call of its organisation and advance virtual time."""
@@ -146,19 +158,23 @@
         """Return the work that would be started before a new call.
 
         The calls of an organisation have consecutive tags, so that the difference of
-        its tags is its work in proportion to its weight.
+        its tags is its work in proportion to its weight. The last of its calls that go
+        first is taken to be as long as the first one.
         """
         start = self.next_tag(organisation)
         ahead = 0.0
         for name, flow in self.flows.items():
             first = flow[0]
-            until = min(start, self.finish_tags[name])
-            ahead += max(0.0, until - first.start_tag) * max(1, first.weight)
+            if first.start_tag <= start:
+                weight = max(1, first.weight)
+                all_work = (self.finish_tags[name] - first.start_tag) * weight
+                until_start = (start - first.start_tag) * weight
+                ahead += min(all_work, until_start + first.work)
         return ahead
 
     def _reinsert_flow(self, name: str, flow: deque[QueuedCall[T]]) -> None:
         if flow:
-            heapq.heappush(self.heap, (flow[0].start_tag, name))
+            heapq.heappush(self.heap, (flow[0].position, name))
             self._drop_stale_entries()
             return
         del self.flows[name]
@@ -176,7 +192,7 @@
         """
         if len(self.heap) <= MAX_HEAP_ENTRIES_PER_FLOW * len(self.flows):
             return
-        self.heap = [(flow[0].start_tag, name) for name, flow in self.flows.items()]
+        self.heap = [(flow[0].position, name) for name, flow in self.flows.items()]
         heapq.heapify(self.heap)
 
     def _refund(self, call: QueuedCall[T], flow: deque[QueuedCall[T]]) -> None:
@@ -314,7 +330,7 @@
             flows = self._classes[priority].flows.values()
             heads = [flow[0] for flow in flows if may_start(flow[0])]
             if heads:
-                return min(heads, key=lambda call: call.start_tag)
+                return min(heads, key=lambda call: call.position)
         return None
 
     def discard_started(self, call: QueuedCall[T]) -> None:
