Let requests wait for a target while they can still be answered in time

What callers saw: where all targets of a service were cold, paused or without a free connection, a request was refused after half of its route's latency objective, with seconds of time left; where several waited for the same permit of a cold target, all but one were held and then refused all the same.

Cause: `cold_patience`, a share of the objective. Waiting requests did not count, so that each looked like the next one to have the permit.

Change: a request waits if it can be answered in its caller's time after that, by the usual times of its route. It reserves its permit, so that the next one sees the time of its own. From the time that it was told, it waits for no longer than an answer usually takes: a target that ends its pause takes few requests at first, and nothing tells when another place is free. `latency_objective` has no use left and is gone from routes.

--- a/src/primrosescale/platform/records.py
+++ b/src/primrosescale/platform/records.py
@@ -310,11 +310,6 @@
         # "sticky" only means that requests describe their prompts.
         has_prompt=item.flag_or("sticky", default=False),
         timeout=timeout,
-        latency_objective=item.number_or(
-            "target_latency_ms", 0, MAX_DURATION_MILLISECONDS
-        )
-        * SECONDS_PER_MILLISECOND
-        or timeout,
         event_patience=_event_patience(item),
         max_targets=max(1, item.integer_or("max_attempts", 1, MAX_TARGETS_PER_REQUEST)),
         priority=item.integer_or("priority", 5, MAX_PRIORITY),
--- a/src/primrosescale/request/attempt/candidate_targets.py
+++ b/src/primrosescale/request/attempt/candidate_targets.py
@@ -40,6 +40,11 @@
         self._tools = tools
         self._tried = TriedTargets(request.route.max_targets)
 
+    @property
+    def request(self) -> IncomingRequest:
+        """Return the request."""
+        return self._request
+
     @property
     def tried(self) -> TriedTargets:
         """Return the targets that it was sent to."""
--- a/src/primrosescale/request/attempt/forwarding_context.py
+++ b/src/primrosescale/request/attempt/forwarding_context.py
@@ -51,8 +51,8 @@
 
     shortest_time: float = option(
         SECONDS,
-        "minimum seconds that must be left for a request to be sent; a plain "
-        "request takes 0.06 s on average",
+        "minimum seconds that must be left for a request to be sent; no answer "
+        "arrives sooner",
         0.02,
     )
     unreached_most: int = option(
@@ -79,16 +79,11 @@
         "the request can be retried if the answer is truncated",
         262144,
     )
-    cold_patience: float = option(
-        SECONDS,
-        "fraction of the latency objective for which a request waits for a target "
-        "that has just started, when no other can serve it",
-        0.5,
-    )
     retry_after: float = option(
         SECONDS,
-        "seconds that a refused caller is asked to wait (Retry-After), varied by up "
-        "to half of it",
+        "seconds that a refused caller is asked to wait (Retry-After) where nothing "
+        "tells when a target may take its request, varied by up to half of it; "
+        "meanwhile the routers report to each other",
         0.4,
     )
 
--- a/src/primrosescale/request/capacity/cold_targets.py
+++ b/src/primrosescale/request/capacity/cold_targets.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+from bisect import insort
 from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -70,6 +71,22 @@
         return max(divided, 1 if bound >= 1 else 0)
 
 
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """A request to a cold target that will be sent once it may.
+
+    Parameters
+    ----------
+    target : str
+        Name of the target.
+    at : float
+        When it may be sent, in seconds.
+    """
+
+    target: str
+    at: float
+
+
 class ColdTargets:
     """Limits and counts the requests of this router to targets that may be cold.
 
@@ -94,7 +111,7 @@
         self._settings = settings
         self._shares = shares
         self._service_of = service_of
-        # When requests were sent recently, by name of the target.
+        # When requests were sent recently or will be, by name of the target, in order.
         self._sent: dict[str, deque[float]] = {}
 
     def configure(self, settings: ColdSettings) -> None:
@@ -190,7 +207,45 @@
         """
         if self._limited_service(state) is not None:
             # Requests sent before the target was known to be cold count too.
-            self._recently_sent(state.target.name, now).append(now)
+            insort(self._recently_sent(state.target.name, now), now)
+
+    def reserve(self, state: TargetState, now: float) -> Reservation | None:
+        """Count a request that waits until the target may be sent it.
+
+        Other requests wait longer by it, so that none waits for a permit that another
+        one gets.
+
+        Parameters
+        ----------
+        state : TargetState
+            The target.
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        Reservation | None
+            To be released when the request is sent or ends; None if the target may be
+            sent it now.
+        """
+        wait = self.wait(state, now)
+        if not wait:
+            return None
+        name = state.target.name
+        insort(self._recently_sent(name, now), now + wait)
+        return Reservation(name, now + wait)
+
+    def release(self, reservation: Reservation) -> None:
+        """Count a reserved request no longer.
+
+        Parameters
+        ----------
+        reservation : Reservation
+            As returned by `reserve`.
+        """
+        sent = self._sent.get(reservation.target)
+        if sent is not None and reservation.at in sent:
+            sent.remove(reservation.at)
 
     def sweep(self, now: float) -> None:
         """Drop the counts of targets to which nothing was sent recently.
--- a/src/primrosescale/request/target/target_availability.py
+++ b/src/primrosescale/request/target/target_availability.py
@@ -17,6 +17,7 @@
     from collections.abc import Sequence
 
     from primrosescale.request.capacity.cold_targets import ColdTargets
+    from primrosescale.request.capacity.cold_targets import Reservation
     from primrosescale.request.capacity.connection_capacity import ConnectionCapacity
     from primrosescale.request.target.target_state import TargetState
 
@@ -217,6 +218,41 @@
         waits = [self.wait(state, now) for state in states if state.takes_work]
         return min(waits, default=None)
 
+    def reserve(self, states: Iterable[TargetState], now: float) -> Reservation | None:
+        """Reserve a request to the target that may be sent one first.
+
+        Parameters
+        ----------
+        states : Iterable[TargetState]
+            The targets.
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        Reservation | None
+            To be released when the request is sent or ends; None where the number of
+            requests to that target is not limited.
+        """
+        if self._cold is None:
+            return None
+        serving = [state for state in states if state.takes_work]
+        if not serving:
+            return None
+        first = min(serving, key=lambda state: self.wait(state, now))
+        return self._cold.reserve(first, now)
+
+    def release(self, reservation: Reservation) -> None:
+        """Release a reservation, since its request is sent or has ended.
+
+        Parameters
+        ----------
+        reservation : Reservation
+            The reservation.
+        """
+        if self._cold is not None:
+            self._cold.release(reservation)
+
     def sent(self, state: TargetState, now: float) -> None:
         """Count a request that is sent to a target.
 
--- a/src/primrosescale/version/routing_table.py
+++ b/src/primrosescale/version/routing_table.py
@@ -61,8 +61,6 @@
         Whether requests carry a prompt, so that prefix caches of targets matter.
     timeout : float
         Maximum time for which a caller waits, in seconds.
-    latency_objective : float
-        Intended time to the first byte, in seconds.
     event_patience : float
         Seconds without an event after which callers of a stream leave it, also before
         its first event.
@@ -84,7 +82,6 @@
     is_resumable: bool
     has_prompt: bool
     timeout: float
-    latency_objective: float
     event_patience: float
     max_targets: int
     priority: int
