Let callers of a router that alone lost the store return at once everywhere

What callers saw: a router that cannot reach the store while its peers do refuses requests with keys after a few seconds. Its callers were told to return after 0.2 to 0.6 s although another router would have served them at once, except where overload control was in force.

Cause: the short time was bound to the mode of overload control, which has nothing to do with it.

Change: the router's own knowledge decides: the store is lost here, and peers report that they reach it. In an outage for all, callers wait as before.

--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -323,7 +323,7 @@
             self._calls,
             self._factory.caller_port.connections,
             lambda: self._settings,
-            lambda now: self._overload.scope.is_any_in_force and self._is_isolated(now),
+            self._is_isolated,
         )
         self._ports: dict[Endpoint, Any] = {}
         self._start_hold = StartHold()
--- a/src/primrosescale/process/entry/request_intake.py
+++ b/src/primrosescale/process/entry/request_intake.py
@@ -51,7 +51,7 @@
     settings : Callable[[], EntrySettings]
         Returns the settings in force.
     is_isolated : Callable[[float], bool]
-        Returns whether overload control is in force and the store is lost only here.
+        Returns whether the store is lost here while peer routers still reach it.
     """
 
     def __init__(
