Keep a queue that stands at a target with an agent short

What callers saw (virtual clock, agent with 4 slots, 0.1 s of work, callers with 2 s): at 1.5 to 6 times the load the served waited for 1.9 s of their 2 s, and 27 to 35 of about 550 waited until their time was over.

Cause: the agent admitted calls until the forecast of their wait met their deadline, without the time that they take themselves.

Change: the agent tells a burst from a queue that stands as routers do. While it stands, as many calls wait as keep the slots busy. A call has to leave the time in which it runs beside others.

The tests fail on the code before.

--- a/src/primrosescale/request/capacity/admission.py
+++ b/src/primrosescale/request/capacity/admission.py
@@ -2,7 +2,9 @@
 
 Calls are admitted while the target's load stays within its bound, and admitted
 calls start in fair order between organisations. A call of an organisation that
-is under its share may displace a waiting call of one that is over its share.
+is under its share may displace a waiting call of one that is over its share. While
+more is asked for than the target can do in its callers' time, only as many calls wait
+as keep it busy.
 """
 
 from __future__ import annotations
@@ -19,6 +21,8 @@
 from primrosescale.ini.options import SECONDS
 from primrosescale.ini.options import option
 from primrosescale.request.capacity.fair_queue import FairQueue
+from primrosescale.request.capacity.standing_queue import StandingQueue
+from primrosescale.request.capacity.standing_queue import max_standing
 
 if TYPE_CHECKING:
     from primrosescale.request.capacity.fair_queue import QueuedCall
@@ -115,6 +119,7 @@
         self._bound = bound
         self._health = health
         self._queue: FairQueue[T] = FairQueue()
+        self._standing_queue = StandingQueue()
         self._running: dict[str, list[QueuedCall[T]]] = {}
         self._running_count = 0
         self._running_weight = 0
@@ -155,6 +160,11 @@
         """Return whether no call is waiting or running."""
         return not self._running_count and not len(self._queue)
 
+    @property
+    def _is_full(self) -> bool:
+        """Return whether all slots are taken."""
+        return self._running_count >= self._settings.slots
+
     def drain(self) -> None:
         """Refuse new calls from now on."""
         self._is_draining = True
@@ -195,8 +205,10 @@
         if not self._health.admits(now):
             return self._refuse(Reason.TARGET_UNHEALTHY, self._health.retry_after(now))
         wait = self.expected_wait(call)
-        if now + wait >= call.deadline:
+        if now + wait + self._time_in_slot(call) >= call.deadline:
             return self._refuse(Reason.DEADLINE, wait)
+        if self._would_stand(call, now):
+            return self._refuse(Reason.QUEUE_FULL, self._time_of_queue(call))
         displaced = self._make_room(call, now)
         if displaced is None:
             reason = Reason.OVER_BOUND
@@ -301,13 +313,38 @@
         float
             Expected waiting time in seconds.
         """
-        if self._running_count < self._settings.slots and not len(self._queue):
+        if not self._is_full and not len(self._queue):
             return 0.0
         own = self._queue.work_of(call.organisation)
         flows = self._queue.organisations + (0 if own else 1)
         ahead = min(self._queue.work, own * flows)
         return ahead / self._rate
 
+    def _would_stand(self, call: QueuedCall[T], now: float) -> bool:
+        """Return whether a call would only make a queue longer that stands."""
+        if not self._is_full:
+            return False
+        most = max_standing(self._settings.slots)
+        work = self._processing_time(call.work)
+        time_left = call.deadline - now - self._time_in_slot(call)
+        self._standing_queue.asked(work, time_left, most * work, now)
+        if not self._standing_queue.stands(now):
+            return False
+        return self._queue.calls_ahead(call.organisation, call.priority) >= most
+
+    def _time_in_slot(self, call: QueuedCall[T]) -> float:
+        """Return how long a call runs beside others; 0 if that is not known.
+
+        While all slots are taken, the target does the work of all of them at its rate.
+        """
+        if not self._is_full:
+            return 0.0
+        return self._settings.slots * self._processing_time(call.work)
+
+    def _time_of_queue(self, call: QueuedCall[T]) -> float:
+        """Return after which time the target has done all that waits, and a call."""
+        return self._processing_time(self._queue.work + call.work)
+
     def _refuse(self, reason: Reason, retry_after: float) -> Verdict[T]:
         after = max(MIN_RETRY_AFTER_SECONDS, retry_after)
         return Verdict(VerdictKind.REFUSED, reason=reason, retry_after=after)
--- a/src/primrosescale/request/capacity/fair_queue.py
+++ b/src/primrosescale/request/capacity/fair_queue.py
@@ -483,6 +483,26 @@
             return 0.0
         return found.work_ahead(organisation)
 
+    def calls_ahead(self, organisation: str, priority: int) -> float:
+        """Return how many calls of a priority would be started before a new one.
+
+        Parameters
+        ----------
+        organisation : str
+            Organisation of the new call.
+        priority : int
+            Priority of the new call.
+
+        Returns
+        -------
+        float
+            Number of calls, computed from their work and the mean work of a call.
+        """
+        if not self._count:
+            return 0.0
+        mean_work = self._total_work / self._count
+        return self.work_ahead(organisation, priority) / mean_work
+
     def calls(self) -> list[QueuedCall[T]]:
         """Return all waiting calls, in no particular order.
 
--- a/src/primrosescale/request/capacity/request_queue.py
+++ b/src/primrosescale/request/capacity/request_queue.py
@@ -54,27 +54,6 @@
     return max(1.0, math.ceil(allowance.mean * patience / answer_time))
 
 
-def max_standing(allowance: Allowance | None) -> float:
-    """Return how many waiting calls keep the places busy while more always arrive.
-
-    The calls that arrive while all places become free once vary by the square root of
-    that number; two standard deviations cover nearly all of it. Two more show the other
-    routers the demand of one that has a place or less. Further waiting calls would only
-    make each wait longer.
-
-    Parameters
-    ----------
-    allowance : Allowance | None
-        The router's allowance; None for no limit.
-
-    Returns
-    -------
-    float
-        Number of calls; infinite without a limit.
-    """
-    return math.inf if allowance is None else 2.0 * (1.0 + math.sqrt(allowance.mean))
-
-
 def work_of(request: IncomingRequest) -> int:
     """Return the work of a request, for the fairness between organisations.
 
@@ -324,10 +303,7 @@
         float
             Number of calls, as in `calls_ahead`.
         """
-        if not len(self._calls):
-            return 0.0
-        mean_work = self._calls.work / len(self._calls)
-        return self._calls.work_ahead(organisation, priority) / mean_work
+        return self._calls.calls_ahead(organisation, priority)
 
     def _least_urgent(self) -> int:
         """Return the least urgent priority that has waiting calls."""
--- a/src/primrosescale/request/capacity/service_admission.py
+++ b/src/primrosescale/request/capacity/service_admission.py
@@ -12,10 +12,10 @@
 from primrosescale.request.capacity.request_queue import ORGANISATION_WEIGHT
 from primrosescale.request.capacity.request_queue import RequestQueue
 from primrosescale.request.capacity.request_queue import max_burst
-from primrosescale.request.capacity.request_queue import max_standing
 from primrosescale.request.capacity.request_queue import work_of
 from primrosescale.request.capacity.service_forecast import ServiceForecast
 from primrosescale.request.capacity.standing_queue import StandingQueue
+from primrosescale.request.capacity.standing_queue import max_standing
 from primrosescale.request.capacity.stop_admission import stop_retry_delay
 
 if TYPE_CHECKING:
@@ -247,7 +247,8 @@
         allowance = self._allowance
         if allowance is not None:
             work = self._forecast.time_to_start(1, allowance)
-            slack = self._forecast.time_to_start(max_standing(allowance), allowance)
+            most = max_standing(allowance.mean)
+            slack = self._forecast.time_to_start(most, allowance)
             self._standing_queue.asked(work, until - now, slack, now)
 
     def _queue_or_refuse(
@@ -259,9 +260,10 @@
             self._refuse(record, OverloadReason.FORECAST, now)
             return
         organisation, priority = request.organisation, request.priority
-        if self._standing_queue.stands(now):
+        allowance = self._allowance
+        if allowance is not None and self._standing_queue.stands(now):
             ahead = self._queue.calls_ahead_within(organisation, priority)
-            if ahead >= max_standing(self._allowance):
+            if ahead >= max_standing(allowance.mean):
                 self._refuse(record, OverloadReason.STANDING, now)
                 return
         displaced = None
--- a/src/primrosescale/request/capacity/standing_queue.py
+++ b/src/primrosescale/request/capacity/standing_queue.py
@@ -19,6 +19,27 @@
 AVERAGED_CALLERS = 1000
 
 
+def max_standing(places: float) -> float:
+    """Return how many waiting calls keep places busy while more always arrive.
+
+    The calls that arrive while all places become free once vary by the square root of
+    that number; two standard deviations cover nearly all of it. Two more show the other
+    routers the demand of one that has a place or less. Further waiting calls would only
+    make each wait longer.
+
+    Parameters
+    ----------
+    places : float
+        Calls that can be served at once.
+
+    Returns
+    -------
+    float
+        Number of calls.
+    """
+    return 2.0 * (1.0 + math.sqrt(places))
+
+
 class StandingQueue:
     """Virtual backlog of one service, held against the time that its callers have."""
 
--- a/tests/request/test_admission.py
+++ b/tests/request/test_admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 from testtools import TestCase
 
 from primrosescale.connection.wire.ttypes import Reason
@@ -11,6 +13,7 @@
 from primrosescale.request.capacity.fair_queue import QueuedCall
 from primrosescale.request.capacity.load_bound import BoundSettings
 from primrosescale.request.capacity.load_bound import LoadBound
+from primrosescale.request.capacity.standing_queue import max_standing
 from primrosescale.request.target.target_health import HealthSettings
 from primrosescale.request.target.target_health import TargetHealth
 
@@ -169,6 +172,79 @@
         self.assertEqual(0, admission.running)
 
 
+class AgentPlay:
+    """An agent whose target is asked for a multiple of what it can do.
+
+    Each call takes 0.1 s at one of four slots, and its caller waits for 2 s.
+    """
+
+    SLOTS = 4
+    SECONDS = 0.1
+    WORK = 10
+
+    def __init__(self, load, seconds, seed=3):
+        rate = self.SLOTS * self.WORK / self.SECONDS
+        self.admission = make(floor=10**9, slots=self.SLOTS, queue_limit=256, rate=rate)
+        self.rng = random.Random(seed)
+        self.running, self.waits, self.verdicts, self.expired = [], [], [], []
+        now, due = 0.0, 0.0
+        while now < seconds + 3.0:
+            if due <= now < seconds:
+                self._offer(now)
+                due += self.rng.expovariate(load * self.SLOTS / self.SECONDS)
+                continue
+            self._process(now)
+            now += 0.001
+
+    def _offer(self, now):
+        name = f"o{self.rng.randrange(2)}"
+        offered = call(name, self.WORK, deadline=now + 2.0)
+        offered.item = now
+        verdict = self.admission.offer(offered, now)
+        self.verdicts.append((now, verdict))
+
+    def _process(self, now):
+        for ends_at, ended in list(self.running):
+            if ends_at <= now:
+                self.running.remove((ends_at, ended))
+                self.admission.finished(ended, now)
+        self.expired.extend((now, gone) for gone in self.admission.expired(now))
+        for started in self.admission.start_next(now):
+            self.running.append((now + self.SECONDS, started))
+            self.waits.append((started.item, now - started.item))
+
+
+class AgentOverloadTest(TestCase):
+    # Calls were admitted until the forecast of their wait met their deadline: a queue
+    # of all that time stood at the target, and served no one more.
+    def test_in_an_overload_that_lasts_the_queue_is_short(self):
+        for load in (1.5, 2.5, 6.0):
+            play = AgentPlay(load, 12.0)
+            late = sorted(wait for began, wait in play.waits if began > 5.0)
+            longest = (max_standing(play.SLOTS) + 2) * play.SECONDS / play.SLOTS
+            self.assertTrue(late[len(late) // 2] <= longest, (load, late))
+            self.assertTrue(late[-1] <= 2 * longest, (load, late[-1]))
+            # Of the burst at the beginning, a few wait until their time is over.
+            expired = [at for at, _ in play.expired]
+            self.assertTrue(len(expired) < 0.02 * len(play.waits), expired)
+            self.assertTrue(max(expired, default=0.0) < 6.0, expired)
+            served = sum(5.0 < began + wait < 12.0 for began, wait in play.waits) / 7.0
+            self.assertTrue(served >= 0.95 * play.SLOTS / play.SECONDS, (load, served))
+
+    # A burst that can be done in the callers' time was refused.
+    def test_a_burst_waits(self):
+        play = AgentPlay(6.0, 0.3)
+        self.assertTrue(all(verdict.is_admitted for _, verdict in play.verdicts))
+
+    # Refused callers came back to a queue that was as long as before.
+    def test_the_refused_return_when_the_queue_has_been_done(self):
+        play = AgentPlay(2.5, 8.0)
+        refused = [v for at, v in play.verdicts if at > 5.0 and not v.is_admitted]
+        self.assertTrue(len(refused) > 100, len(refused))
+        self.assertEqual({Reason.QUEUE_FULL}, {verdict.reason for verdict in refused})
+        self.assertTrue(all(0 < verdict.retry_after < 1.0 for verdict in refused))
+
+
 class TargetHealthTest(TestCase):
     def test_a_target_that_fails_fast_is_closed_and_probed(self):
         health = TargetHealth(HealthSettings(first_pause=1.0))
--- a/tests/request/test_request_queue.py
+++ b/tests/request/test_request_queue.py
@@ -20,8 +20,8 @@
 from primrosescale.request.capacity.request_queue import PLAIN_WORK
 from primrosescale.request.capacity.request_queue import RequestQueue
 from primrosescale.request.capacity.request_queue import max_burst
-from primrosescale.request.capacity.request_queue import max_standing
 from primrosescale.request.capacity.request_queue import work_of
+from primrosescale.request.capacity.standing_queue import max_standing
 
 
 def queued(organisation="o", priority=1, *, work=100, until=1e9):
@@ -281,10 +281,8 @@
 
     # A queue that stands adds its length to each answer and serves no one more.
     def test_a_standing_queue_only_covers_how_arrivals_vary(self):
-        for mean, expected in ((0.0, 2), (1.0, 4), (4.0, 6), (100.0, 22)):
-            found = max_standing(Allowance(1, mean, 50.0, 70.0))
-            self.assertAlmostEqual(expected, found)
-        self.assertEqual(math.inf, max_standing(None))
+        for places, expected in ((0.0, 2), (1.0, 4), (4.0, 6), (100.0, 22)):
+            self.assertAlmostEqual(expected, max_standing(places))
 
     # Shared parts are cached; counting them would make all prompts look alike.
     def test_the_work_of_a_prompt_is_that_of_its_own_tokens(self):
--- a/tests/request/test_standing_queue.py
+++ b/tests/request/test_standing_queue.py
@@ -13,9 +13,8 @@
 from testtools import TestCase
 
 from entry.fakes import START
-from primrosescale.request.capacity.capacity_view import Allowance
-from primrosescale.request.capacity.request_queue import max_standing
 from primrosescale.request.capacity.standing_queue import StandingQueue
+from primrosescale.request.capacity.standing_queue import max_standing
 from support.overload import WORK_SECONDS
 from support.overload import OverloadSite
 
@@ -182,8 +181,7 @@
 
     # Those who were served had waited for nearly all of their time.
     def test_the_served_wait_no_longer_than_keeps_the_targets_busy(self):
-        allowed = Allowance(PLACES, float(PLACES), 50.0, 70.0)
-        longest = (max_standing(allowed) + 1) * WORK_SECONDS / PLACES
+        longest = (max_standing(PLACES) + 1) * WORK_SECONDS / PLACES
         for load in (1.5, 2.0, 6.0):
             self.assertTrue(Play(load).median_wait <= longest, load)
 
