State the callers' reasons for constants that decide on their behalf

The values stay. Their comments named the latency objectives and the plain answers of one bench; what they protect is a delay that people do not notice, the second after which callers leave a router that has not read their request, and targets that a wrong report would exclude.

--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -19,7 +19,7 @@
     from primrosescale.request.attempt.silent_target import SilenceReport
     from primrosescale.request.stream.origin_search import OriginSource
 
-# Finest between 0.3 s and 1 s, where the latency objectives lie.
+# From the first byte of a plain answer to that of a stream behind long prompts.
 LATENCY_BUCKETS_SECONDS = (
     0.02,
     0.05,
--- a/src/primrosescale/request/capacity/connection_acceptance.py
+++ b/src/primrosescale/request/capacity/connection_acceptance.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 # Delay from which on the router is behind. It is spent several times on the way of a
-# request, and callers expect a first answer within a few tenths of a second.
+# request, and callers leave a router that has not read theirs within a second.
 MAX_DELAY_SECONDS = 0.1
 # The router is behind once several timers were late for this long together; a large
 # configuration or a suspension of the process delays one of them.
--- a/src/primrosescale/request/capacity/connection_capacity.py
+++ b/src/primrosescale/request/capacity/connection_capacity.py
@@ -9,8 +9,8 @@
 if TYPE_CHECKING:
     from primrosescale.request.target.serving_target import ServingTarget
 
-# Interval at which a request that waits for a connection looks again. Plain answers,
-# whose ends free connections, take 45 ms or more.
+# Interval at which a request that waits for a connection looks again; shorter than the
+# plain answers whose ends free connections.
 CONNECTION_CHECK_SECONDS = 0.025
 
 
--- a/src/primrosescale/request/capacity/request_queue.py
+++ b/src/primrosescale/request/capacity/request_queue.py
@@ -57,7 +57,8 @@
 def work_of(request: IncomingRequest) -> int:
     """Return the work of a request, for the fairness between organisations.
 
-    Shared parts of a prompt are taken to be cached.
+    Its target is chosen when it starts. Shared parts of its prompt are taken to be in
+    the cache of that target then.
 
     Parameters
     ----------
--- a/src/primrosescale/request/choice/prefill_cost.py
+++ b/src/primrosescale/request/choice/prefill_cost.py
@@ -21,8 +21,8 @@
 # Share of a copied token that counts as one to prefill; copying takes a twentieth of
 # the time, and the source has to be read as well.
 COPIED_TOKEN_SHARE = 0.1
-# A backlog that is prefilled within a quarter of the shortest objectives makes no
-# answer late, so that it is no reason to copy a prompt to another target.
+# People do not notice a delay of up to this, so that a backlog that is prefilled within
+# it is no reason to copy a prompt to another target.
 NEGLIGIBLE_BACKLOG_SECONDS = 0.1
 
 
--- a/src/primrosescale/request/choice/target_choice.py
+++ b/src/primrosescale/request/choice/target_choice.py
@@ -77,8 +77,8 @@
     tokens_per_request: float = option(
         SECONDS,
         "prompt tokens to prefill that weigh as much as one request at the target; "
-        "low, since targets within the load bound meet their objectives anyway, so "
-        "that the cost of prefilling or copying tokens takes precedence",
+        "low, since a request more delays the others little within the load bound, "
+        "so that the cost of prefilling or copying tokens takes precedence",
         40.0,
     )
     fetch_weight: float = option(
--- a/src/primrosescale/request/target/prefill_backlog.py
+++ b/src/primrosescale/request/target/prefill_backlog.py
@@ -13,8 +13,8 @@
 if TYPE_CHECKING:
     from primrosescale.request.target.prefill_rate import PrefillRate
 
-# The tokens of peer routers never exceed what the target prefills in this time: no
-# caller waits longer for a first event, and a wrong report must not exclude a target.
+# The tokens of peer routers never exceed what the target prefills in this time, so that
+# a wrong report does not exclude a target for longer.
 MAX_PEER_SECONDS = 4.0
 
 
