--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -647,9 +647,8 @@
 
     def _is_isolated(self, now: float) -> bool:
         """Return whether the store is lost here while peers still reach it."""
-        if self._store_state.lost_for(now) < STORE_LOST_SECONDS:
-            return False
-        return self._state_exchange.peers_reach_store(now)
+        is_store_lost = self._store_state.lost_for(now) >= STORE_LOST_SECONDS
+        return is_store_lost and self._state_exchange.peers_reach_store(now)
 
     def _unready_reason(self, now: float) -> str:
         if self._planned_stop.is_under_way:
