Known red: newer routers beside an older release with one seed

Since requests wait by their callers' time, the play of seed 85 meets a fault that was there before: targets that requests of older routers end count against harmless parts of requests on board, and once these are held back, the harmful part gets no fifth end.

The check stays as it is. The same check with two other seeds guards against new faults while this one is open.

--- a/tests/entry/test_harmful_prompt_parts.py
+++ b/tests/entry/test_harmful_prompt_parts.py
@@ -135,9 +135,9 @@
             fleet.run(5)
             self.check_held_back(fleet, "bad")
 
-    # Routers of an older release neither report parts nor hold them back.
-    def test_routers_beside_an_older_release_learn_from_each_other(self):
-        fleet = self.fleet(6, 10, 30.0, 85)
+    def check_beside_older_release(self, seed):
+        """Check that every second router learns, while the others report no parts."""
+        fleet = self.fleet(6, 10, 30.0, seed)
         older, newer = fleet.routers[::2], fleet.routers[1::2]
         for router in older:
             router.requests.configure(HarmSettings(part_ends=10**6))
@@ -152,6 +152,15 @@
         for router in older:
             self.assertEqual([], router.requests.parts.held(now))
 
+    # Routers of an older release neither report parts nor hold them back.
+    def test_routers_beside_an_older_release_learn_from_each_other(self):
+        self.check_beside_older_release(85)
+
+    # Guards the same while the seed above is known to fail.
+    def test_routers_beside_an_older_release_learn_with_other_seeds(self):
+        for seed in (86, 87):
+            self.check_beside_older_release(seed)
+
     def test_a_partitioned_router_holds_it_back_once_reconnected(self):
         fleet = self.fleet(4, 8, 30.0, 90)
         alone = fleet.routers[0]
