Let the least urgent calls have their turns at a target with an agent

What callers saw (virtual clock, agent with 4 slots of 0.1 s, callers with 2 s, nine of ten urgent): in an overload of 1.5 times, of 28 calls of the least urgent priority 13 were refused at once, 15 were held for all of their 2 s, and none was served; at 2.5 times 14 of 34 were held, and none served.

Cause: the agent started more urgent calls first always, and its forecast of a wait knew nothing of priorities: it was that of an organisation's turns alone.

Change: PriorityTurns, which the queue of routers used within itself, is a class of its own. Agents use it too: every eighth start is that of the least urgent priority, and forecasts count the work of more urgent calls, by the same rule as at routers.

test_the_least_urgent_are_served_and_not_held_to_their_deadline fails on the code before. The order and the bounds of the routers' queue are as before.

--- a/src/primrosescale/request/capacity/admission.py
+++ b/src/primrosescale/request/capacity/admission.py
@@ -1,10 +1,10 @@
 """Admission control of an agent: decides whether a call is queued or refused.
 
 Calls are admitted while the target's load stays within its bound, and admitted
-calls start in fair order between organisations. A call of an organisation that
-is under its share may displace a waiting call of one that is over its share. While
-more is asked for than the target can do in its callers' time, only as many calls wait
-as keep it busy.
+calls start by priority and in fair order between organisations. A call of an
+organisation that is under its share may displace a waiting call of one that is over
+its share. While more is asked for than the target can do in its callers' time, only as
+many calls wait as keep it busy.
 """
 
 from __future__ import annotations
@@ -21,6 +21,7 @@
 from primrosescale.ini.options import SECONDS
 from primrosescale.ini.options import option
 from primrosescale.request.capacity.fair_queue import FairQueue
+from primrosescale.request.capacity.priority_turns import PriorityTurns
 from primrosescale.request.capacity.standing_queue import StandingQueue
 from primrosescale.request.capacity.standing_queue import max_standing
 
@@ -119,6 +120,7 @@
         self._bound = bound
         self._health = health
         self._queue: FairQueue[T] = FairQueue()
+        self._turns = PriorityTurns()
         self._standing_queue = StandingQueue()
         self._running: dict[str, list[QueuedCall[T]]] = {}
         self._running_count = 0
@@ -215,7 +217,7 @@
             if len(self._queue) >= self._settings.queue_limit:
                 reason = Reason.QUEUE_FULL
             return self._refuse(reason, max(wait, self._processing_time(call.work)))
-        self._queue.push(call)
+        self._push(call)
         return Verdict(VerdictKind.ADMITTED, displaced=displaced)
 
     def start_next(self, now: float) -> list[QueuedCall[T]]:
@@ -237,6 +239,8 @@
             if call is None:
                 break
             self._queue.discard_started(call)
+            self._turns.removed(call.priority, call.work)
+            self._turns.started()
             if not self._running_count:
                 self._rate_window_start = now
             own = self._running.get(call.organisation)
@@ -283,7 +287,7 @@
         bool
             True when the call was still waiting, and so did not run.
         """
-        return self._queue.discard(call)
+        return self._discard(call)
 
     def expired(self, now: float) -> list[QueuedCall[T]]:
         """Remove and return waiting calls whose deadline has passed.
@@ -298,7 +302,10 @@
         list[QueuedCall[T]]
             The removed calls; none of them ran.
         """
-        return self._queue.expired(now)
+        expired = self._queue.expired(now)
+        for call in expired:
+            self._turns.removed(call.priority, call.work)
+        return expired
 
     def expected_wait(self, call: QueuedCall[T]) -> float:
         """Estimate how long a call would wait in the fair queue.
@@ -315,10 +322,12 @@
         """
         if not self._is_full and not len(self._queue):
             return 0.0
+        same = self._queue.work_ahead(call.organisation, call.priority)
+        ahead = self._turns.work_ahead(call.priority, same)
+        # Organisations with fewer waiting calls may go first with those still to come.
         own = self._queue.work_of(call.organisation)
         flows = self._queue.organisations + (0 if own else 1)
-        ahead = min(self._queue.work, own * flows)
-        return ahead / self._rate
+        return max(ahead, min(self._queue.work, own * flows)) / self._rate
 
     def _would_stand(self, call: QueuedCall[T], now: float) -> bool:
         """Return whether a call would only make a queue longer that stands."""
@@ -365,12 +374,23 @@
             last = self._queue.most_over_share()
             if last is None or not self._is_further_over_share(last, call):
                 for removed in displaced:
-                    self._queue.push(removed)
+                    self._push(removed)
                 return None
-            self._queue.discard(last)
+            self._discard(last)
             displaced.append(last)
         return displaced
 
+    def _push(self, call: QueuedCall[T]) -> None:
+        self._queue.push(call)
+        self._turns.added(call.priority, call.work)
+
+    def _discard(self, call: QueuedCall[T]) -> bool:
+        """Remove a waiting call; return whether it was waiting."""
+        if not self._queue.discard(call):
+            return False
+        self._turns.removed(call.priority, call.work)
+        return True
+
     def _fits(self, call: QueuedCall[T], now: float) -> bool:
         if len(self._queue) >= self._settings.queue_limit:
             return False
@@ -391,10 +411,22 @@
         free = self._settings.slots - self._running_count
         if free <= 0:
             return None
+        if self._turns.is_least_urgent_next:
+            least = self._turns.least_urgent
+            call = self._queue.head_where(
+                lambda call: call.priority >= least and self._may_start(call)
+            )
+            if call is not None:
+                return call
         if free > self._settings.reserve:
             return self._queue.head()
         return self._queue.head_where(self._is_under_share)
 
+    def _may_start(self, call: QueuedCall[T]) -> bool:
+        """Return whether one of the free slots is open to a call."""
+        free = self._settings.slots - self._running_count
+        return free > self._settings.reserve or self._is_under_share(call)
+
     def _is_under_share(self, call: QueuedCall[T]) -> bool:
         """Return whether an organisation would stay within its share of slots.
 
--- a/src/primrosescale/request/capacity/request_queue.py
+++ b/src/primrosescale/request/capacity/request_queue.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
 from typing import TYPE_CHECKING
 from typing import Generic
 from typing import TypeVar
 
 from primrosescale.request.capacity.fair_queue import FairQueue
 from primrosescale.request.capacity.fair_queue import QueuedCall
+from primrosescale.request.capacity.priority_turns import PriorityTurns
 
 if TYPE_CHECKING:
     from primrosescale.request.capacity.capacity_view import Allowance
@@ -22,8 +22,6 @@
 
 T = TypeVar("T")
 
-# Every so many starts, one goes to the least urgent priority.
-LEAST_URGENT_INTERVAL = 8
 ORGANISATION_WEIGHT = 1
 # In the units of `WorkSettings`: a plain request, and a prompt token to prefill.
 PLAIN_WORK = 100
@@ -80,25 +78,20 @@
 class RequestQueue(Generic[T]):
     """Waiting calls of one service, in the order in which they are started.
 
-    `FairQueue` orders the calls within a priority. This class adds the share of the
-    least urgent priority, the choice of the call that gives up its place in a full
+    `FairQueue` orders the calls within a priority, `PriorityTurns` tells whose turn is
+    next. This class adds the choice of the call that gives up its place in a full
     queue, and the time of expiry.
     """
 
     __slots__ = (
         "_calls",
         "_next_expiry",
-        "_starts",
-        "_waiting",
-        "_work",
+        "_turns",
     )
 
     def __init__(self) -> None:
         self._calls: FairQueue[T] = FairQueue()
-        # Work units and number of the waiting calls of each priority.
-        self._work: Counter[int] = Counter()
-        self._waiting: Counter[int] = Counter()
-        self._starts = 0
+        self._turns = PriorityTurns()
         # No call expires earlier; it may be the time of a call that waits no more.
         self._next_expiry = math.inf
 
@@ -137,8 +130,7 @@
             The call; its deadline is the time until which it may wait.
         """
         self._calls.push(call)
-        self._work[call.priority] += call.work
-        self._waiting[call.priority] += 1
+        self._turns.added(call.priority, call.work)
         self._next_expiry = min(self._next_expiry, call.deadline)
 
     def pop(self) -> QueuedCall[T] | None:
@@ -152,7 +144,7 @@
         call = self._next()
         if call is None:
             return None
-        self._starts += 1
+        self._turns.started()
         self._calls.discard_started(call)
         self._removed(call)
         return call
@@ -204,8 +196,7 @@
         list[QueuedCall[T]]
             The removed calls.
         """
-        self._work.clear()
-        self._waiting.clear()
+        self._turns.clear()
         self._next_expiry = math.inf
         return self._calls.clear()
 
@@ -230,8 +221,9 @@
             The call that would be started last, of the least urgent priority that has
             more than its share of places. None if no call waits.
         """
-        over = [other for other in self._waiting if self._is_over_share(other)]
-        over = over or list(self._work)
+        waiting = self._turns.priorities
+        over = [other for other in waiting if self._turns.is_over_share(other)]
+        over = over or waiting
         return self._calls.last_from(max(over)) if over else None
 
     def displaceable_by(self, organisation: str, priority: int) -> QueuedCall[T] | None:
@@ -256,7 +248,7 @@
         last = self.displaceable()
         if last is None or last.priority > priority:
             return last
-        if last.priority < priority and not self._is_over_share(priority):
+        if last.priority < priority and not self._turns.is_over_share(priority):
             return last
         same = self._calls.last_from(priority)
         if same is None or not self._calls.is_before(organisation, same):
@@ -282,12 +274,7 @@
             return 0.0
         mean_work = self._calls.work / len(self._calls)
         same = self._calls.work_ahead(organisation, priority)
-        ahead = same + sum(
-            work for other, work in self._work.items() if other < priority
-        )
-        if priority >= self._least_urgent():
-            ahead = min(ahead, LEAST_URGENT_INTERVAL * (same + mean_work))
-        return ahead / mean_work
+        return self._turns.work_ahead(priority, same) / mean_work
 
     def calls_ahead_within(self, organisation: str, priority: int) -> float:
         """Return how many calls of its priority would be started before a new one.
@@ -306,28 +293,15 @@
         """
         return self._calls.calls_ahead(organisation, priority)
 
-    def _least_urgent(self) -> int:
-        """Return the least urgent priority that has waiting calls."""
-        return max(self._work)
-
-    def _is_over_share(self, priority: int) -> bool:
-        """Return whether a priority has more than an eighth of the waiting calls."""
-        return self._waiting[priority] * LEAST_URGENT_INTERVAL > len(self._calls)
-
     def _next(self) -> QueuedCall[T] | None:
         """Return the next call to be started, which stays in the queue."""
-        if len(self._calls) and (self._starts + 1) % LEAST_URGENT_INTERVAL == 0:
-            return self._calls.head_from(self._least_urgent())
+        if self._turns.is_least_urgent_next:
+            return self._calls.head_from(self._turns.least_urgent)
         return self._calls.head()
 
     def _removed(self, call: QueuedCall[T]) -> None:
         """Subtract a call that has been removed from the sums of its priority."""
-        self._waiting[call.priority] -= 1
-        if not self._waiting[call.priority]:
-            del self._waiting[call.priority]
-        self._work[call.priority] -= call.work
-        if not self._work[call.priority]:
-            del self._work[call.priority]
+        self._turns.removed(call.priority, call.work)
 
     def _update_next_expiry(self) -> None:
         self._next_expiry = min(
--- a/tests/request/test_admission.py
+++ b/tests/request/test_admission.py
@@ -172,6 +172,9 @@
         self.assertEqual(0, admission.running)
 
 
+URGENT, LEAST_URGENT = 0, 7
+
+
 class AgentPlay:
     """An agent whose target is asked for a multiple of what it can do.
 
@@ -182,7 +185,10 @@
     SECONDS = 0.1
     WORK = 10
 
-    def __init__(self, load, seconds, seed=3):
+    def __init__(self, load, seconds, seed=3, urgent_share=1.0):
+        self.urgent_share = urgent_share
+        self.urgency = random.Random(seed)
+        self.starts, self.least_urgent = [], []
         rate = self.SLOTS * self.WORK / self.SECONDS
         self.admission = make(floor=10**9, slots=self.SLOTS, queue_limit=256, rate=rate)
         self.rng = random.Random(seed)
@@ -198,8 +204,12 @@
 
     def _offer(self, now):
         name = f"o{self.rng.randrange(2)}"
-        offered = call(name, self.WORK, deadline=now + 2.0)
+        is_urgent = self.urgency.random() < self.urgent_share
+        priority = URGENT if is_urgent else LEAST_URGENT
+        offered = call(name, self.WORK, priority=priority, deadline=now + 2.0)
         offered.item = now
+        if not is_urgent and now > 6.0:
+            self.least_urgent.append(offered)
         verdict = self.admission.offer(offered, now)
         self.verdicts.append((now, verdict))
 
@@ -212,6 +222,7 @@
         for started in self.admission.start_next(now):
             self.running.append((now + self.SECONDS, started))
             self.waits.append((started.item, now - started.item))
+            self.starts.append(started)
 
 
 class AgentOverloadTest(TestCase):
@@ -231,6 +242,17 @@
             served = sum(5.0 < began + wait < 12.0 for began, wait in play.waits) / 7.0
             self.assertTrue(served >= 0.95 * play.SLOTS / play.SECONDS, (load, served))
 
+    # None of the least urgent calls was started, and all were held to their deadline:
+    # neither the order nor the forecast knew of more urgent ones.
+    def test_the_least_urgent_are_served_and_not_held_to_their_deadline(self):
+        for load, urgent_share in ((1.5, 0.9), (2.5, 0.9), (2.5, 0.5)):
+            play = AgentPlay(load, 12.0, urgent_share=urgent_share)
+            expired = [gone for _, gone in play.expired]
+            self.assertEqual([], [c for c in play.least_urgent if c in expired])
+            served = sum(c in play.starts for c in play.least_urgent)
+            due = min(len(play.least_urgent), 6.0 * play.SLOTS / play.SECONDS / 8)
+            self.assertTrue(served >= 0.5 * due, (load, served, due))
+
     # A burst that can be done in the callers' time was refused.
     def test_a_burst_waits(self):
         play = AgentPlay(6.0, 0.3)
--- a/tests/request/test_request_queue.py
+++ b/tests/request/test_request_queue.py
@@ -16,7 +16,7 @@
 from primrosescale.request.capacity.capacity_view import Allowance
 from primrosescale.request.capacity.fair_queue import QueuedCall
 from primrosescale.request.capacity.fair_queue import _PriorityClass
-from primrosescale.request.capacity.request_queue import LEAST_URGENT_INTERVAL
+from primrosescale.request.capacity.priority_turns import LEAST_URGENT_INTERVAL
 from primrosescale.request.capacity.request_queue import PLAIN_WORK
 from primrosescale.request.capacity.request_queue import RequestQueue
 from primrosescale.request.capacity.request_queue import max_burst
