--- a/src/primrosescale/process/entry/entry_metrics.py
+++ b/src/primrosescale/process/entry/entry_metrics.py
@@ -147,7 +147,7 @@
         )
         self._demand = Gauge(
             "primrosescale_overload_demand",
-            "Requests of all routers, at the targets and waiting",
+            "Requests of all routers: at the targets, waiting, and to return",
             ["service"],
             registry=self._registry,
         )
--- a/tests/support/admission_fleet.py
+++ b/tests/support/admission_fleet.py
@@ -12,7 +12,6 @@
 
 from entry.fakes import LOOKUP
 from entry.fakes import request
-from primrosescale.process.entry.state_exchange import StateExchange
 from primrosescale.request.answer.usual_times import UsualTimes
 from primrosescale.request.capacity.request_admission import RequestAdmission
 from support.capacity_fleet import CapacityFleet
@@ -73,18 +72,6 @@
             RecordedOverloads(),
         )
 
-    def _build_state_exchange(self, incarnation):
-        return StateExchange(
-            self.name,
-            incarnation,
-            self.targets,
-            self.parts,
-            self.freshness,
-            self.domain,
-            self.fleet.settings,
-            waiting_by_service=self.unserved,
-        )
-
     def unserved(self):
         now = self.fleet.clock.seconds()
         waiting = self.admission.waiting_by_service().get(SERVICE, 0)
--- a/tests/support/capacity_fleet.py
+++ b/tests/support/capacity_fleet.py
@@ -70,9 +70,13 @@
             self.freshness,
             self.domain,
             self.fleet.settings,
-            waiting_by_service=lambda: {SERVICE: len(self.queue)},
+            waiting_by_service=self.unserved,
         )
 
+    def unserved(self):
+        """Return the demand that other routers learn from this one."""
+        return {SERVICE: len(self.queue)}
+
     def submit(self, now):
         self.submitted += 1
         if not self.queue:
