Do not watch the close of a caller's connection that is lost at once

Cause: after a refusal the router closes its side and receives what the client still sends. If the time for the head is over before that, the connection is closed, and as the router's side is closed, it is lost within that call. Its socket is gone when the router then asks how much of the answer the client has not read.

Change: a connection that is lost is not watched.

test_a_connection_that_is_lost_at_once_is_not_watched fails on the code before.

--- a/src/primrosescale/process/callers/guarded_channel.py
+++ b/src/primrosescale/process/callers/guarded_channel.py
@@ -294,7 +294,9 @@
             self._linger()
             return
         super().loseConnection()
-        self._watch_close()
+        # It is lost at once if the router has closed its side already.
+        if not self._is_lost:
+            self._watch_close()
 
     def lineLengthExceeded(self, line: bytes) -> None:
         """Refuse a head with an overlong line.
--- a/tests/clients/test_slow_callers.py
+++ b/tests/clients/test_slow_callers.py
@@ -134,3 +134,15 @@
         self.assertEqual([], self.aborted)
         self.clock.advance(15)
         self.assertEqual([90.0], self.aborted)
+
+    # The head of a request that had been refused timed out while its sender still sent:
+    # the connection was lost at once, and an error was raised and logged for each.
+    def test_a_connection_that_is_lost_at_once_is_not_watched(self):
+        def lose():
+            del self.channel.transport.getHandle
+            self.channel.connectionLost()
+
+        self.channel.transport.loseConnection = lose
+        self.channel.loseConnection()
+        self.clock.advance(100.0)
+        self.assertEqual([], self.aborted)
