Test of requested pauses: judge each request by the pause that it falls into

The check counted the requests of half a second that began when a first round of callers had its answers, 0.7 s after the pauses began. Since requests wait for the end of a pause while they can still be answered in time, that round ends with the pause: a trace shows that the counted time was 1.55 s to 3.05 s after the beginning of pauses of 1.5 s, and that the counted requests, two at each target, were the first ones that two routers send after a pause.

It counts now, for each request that a target declined, those that come from half a second later to the end of the pause, of both routers together, over all of the play: the bound stays two. A router that ignores pauses fails it.

--- a/tests/entry/test_asked_rest.py
+++ b/tests/entry/test_asked_rest.py
@@ -29,6 +29,7 @@
 
 # Seconds after the answer from which on requests in the pause are counted.
 PAUSE_BEGINS_SECONDS = 0.5
+REST_SECONDS = 1.5
 # Requests that a target may receive in the counted part of its pause.
 MAX_REQUESTS_IN_PAUSE = 2
 PAUSE_SECONDS = 3.0
@@ -171,7 +172,7 @@
         self.statuses = []
         self.scripts = {}
         for number in range(3):
-            script = EngineScript(name=f"i-{number}", rest=1.5)
+            script = EngineScript(name=f"i-{number}", rest=REST_SECONDS)
             self.start_target(script)
             self.scripts[script.name] = script
         self.routers = [self.start_router(f"r{n}") for n in range(2)]
@@ -191,26 +192,40 @@
 
     @inlineCallbacks
     def watch(self, resting):
+        """Ask while targets decline all; return when requests came to each of them."""
         yield self.until(lambda: all(self.knows(router, 3) for router in self.routers))
         yield self.ask_all(0.3)
+        arrived = {name: [] for name in resting}
         for name in resting:
             script = self.scripts[name]
-            script.arrivals.clear()
             script.is_resting = True
+            script.on_arrival = lambda _, times=arrived[name]: times.append(
+                reactor.seconds()
+            )
         self.statuses.clear()
         yield self.ask_all(0.2 + PAUSE_BEGINS_SECONDS)
-        counted = {name: len(self.scripts[name].arrivals) for name in resting}
         yield self.ask_all(0.5)
-        return [
-            len(self.scripts[name].arrivals) - before
-            for name, before in counted.items()
-        ]
+        return list(arrived.values())
+
+    def assert_paused(self, arrived):
+        """Check how many requests came during each pause that a target requested.
+
+        Both routers count together, although each has a pause of its own. Requests
+        that can still be answered after a pause wait for its end.
+        """
+        for times in arrived:
+            self.assertNotEqual([], times)
+            for declined_at in times:
+                begins = declined_at + PAUSE_BEGINS_SECONDS
+                ends = declined_at + REST_SECONDS
+                during = [at for at in times if begins < at < ends]
+                self.assertTrue(len(during) <= MAX_REQUESTS_IN_PAUSE, times)
 
     # Guards against requests during a pause while other targets have capacity.
     @inlineCallbacks
     def test_one_of_three_is_paused(self):
         arrived = yield self.watch(["i-0"])
-        self.assertTrue(max(arrived) <= MAX_REQUESTS_IN_PAUSE, arrived)
+        self.assert_paused(arrived)
         served = [status for _, status in self.statuses if status == b"200"]
         self.assertEqual(len(self.statuses), len(served))
 
@@ -218,7 +233,7 @@
     @inlineCallbacks
     def test_all_are_paused_and_are_served_again(self):
         arrived = yield self.watch(list(self.scripts))
-        self.assertTrue(max(arrived) <= MAX_REQUESTS_IN_PAUSE, arrived)
+        self.assert_paused(arrived)
         for script in self.scripts.values():
             script.is_resting = False
         yield self.ask_all(1.5)
