Serve callers fairly at full targets whether or not these report their pace

What callers saw: before targets that report three figures (running, waiting, slots), and without a contract in the settings file, overload control was off. Requests of one organisation that asked for more than the targets can do filled their slots and queues, and callers of other organisations were refused as targets_full, or waited there in no order until the end of their time.

Whom it was for hung on a figure that has nothing to do with it, and on the name of a contract that no page explains.

Change: it is in force for all services whose targets report their slots; without these, nothing tells whether a request can be served in time. `auto` is gone from the flag (status 64, "value should be one of <on|off>"); `off` stays.

Why it works: the order is that of fair queueing, and only as many calls are at the targets as these can do.

--- a/benchmarks/overload_cost.py
+++ b/benchmarks/overload_cost.py
@@ -123,7 +123,7 @@
         is_in_force = case != "not in force"
         demand = {"waits": 4.0, "refused": 4.0, "within allowance": 1.0}.get(case, 0.0)
         settings = OverloadSettings(
-            OverloadMode.AUTO if is_in_force else OverloadMode.OFF
+            OverloadMode.ON if is_in_force else OverloadMode.OFF
         )
         scope = OverloadScope(settings)
         work = TargetWork(scope)
--- a/src/primrosescale/platform/entry.py
+++ b/src/primrosescale/platform/entry.py
@@ -144,7 +144,7 @@
     """
 
     metrics_port: int = 0
-    overload_control: str = OverloadMode.AUTO.value
+    overload_control: str = OverloadMode.ON.value
 
 
 def build_entry_router(
@@ -271,7 +271,7 @@
         ),
         choice=ChoiceSettings(load_multiple=LOAD_MULTIPLE_SHARE * bounds.load_multiple),
         cold=ColdSettings(over=bounds.cold_over, slack=bounds.cold_slack),
-        overload=OverloadSettings(mode=_overload_mode(host, options)),
+        overload=OverloadSettings(mode=OverloadMode(options.overload_control)),
         repeats=SharedRetryLimits(
             bounds.retry_ratio, bounds.retry_window, bounds.retry_extra
         ),
@@ -288,10 +288,3 @@
         body_memory=int(BODIES_MEMORY_SHARE * host.memory_limit),
         connections=callers_connections(host.descriptor_limit),
     )
-
-
-def _overload_mode(host: HostSettings, options: RouterOptions) -> OverloadMode:
-    mode = OverloadMode(options.overload_control)
-    if mode is OverloadMode.AUTO and host.requires_overload_control:
-        return OverloadMode.ON
-    return mode
--- a/src/primrosescale/platform/host_settings.py
+++ b/src/primrosescale/platform/host_settings.py
@@ -13,8 +13,6 @@
 
 SETTINGS_FILE_VARIABLE = "PRIMROSESCALE_BOOT"
 SECONDS_PER_MILLISECOND = 0.001
-# In a deployment with this contract, demand exceeds the capacity of targets at times.
-OVERLOAD_CONTRACT = "pressure"
 BYTES_PER_MEGABIT = 125_000
 # Above any rate in use; a higher number is taken for a mistake.
 MAX_LINK_MEGABITS = 1_000_000_000
@@ -110,8 +108,6 @@
         Memory limit of the process in bytes; above it, the process is killed.
     bounds : Bounds
         Limits that the deployment requires.
-    requires_overload_control : bool
-        Whether the deployment asks for overload control of all services.
     link_rate : float | None
         Rate of the host's link in bytes a second; None if it is not known.
     descriptor_limit : int
@@ -129,7 +125,6 @@
     is_first_start: bool
     memory_limit: int
     bounds: Bounds
-    requires_overload_control: bool = False
     link_rate: float | None = None
     descriptor_limit: int = DEFAULT_DESCRIPTORS
 
@@ -221,7 +216,6 @@
         is_first_start=bool(fields.get("bootstrap", False)),
         memory_limit=int(float(limits.get("memory_mb", 300)) * 1024 * 1024),
         bounds=_bounds(fields.get("bounds") or {}),
-        requires_overload_control=OVERLOAD_CONTRACT in (fields.get("contracts") or []),
         link_rate=_link_rate(limits.get("link_mbps")),
         descriptor_limit=int(limits.get("max_fds", DEFAULT_DESCRIPTORS)),
     )
--- a/src/primrosescale/platform/program.py
+++ b/src/primrosescale/platform/program.py
@@ -72,10 +72,10 @@
     )
     flags.DEFINE_enum(
         "overload_control",
-        "auto",
-        ["auto", "on", "off"],
-        "services with overload control: those whose targets report the pace of "
-        "their hosts (auto), all whose targets report their slots (on), or none",
+        "on",
+        ["on", "off"],
+        "services with overload control: those whose targets report their slots (on), "
+        "or none (off)",
         flag_values=values,
     )
     try:
--- a/src/primrosescale/request/capacity/overload_scope.py
+++ b/src/primrosescale/request/capacity/overload_scope.py
@@ -14,9 +14,8 @@
 class OverloadScope:
     """Services for which overload control is in force.
 
-    By default these are the services whose targets share their hosts with other
-    workloads, which they show by reporting the pace of their host. Other services
-    are served without it, as long as the operator does not ask for it.
+    These are the services whose targets report how many requests they run at once.
+    Without that, nothing tells whether a request could be served in its caller's time.
 
     Parameters
     ----------
@@ -24,17 +23,16 @@
         The configured mode.
     """
 
-    __slots__ = ("_mode", "_reporting_pace", "_reporting_slots")
+    __slots__ = ("_mode", "_reporting_slots")
 
     def __init__(self, settings: OverloadSettings) -> None:
         self._mode = settings.mode
-        self._reporting_pace: set[str] = set()
         self._reporting_slots: set[str] = set()
 
     @property
     def is_any_in_force(self) -> bool:
         """Return whether overload control is in force for any service."""
-        return any(map(self.is_in_force, self._reporting_slots | self._reporting_pace))
+        return any(map(self.is_in_force, self._reporting_slots))
 
     def configure(self, settings: OverloadSettings) -> None:
         """Apply changed settings.
@@ -58,8 +56,6 @@
         """
         if report.slots:
             self._reporting_slots.add(service)
-        if report.pace is not None:
-            self._reporting_pace.add(service)
 
     def is_in_force(self, service: str) -> bool:
         """Return whether overload control is in force for a service.
@@ -72,10 +68,6 @@
         Returns
         -------
         bool
-            False until a target of the service has reported what the mode requires.
+            False until a target of the service has reported its slots.
         """
-        if self._mode is OverloadMode.OFF:
-            return False
-        if self._mode is OverloadMode.ON:
-            return service in self._reporting_slots
-        return service in self._reporting_pace
+        return self._mode is OverloadMode.ON and service in self._reporting_slots
--- a/src/primrosescale/request/capacity/overload_settings.py
+++ b/src/primrosescale/request/capacity/overload_settings.py
@@ -1,4 +1,4 @@
-"""Settings of overload control: when it applies, and how long requests may wait."""
+"""Settings of overload control: when it applies, and its part of the connections."""
 
 from __future__ import annotations
 
@@ -12,8 +12,6 @@
 class OverloadMode(Enum):
     """For which services overload control is in force."""
 
-    # Services of which a target has reported the pace of its host.
-    AUTO = "auto"
     # Services whose targets report their slots.
     ON = "on"
     OFF = "off"
@@ -29,7 +27,7 @@
         For which services it is in force.
     """
 
-    mode: OverloadMode = OverloadMode.AUTO
+    mode: OverloadMode = OverloadMode.ON
     connection_share: float = option(
         Number(0.1, 1.0),
         "fraction of a target's connection limit that all routers together use; the "
