Have an agent learn within one turn of its slots what its target can do

With an assumed rate that was ten times too high, 1,813 of 4,051 calls of an overload of 2.5 times were held to their deadline and refused then.

Cause: the forecast went by an assumption of 1,000 work units a second, ten calls, and came nearer to the truth by a tenth a second. It also counted times in which the target had slots to spare, so that it learned what was asked for in place of what can be done.

Change: work_rate.py measures over one turn of the slots, only while there are none to spare; the first measurement replaces the assumption, later ones are averaged. By default nothing is assumed: before the first measurement no forecast refuses a call.

--- a/src/primrosescale/request/capacity/admission.py
+++ b/src/primrosescale/request/capacity/admission.py
@@ -24,6 +24,7 @@
 from primrosescale.request.capacity.priority_turns import PriorityTurns
 from primrosescale.request.capacity.standing_queue import StandingQueue
 from primrosescale.request.capacity.standing_queue import max_standing
+from primrosescale.request.capacity.work_rate import WorkRate
 
 if TYPE_CHECKING:
     from primrosescale.request.capacity.fair_queue import QueuedCall
@@ -33,7 +34,6 @@
 T = TypeVar("T")
 
 RESERVED_ORGANISATION_WEIGHT = 1
-RATE_LEARNING_FACTOR = 0.1
 MIN_RETRY_AFTER_SECONDS = 0.25
 
 
@@ -58,8 +58,9 @@
     )
     rate_default: float = option(
         SECONDS,
-        "assumed work units a second of the target before a rate has been measured",
-        1000.0,
+        "assumed work units a second of the target before a rate has been measured; "
+        "0 to refuse no call by a forecast before",
+        0.0,
     )
 
 
@@ -126,11 +127,9 @@
         self._running_count = 0
         self._running_weight = 0
         self._running_work = 0
-        self._rate = settings.rate_default
+        self._rate = WorkRate(settings.slots, settings.rate_default)
         self._is_draining = False
         self._paused_until = 0.0
-        self._rate_window_start: float | None = None
-        self._rate_window_work = 0
 
     @property
     def load(self) -> int:
@@ -148,9 +147,9 @@
         return len(self._queue)
 
     @property
-    def rate(self) -> float:
-        """Return the measured throughput of the target in work units a second."""
-        return self._rate
+    def rate(self) -> float | None:
+        """Return the work units a second of the target; None if not known yet."""
+        return self._rate.known
 
     @property
     def is_draining(self) -> bool:
@@ -216,7 +215,7 @@
             reason = Reason.OVER_BOUND
             if len(self._queue) >= self._settings.queue_limit:
                 reason = Reason.QUEUE_FULL
-            return self._refuse(reason, max(wait, self._processing_time(call.work)))
+            return self._refuse(reason, max(wait, self._rate.seconds_for(call.work)))
         self._push(call)
         return Verdict(VerdictKind.ADMITTED, displaced=displaced)
 
@@ -241,8 +240,6 @@
             self._queue.discard_started(call)
             self._turns.removed(call.priority, call.work)
             self._turns.started()
-            if not self._running_count:
-                self._rate_window_start = now
             own = self._running.get(call.organisation)
             if own is None:
                 own = self._running[call.organisation] = []
@@ -251,6 +248,8 @@
             self._running_count += 1
             self._running_work += call.work
             started.append(call)
+        is_busy = self._is_full or bool(len(self._queue))
+        self._rate.set_busy(now, is_busy=is_busy and now >= self._paused_until)
         return started
 
     def finished(self, call: QueuedCall[T], now: float) -> None:
@@ -272,7 +271,7 @@
             self._running_weight -= max(1, call.weight)
         self._running_count -= 1
         self._running_work -= call.work
-        self._update_rate(call.work, now)
+        self._rate.finished(call.work, now)
 
     def withdraw(self, call: QueuedCall[T]) -> bool:
         """Remove a waiting call.
@@ -327,14 +326,14 @@
         # Organisations with fewer waiting calls may go first with those still to come.
         own = self._queue.work_of(call.organisation)
         flows = self._queue.organisations + (0 if own else 1)
-        return max(ahead, min(self._queue.work, own * flows)) / self._rate
+        return self._rate.seconds_for(max(ahead, min(self._queue.work, own * flows)))
 
     def _would_stand(self, call: QueuedCall[T], now: float) -> bool:
         """Return whether a call would only make a queue longer that stands."""
         if not self._is_full:
             return False
         most = max_standing(self._settings.slots)
-        work = self._processing_time(call.work)
+        work = self._rate.seconds_for(call.work)
         time_left = call.deadline - now - self._time_in_slot(call)
         self._standing_queue.asked(work, time_left, most * work, now)
         if not self._standing_queue.stands(now):
@@ -348,11 +347,11 @@
         """
         if not self._is_full:
             return 0.0
-        return self._settings.slots * self._processing_time(call.work)
+        return self._settings.slots * self._rate.seconds_for(call.work)
 
     def _time_of_queue(self, call: QueuedCall[T]) -> float:
         """Return after which time the target has done all that waits, and a call."""
-        return self._processing_time(self._queue.work + call.work)
+        return self._rate.seconds_for(self._queue.work + call.work)
 
     def _refuse(self, reason: Reason, retry_after: float) -> Verdict[T]:
         after = max(MIN_RETRY_AFTER_SECONDS, retry_after)
@@ -441,16 +440,3 @@
             weights += weight
         share = self._settings.slots * weight / weights
         return len(own) + 1 <= share
-
-    def _processing_time(self, work: int) -> float:
-        return work / self._rate
-
-    def _update_rate(self, work: int, now: float) -> None:
-        self._rate_window_work += work
-        since = self._rate_window_start
-        if since is None or now - since < 1.0:
-            return
-        measured = self._rate_window_work / (now - since)
-        self._rate += RATE_LEARNING_FACTOR * (measured - self._rate)
-        self._rate_window_work = 0
-        self._rate_window_start = now
