--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -16,7 +16,6 @@
 from twisted.internet.protocol import Protocol
 from twisted.internet.task import LoopingCall
 
-from soak.backends import DOMAINS
 from soak.fault_proxy import FaultProxy
 
 ROUTER_COMMAND = [sys.executable, "-S", "-OO", "-m", "primrosescale.platform"]
@@ -74,8 +73,6 @@
 
     def __init__(self, number, folder, store_port, history):
         self.name = name = f"r{number}"
-        self._domain = DOMAINS[number % len(DOMAINS)]
-        history.router_domains[name] = self._domain
         self.address = router_address(number)
         self.process_number = 0
         self.arguments = []
@@ -105,7 +102,7 @@
         fields = {
             "node_name": self.name,
             "ip": self.address,
-            "zone": self._domain,
+            "zone": "a",
             "region": "r",
             "listen": {
                 "front": f"{self.address}:{CALLERS_PORT}",
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -173,8 +173,6 @@
 class History:
     """Everything that the checks need."""
 
-    # The failure domain of each router.
-    router_domains: dict[str, str] = field(default_factory=dict)
     sent_requests: dict[str, CallerRequest] = field(default_factory=dict)
     ran: list[Delivery] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -352,9 +352,7 @@
     The judged period begins after the last disturbance of the router or the store. It
     ends before the first disturbance of the target, which may keep routers away from
     it for longer. Routers prefer model engines with cached prefixes, so for models
-    only requests of new chats count, and all routers are judged together. Of idle
-    targets they prefer those of their own failure domain, so that others are judged at
-    the routers of their domain.
+    only requests of new chats count, and all routers are judged together.
     """
     requests_by_router = _requests_by_router(history)
     received = {}
@@ -363,11 +361,7 @@
             received.setdefault((delivery.target, delivery.start), []).append(delivery)
     for entry in history.listed:
         withdrawn_at = _undisturbed_until(history, entry)
-        each = [
-            (router,)
-            for router in requests_by_router
-            if history.router_domains.get(router, entry.domain) == entry.domain
-        ]
+        each = [(router,) for router in requests_by_router]
         groups = [tuple(requests_by_router)] if entry.service == "model" else each
         required = MIN_REQUESTS_BY_SERVICE[entry.service]
         for group in groups:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -282,15 +282,6 @@
         self.history.ran[0].start = 2
         self.assertEqual([], self.broken())
 
-    # Of idle targets, routers prefer those of their own failure domain.
-    def test_a_target_is_judged_at_the_routers_of_its_domain(self):
-        entry = Entry("t0", "portal", 2, 95.0, domain="a")
-        self.history.listed.append(entry)
-        self.add_requests(60, target="t1")
-        for domain, wanted in (("a", ["good entries"]), ("b", [])):
-            self.history.router_domains["r0"] = domain
-            self.assertEqual(wanted, self.broken(), domain)
-
     def test_one_router_that_stopped_following_the_list(self):
         self.history.listed.append(Entry("t0", "portal", 2, 95.0))
         self.add_requests(60, target="t1")
