Judge the failures of a target by its own usual times, and weigh its speed

What callers saw: a target that always answers more slowly than others of its service was taken for one that fails.

Cause: answers counted as late, and silence as a failure, by the usual times of the route over all targets.

Requests are hedged as before, by the times of the route.

--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -285,7 +285,11 @@
                 self._availability,
                 targets.recently_delisted,
                 self._shares.own_permits,
-                PrefillCost(self._overload.work, settings.domain),
+                PrefillCost(
+                    self._overload.work,
+                    settings.domain,
+                    self._overload.usual_times.speeds,
+                ),
             ),
             parts=self._prefix_index,
             states_of=targets.of_service,
--- a/src/primrosescale/request/answer/usual_times.py
+++ b/src/primrosescale/request/answer/usual_times.py
@@ -1,20 +1,23 @@
 """Estimates by when answers usually begin and end, for each route.
 
-A request is late by what targets usually do for such requests. The estimate is that of
+Callers may expect what targets usually do for such requests. The estimate is that of
 RFC 6298 for retransmission timeouts: the mean plus four mean deviations. It covers a
-slowdown of all targets, which raises the estimate, and one slow target among others,
-whose answers stand out.
+slowdown of all targets, which raises the estimate. An answer is late by what is usual
+for its route, and for its target.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from primrosescale.request.answer.target_speeds import TargetSpeeds
+from primrosescale.request.answer.time_estimate import TimeEstimate
+
+if TYPE_CHECKING:
+    from primrosescale.request.target.target_incarnation import TargetIncarnation
 
-# Weights of the newest time, and the number of deviations; RFC 6298, section 2.
-MEAN_WEIGHT = 1 / 8
-DEVIATION_WEIGHT = 1 / 4
-DEVIATIONS = 4.0
 # Assumed for a route without answers; RFC 6298, section 2.1.
 INITIAL_SECONDS = 1.0
 # A bound on the memory only.
@@ -37,38 +40,13 @@
     end: float
 
 
-class _Estimate:
-    """Mean and mean deviation of observed times."""
-
-    __slots__ = ("_deviation", "mean")
-
-    def __init__(self, seconds: float) -> None:
-        self.mean = seconds
-        self._deviation = seconds / 2
-
-    @property
-    def usual(self) -> float:
-        """Return the time that few exceed, in seconds.
-
-        It is at least twice the mean, or times that hardly differ would make chance
-        delays of the network count.
-        """
-        return self.mean + max(DEVIATIONS * self._deviation, self.mean)
-
-    def add(self, seconds: float) -> None:
-        """Include a time."""
-        error = seconds - self.mean
-        self._deviation += DEVIATION_WEIGHT * (abs(error) - self._deviation)
-        self.mean += MEAN_WEIGHT * error
-
-
 class _Estimates:
     """Estimates of the routes that were used last."""
 
     __slots__ = ("_by_route",)
 
     def __init__(self) -> None:
-        self._by_route: OrderedDict[str, _Estimate] = OrderedDict()
+        self._by_route: OrderedDict[str, TimeEstimate] = OrderedDict()
 
     def __len__(self) -> int:
         """Return the number of routes."""
@@ -83,11 +61,11 @@
             known.add(seconds)
             self._by_route.move_to_end(route)
             return
-        self._by_route[route] = _Estimate(seconds)
+        self._by_route[route] = TimeEstimate(seconds)
         if len(self._by_route) > MAX_ROUTES:
             self._by_route.popitem(last=False)
 
-    def of(self, route: str) -> _Estimate | None:
+    def of(self, route: str) -> TimeEstimate | None:
         """Return the estimate of a route; None for a route without times."""
         return self._by_route.get(route)
 
@@ -95,17 +73,29 @@
 class UsualTimes:
     """Usual times of answers by route, from sending a request to a target."""
 
-    __slots__ = ("_beginnings", "_ends")
+    __slots__ = ("_beginnings", "_ends", "_speeds")
 
     def __init__(self) -> None:
         self._beginnings = _Estimates()
         self._ends = _Estimates()
+        self._speeds = TargetSpeeds()
+
+    @property
+    def speeds(self) -> TargetSpeeds:
+        """Return how fast the targets begin their answers."""
+        return self._speeds
 
     def __len__(self) -> int:
         """Return the number of routes of which times are known."""
         return max(len(self._beginnings), len(self._ends))
 
-    def began(self, route: str, seconds: float) -> bool:
+    def began(
+        self,
+        route: str,
+        seconds: float,
+        target: TargetIncarnation | None = None,
+        now: float = 0.0,
+    ) -> bool:
         """Record the first byte of an answer, or that none had come for some time.
 
         Parameters
@@ -114,16 +104,43 @@
             Name of the route.
         seconds : float
             Time from sending the request to the first byte that could be passed on.
+        target : TargetIncarnation | None
+            The target; None to learn nothing of one.
+        now : float
+            Current time in seconds.
 
         Returns
         -------
         bool
-            Whether it was later than is usual.
+            Whether it was later than is usual, also for this target.
         """
-        is_late = seconds > self.usual(route).beginning
+        is_late = seconds > self.beginning_at(route, target)
+        mean = self.mean(route).beginning
+        if target is not None and mean > 0 and seconds >= 0:
+            self._speeds.record(target, seconds / mean, now)
         self._beginnings.add(route, seconds)
         return is_late
 
+    def beginning_at(self, route: str, target: TargetIncarnation | None) -> float:
+        """Return the time to the first byte that few answers of a target exceed.
+
+        Parameters
+        ----------
+        route : str
+            Name of the route.
+        target : TargetIncarnation | None
+            The target; None for all.
+
+        Returns
+        -------
+        float
+            Seconds, no less than what is usual for the route.
+        """
+        usual = self.usual(route).beginning
+        if target is None:
+            return usual
+        return max(usual, self.mean(route).beginning * self._speeds.usual(target))
+
     def ended(self, route: str, seconds: float) -> None:
         """Record the end of a complete answer.
 
--- a/src/primrosescale/request/attempt/forwarded_call.py
+++ b/src/primrosescale/request/attempt/forwarded_call.py
@@ -30,8 +30,10 @@
 from primrosescale.request.attempt.forwarding_interfaces import OutgoingRequest
 from primrosescale.request.attempt.forwarding_interfaces import Refusal
 from primrosescale.request.attempt.hedged_attempts import HedgedAttempts
+from primrosescale.request.attempt.silent_target import TIMER_SLACK_SECONDS
 from primrosescale.request.attempt.silent_target import SilenceReport
 from primrosescale.request.attempt.silent_target import SilenceVerdict
+from primrosescale.request.attempt.silent_target import count_silence
 from primrosescale.request.attempt.silent_target import silence_timeout
 from primrosescale.request.attempt.stream_binding import StreamBinding
 from primrosescale.request.attempt.target_attempt import AttemptListener
@@ -50,8 +52,6 @@
     from primrosescale.request.target.target_incarnation import TargetIncarnation
 
 MIN_SERVER_ERROR_STATUS = 500
-# A timer may fire early by up to this much because of rounding.
-TIMER_SLACK_SECONDS = 0.001
 
 
 class ForwardedCall(AttemptListener):
@@ -352,7 +352,9 @@
             if overtaken is not None and self._relay.first_byte_at is None:
                 # Its answer would have begun later.
                 seconds = now - overtaken.began_at
-                self._tools.usual_times.began(self._request.route.name, seconds)
+                self._tools.usual_times.began(
+                    self._request.route.name, seconds, overtaken.incarnation, now
+                )
             self._active.promote_hedge("silent", now)
         else:
             self._drop_hedge("not needed: the target before went on", now)
@@ -588,8 +590,9 @@
     def _record_beginning(self, attempt: TargetAttempt, now: float) -> None:
         if attempt.head is None or not is_success(attempt.head):
             return
+        seconds = now - attempt.began_at
         if self._tools.usual_times.began(
-            self._request.route.name, now - attempt.began_at
+            self._request.route.name, seconds, attempt.incarnation, now
         ):
             attempt.state.answered_late(now)
 
@@ -658,7 +661,7 @@
         if not self._request.route.may_retry:
             # The request stays at its target; the failure affects only later requests.
             self._report_silence(primary, SilenceVerdict.MAY_NOT_REPEAT, now)
-            primary.state.failed(now)
+            self._count_silence(primary, now)
             return
         self._schedule_silence_check(recheck, now)
         self._hedge_silent(primary, now)
@@ -682,10 +685,16 @@
         if primary.state.silence(now) >= threshold:
             primary.state.unreachable(now)
         else:
-            primary.state.failed(now)
+            self._count_silence(primary, now)
         self._active.drop_hedge("silent too", now)
         self._start_hedge(choice, now)
 
+    def _count_silence(self, primary: TargetAttempt, now: float) -> None:
+        tools, waited = self._tools, now - self._waiting_since
+        count_silence(
+            tools.settings, self._request, tools.usual_times, primary.state, waited, now
+        )
+
     def _report_silence(
         self, attempt: TargetAttempt, verdict: SilenceVerdict, now: float
     ) -> None:
--- a/src/primrosescale/request/attempt/silent_target.py
+++ b/src/primrosescale/request/attempt/silent_target.py
@@ -14,6 +14,11 @@
     from primrosescale.request.answer.usual_times import UsualTimes
     from primrosescale.request.attempt.forwarding_context import ForwardingSettings
     from primrosescale.request.incoming_request import IncomingRequest
+    from primrosescale.request.target.target_incarnation import TargetIncarnation
+    from primrosescale.request.target.target_state import TargetState
+
+# A timer may fire early by up to this much because of rounding.
+TIMER_SLACK_SECONDS = 0.001
 
 
 class SilenceVerdict(Enum):
@@ -52,7 +57,10 @@
 
 
 def silence_timeout(
-    settings: ForwardingSettings, request: IncomingRequest, usual_times: UsualTimes
+    settings: ForwardingSettings,
+    request: IncomingRequest,
+    usual_times: UsualTimes,
+    target: TargetIncarnation | None = None,
 ) -> float:
     """Return how long a request waits while its target sends data only for others.
 
@@ -68,13 +76,46 @@
         The request.
     usual_times : UsualTimes
         How long answers of its route take.
+    target : TargetIncarnation | None
+        The target for which a longer silence is unusual; None for all.
 
     Returns
     -------
     float
         Seconds.
     """
-    usual = usual_times.usual(request.route.name).beginning
+    usual = usual_times.beginning_at(request.route.name, target)
     if not request.route.is_stream:
         return usual
     return max(settings.silence_patience, usual)
+
+
+def count_silence(
+    settings: ForwardingSettings,
+    request: IncomingRequest,
+    usual_times: UsualTimes,
+    state: TargetState,
+    waited: float,
+    now: float,
+) -> None:
+    """Count a silence as a failure of its target if it is unusual for that target.
+
+    Parameters
+    ----------
+    settings : ForwardingSettings
+        Timing settings.
+    request : IncomingRequest
+        The request that waits.
+    usual_times : UsualTimes
+        How long answers of its route take, and of the target.
+    state : TargetState
+        The target.
+    waited : float
+        Seconds that the request has waited for its next bytes.
+    now : float
+        Current time in seconds.
+    """
+    own = silence_timeout(settings, request, usual_times, state.incarnation)
+    is_unusual = waited >= own - TIMER_SLACK_SECONDS
+    if is_unusual or state.silence(now) >= settings.silence_patience:
+        state.failed(now)
--- a/src/primrosescale/request/choice/prefill_cost.py
+++ b/src/primrosescale/request/choice/prefill_cost.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from primrosescale.request.answer.target_speeds import TargetSpeeds
     from primrosescale.request.choice.target_choice import Choice
     from primrosescale.request.incoming_request import Prompt
     from primrosescale.request.target.target_state import TargetState
@@ -37,13 +38,18 @@
         Backlog and pace of targets.
     domain : str
         Failure domain of this router; empty if it has none.
+    speeds : TargetSpeeds | None
+        How fast targets begin their answers; None to take all for alike.
     """
 
-    __slots__ = ("_domain", "_work")
+    __slots__ = ("_domain", "_speeds", "_work")
 
-    def __init__(self, work: TargetWork, domain: str = "") -> None:
+    def __init__(
+        self, work: TargetWork, domain: str = "", speeds: TargetSpeeds | None = None
+    ) -> None:
         self._work = work
         self._domain = domain
+        self._speeds = speeds
 
     def is_in_force(self, service: str) -> bool:
         """Return whether these costs apply to a service.
@@ -73,12 +79,16 @@
         Returns
         -------
         float
-            The expected pace, as a multiple of the usual time.
+            The expected pace, as a multiple of the usual time: as the target reports
+            it, or else by the times of its answers.
         """
         # Without the check of the scope, which was made once for the choice.
         if state.pace is not None:
             return state.pace.expected(now)
-        return self._work.pace_of(state, now)
+        pace = self._work.pace_of(state, now)
+        if self._speeds is not None:
+            pace *= self._speeds.slowness(state.incarnation, now)
+        return pace
 
     def tie_break(self, state: TargetState, draw: float) -> float:
         """Return a random tie break that puts the router's own failure domain first.
--- a/src/primrosescale/request/target/target_state.py
+++ b/src/primrosescale/request/target/target_state.py
@@ -563,7 +563,7 @@
         self.assume_cold_from(self._paused_until)
 
     def answered_late(self, now: float) -> None:
-        """Record an answer that began later than is usual for its route.
+        """Record an answer that began later than is usual for its route and for it.
 
         Parameters
         ----------
--- a/tests/entry/test_forwarded_call.py
+++ b/tests/entry/test_forwarded_call.py
@@ -376,6 +376,29 @@
             self.assertAlmostEqual(1.0, good)
             self.assertAlmostEqual(late, bad)
 
+    # A target of a service whose others are faster was taken for one that fails, by
+    # each of its answers and by each request that is sent to a second target.
+    def test_a_target_that_is_always_slow_does_not_fail(self):
+        for route in (LOOKUP, CONFIRMATION):
+            harness = ForwardingHarness(PORTAL[:1])
+            state = harness.states[0]
+            times = harness.tools.usual_times
+            for number in range(200):
+                is_slow = number % 10 == 0
+                target = state.incarnation if is_slow else None
+                seconds = 0.09 if is_slow else 0.025
+                times.began(route.name, seconds, target, harness.clock.seconds())
+            for _ in range(10):
+                now = harness.clock.seconds()
+                harness.call(request(route, now=now, deadline=now + 1.5))
+                harness.pass_time(0.09, step=0.01)
+                harness.caller.last.answer(200, b"ok")
+                for _ in range(9):
+                    times.began(route.name, 0.025)
+            good, bad = state.outcomes(harness.clock.seconds())
+            self.assertTrue(good > 5.0, good)
+            self.assertTrue(bad < 0.6, (route.name, bad))
+
     # A quick failure made all answers look late.
     def test_failures_say_nothing_on_the_usual_time(self):
         harness = ForwardingHarness(PORTAL)
--- a/tests/request/test_prefill_cost.py
+++ b/tests/request/test_prefill_cost.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 
 from testtools import TestCase
 
@@ -11,6 +12,7 @@
 from entry.fakes import make_incarnation
 from entry.fakes import prompt
 from entry.fakes import target
+from primrosescale.request.answer.target_speeds import TargetSpeeds
 from primrosescale.request.capacity.cold_targets import ColdSettings
 from primrosescale.request.capacity.cold_targets import ColdTargets
 from primrosescale.request.capacity.overload_scope import OverloadScope
@@ -35,8 +37,8 @@
 class CountingCost(PrefillCost):
     """Counts how often all targets are ranked."""
 
-    def __init__(self, work, domain):
-        super().__init__(work, domain)
+    def __init__(self, work, domain, speeds=None):
+        super().__init__(work, domain, speeds)
         self.rankings = 0
 
     def preferences(self, *args):
@@ -56,11 +58,12 @@
         domain="b",
         has_cost=True,
         availability=None,
+        speeds=None,
     ):
         self.scope = OverloadScope(OverloadSettings(mode=mode))
         self.scope.record("model", LoadReport(0, 0, 8, pace))
         self.work = TargetWork(self.scope)
-        self.cost = CountingCost(self.work, domain) if has_cost else None
+        self.cost = CountingCost(self.work, domain, speeds) if has_cost else None
         self.parts = PrefixCacheIndex()
         self.age = 0.0
         self.relies_on_homes = False
@@ -158,6 +161,24 @@
         self.assertEqual(1.0, router.work.pace_of(router.state(home), START))
 
 
+class SlowTargetTest(TestCase):
+    # Targets that differ in speed got as many requests each, or the slow ones none.
+    def test_a_slow_target_gets_requests_once_others_have_more_to_do(self):
+        speeds = TargetSpeeds()
+        router = Router(pace=None, speeds=speeds)
+        slow = router.state("m1")
+        for _ in range(40):
+            speeds.record(slow.incarnation, 4.0, START)
+        chosen = []
+        for _ in range(40):
+            state = router.choose(None).state
+            state.sent(START)
+            chosen.append(state.target.name)
+        counts = Counter(chosen)
+        self.assertNotIn("m1", chosen[:15])
+        self.assertTrue(1 <= counts["m1"] <= 3, counts)
+
+
 class PromptCostTest(TestCase):
     def setUp(self):
         super().setUp()
