--- a/benchmarks/choice_cost.py
+++ b/benchmarks/choice_cost.py
@@ -20,6 +20,7 @@
 
 from primrosescale.connection.endpoint import Endpoint
 from primrosescale.process.entry.target_list import TargetList
+from primrosescale.request.answer.target_speeds import TargetSpeeds
 from primrosescale.request.capacity.cold_targets import ColdSettings
 from primrosescale.request.capacity.cold_targets import ColdTargets
 from primrosescale.request.capacity.overload_scope import OverloadScope
@@ -65,6 +66,7 @@
         self.parts = PrefixCacheIndex()
         self.scope = OverloadScope(OverloadSettings())
         self.work = TargetWork(self.scope)
+        self.speeds = TargetSpeeds()
         for state in self.targets.states:
             self.add_reports(state, rng)
             if has_overload_control:
@@ -84,7 +86,7 @@
             lambda: 0.3,
             availability=TargetAvailability(cold),
             recently_delisted=self.targets.recently_delisted,
-            prefill_cost=PrefillCost(self.work, "a"),
+            prefill_cost=PrefillCost(self.work, "a", self.speeds),
         )
         parts = (PromptPart("tariffs", 10_000), PromptPart("chat", 900))
         self.prompt = Prompt(parts, 10_900, 100, "m")
@@ -99,7 +101,9 @@
             state.set_cold_for(9.0, NOW)
 
     def add_work(self, state, rng):
-        report = LoadReport(0, 0, 64, rng.choice((1.0, 2.5)))
+        # One in three reports no pace, so that its speed counts.
+        report = LoadReport(0, 0, 64, rng.choice((None, 1.0, 2.5)))
+        self.speeds.record(state.incarnation, rng.uniform(0.5, 2.0), NOW)
         self.scope.record("model", report)
         self.work.reported(state, report, NOW + 0.9)
         self.work.peer_started(state, rng.randrange(90_000), NOW + 1, NOW + 1)
--- a/benchmarks/overload_cost.py
+++ b/benchmarks/overload_cost.py
@@ -36,6 +36,7 @@
 from primrosescale.process.entry.load_codec import MAX_WAITING_SERVICES
 from primrosescale.process.entry.target_keys import target_key
 from primrosescale.process.entry.waiting_reports import WaitingReports
+from primrosescale.request.answer.target_speeds import TargetSpeeds
 from primrosescale.request.answer.usual_times import UsualTimes
 from primrosescale.request.capacity.admission_record import AdmissionRecord
 from primrosescale.request.capacity.overload_episode import OverloadObserver
@@ -330,6 +331,21 @@
     return round(used / MEMORY_ITEMS)
 
 
+def _times_of_routes():
+    times = UsualTimes()
+    for route in range(MEMORY_ITEMS):
+        times.began(f"route{route}", 0.1)
+        times.ended(f"route{route}", 0.1)
+    return times
+
+
+def _speeds_of(states):
+    speeds = TargetSpeeds()
+    for state in states:
+        speeds.record(state.incarnation, 1.5, NOW)
+    return speeds
+
+
 def memory():
     router = Router(100, 30, "waits")
     calls = [router.new_call() for _ in range(MEMORY_ITEMS)]
@@ -356,18 +372,12 @@
         for state in states:
             work.peer_started(state, 10_000, NOW, NOW)
 
-    def record_times():
-        times = UsualTimes()
-        for route in range(MEMORY_ITEMS):
-            times.began(f"route{route}", 0.1)
-            times.ended(f"route{route}", 0.1)
-        return times
-
     return {
         "memory, waiting call, bytes": bytes_of(wait),
         "memory, pace of a target, bytes": bytes_of(record_pace),
         "memory, backlog of a target, bytes": bytes_of(add_backlogs),
-        "memory, usual times of a route, bytes": bytes_of(record_times),
+        "memory, usual times of a route, bytes": bytes_of(_times_of_routes),
+        "memory, speed of a target, bytes": bytes_of(lambda: _speeds_of(states)),
     }
 
 
