Let agents give up calls that can no longer be answered, before their deadline

What callers saw: a call that an agent had admitted, and that more urgent ones overtook later, waited until its deadline and was refused then, with no time left for another try.

Cause: an agent forecast the wait of a call when it came, and looked at it again only at its deadline. Routers look again whenever they start calls.

Change: whenever an agent starts calls it gives up those whose work ahead, more urgent and of the same priority, takes longer than their time, in the order in which they would start. They are refused as not run, with the time after which there is room.

In a burst that can be done none is given up.

--- a/src/primrosescale/process/daemons/agent_core.py
+++ b/src/primrosescale/process/daemons/agent_core.py
@@ -304,6 +304,13 @@
 
     def _start_next(self) -> None:
         now = self._clock.seconds()
+        for queued in self._admission.given_up(now):
+            queued.item.fail(
+                Outcome.NOT_RUN,
+                Reason.DEADLINE,
+                "can no longer be answered in time",
+                self._admission.expected_wait(queued),
+            )
         for queued in self._admission.start_next(now):
             self._start(queued.item, now)
 
--- a/src/primrosescale/request/capacity/admission.py
+++ b/src/primrosescale/request/capacity/admission.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
 from enum import Enum
@@ -306,6 +307,38 @@
             self._turns.removed(call.priority, call.work)
         return expired
 
+    def given_up(self, now: float) -> list[QueuedCall[T]]:
+        """Remove and return waiting calls that can no longer be answered in time.
+
+        Calls that go before them may have come since they were admitted, and the target
+        may have become slower.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        list[QueuedCall[T]]
+            The removed calls; none of them ran.
+        """
+        if self._rate.known is None or not len(self._queue):
+            return []
+        # Work that goes before the next call of a priority.
+        same: Counter[int] = Counter()
+        found: list[QueuedCall[T]] = []
+        for call in sorted(self._queue.calls(), key=lambda call: call.position):
+            ahead = self._turns.work_ahead(call.priority, same[call.priority])
+            # The calls that run may all be about to end, which makes up for the time
+            # that it needs itself.
+            if now + self._rate.seconds_for(ahead) > call.deadline:
+                self._discard(call)
+                found.append(call)
+            else:
+                same[call.priority] += call.work
+        return found
+
     def expected_wait(self, call: QueuedCall[T]) -> float:
         """Estimate how long a call would wait in the fair queue.
 
--- a/tests/request/test_admission.py
+++ b/tests/request/test_admission.py
@@ -192,7 +192,8 @@
         rate = self.SLOTS * self.WORK / self.SECONDS
         self.admission = make(floor=10**9, slots=self.SLOTS, queue_limit=256, rate=rate)
         self.rng = random.Random(seed)
-        self.running, self.waits, self.verdicts, self.expired = [], [], [], []
+        self.running, self.waits, self.verdicts = [], [], []
+        self.expired, self.given_up = [], []
         now, due = 0.0, 0.0
         while now < seconds + 3.0:
             if due <= now < seconds:
@@ -218,6 +219,7 @@
             if ends_at <= now:
                 self.running.remove((ends_at, ended))
                 self.admission.finished(ended, now)
+        self.given_up.extend((now, gone) for gone in self.admission.given_up(now))
         self.expired.extend((now, gone) for gone in self.admission.expired(now))
         for started in self.admission.start_next(now):
             self.running.append((now + self.SECONDS, started))
@@ -253,6 +255,26 @@
             due = min(len(play.least_urgent), 6.0 * play.SLOTS / play.SECONDS / 8)
             self.assertTrue(served >= 0.5 * due, (load, served, due))
 
+    # Calls that more urgent ones had overtaken were held to their deadline, with no
+    # time left for another try.
+    def test_calls_without_a_chance_are_given_up_before_their_deadline(self):
+        for load, urgent_share in ((1.5, 0.5), (2.5, 0.5), (2.5, 0.9), (6.0, 0.5)):
+            play = AgentPlay(load, 12.0, urgent_share=urgent_share)
+            self.assertEqual([], play.expired, (load, urgent_share))
+            self.assertTrue(play.given_up, (load, urgent_share))
+            for at, call_given_up in play.given_up:
+                self.assertTrue(at < call_given_up.deadline)
+                self.assertNotIn(call_given_up, play.starts)
+            served = len(play.starts) / 12.0
+            self.assertTrue(served >= 0.95 * play.SLOTS / play.SECONDS, served)
+
+    # Guards against calls that are given up though all can be served in time.
+    def test_in_a_burst_that_can_be_done_none_is_given_up(self):
+        for urgent_share in (0.0, 0.5, 1.0):
+            self.assertEqual(
+                [], AgentPlay(6.0, 0.3, urgent_share=urgent_share).given_up
+            )
+
     # A burst that can be done in the callers' time was refused.
     def test_a_burst_waits(self):
         play = AgentPlay(6.0, 0.3)
