Agents: let refused callers return when there is room, within their time

What callers saw: an agent told each caller that it refused a quarter of a second at least, also where its short queue is done in 0.06 s, and where the caller had 0.1 s left.

Cause: a lower bound for which nothing on the callers' side speaks.

Change: a forecast is told as it is, at most a third of the caller's time, as at routers. A quarter of a second remains only where nothing tells when there is room.

Evidence: test_refused_callers_return_when_there_is_room_within_their_time fails on the code before (0.25 s to a caller with 0.25 s).

--- a/src/primrosescale/request/capacity/admission.py
+++ b/src/primrosescale/request/capacity/admission.py
@@ -25,6 +25,7 @@
 from primrosescale.request.capacity.priority_turns import PriorityTurns
 from primrosescale.request.capacity.standing_queue import StandingQueue
 from primrosescale.request.capacity.standing_queue import max_standing
+from primrosescale.request.capacity.wait_forecast import MAX_RETRY_AFTER_SHARE
 from primrosescale.request.capacity.work_rate import WorkRate
 
 if TYPE_CHECKING:
@@ -35,7 +36,8 @@
 T = TypeVar("T")
 
 RESERVED_ORGANISATION_WEIGHT = 1
-MIN_RETRY_AFTER_SECONDS = 0.25
+# Told where nothing tells when there is room: without any, callers return at once.
+UNKNOWN_RETRY_AFTER_SECONDS = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,24 +201,26 @@
             The decision.
         """
         if self._is_draining:
-            return self._refuse(Reason.DRAINING, 0.0)
+            return _refuse(Reason.DRAINING, UNKNOWN_RETRY_AFTER_SECONDS)
         if call.deadline <= now:
-            return self._refuse(Reason.DEADLINE, 0.0)
+            return _refuse(Reason.DEADLINE, UNKNOWN_RETRY_AFTER_SECONDS)
         if now < self._paused_until:
-            return self._refuse(Reason.TARGET_UNHEALTHY, self._paused_until - now)
+            return _refuse(Reason.TARGET_UNHEALTHY, self._paused_until - now)
         if not self._health.admits(now):
-            return self._refuse(Reason.TARGET_UNHEALTHY, self._health.retry_after(now))
+            return _refuse(Reason.TARGET_UNHEALTHY, self._health.retry_after(now))
         wait = self.expected_wait(call)
         if now + wait + self._time_in_slot(call) >= call.deadline:
-            return self._refuse(Reason.DEADLINE, wait)
+            return self._refuse_busy(Reason.DEADLINE, wait, call, now)
         if self._would_stand(call, now):
-            return self._refuse(Reason.QUEUE_FULL, self._time_of_queue(call))
+            room_in = self._time_of_queue(call)
+            return self._refuse_busy(Reason.QUEUE_FULL, room_in, call, now)
         displaced = self._make_room(call, now)
         if displaced is None:
             reason = Reason.OVER_BOUND
             if len(self._queue) >= self._settings.queue_limit:
                 reason = Reason.QUEUE_FULL
-            return self._refuse(reason, max(wait, self._rate.seconds_for(call.work)))
+            room_in = max(wait, self._rate.seconds_for(call.work))
+            return self._refuse_busy(reason, room_in, call, now)
         self._push(call)
         return Verdict(VerdictKind.ADMITTED, displaced=displaced)
 
@@ -386,9 +390,12 @@
         """Return after which time the target has done all that waits, and a call."""
         return self._rate.seconds_for(self._queue.work + call.work)
 
-    def _refuse(self, reason: Reason, retry_after: float) -> Verdict[T]:
-        after = max(MIN_RETRY_AFTER_SECONDS, retry_after)
-        return Verdict(VerdictKind.REFUSED, reason=reason, retry_after=after)
+    def _refuse_busy(
+        self, reason: Reason, room_in: float, call: QueuedCall[T], now: float
+    ) -> Verdict[T]:
+        """Refuse a call that may return when there is room, within its time."""
+        longest = MAX_RETRY_AFTER_SHARE * (call.deadline - now)
+        return _refuse(reason, min(room_in or UNKNOWN_RETRY_AFTER_SECONDS, longest))
 
     def _make_room(
         self,
@@ -473,3 +480,7 @@
             weights += weight
         share = self._settings.slots * weight / weights
         return len(own) + 1 <= share
+
+
+def _refuse(reason: Reason, retry_after: float) -> Verdict[T]:
+    return Verdict(VerdictKind.REFUSED, reason=reason, retry_after=retry_after)
--- a/tests/request/test_admission.py
+++ b/tests/request/test_admission.py
@@ -268,6 +268,18 @@
             served = len(play.starts) / 12.0
             self.assertTrue(served >= 0.95 * play.SLOTS / play.SECONDS, served)
 
+    # Callers were told a quarter of a second at least, by when little was left of the
+    # time of some, and others could have returned to free slots.
+    def test_refused_callers_return_when_there_is_room_within_their_time(self):
+        admission = make(slots=1, rate=1000.0)
+        for _ in range(3):
+            admission.offer(call(work=100), 0.0)
+        admission.start_next(0.0)
+        for deadline, longest in ((0.25, 0.25 / 3), (0.1, 0.1 / 3), (0.05, 0.05 / 3)):
+            refused = admission.offer(call(work=100, deadline=deadline), 0.0)
+            self.assertEqual(Reason.DEADLINE, refused.reason)
+            self.assertTrue(0 < refused.retry_after <= longest, refused.retry_after)
+
     # Guards against calls that are given up though all can be served in time.
     def test_in_a_burst_that_can_be_done_none_is_given_up(self):
         for urgent_share in (0.0, 0.5, 1.0):
