--- a/src/primrosescale/request/answer/time_estimate.py
+++ b/src/primrosescale/request/answer/time_estimate.py
@@ -9,19 +9,19 @@
 
 
 class TimeEstimate:
-    """Mean and mean deviation of observed times.
+    """Mean and mean deviation of observed times, in seconds or as multiples of others.
 
     Parameters
     ----------
-    seconds : float
+    time : float
         The first time.
     """
 
     __slots__ = ("_deviation", "mean")
 
-    def __init__(self, seconds: float) -> None:
-        self.mean = seconds
-        self._deviation = seconds / 2
+    def __init__(self, time: float) -> None:
+        self.mean = time
+        self._deviation = time / 2
 
     @property
     def usual(self) -> float:
@@ -32,14 +32,14 @@
         """
         return self.mean + max(DEVIATIONS * self._deviation, self.mean)
 
-    def add(self, seconds: float) -> None:
+    def add(self, time: float) -> None:
         """Include a time.
 
         Parameters
         ----------
-        seconds : float
+        time : float
             The time, in the unit of the first one.
         """
-        error = seconds - self.mean
+        error = time - self.mean
         self._deviation += DEVIATION_WEIGHT * (abs(error) - self._deviation)
         self.mean += MEAN_WEIGHT * error
--- a/src/primrosescale/request/capacity/admission.py
+++ b/src/primrosescale/request/capacity/admission.py
@@ -210,17 +210,17 @@
             return _refuse(Reason.TARGET_UNHEALTHY, self._health.retry_after(now))
         wait = self.expected_wait(call)
         if now + wait + self._time_in_slot(call) >= call.deadline:
-            return self._refuse_busy(Reason.DEADLINE, wait, call, now)
+            return _refuse_busy(Reason.DEADLINE, wait, call, now)
         if self._would_stand(call, now):
             room_in = self._time_of_queue(call)
-            return self._refuse_busy(Reason.QUEUE_FULL, room_in, call, now)
+            return _refuse_busy(Reason.QUEUE_FULL, room_in, call, now)
         displaced = self._make_room(call, now)
         if displaced is None:
             reason = Reason.OVER_BOUND
             if len(self._queue) >= self._settings.queue_limit:
                 reason = Reason.QUEUE_FULL
             room_in = max(wait, self._rate.seconds_for(call.work))
-            return self._refuse_busy(reason, room_in, call, now)
+            return _refuse_busy(reason, room_in, call, now)
         self._push(call)
         return Verdict(VerdictKind.ADMITTED, displaced=displaced)
 
@@ -390,13 +390,6 @@
         """Return after which time the target has done all that waits, and a call."""
         return self._rate.seconds_for(self._queue.work + call.work)
 
-    def _refuse_busy(
-        self, reason: Reason, room_in: float, call: QueuedCall[T], now: float
-    ) -> Verdict[T]:
-        """Refuse a call that may return when there is room, within its time."""
-        longest = MAX_RETRY_AFTER_SHARE * (call.deadline - now)
-        return _refuse(reason, min(room_in or UNKNOWN_RETRY_AFTER_SECONDS, longest))
-
     def _make_room(
         self,
         call: QueuedCall[T],
@@ -484,3 +477,11 @@
 
 def _refuse(reason: Reason, retry_after: float) -> Verdict[T]:
     return Verdict(VerdictKind.REFUSED, reason=reason, retry_after=retry_after)
+
+
+def _refuse_busy(
+    reason: Reason, room_in: float, call: QueuedCall[T], now: float
+) -> Verdict[T]:
+    """Refuse a call that may return when there is room, within its time."""
+    longest = MAX_RETRY_AFTER_SHARE * (call.deadline - now)
+    return _refuse(reason, min(room_in or UNKNOWN_RETRY_AFTER_SECONDS, longest))
