Count only significant differences in the speed of targets

With the measured speed in the choice, the target that seemed to be fastest by a few per cent got all requests of a calm moment: equal loads no longer drew lots. Slower than the others is now a target whose answers take 1.5 times as long as usual for their routes; smaller differences are chance.

--- a/src/primrosescale/request/answer/target_speeds.py
+++ b/src/primrosescale/request/answer/target_speeds.py
@@ -17,6 +17,9 @@
 # Time in which what was measured of a target loses half of its influence, so that one
 # that has become fast again is asked again.
 SPEED_HALF_LIFE_SECONDS = 2.0
+# Smaller differences are chance. If they counted, the target that seems to be fastest
+# would get all requests while targets have little to do.
+SIGNIFICANT_MULTIPLE = 1.5
 # One answer tells no more than this of a target; its caller or a fault may have cut it.
 MIN_MULTIPLE = 0.1
 MAX_MULTIPLE = 10.0
@@ -98,10 +101,10 @@
         Returns
         -------
         float
-            A factor, 1 for a target without recent answers.
+            A factor, at least 1; 1 also for a target without recent answers.
         """
         known = self._by_target.get(target)
-        if known is None:
+        if known is None or known.estimate.mean <= SIGNIFICANT_MULTIPLE:
             return 1.0
         age = max(0.0, now - known.measured_at)
         recent: float = 0.5 ** (age / SPEED_HALF_LIFE_SECONDS)
