--- a/tests/entry/test_cut_heads.py
+++ b/tests/entry/test_cut_heads.py
@@ -17,7 +17,6 @@
 from twisted.internet.protocol import Protocol
 
 from primrosescale.platform import http_codec as names
-from primrosescale.request.attempt.forwarding_context import ForwardingSettings
 from support.entry_site import LOOPBACK
 from support.entry_site import ask
 from support.entry_site import target_entry
@@ -100,9 +99,7 @@
             self.addCleanup(port.stopListening)
             entry = target_entry(service, f"{LOOPBACK}:{port.getHost().port}")
             self.store.write("servers", f"{service}-{number}", entry)
-        # Kept connections are used however busy the machine is.
-        forward = ForwardingSettings(heard_lately=5.0)
-        self.router = self.start_router("r1", is_first_start=True, forward=forward)
+        self.router = self.start_router("r1", is_first_start=True)
         self.numbers = itertools.count()
         return self.until(lambda: self.knows(self.router, 4))
 
