Log which ends count against prompt parts, and which an answer voids

An operator who saw target after target end under a part could not tell whether the ends were counted: 318 did not say for which parts, and 209 comes only for a part that was held. 318 has against_parts now, and 214 tells that an answer voided several ends.

--- a/src/primrosescale/process/entry/entry_harm_monitor.py
+++ b/src/primrosescale/process/entry/entry_harm_monitor.py
@@ -231,6 +231,7 @@
             Event.TARGET_ENDED,
             target=target.name,
             on_board=len(ends),
+            against_parts=sum(bool(end.parts) for end in ends),
             how=how,
             ends_are_widespread=self._requests.ends_are_widespread(now),
         )
--- a/src/primrosescale/process/entry/harm_report_exchange.py
+++ b/src/primrosescale/process/entry/harm_report_exchange.py
@@ -47,6 +47,8 @@
 MAX_HELD_PER_MESSAGE = 8
 # Seconds between two messages with ends for which requests are held back.
 HELD_INTERVAL_SECONDS = 1.0
+# A single end is voided by the next answer all the time, which is not logged.
+MIN_LOGGED_VOIDED_ENDS = 2
 # Logged as the source of what was read from the store.
 STORE = "store"
 
@@ -284,12 +286,29 @@
         if isinstance(item, TargetEnd):
             is_new = parts.record_end(item)
         else:
+            ends = [parts.ends_under(part) for part in item.parts]
             is_new = parts.record_answer(item)
+            if is_new:
+                self._log_voided_ends(item, ends, told_by)
         if is_new:
             for part in item.parts:
                 self._log_part_hold_change(part, told_by, now)
         return is_new
 
+    def _log_voided_ends(
+        self, answered: PartsAnswered, ends: list[int], told_by: str
+    ) -> None:
+        """Log which parts lost several ends, of those that they had before."""
+        for part, count in zip(answered.parts, ends, strict=True):
+            voided = count - self._requests.parts.ends_under(part)
+            if voided >= MIN_LOGGED_VOIDED_ENDS:
+                self._log.emit(
+                    Event.PART_ENDS_VOIDED,
+                    fingerprint=fingerprint_text(part),
+                    ends=voided,
+                    told_by=told_by,
+                )
+
     def _log_part_hold_change(self, part: int, told_by: str, now: float) -> None:
         """Log that requests with a part are held back from now on, or no more."""
         parts = self._requests.parts
--- a/tests/entry/test_part_reports.py
+++ b/tests/entry/test_part_reports.py
@@ -249,6 +249,21 @@
         [cleared] = self.log.of(Event.PART_CLEARED)
         self.assertEqual(held["fingerprint"], cleared["fingerprint"])
 
+    def test_ends_are_logged_with_those_against_parts_and_those_voided(self):
+        self.end_several(1, "bad")
+        self.end(TARGETS[1], self.request("bad"), 3 * BEGINNING_SECONDS)
+        counts = [line["against_parts"] for line in self.log.of(Event.TARGET_ENDED)]
+        self.assertEqual([1, 0], counts)
+        now = self.clock.seconds()
+        self.watch.answer_continues(self.request("bad"), now, now)
+        self.assertEqual([], self.log.of(Event.PART_ENDS_VOIDED))
+        self.clock.advance(9)
+        self.end_several(3, "bad")
+        now = self.clock.seconds()
+        self.watch.answer_continues(self.request("bad"), now, now)
+        [voided] = self.log.of(Event.PART_ENDS_VOIDED)
+        self.assertEqual((3, ""), (voided["ends"], voided["told_by"]))
+
     def test_gauges_count_what_is_held_back(self):
         self.end_several(ENDS + 1, "bad")
         self.end(TARGETS[-1], self.request("a"))
