Count ends of targets some time after they began to answer a prompt

What callers saw: one model engine after the other ended under requests with one part in common, long after five had ended, though routers look for such parts.

Cause: an end counted only under an answer that was lost within a second of its beginning, and an answer that was whole, or a second old, voided the ends of all targets. A target that ends half a second after a whole answer, falls silent, or ends once its caller has left gave no evidence, or evidence against it.

Each prompt is now remembered until its target has outlived the beginning of the answer by three seconds, or has ended. Such late ends count separately, only against parts that no target is known to have survived, not while targets end often, and not against contents. One lasting answer anywhere voids them for good; early ends and what voids them are as before, so that no part of harmless requests that has once been answered is judged by more than before. The time for which a router reads nothing from a target no longer counts as part of an answer's life.

Messages have two new optional fields, which routers of the release before ignore; from these no answer counts as lasting. Tests: the stages of an answer's beginning are two now, so that the test of the one became a test of both; all others as before.

--- a/src/primrosescale/connection/wire.thrift
+++ b/src/primrosescale/connection/wire.thrift
@@ -179,12 +179,15 @@
  * was sent to one target as a trial and must not be sent to others meanwhile.
  * "fingerprint" identifies the request; "was_answered" is set if the target had
  * answered it just before it ended. "parts" identify parts of the request's prompt, if
- * the target ended as it began to answer, or those that are tried. Without "target" and
- * "is_try", a target went on answering a prompt with these parts. */
+ * the target ended as it began to answer, or those that are tried. "is_late" is set if
+ * the end counts only against parts that no target is known to have survived, and not
+ * against the request: the target may have ended some time after it began to answer.
+ * Without "target" and "is_try", a target went on answering a prompt with these parts;
+ * "is_lasting" is set if it is known to have survived them. */
 struct EndNews {
   1: required i64 fingerprint, 2: required i32 age_ms, 3: optional i32 target,
   4: optional bool is_try, 5: optional bool was_answered,
-  6: optional list<i64> parts
+  6: optional list<i64> parts, 7: optional bool is_late, 8: optional bool is_lasting
 }
 
 /* "ends" are forwarded by relays; "held" are the ends because of which the sender holds
--- a/src/primrosescale/connection/wire/ttypes.py
+++ b/src/primrosescale/connection/wire/ttypes.py
@@ -4237,6 +4237,8 @@
      - is_try
      - was_answered
      - parts
+     - is_late
+     - is_lasting
 
     """
 
@@ -4247,16 +4249,20 @@
         'is_try',
         'was_answered',
         'parts',
+        'is_late',
+        'is_lasting',
     )
 
 
-    def __init__(self, fingerprint=None, age_ms=None, target=None, is_try=None, was_answered=None, parts=None,):
+    def __init__(self, fingerprint=None, age_ms=None, target=None, is_try=None, was_answered=None, parts=None, is_late=None, is_lasting=None,):
         self.fingerprint = fingerprint
         self.age_ms = age_ms
         self.target = target
         self.is_try = is_try
         self.was_answered = was_answered
         self.parts = parts
+        self.is_late = is_late
+        self.is_lasting = is_lasting
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4302,6 +4308,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.is_late = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.is_lasting = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4339,6 +4355,14 @@
                 oprot.writeI64(iter146)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.is_late is not None:
+            oprot.writeFieldBegin('is_late', TType.BOOL, 7)
+            oprot.writeBool(self.is_late)
+            oprot.writeFieldEnd()
+        if self.is_lasting is not None:
+            oprot.writeFieldBegin('is_lasting', TType.BOOL, 8)
+            oprot.writeBool(self.is_lasting)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6835,6 +6859,8 @@
     (4, TType.BOOL, 'is_try', None, None, ),  # 4
     (5, TType.BOOL, 'was_answered', None, None, ),  # 5
     (6, TType.LIST, 'parts', (TType.I64, None, False), None, ),  # 6
+    (7, TType.BOOL, 'is_late', None, None, ),  # 7
+    (8, TType.BOOL, 'is_lasting', None, None, ),  # 8
 )
 all_structs.append(RouterNews)
 RouterNews.thrift_spec = (
--- a/src/primrosescale/process/entry/entry_harm_monitor.py
+++ b/src/primrosescale/process/entry/entry_harm_monitor.py
@@ -9,6 +9,10 @@
   every start of a target has its own id.
 - An answer by another target at the same address shows that the target has ended.
 - Otherwise, the list of targets shows it some seconds later.
+
+A target may also end some time after it began to answer a prompt, without a loss of
+that answer. Such an end counts against parts of the prompt that no target is known to
+have survived.
 """
 
 from __future__ import annotations
@@ -16,6 +20,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from primrosescale.process.entry.late_end_monitor import LateEndMonitor
 from primrosescale.process.entry.target_keys import target_key
 from primrosescale.process.events import Event
 from primrosescale.request.answer.lost_answers import MAX_BUFFERED_SECONDS
@@ -23,6 +28,7 @@
 from primrosescale.request.answer.unconfirmed_answers import UnconfirmedAnswer
 from primrosescale.request.answer.unconfirmed_answers import UnconfirmedAnswers
 from primrosescale.request.attempt.forwarding_interfaces import ProbeResult
+from primrosescale.request.harm.answer_beginning import LASTING_SECONDS
 from primrosescale.request.harm.answer_beginning import may_have_ended_target
 from primrosescale.request.harm.harm_monitor import HarmMonitor
 from primrosescale.request.harm.harm_reports import CompleteAnswer
@@ -39,6 +45,7 @@
     from primrosescale.process.entry.harm_report_exchange import HarmReportExchange
     from primrosescale.process.entry.target_list import TargetList
     from primrosescale.request.attempt.forwarding_interfaces import TargetClient
+    from primrosescale.request.attempt.target_attempt import TargetAttempt
     from primrosescale.request.harm.harmful_requests import HarmfulRequests
     from primrosescale.request.incoming_request import IncomingRequest
     from primrosescale.request.target.target_incarnation import TargetIncarnation
@@ -76,6 +83,8 @@
         Collaborators of the router.
     send_soon : Callable[[], None]
         Requests an update to peer routers before the next regular round.
+    is_list_old : Callable[[], bool]
+        Returns whether the list of targets may lack the latest ends.
     """
 
     def __init__(
@@ -86,6 +95,7 @@
         target_client: TargetClient,
         parts: EntryDependencies,
         send_soon: Callable[[], None],
+        is_list_old: Callable[[], bool] = lambda: False,
     ) -> None:
         self._requests = requests
         self._parts = requests.parts
@@ -100,6 +110,15 @@
         self._lost_answers = LostAnswers()
         self._unconfirmed_answers = UnconfirmedAnswers()
         self._confirmation_timer: Timer | None = None
+        self._late_ends = LateEndMonitor(
+            requests,
+            targets,
+            target_client,
+            parts,
+            self._clear_survived,
+            self._record_ends,
+            is_list_old,
+        )
         # Targets that are being probed by opening a connection, by `target_key`.
         self._pending_probes: set[int] = set()
         # When this router detected the end of targets, in seconds, by `target_key`.
@@ -115,8 +134,11 @@
             seconds = max(seconds, held_for)
         return seconds
 
-    def sent(self, request: IncomingRequest, now: float) -> None:
+    def sent(
+        self, request: IncomingRequest, attempt: TargetAttempt, now: float
+    ) -> None:
         """Keep peer routers from trying a suspect too; see `HarmMonitor.sent`."""
+        self._late_ends.sent(request, attempt)
         suspects: tuple[int, ...] = ()
         if self._parts.may_hold:
             suspects = self._parts.suspects(request.part_fingerprints, now)
@@ -153,7 +175,9 @@
         self, request: IncomingRequest, answer_began_at: float, now: float
     ) -> None:
         """Clear the parts of its prompt; see `HarmMonitor.answer_continues`."""
-        self._clear_parts(request.part_fingerprints, answer_began_at, now)
+        is_lasting = now - answer_began_at >= LASTING_SECONDS
+        parts = request.part_fingerprints
+        self._clear_parts(parts, answer_began_at, now, is_lasting=is_lasting)
 
     def answered(
         self,
@@ -224,20 +248,11 @@
         lost_at = min((loss.at for loss in lost.values()), default=None)
         answered = self._answered_before_end(key, lost_at, now)
         ends += [end for end in answered if end.fingerprint not in lost]
-        if not ends:
-            return
-        self._metrics.target_ended()
-        self._log.emit(
-            Event.TARGET_ENDED,
-            target=target.name,
-            on_board=len(ends),
-            against_parts=sum(bool(end.parts) for end in ends),
-            how=how,
-            ends_are_widespread=self._requests.ends_are_widespread(now),
-        )
-        self._forget_old(now)
-        self._ended_at[key] = now
-        self._note_ends(ends, now)
+        ends += self._late_ends.ended(target, lost_at, now)
+        if ends:
+            self._forget_old(now)
+            self._ended_at[key] = now
+            self._record_ends(target, ends, how, now)
 
     def _on_peer_end(self, end: TargetEnd, now: float) -> None:
         """Handle the report of a peer that a target ended while running a request.
@@ -245,7 +260,9 @@
         This router detects by itself that its own requests there were lost. Only for
         requests that were answered just before the end is the report needed.
         """
-        self._note_ends(self._answered_before_end(end.target, end.at, now), now)
+        ends = self._answered_before_end(end.target, end.at, now)
+        ends += self._late_ends.ended_at_peer(end.target, end.at, now)
+        self._note_ends(ends, now)
 
     def _answered_before_end(
         self, key: int, lost_at: float | None, now: float
@@ -315,21 +332,45 @@
             CompleteAnswer(answer.fingerprint, answer.at), now
         ):
             self._send_soon()
-        self._clear_parts(answer.parts, answer.at, now)
+        self._clear_parts(answer.parts, answer.at, now, is_lasting=False)
 
-    def _clear_parts(self, parts: tuple[int, ...], at: float, now: float) -> None:
+    def _clear_survived(self, parts: tuple[int, ...], at: float, now: float) -> None:
+        self._clear_parts(parts, at, now, is_lasting=True)
+
+    def _clear_parts(
+        self, parts: tuple[int, ...], at: float, now: float, *, is_lasting: bool
+    ) -> None:
         for first in range(0, len(parts), MAX_REPORTED_PARTS):
             few = parts[first : first + MAX_REPORTED_PARTS]
-            if self._report_exchange.record(PartsAnswered(few, at), now):
+            answered = PartsAnswered(few, at, is_lasting)
+            if self._report_exchange.record(answered, now):
                 self._send_soon()
 
     def _note_ends(self, ends: list[TargetEnd], now: float) -> None:
         for end in ends:
-            self._requests.count_end(now)
+            if not end.is_late:
+                self._requests.count_end(now)
             self._report_exchange.record(end, now)
         if ends:
             self._send_soon()
 
+    def _record_ends(
+        self, target: TargetIncarnation, ends: list[TargetEnd], how: str, now: float
+    ) -> None:
+        if not ends:
+            return
+        self._metrics.target_ended()
+        self._log.emit(
+            Event.TARGET_ENDED,
+            target=target.name,
+            on_board=len(ends),
+            against_parts=sum(bool(end.parts) for end in ends),
+            late=sum(end.is_late for end in ends),
+            how=how,
+            ends_are_widespread=self._requests.ends_are_widespread(now),
+        )
+        self._note_ends(ends, now)
+
     def _forget_old(self, now: float) -> None:
         oldest = now - END_REVOCABLE_SECONDS
         self._ended_at = {key: at for key, at in self._ended_at.items() if at >= oldest}
--- a/src/primrosescale/process/entry/entry_router.py
+++ b/src/primrosescale/process/entry/entry_router.py
@@ -260,6 +260,7 @@
             self._target_client,
             parts,
             self._exchange_protocol.send_soon,
+            self._is_store_lost,
         )
         self._retry_budgets = SharedRetryBudgets(
             settings.repeats, is_first_start=settings.is_first_start
--- a/src/primrosescale/process/entry/harm_report_exchange.py
+++ b/src/primrosescale/process/entry/harm_report_exchange.py
@@ -247,9 +247,16 @@
                 # The target was only cut off from the reporting router and has not
                 # ended.
                 continue
-            was_answered = bool(report.was_answered)
-            end = TargetEnd(report.fingerprint, report.target, at, was_answered, parts)
-            if self._apply(end, message.origin, now):
+            end = TargetEnd(
+                report.fingerprint,
+                report.target,
+                at,
+                bool(report.was_answered),
+                parts,
+                bool(report.is_late),
+            )
+            # A late end that is void here is new to whoever reported it.
+            if self._apply(end, message.origin, now) or end.is_late:
                 self._queue_known_answer(end)
                 self.on_end(end, now)
 
@@ -269,10 +276,11 @@
         if isinstance(item, PartsAnswered):
             self._known_answers.answered(item)
             return self._apply_to_parts(item, told_by, now)
-        if isinstance(item, TargetEnd):
-            is_new = self._requests.record_end(item)
-        else:
+        is_new = False
+        if isinstance(item, CompleteAnswer):
             is_new = self._requests.record_answer(item)
+        elif not item.is_late:
+            is_new = self._requests.record_end(item)
         if is_new:
             self._log_hold_change(item.fingerprint, told_by, now)
         if isinstance(item, TargetEnd) and item.parts:
@@ -352,11 +360,13 @@
             item.target,
             was_answered=item.was_answered or None,
             parts=parts or None,
+            is_late=item.is_late or None,
         )
     if isinstance(item, SuspectTrial):
         return wire.EndNews(item.fingerprint, age, is_try=True, parts=parts or None)
     # Relays recognise the same report by this number.
-    return wire.EndNews(reduce(xor, parts), age, parts=parts)
+    is_lasting = item.is_lasting or None
+    return wire.EndNews(reduce(xor, parts), age, parts=parts, is_lasting=is_lasting)
 
 
 def _report_without_end(
@@ -365,7 +375,7 @@
     if report.is_try:
         return SuspectTrial(report.fingerprint, at, parts)
     if parts:
-        return PartsAnswered(parts, at)
+        return PartsAnswered(parts, at, bool(report.is_lasting))
     return CompleteAnswer(report.fingerprint, at)
 
 
--- a/src/primrosescale/process/entry/harm_section.py
+++ b/src/primrosescale/process/entry/harm_section.py
@@ -96,13 +96,18 @@
         "age_ms": round(max(0.0, now - end.at) * MILLISECONDS_PER_SECOND),
         "was_answered": end.was_answered,
         "parts": [str(part) for part in end.parts],
+        "is_late": end.is_late,
     }
 
 
 def _end(fields: dict[str, Any], written_at: float) -> TargetEnd:
     parts, was_answered = fields["parts"], fields["was_answered"]
-    if not isinstance(parts, list) or not isinstance(was_answered, bool):
-        raise TypeError("parts are no list, or was_answered is no truth value")
+    # Routers of an older release do not write it.
+    is_late = fields.get("is_late", False)
+    if not isinstance(parts, list):
+        raise TypeError("parts are no list")
+    if not isinstance(was_answered, bool) or not isinstance(is_late, bool):
+        raise TypeError("was_answered or is_late is no truth value")
     age_ms = checked_integer(fields["age_ms"], 0, MAX_SAFE_INTEGER)
     return TargetEnd(
         _identifier(fields["fingerprint"], MAX_INT64),
@@ -110,6 +115,7 @@
         written_at - age_ms / MILLISECONDS_PER_SECOND,
         was_answered,
         tuple(_identifier(part, MAX_INT64) for part in parts[:MAX_REPORTED_PARTS]),
+        is_late,
     )
 
 
--- a/src/primrosescale/process/entry/state_relay.py
+++ b/src/primrosescale/process/entry/state_relay.py
@@ -146,7 +146,7 @@
         return [self._queued.popleft() for _ in range(count)]
 
 
-_DeduplicationKey = tuple[int, int | None, bool | None, int]
+_DeduplicationKey = tuple[int, int | None, bool | None, bool | None, int]
 
 
 def _deduplication_key(end: wire.EndNews, now: float) -> _DeduplicationKey:
@@ -157,7 +157,7 @@
     """
     is_answer = end.target is None and not end.is_try and bool(end.parts)
     second = int(now - end.age_ms / MILLISECONDS_PER_SECOND) if is_answer else 0
-    return end.fingerprint, end.target, end.is_try, second
+    return end.fingerprint, end.target, end.is_try, end.is_lasting, second
 
 
 class _ForwardedEnds:
--- a/src/primrosescale/request/attempt/forwarded_call.py
+++ b/src/primrosescale/request/attempt/forwarded_call.py
@@ -227,7 +227,7 @@
         """Record that the target may run it; see `AttemptListener.attempt_sent`."""
         now = self._now()
         self._candidates.tried.sent(attempt.incarnation)
-        self._tools.harm.sent(self._request, now)
+        self._tools.harm.sent(self._request, attempt, now)
         prompt = self._request.prompt
         if prompt is not None:
             is_new = self._tools.parts.record_own_request(
--- a/src/primrosescale/request/attempt/target_attempt.py
+++ b/src/primrosescale/request/attempt/target_attempt.py
@@ -227,6 +227,7 @@
         "_buffered",
         "_buffered_bytes",
         "_in_flight",
+        "_is_complete",
         "_is_over",
         "_is_paused",
         "_listener",
@@ -236,6 +237,7 @@
         "_splitter",
         "_state",
         "_was_sent",
+        "_without_answer",
         "head",
     )
 
@@ -257,6 +259,8 @@
         self._was_sent = False
         self._is_paused = False
         self._is_over = False
+        self._is_complete = False
+        self._without_answer = False
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
         self._splitter = EventSplitter()
@@ -298,11 +302,31 @@
         """Return when the body of the answer began, in seconds; None if it has not."""
         return self._beginning.at
 
+    @property
+    def last_received_at(self) -> float | None:
+        """Return when bytes of the body were last received, in seconds."""
+        return self._beginning.last_at
+
     @property
     def began_at(self) -> float:
         """Return when it began, in seconds."""
         return self._record.began_at
 
+    @property
+    def ended_at(self) -> float | None:
+        """Return when it ended, in seconds; None while it runs."""
+        return self._record.ended_at
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether it has ended with a complete answer."""
+        return self._is_complete
+
+    @property
+    def is_without_answer(self) -> bool:
+        """Return whether the target declined the request or answered with an error."""
+        return self._without_answer
+
     @property
     def traceparent(self) -> str:
         """Return the trace context for the target; empty for none."""
@@ -364,6 +388,7 @@
         if self._is_over:
             return
         self._is_over = True
+        self._is_complete = is_complete
         self._record.outcome = outcome
         self._record.ended_at = now
         self._span.end(target=self.name, outcome=outcome)
@@ -396,6 +421,7 @@
         if self._is_over or not self._is_paused:
             return
         self._is_paused = False
+        self._beginning.resumed(now)
         self._state.resume_reading(now)
         if self._in_flight is not None:
             self._in_flight.resume()
@@ -411,7 +437,7 @@
         Returns
         -------
         bool
-            Whether a success has outlived its beginning; True once.
+            Whether a success has outlived one more stage of its beginning.
         """
         self._state.bytes_received(now)
         prefill, self._prefill = self._prefill, None
@@ -478,6 +504,8 @@
             # Whatever it states, the request may be running.
             self._listener.attempt_cut(self, OTHER_ANSWER)
             return
+        is_error = head.status >= MIN_ERROR_STATUS
+        self._without_answer = is_error or head.is_not_run
         self._record.said_leaving = head.is_leaving
         self._record.asked_rest = head.rest
         self._record.is_rest_odd = head.is_rest_odd
--- a/src/primrosescale/request/harm/answer_beginning.py
+++ b/src/primrosescale/request/harm/answer_beginning.py
@@ -1,29 +1,42 @@
 """Tells whether an answer has outlived its beginning.
 
-A target that ends under a part of a prompt does so as it begins to write the answer.
-Once it has gone on for a while, other causes are to blame for its end.
+A target that ends under a part of a prompt does so soon after it began to write the
+answer. Once it has gone on for a while, other causes are to blame for its end.
 """
 
 from __future__ import annotations
 
 # A target that is several times slower than usual ends within this time as well.
 BEGINNING_SECONDS = 1.0
+# Time in which a target may end under a part that no target is known to have survived:
+# it may write some events, or the whole of a short answer, before it fails.
+LASTING_SECONDS = 3.0
+STAGES = (BEGINNING_SECONDS, LASTING_SECONDS)
 
 
 class AnswerBeginning:
     """The beginning of one answer."""
 
-    __slots__ = ("_at", "_is_over")
+    __slots__ = ("_at", "_last_at", "_stages_over")
 
     def __init__(self) -> None:
         self._at: float | None = None
-        self._is_over = False
+        self._last_at: float | None = None
+        self._stages_over = 0
 
     @property
     def at(self) -> float | None:
-        """Return when the body began, in seconds; None if it has not."""
+        """Return when the body began, in seconds; None if it has not.
+
+        The time for which nothing was read does not count as part of the answer.
+        """
         return self._at
 
+    @property
+    def last_at(self) -> float | None:
+        """Return when bytes of the body were last received, in seconds."""
+        return self._last_at
+
     def received(self, now: float) -> bool:
         """Record that bytes of the body were received.
 
@@ -35,15 +48,32 @@
         Returns
         -------
         bool
-            Whether the beginning is over; True once.
+            Whether it has outlived one more of the `STAGES`; True once for each.
         """
+        self._last_at = now
         if self._at is None:
             self._at = now
             return False
-        if self._is_over or now - self._at < BEGINNING_SECONDS:
-            return False
-        self._is_over = True
-        return True
+        over = self._stages_over
+        while over < len(STAGES) and now - self._at >= STAGES[over]:
+            over += 1
+        is_new = over > self._stages_over
+        self._stages_over = over
+        return is_new
+
+    def resumed(self, now: float) -> None:
+        """Record that the answer is read again after a pause.
+
+        What is read next may have been sent when the pause began.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        """
+        if self._at is not None and self._last_at is not None:
+            self._at += now - self._last_at
+            self._last_at = now
 
 
 def may_have_ended_target(answer_began_at: float | None, lost_at: float) -> bool:
--- a/src/primrosescale/request/harm/harm_monitor.py
+++ b/src/primrosescale/request/harm/harm_monitor.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from primrosescale.request.attempt.target_attempt import TargetAttempt
     from primrosescale.request.incoming_request import IncomingRequest
     from primrosescale.request.target.target_state import TargetState
 
@@ -36,13 +37,17 @@
         """
 
     @abstractmethod
-    def sent(self, request: IncomingRequest, now: float) -> None:
+    def sent(
+        self, request: IncomingRequest, attempt: TargetAttempt, now: float
+    ) -> None:
         """Handle that a request is sent to a target.
 
         Parameters
         ----------
         request : IncomingRequest
             The request.
+        attempt : TargetAttempt
+            The attempt that sends it.
         now : float
             Current time in seconds.
         """
@@ -73,7 +78,7 @@
     def answer_continues(
         self, request: IncomingRequest, answer_began_at: float, now: float
     ) -> None:
-        """Handle that a target still writes an answer some time after its beginning.
+        """Handle that a target still writes an answer after a stage of its beginning.
 
         Parameters
         ----------
@@ -157,7 +162,9 @@
         """Return 0; see `HarmMonitor.held_for`."""
         return 0.0
 
-    def sent(self, request: IncomingRequest, now: float) -> None:
+    def sent(
+        self, request: IncomingRequest, attempt: TargetAttempt, now: float
+    ) -> None:
         """Do nothing; see `HarmMonitor.sent`."""
 
     def answer_lost(
--- a/src/primrosescale/request/harm/harm_reports.py
+++ b/src/primrosescale/request/harm/harm_reports.py
@@ -21,6 +21,9 @@
         Whether the target had completely answered the request just before.
     parts : tuple[int, ...]
         Fingerprints of parts of its prompt, if the answer had not begun long before.
+    is_late : bool
+        Whether it counts only against parts of the prompt that no target is known to
+        have survived, and not against the content.
     """
 
     fingerprint: int
@@ -28,6 +31,7 @@
     at: float
     was_answered: bool = False
     parts: tuple[int, ...] = ()
+    is_late: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,10 +60,14 @@
         Fingerprints of the parts of the prompt.
     at : float
         When, in seconds.
+    is_lasting : bool
+        Whether the target is known to have survived the parts. Otherwise it may still
+        end under them.
     """
 
     parts: tuple[int, ...]
     at: float
+    is_lasting: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/primrosescale/request/harm/harmful_parts.py
+++ b/src/primrosescale/request/harm/harmful_parts.py
@@ -61,18 +61,35 @@
         When a part is held back.
     ends_are_widespread : Callable[[float], bool]
         Returns whether targets end so often at a time that chance may explain ends.
+    answer_valid_seconds : float
+        Time after an answer to a part in which ends under it do not count.
+    tries_some_alone : bool
+        Whether a request with some of several parts that cannot be told apart is tried
+        alone; otherwise it is sent like any other.
     """
 
-    __slots__ = ("_common", "_ends_are_widespread", "_own", "_settings")
+    __slots__ = (
+        "_common",
+        "_ends_are_widespread",
+        "_own",
+        "_settings",
+        "_tries_some_alone",
+    )
 
     def __init__(
-        self, settings: HarmSettings, ends_are_widespread: Callable[[float], bool]
+        self,
+        settings: HarmSettings,
+        ends_are_widespread: Callable[[float], bool],
+        answer_valid_seconds: float,
+        *,
+        tries_some_alone: bool,
     ) -> None:
         self._settings = settings
+        self._tries_some_alone = tries_some_alone
         self._ends_are_widespread = ends_are_widespread
         # By part of one organisation, and by part of any.
-        self._own = PartTable(settings)
-        self._common = PartTable(settings)
+        self._own = PartTable(settings, answer_valid_seconds)
+        self._common = PartTable(settings, answer_valid_seconds)
 
     def __len__(self) -> int:
         """Return for how many parts ends are remembered."""
@@ -182,7 +199,14 @@
         tuple[int, ...]
             Those with the required number of ends, which no others explain.
         """
-        return tuple(part for part in parts if any(self._suspected(part, now)))
+        return tuple(
+            part
+            for part in parts
+            if any(
+                self._tries_some_alone or self._has_all_tied(table, key, parts)
+                for table, key, _ in self._suspected(part, now)
+            )
+        )
 
     def held_for(self, parts: tuple[int, ...], now: float) -> float:
         """Return for how long a request with a prompt is held back.
@@ -202,11 +226,10 @@
         until = 0.0
         for part in parts:
             for table, key, evidence in self._suspected(part, now):
-                until = max(until, evidence.trial_at + PART_TRIAL_SECONDS)
-                prompt = parts
-                if table is self._common:
-                    prompt = tuple(common_half(each) for each in parts)
-                if table.tied_with(key).issubset(prompt):
+                has_all = self._has_all_tied(table, key, parts)
+                if has_all or self._tries_some_alone:
+                    until = max(until, evidence.trial_at + PART_TRIAL_SECONDS)
+                if has_all:
                     until = max(until, self._held_until(evidence))
         return max(0.0, until - now)
 
@@ -356,6 +379,13 @@
         if self._suffices(self._common, half, common, now):
             yield self._common, half, common
 
+    def _has_all_tied(self, table: PartTable, key: int, parts: tuple[int, ...]) -> bool:
+        """Return whether a prompt has all parts that can't be told apart from one."""
+        prompt = parts
+        if table is self._common:
+            prompt = tuple(common_half(each) for each in parts)
+        return table.tied_with(key).issubset(prompt)
+
     def _suffices(
         self, table: PartTable, key: int, evidence: PartEvidence, now: float
     ) -> bool:
--- a/src/primrosescale/request/harm/harmful_requests.py
+++ b/src/primrosescale/request/harm/harmful_requests.py
@@ -22,7 +22,7 @@
 from primrosescale.request.harm.harm_reports import CompleteAnswer
 from primrosescale.request.harm.harm_reports import SuspectTrial
 from primrosescale.request.harm.harm_reports import TargetEnd
-from primrosescale.request.harm.harmful_parts import HarmfulParts
+from primrosescale.request.harm.suspect_parts import SuspectParts
 from primrosescale.request.target.decaying_outcomes import DecayingOutcomes
 
 if TYPE_CHECKING:
@@ -114,7 +114,7 @@
         self._outcomes = DecayingOutcomes(CHANCE_HALF_LIFE_SECONDS, 0.0)
         # Requests with the required number of ends, explained or not.
         self._with_enough_ends: set[int] = set()
-        self._parts = HarmfulParts(settings, self.ends_are_widespread)
+        self._parts = SuspectParts(settings, self.ends_are_widespread)
 
     def __len__(self) -> int:
         """Return for how many requests ends are remembered."""
@@ -126,7 +126,7 @@
         return bool(self._with_enough_ends)
 
     @property
-    def parts(self) -> HarmfulParts:
+    def parts(self) -> SuspectParts:
         """Return the detection of harmful prompt parts."""
         return self._parts
 
--- a/src/primrosescale/request/harm/part_evidence.py
+++ b/src/primrosescale/request/harm/part_evidence.py
@@ -78,9 +78,12 @@
     ----------
     settings : HarmSettings
         How many parts are remembered, and how many ends make one suspect.
+    answer_valid_seconds : float
+        Time after an answer to a part in which ends under it do not count.
     """
 
     __slots__ = (
+        "_answer_valid_seconds",
         "_answered",
         "_evidence",
         "_on_board",
@@ -88,8 +91,9 @@
         "_with_enough_ends",
     )
 
-    def __init__(self, settings: HarmSettings) -> None:
+    def __init__(self, settings: HarmSettings, answer_valid_seconds: float) -> None:
         self._settings = settings
+        self._answer_valid_seconds = answer_valid_seconds
         # The one whose last new end was recorded longest ago comes first.
         self._evidence: OrderedDict[int, PartEvidence] = OrderedDict()
         # When requests with a part were last answered, the oldest first.
@@ -186,10 +190,12 @@
         Returns
         -------
         bool
-            True up to `ANSWER_VALID_SECONDS` after the last answer.
+            True up to some time after the last answer.
         """
         answered_at = self._answered.get(part)
-        return answered_at is not None and at <= answered_at + ANSWER_VALID_SECONDS
+        return (
+            answered_at is not None and at <= answered_at + self._answer_valid_seconds
+        )
 
     def record_end(self, part: int, target: int, end: PartEnd) -> bool:
         """Record that a target ended under a request with a part.
@@ -252,7 +258,7 @@
         void = [
             target
             for target, end in evidence.ends.items()
-            if end.at <= at + ANSWER_VALID_SECONDS
+            if end.at <= at + self._answer_valid_seconds
         ]
         for target in void:
             self._drop_end(part, evidence, target)
--- a/tests/entry/test_entry_harm_monitor.py
+++ b/tests/entry/test_entry_harm_monitor.py
@@ -417,7 +417,7 @@
     def held_for(self, request, now):
         return 120.0 if self.is_holding else 0.0
 
-    def sent(self, request, now):
+    def sent(self, request, attempt, now):
         self.out.append(request.request_id)
 
     def answer_lost(self, request, state, now, answer_began_at=None):
--- a/tests/entry/test_part_reports.py
+++ b/tests/entry/test_part_reports.py
@@ -32,6 +32,7 @@
 from primrosescale.process.entry.harm_report_exchange import HarmReportExchange
 from primrosescale.process.entry.known_answers import MAX_KNOWN_ANSWERS
 from primrosescale.process.entry.known_answers import KnownAnswers
+from primrosescale.process.entry.late_end_monitor import EXPOSURE_CHECK_SECONDS
 from primrosescale.process.entry.state_relay import _deduplication_key
 from primrosescale.process.entry.target_keys import target_key
 from primrosescale.process.entry.target_list import TargetList
@@ -39,6 +40,7 @@
 from primrosescale.request.answer.unconfirmed_answers import CONFIRMATION_SECONDS
 from primrosescale.request.attempt.forwarding_interfaces import ProbeResult
 from primrosescale.request.harm.answer_beginning import BEGINNING_SECONDS
+from primrosescale.request.harm.answer_beginning import LASTING_SECONDS
 from primrosescale.request.harm.harm_reports import PartsAnswered
 from primrosescale.request.harm.harm_reports import SuspectTrial
 from primrosescale.request.harm.harm_reports import TargetEnd
@@ -51,6 +53,30 @@
 TARGETS = tuple(f"t{number}" for number in range(1, 12))
 
 
+class FakeAttempt:
+    """An attempt at a target, as the monitor sees it."""
+
+    def __init__(self, state):
+        self.state = state
+        self.incarnation = state.incarnation
+        self.answer_began_at = self.last_received_at = self.ended_at = None
+        self.is_complete = self.is_without_answer = False
+
+    def receive(self, now):
+        """Receive bytes of the answer."""
+        if self.answer_began_at is None:
+            self.answer_began_at = now
+        self.last_received_at = now
+        self.state.bytes_received(now)
+
+    def complete(self, now, *, is_success=True):
+        """Receive the whole answer."""
+        self.receive(now)
+        self.ended_at = now
+        self.is_complete = True
+        self.is_without_answer = not is_success
+
+
 class ReportsOfCallsTest(TestCase):
     """What a forwarded call reports about the beginning of its answers."""
 
@@ -124,7 +150,9 @@
             self.caller,
             SimpleNamespace(reactor=self.clock, log=self.log, metrics=EntryMetrics()),
             self._send_soon,
+            lambda: self.is_list_old,
         )
+        self.is_list_old = False
         self.asked = 0
 
     def _send_soon(self):
@@ -136,6 +164,15 @@
         named = [(name, 100) for name in (*names, f"own-{self.asked}")]
         return request(STREAM, body=b"%d" % self.asked, prompt=prompt(*named), **fields)
 
+    def part(self, name):
+        return self.request(name).part_fingerprints[0]
+
+    def expose(self, name, *names):
+        """Send a prompt with some parts to a target; return the attempt."""
+        attempt = FakeAttempt(self.targets.state(name))
+        self.watch.sent(self.request(*names), attempt, self.clock.seconds())
+        return attempt
+
     def end(self, name, incoming, began_before=None):
         """End a target under a request, some seconds after its answer began."""
         now = self.clock.seconds()
@@ -225,6 +262,159 @@
                 self.watch.target_ended(state.incarnation, "entry gone", now + 0.1)
             self.assertEqual(began_before == 0.1, bool(self.held_for("bad")))
 
+    def end_late(self, count, *names, after, is_complete=True):
+        """End targets some seconds after they began to answer."""
+        for name in TARGETS[:count]:
+            attempt = self.expose(name, *names)
+            if is_complete:
+                attempt.complete(self.clock.seconds())
+            else:
+                attempt.ended_at = self.clock.seconds()
+            self.clock.advance(after)
+            self.watch.target_ended(
+                attempt.incarnation, "refused", self.clock.seconds()
+            )
+
+    # Each answer was whole, and its target ended only then.
+    def test_ends_some_time_after_a_whole_answer_count(self):
+        self.end_late(ENDS - 1, "bad", after=1.0)
+        self.assertEqual(0, self.held_for("bad"))
+        self.end_late(ENDS, "bad", after=1.0)
+        self.assertLess(0, self.held_for("bad"))
+        self.assertEqual(0, self.held_for("a"))
+        self.assertEqual({1}, {d["late"] for d in self.log.of(Event.TARGET_ENDED)})
+
+    def test_they_do_not_count_against_the_request(self):
+        incoming = self.request("bad")
+        for name in TARGETS[: 2 * ENDS]:
+            attempt = FakeAttempt(self.targets.state(name))
+            self.watch.sent(incoming, attempt, self.clock.seconds())
+            attempt.complete(self.clock.seconds())
+            self.watch.target_ended(
+                attempt.incarnation, "refused", self.clock.seconds()
+            )
+        self.assertEqual(0, self.requests.ends_under(incoming.fingerprint))
+        # All are of one content, so that they do not count against its parts either.
+        self.assertEqual(0, self.held_for("bad"))
+
+    def test_ends_after_a_caller_has_left_count(self):
+        self.end_late(ENDS, "bad", after=1.5, is_complete=False)
+        self.assertLess(0, self.held_for("bad"))
+
+    def test_ends_long_after_the_answer_do_not_count(self):
+        for name in TARGETS[: ENDS + 1]:
+            attempt = self.expose(name, "a")
+            attempt.complete(self.clock.seconds())
+            self.clock.advance(LASTING_SECONDS)
+            # Something else is received from the target.
+            attempt.state.bytes_received(self.clock.seconds())
+            self.watch.target_ended(
+                attempt.incarnation, "refused", self.clock.seconds()
+            )
+        self.assertEqual(0, self.held_for("a"))
+
+    def test_declined_requests_do_not_count(self):
+        for name in TARGETS[: ENDS + 1]:
+            attempt = self.expose(name, "a")
+            attempt.is_without_answer = True
+            self.watch.target_ended(
+                attempt.incarnation, "refused", self.clock.seconds()
+            )
+        self.assertEqual(0, self.held_for("a"))
+
+    # A bad release ends targets soon after they have answered.
+    def test_ends_after_whole_answers_do_not_count_against_a_proven_part(self):
+        now = self.clock.seconds()
+        self.watch.answer_continues(self.request("a"), now - 20, now - 10)
+        self.end_late(len(TARGETS), "a", after=0.8)
+        self.assertEqual(0, self.held_for("a"))
+
+    def test_they_do_not_count_while_targets_end_often(self):
+        for _ in range(40):
+            self.requests.count_end(self.clock.seconds())
+        self.end_late(ENDS + 1, "a", after=0.8)
+        self.assertEqual(0, self.held_for("a"))
+
+    def test_the_end_of_a_leaving_target_does_not_count(self):
+        for name in TARGETS[: ENDS + 1]:
+            self.targets.put(replace(target(name), is_draining=True), START)
+        self.end_late(ENDS + 1, "a", after=0.8)
+        self.assertEqual(0, self.held_for("a"))
+
+    # Nothing is lost at a target that falls silent.
+    def test_silent_targets_count_once_their_entries_are_gone(self):
+        for name in TARGETS[:ENDS]:
+            self.expose(name, "bad")
+        self.clock.advance(3)
+        self.assertEqual(0, self.held_for("bad"))
+        for name in TARGETS[:ENDS]:
+            self.targets.remove(name, self.clock.seconds())
+        self.clock.advance(EXPOSURE_CHECK_SECONDS)
+        self.assertLess(0, self.held_for("bad"))
+
+    def test_silent_targets_do_not_count_while_entries_may_have_lapsed(self):
+        self.is_list_old = True
+        for name in TARGETS[:ENDS]:
+            self.expose(name, "a")
+        self.clock.advance(3)
+        for name in TARGETS[:ENDS]:
+            self.targets.remove(name, self.clock.seconds())
+        self.is_list_old = False
+        self.clock.advance(2)
+        self.assertEqual(0, self.held_for("a"))
+
+    def test_a_target_without_an_entry_that_accepts_connections_is_not_silent(self):
+        for name in TARGETS[:ENDS]:
+            self.expose(name, "a").complete(self.clock.seconds())
+        self.clock.advance(1)
+        for name in TARGETS[:ENDS]:
+            self.targets.remove(name, self.clock.seconds())
+        self.clock.advance(EXPOSURE_CHECK_SECONDS)
+        for _, on_check in self.caller.checks:
+            on_check(ProbeResult.CONNECTED)
+        self.assertEqual(0, self.held_for("a"))
+
+    def test_prompts_are_forgotten_once_an_end_would_be_known(self):
+        answered = self.expose("t1", "a")
+        answered.complete(self.clock.seconds())
+        self.expose("t2", "a").ended_at = self.clock.seconds()
+        declined = self.expose("t3", "a")
+        declined.is_without_answer = True
+        declined.ended_at = self.clock.seconds()
+        for _ in range(60):
+            self.clock.advance(EXPOSURE_CHECK_SECONDS)
+        self.assertEqual([], self.clock.getDelayedCalls())
+        # No end was told, so that the target has survived the part.
+        self.assertEqual((), self.parts.unproven((self.part("a"),)))
+
+    def test_a_survival_is_not_concluded_from_an_old_list(self):
+        self.is_list_old = True
+        self.expose("t1", "a").complete(self.clock.seconds())
+        for _ in range(60):
+            self.clock.advance(EXPOSURE_CHECK_SECONDS)
+        self.assertEqual((self.part("a"),), self.parts.unproven((self.part("a"),)))
+
+    def test_a_lasting_answer_clears_them(self):
+        self.end_late(ENDS, "bad", after=1.0)
+        now = self.clock.seconds()
+        self.watch.answer_continues(self.request("bad"), now - 1.0, now)
+        self.assertLess(0, self.held_for("bad"))
+        self.watch.answer_continues(self.request("bad"), now - LASTING_SECONDS, now)
+        self.assertEqual(0, self.held_for("bad"))
+
+    def test_a_complete_answer_does_so_once_its_target_outlived_the_beginning(self):
+        for is_success in (False, True):
+            self.end_late(ENDS, "bad", after=1.0)
+            now = self.clock.seconds()
+            attempt = self.expose(TARGETS[-1], "bad")
+            attempt.complete(now, is_success=is_success)
+            attempt.state.bytes_received(now + LASTING_SECONDS - 0.1)
+            self.clock.advance(LASTING_SECONDS - 0.1)
+            self.assertLess(0, self.held_for("bad"))
+            attempt.state.bytes_received(now + LASTING_SECONDS)
+            self.clock.advance(0.1 + EXPOSURE_CHECK_SECONDS)
+            self.assertEqual(not is_success, bool(self.held_for("bad")))
+
     def test_a_target_that_still_runs_takes_its_ends_back(self):
         self.end_several(ENDS, "bad")
         self.assertLess(0, self.held_for("bad"))
@@ -276,7 +466,7 @@
         self.end_several(ENDS, "bad")
         self.clock.advance(HarmSettings().part_hold)
         self.assertEqual(0, self.held_for("bad"))
-        self.watch.sent(self.request("bad"), self.clock.seconds())
+        self.expose("t1", "bad")
         self.assertLess(0, self.held_for("bad"))
         self.assertEqual(0, self.held_for("a"))
 
@@ -394,6 +584,33 @@
         third.receive(wire.RouterNews(origin="b", ends=reply), {}, START)
         self.assertEqual([], third.reports_to_send(START))
 
+    def test_late_ends_reach_other_routers_as_such(self):
+        first, second, _ = self.routers
+        for end in self.ends(ENDS, 5):
+            first.record(replace(end, is_late=True), START)
+        self.pass_on(first, [second], START)
+        self.assertLess(0, self.held(second, START, 5))
+        self.assertEqual(0, second._requests.ends_under(0))
+
+    def test_a_router_whose_targets_survived_the_part_voids_late_ends(self):
+        first, second, third = self.routers
+        second.record(PartsAnswered((5,), START - 900, is_lasting=True), START)
+        for end in self.ends(ENDS, 5):
+            first.record(replace(end, is_late=True), START)
+        self.pass_on(first, [second, third], START)
+        self.pass_on(second, [first, third], START)
+        for exchange in self.routers:
+            self.assertEqual(0, self.held(exchange, START, 5))
+
+    # Routers of an older release do not say how long their targets lived.
+    def test_an_answer_of_an_older_release_voids_nothing_of_an_unproven_part(self):
+        first = self.routers[0]
+        for end in self.ends(ENDS, 5):
+            first.record(replace(end, is_late=True), START)
+        report = wire.EndNews(5, 0, parts=[5])
+        first.receive(wire.RouterNews(origin="a", ends=[report]), {}, START)
+        self.assertLess(0, self.held(first, START, 5))
+
     def test_relays_forward_an_answer_to_a_part_once_a_second(self):
         report = wire.EndNews(5, 0, parts=[5])
         keys = {_deduplication_key(report, START + n) for n in (0, 0.4, 1.0, 1.5)}
@@ -419,6 +636,20 @@
         self.assertEqual([PartsAnswered((5,), START)], self.known.take())
         self.assertEqual([], self.known.take())
 
+    def test_any_lasting_answer_is_a_reply_to_a_late_end(self):
+        end = TargetEnd(1, 7, START + 900, parts=(5, 6), is_late=True)
+        lasting = PartsAnswered((5,), START, is_lasting=True)
+        self.parts.record_answer(PartsAnswered((5,), START + 899))
+        self.known.ended(end)
+        self.assertEqual([], self.known.take())
+        self.parts.record_answer(lasting)
+        self.known.ended(end)
+        self.known.answered(PartsAnswered((5,), START + 899))
+        self.assertEqual([lasting], self.known.take())
+        self.known.ended(end)
+        self.known.answered(PartsAnswered((5,), START - 9, is_lasting=True))
+        self.assertEqual([], self.known.take())
+
     def test_an_older_answer_of_another_router_does_not_replace_it(self):
         self.parts.record_answer(PartsAnswered((5,), START))
         self.ended(START + ANSWER_VALID_SECONDS, 5)
--- a/tests/entry/test_ways_to_end.py
+++ b/tests/entry/test_ways_to_end.py
@@ -41,14 +41,17 @@
 
     # A silent target loses no answer that could count.
     def test_targets_that_fall_silent(self):
+        self.play_way(WayToEnd(is_silent=True), 130)
+
+    # The same once they have begun to answer, or have answered.
+    def test_targets_that_fall_silent_later(self):
         for seed, way in enumerate(
             (
-                WayToEnd(is_silent=True),
                 WayToEnd(1, after=(1.2, 1.3), is_silent=True),
                 WayToEnd(8, is_whole=True, after=(0.3, 0.4), is_silent=True),
             )
         ):
-            self.play_way(way, 130 + seed)
+            self.play_way(way, 131 + seed)
 
     # Callers that had left lost no answer that could count.
     def test_callers_that_leave_before_their_targets_end(self):
--- a/tests/request/test_harmful_parts.py
+++ b/tests/request/test_harmful_parts.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 
 from primrosescale.request.harm.answer_beginning import BEGINNING_SECONDS
+from primrosescale.request.harm.answer_beginning import LASTING_SECONDS
 from primrosescale.request.harm.answer_beginning import AnswerBeginning
 from primrosescale.request.harm.answer_beginning import may_have_ended_target
 from primrosescale.request.harm.harm_reports import PartsAnswered
@@ -14,10 +15,10 @@
 from primrosescale.request.harm.harmful_parts import MAX_REPORTED_PARTS
 from primrosescale.request.harm.harmful_parts import PART_HOLD_GROWTH_FACTOR
 from primrosescale.request.harm.harmful_parts import PART_TRIAL_SECONDS
-from primrosescale.request.harm.harmful_parts import HarmfulParts
 from primrosescale.request.harm.part_evidence import ANSWER_VALID_SECONDS
 from primrosescale.request.harm.part_evidence import MAX_PART_ENDS
 from primrosescale.request.harm.part_fingerprint import part_fingerprint
+from primrosescale.request.harm.suspect_parts import SuspectParts
 
 NOW = 1000.0
 ENDS = 4
@@ -39,14 +40,23 @@
     def setUp(self):
         super().setUp()
         self.is_widespread = False
-        self.parts = HarmfulParts(SETTINGS, lambda _: self.is_widespread)
+        self.parts = SuspectParts(SETTINGS, lambda _: self.is_widespread)
         self.targets = 0
         self.contents = 0
 
     def names(self, names, organisation="bakery"):
         return tuple(part(name, organisation) for name in names.split())
 
-    def end(self, names, at=NOW, target=None, organisation="bakery", content=None):
+    def end(
+        self,
+        names,
+        at=NOW,
+        target=None,
+        organisation="bakery",
+        content=None,
+        *,
+        is_late=False,
+    ):
         """End a new target under a new request whose prompt has some parts."""
         self.targets += 1
         self.contents += 1
@@ -55,11 +65,12 @@
             self.targets if target is None else target,
             at,
             parts=self.names(names, organisation),
+            is_late=is_late,
         )
         return self.parts.record_end(end)
 
-    def answer(self, names, at=NOW, organisation="bakery"):
-        answered = PartsAnswered(self.names(names, organisation), at)
+    def answer(self, names, at=NOW, organisation="bakery", *, is_lasting=False):
+        answered = PartsAnswered(self.names(names, organisation), at, is_lasting)
         return self.parts.record_answer(answered)
 
     def held_for(self, names, now=NOW, organisation="bakery"):
@@ -121,6 +132,66 @@
         self.assertEqual(0, self.held_for("a"))
         self.assertEqual(0, len(self.parts))
 
+    # A target that ends half a second after a whole answer voided the ends of all.
+    def test_an_answer_that_its_target_may_not_survive_voids_no_late_end(self):
+        for _ in range(ENDS):
+            self.end("bad", is_late=True)
+            self.assertFalse(self.answer("bad"))
+        self.assertEqual(HOLD, self.held_for("bad"))
+
+    def test_it_voids_early_ends(self):
+        for _ in range(ENDS + 1):
+            self.end("a")
+        self.assertTrue(self.answer("a"))
+        self.assertEqual(0, self.held_for("a"))
+
+    def test_early_and_late_ends_are_not_added(self):
+        for _ in range(ENDS - 1):
+            self.end("a")
+            self.end("a", is_late=True)
+        self.assertEqual(0, self.held_for("a"))
+
+    def test_late_ends_hold_back_a_part_that_no_target_has_survived(self):
+        for _ in range(ENDS):
+            self.assertTrue(self.end("bad", is_late=True))
+        self.assertEqual(HOLD, self.held_for("bad"))
+        ends = self.parts.sufficient_ends(part("bad"))
+        self.assertEqual([True] * ENDS, [end.is_late for end in ends])
+
+    # A bad release ends every target soon after it has answered harmless requests.
+    def test_late_ends_do_not_count_against_a_part_that_a_target_has_survived(self):
+        self.answer("a", NOW - 900, is_lasting=True)
+        for _ in range(4 * ENDS):
+            self.assertFalse(self.end("a", is_late=True))
+        self.assertEqual((), self.parts.unproven(self.names("a")))
+        self.assertEqual(self.names("b"), self.parts.unproven(self.names("a b")))
+
+    def test_a_lasting_answer_voids_all_late_ends(self):
+        for _ in range(ENDS):
+            self.end("a", NOW, is_late=True)
+        self.assertTrue(self.answer("a", NOW - 100, is_lasting=True))
+        self.assertEqual(0, self.held_for("a"))
+
+    # Harmless requests with the same other parts were refused until a target was known
+    # to have survived these.
+    def test_a_request_with_some_parts_of_late_ends_is_sent(self):
+        for _ in range(ENDS):
+            self.end("a bad", is_late=True)
+        self.assertEqual(HOLD, self.held_for("x a y bad"))
+        self.assertEqual((), self.parts.suspects(self.names("a x"), NOW))
+        self.assertEqual(
+            self.names("a bad"), self.parts.suspects(self.names("a bad"), NOW)
+        )
+        self.parts.record_trial(SuspectTrial(99, NOW, self.names("a bad")), NOW)
+        self.assertEqual(0, self.held_for("a x"))
+
+    def test_a_lasting_answer_to_another_organisation_does_not_release_its_own(self):
+        for _ in range(ENDS):
+            self.end("bad", is_late=True)
+        self.answer("bad", NOW - 100, organisation="port", is_lasting=True)
+        self.assertEqual(HOLD, self.held_for("bad"))
+        self.assertEqual(0, self.held_for("bad", organisation="port"))
+
     # All harmless requests of a route share the part before the harmful one.
     def test_a_part_of_answered_requests_is_not_held_with_the_harmful_one(self):
         for _ in range(ENDS):
@@ -244,7 +315,7 @@
     def test_the_ends_that_another_router_needs(self):
         for number in range(MAX_PART_ENDS):
             self.end("a bad" if number % 2 else "bad", NOW + number)
-        other = HarmfulParts(SETTINGS, lambda _: True)
+        other = SuspectParts(SETTINGS, lambda _: True)
         for end in self.parts.sufficient_ends(part("bad")):
             self.assertTrue(other.record_end(end))
         now = NOW + MAX_PART_ENDS
@@ -287,15 +358,33 @@
 
 
 class AnswerBeginningTest(TestCase):
-    def test_it_is_over_once(self):
+    def test_each_stage_is_over_once(self):
         beginning = AnswerBeginning()
         self.assertIsNone(beginning.at)
         found = [
             beginning.received(NOW + seconds)
-            for seconds in (0, BEGINNING_SECONDS / 2, BEGINNING_SECONDS, 5)
+            for seconds in (
+                0,
+                BEGINNING_SECONDS / 2,
+                BEGINNING_SECONDS,
+                BEGINNING_SECONDS + 0.1,
+                LASTING_SECONDS,
+                LASTING_SECONDS + 5,
+            )
         ]
-        self.assertEqual([False, False, True, False], found)
+        self.assertEqual([False, False, True, False, True, False], found)
         self.assertEqual(NOW, beginning.at)
+        self.assertEqual(NOW + LASTING_SECONDS + 5, beginning.last_at)
+
+    # What is read after a pause may have been sent before it, by a target that ended.
+    def test_a_pause_in_reading_is_no_part_of_it(self):
+        beginning = AnswerBeginning()
+        beginning.resumed(NOW)
+        self.assertIsNone(beginning.at)
+        beginning.received(NOW)
+        beginning.resumed(NOW + 9)
+        self.assertFalse(beginning.received(NOW + 9 + BEGINNING_SECONDS / 2))
+        self.assertTrue(beginning.received(NOW + 9 + BEGINNING_SECONDS))
 
     def test_a_target_may_end_before_it_is_over(self):
         self.assertTrue(may_have_ended_target(None, NOW))
--- a/tests/support/harm_fleet.py
+++ b/tests/support/harm_fleet.py
@@ -181,7 +181,9 @@
         return run
 
     def check(self, target, on_check):
-        self._fleet.clock.callLater(2 * LINK_SECONDS, self._checked, target, on_check)
+        is_silent = self._fleet.working[target.name].is_silent
+        wait = CONNECT_TIMEOUT_SECONDS if is_silent else 2 * LINK_SECONDS
+        self._fleet.clock.callLater(wait, self._checked, target, on_check)
 
     def _checked(self, target, on_check):
         checked = self._fleet.working[target.name]
