Count no late end of a target that leaves, or whose entry alone is gone

By reading the change before: a target that was told to leave within three seconds of an answer, and one whose entry lapsed while it went on sending, counted as ended under the unproven parts of the last prompts. A planned release of all targets could have held back a part that was new. Both are left out, and a target without an entry that accepts connections is probed once rather than four times a second.

--- a/src/primrosescale/process/entry/late_end_monitor.py
+++ b/src/primrosescale/process/entry/late_end_monitor.py
@@ -84,7 +84,7 @@
         self._is_list_old = is_list_old
         self._exposures = PromptExposures()
         self._exposure_timer: Timer | None = None
-        # Targets without an entry that are being probed, by `target_key`.
+        # Targets without an entry that have been probed, by `target_key`.
         self._unlisted_probes: set[int] = set()
         # When the list of targets was last known to be old, in seconds.
         self._list_was_old_at = -math.inf
@@ -131,9 +131,16 @@
         key = target_key(*target)
         self._clear_lasting(key, now, is_listed=False)
         taken = self._exposures.take(key, lambda _: True)
-        state = self._targets.state(target.name)
-        if lost_at is None and state is not None and state.incarnation == target:
+        if not taken:
+            return []
+        state, present = taken[0].state, self._targets.state(target.name)
+        is_replaced = present is not None and present is not state
+        if lost_at is None and not is_replaced:
             lost_at = state.last_received_at
+            is_listed = self._targets.is_listed(target.name)
+            if not is_listed and now - lost_at < MIN_SILENT_SECONDS:
+                # Only its entry is gone.
+                return []
         return self._ends_under(taken, key, lost_at, now)
 
     def ended_at_peer(self, key: int, ended_at: float, now: float) -> list[TargetEnd]:
@@ -171,9 +178,12 @@
             )
             if not is_listed and self._may_be_silent(key, state, now):
                 self._probe_unlisted(key, state)
+            if is_listed:
+                self._unlisted_probes.discard(key)
             is_known = is_listed and not is_list_old
             self._clear_lasting(key, now, is_listed=is_known)
             self._exposures.take(key, lambda each: each.is_expired(now))
+        self._unlisted_probes &= {key for key, _ in self._exposures.targets()}
         self._exposure_timer = None
         if len(self._exposures):
             self._exposure_timer = self._reactor.callLater(
@@ -203,7 +213,6 @@
     def _unlisted_probed(
         self, key: int, target: TargetIncarnation, found: ProbeResult
     ) -> None:
-        self._unlisted_probes.discard(key)
         if found is ProbeResult.CONNECTED:
             # Its entry may have lapsed; if it has ended, the list will tell.
             return
@@ -229,6 +238,9 @@
             return []
         ends = []
         for each in exposures:
+            if each.state.is_leaving:
+                # It was expected to end.
+                continue
             parts = self._parts.unproven(each.parts)[:MAX_REPORTED_PARTS]
             if parts and each.may_have_ended_target(ended_at):
                 ends.append(
--- a/tests/entry/test_entry_harm_monitor.py
+++ b/tests/entry/test_entry_harm_monitor.py
@@ -413,12 +413,14 @@
         self.completed = []
         self.continued = []
         self.out = []
+        self.attempts = []
 
     def held_for(self, request, now):
         return 120.0 if self.is_holding else 0.0
 
     def sent(self, request, attempt, now):
         self.out.append(request.request_id)
+        self.attempts.append(attempt)
 
     def answer_lost(self, request, state, now, answer_began_at=None):
         self.lost.append(state.target.name)
--- a/tests/entry/test_part_reports.py
+++ b/tests/entry/test_part_reports.py
@@ -118,6 +118,38 @@
         self.run.observer.response_lost("closed")
         self.assertEqual(START + 0.3, self.watch.began_at)
 
+    def test_an_attempt_tells_how_far_its_answer_has_come(self):
+        self.begin()
+        [attempt] = self.watch.attempts
+        self.assertEqual((None, None), (attempt.last_received_at, attempt.ended_at))
+        self.write(0.2, 0.3)
+        self.assertEqual(START + 0.2, attempt.answer_began_at)
+        self.assertEqual(START + 0.5, attempt.last_received_at)
+        self.assertFalse(attempt.is_complete)
+        self.run.observer.response_done()
+        self.assertEqual(START + 0.5, attempt.ended_at)
+        self.assertTrue(attempt.is_complete)
+        self.assertFalse(attempt.is_without_answer)
+
+    def test_an_attempt_that_was_declined_or_failed_is_without_answer(self):
+        for fields in ({"status": 503, "is_not_run": True}, {"status": 500}):
+            self.harness.call(request(LOOKUP))
+            self.harness.caller.last.observer.response_head(head(**fields))
+            self.assertTrue(self.watch.attempts[-1].is_without_answer)
+
+    # What is read after a pause may have been sent before it.
+    def test_a_pause_of_the_caller_is_no_part_of_the_answer(self):
+        call, _ = self.harness.call(request(FRAGILE_STREAM, deadline=START + 9))
+        self.run = self.harness.caller.last
+        self.run.observer.response_head(head())
+        self.write(0.2)
+        call.pause()
+        self.harness.clock.advance(5)
+        call.resume()
+        self.write(0.1)
+        self.assertEqual([], self.watch.continued)
+        self.assertEqual(START + 5.2, self.watch.attempts[-1].answer_began_at)
+
     def test_a_client_error_is_reported_as_no_success(self):
         for status in (200, 404):
             self.begin(status, LOOKUP)
@@ -341,6 +373,29 @@
         self.end_late(ENDS + 1, "a", after=0.8)
         self.assertEqual(0, self.held_for("a"))
 
+    def test_it_does_not_if_the_target_begins_to_leave_only_then(self):
+        for name in TARGETS[: ENDS + 1]:
+            attempt = self.expose(name, "a")
+            attempt.complete(self.clock.seconds())
+            self.targets.put(replace(target(name), is_draining=True), START)
+            self.clock.advance(0.5)
+            self.watch.target_ended(
+                attempt.incarnation, "entry gone", self.clock.seconds()
+            )
+        self.assertEqual(0, self.held_for("a"))
+
+    # Entries may lapse while their targets go on.
+    def test_a_target_without_an_entry_that_still_sends_has_not_ended(self):
+        for name in TARGETS[: ENDS + 1]:
+            attempt = self.expose(name, "a")
+            attempt.receive(self.clock.seconds())
+            self.targets.remove(name, self.clock.seconds())
+            self.clock.advance(0.5)
+            self.watch.target_ended(
+                attempt.incarnation, "entry gone", self.clock.seconds()
+            )
+        self.assertEqual(0, self.held_for("a"))
+
     # Nothing is lost at a target that falls silent.
     def test_silent_targets_count_once_their_entries_are_gone(self):
         for name in TARGETS[:ENDS]:
@@ -373,6 +428,9 @@
         for _, on_check in self.caller.checks:
             on_check(ProbeResult.CONNECTED)
         self.assertEqual(0, self.held_for("a"))
+        # It is probed once.
+        self.clock.advance(EXPOSURE_CHECK_SECONDS)
+        self.assertEqual(ENDS, len(self.caller.checks))
 
     def test_prompts_are_forgotten_once_an_end_would_be_known(self):
         answered = self.expose("t1", "a")
