--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -64,6 +64,8 @@
 # until another target is listed in its place.
 HARMFUL_INTERVAL_SECONDS = 0.5
 MAX_HARMFUL_RUN_SECONDS = 0.1
+# The same with late ends: answers are whole within half a second.
+MAX_LATE_HARMFUL_RUN_SECONDS = 1.8
 HARMED_RETURN_SECONDS = 2.5
 # Share of these that start at another address; the others keep the former one.
 MOVES_SHARE = 0.5
@@ -137,6 +139,7 @@
         has_resets=False,
         has_hostile=False,
         has_odd_statuses=False,
+        has_late_ends=False,
     ):
         self._rng = random.Random(seed)
         # A separate generator, so that its draws do not change those of the main one.
@@ -186,6 +189,9 @@
         self._restart_rng = random.Random(f"restarts {seed}") if has_declines else None
         self._stall_rng = random.Random(f"stalls {seed}") if has_stalls else None
         self._has_resets = has_resets
+        self._longest_harmful_run = (
+            MAX_LATE_HARMFUL_RUN_SECONDS if has_late_ends else MAX_HARMFUL_RUN_SECONDS
+        )
         self._hostile = None
         if has_hostile:
             self._hostile = hostile.HostileClients(
@@ -505,7 +511,7 @@
                 self._end_target(target, harm)
 
         reactor.callLater(
-            MAX_HARMFUL_RUN_SECONDS * self._extra_rng.uniform(0.2, 1.0), end
+            self._longest_harmful_run * self._extra_rng.uniform(0.2, 1.0), end
         )
 
     def _end_target(self, target, harm):
@@ -816,6 +822,11 @@
         default=0,
         help="number of prompt parts that end targets, in unlike requests",
     )
+    parser.add_argument(
+        "--late-ends",
+        action="store_true",
+        help="have targets end up to 1.8 s after a harmful request has reached them",
+    )
     parser.add_argument(
         "--domains",
         action="store_true",
@@ -897,6 +908,7 @@
             has_resets=arguments.resets,
             has_hostile=arguments.hostile,
             has_odd_statuses=arguments.odd_statuses,
+            has_late_ends=arguments.late_ends,
         )
         # Runs also when the soak is terminated.
         reactor.addSystemEventTrigger("before", "shutdown", soak.stop)
