Judge parts by late ends only where something is proven, and weigh targets that answer

Soaks with four model engines and harmful requests from the start held back the part that all harmless requests share, for 30 s: nothing is proven within the first seconds, and with few targets that keep ending nothing may ever be.

Late ends say nothing now while no part at all is proven, by this router's targets or by what others hold back. Each target that answered a part more than a second ago, and is not known to have ended, raises the late ends that are required by one.

--- a/src/primrosescale/process/entry/harm_report_exchange.py
+++ b/src/primrosescale/process/entry/harm_report_exchange.py
@@ -220,6 +220,8 @@
             Present time in seconds.
         """
         for end in ends:
+            if end.is_late:
+                self._requests.parts.judge_late_ends()
             self._apply(end, STORE, now)
 
     def receive(
@@ -236,6 +238,8 @@
         now : float
             Present time in seconds.
         """
+        if any(report.is_late for report in message.held or ()):
+            self._requests.parts.judge_late_ends()
         for report in self._reports_in(message):
             at = now - max(0, report.age_ms) / MILLISECONDS_PER_SECOND
             parts = tuple((report.parts or ())[:MAX_REPORTED_PARTS])
--- a/src/primrosescale/process/entry/late_end_monitor.py
+++ b/src/primrosescale/process/entry/late_end_monitor.py
@@ -133,6 +133,7 @@
         taken = self._exposures.take(key, lambda _: True)
         if not taken:
             return []
+        self._update_answering(now)
         state, present = taken[0].state, self._targets.state(target.name)
         is_replaced = present is not None and present is not state
         if lost_at is None and not is_replaced:
@@ -163,6 +164,8 @@
             One for each prompt of an earlier request that it may have ended under.
         """
         taken = self._exposures.take(key, lambda each: not each.is_open)
+        if taken:
+            self._update_answering(now)
         return self._ends_under(taken, key, ended_at, now)
 
     def _check_exposures(self) -> None:
@@ -183,6 +186,7 @@
             is_known = is_listed and not is_list_old
             self._clear_lasting(key, now, is_listed=is_known)
             self._exposures.take(key, lambda each: each.is_expired(now))
+        self._update_answering(now)
         self._unlisted_probes &= {key for key, _ in self._exposures.targets()}
         self._exposure_timer = None
         if len(self._exposures):
@@ -190,6 +194,9 @@
                 EXPOSURE_CHECK_SECONDS, self._check_exposures
             )
 
+    def _update_answering(self, now: float) -> None:
+        self._parts.set_answering(self._exposures.answering(now))
+
     def _may_be_silent(self, key: int, state: TargetState, now: float) -> bool:
         """Return whether a target without an entry may have ended in silence."""
         if state.is_leaving or key in self._unlisted_probes:
--- a/src/primrosescale/request/harm/harmful_parts.py
+++ b/src/primrosescale/request/harm/harmful_parts.py
@@ -29,6 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterator
+    from collections.abc import Mapping
 
     from primrosescale.request.harm.harm_reports import PartsAnswered
     from primrosescale.request.harm.harm_reports import SuspectTrial
@@ -69,6 +70,7 @@
     """
 
     __slots__ = (
+        "_answering",
         "_common",
         "_ends_are_widespread",
         "_own",
@@ -87,6 +89,8 @@
         self._settings = settings
         self._tries_some_alone = tries_some_alone
         self._ends_are_widespread = ends_are_widespread
+        # How many targets have answered a part a moment ago and go on, by its key.
+        self._answering: Mapping[int, int] = {}
         # By part of one organisation, and by part of any.
         self._own = PartTable(settings, answer_valid_seconds)
         self._common = PartTable(settings, answer_valid_seconds)
@@ -112,6 +116,19 @@
         self._own.configure(settings)
         self._common.configure(settings)
 
+    def set_answering(self, targets: Mapping[int, int]) -> None:
+        """Set how many targets speak for parts, as they answered and go on.
+
+        Each raises the ends that are required by one: many targets that end at once, or
+        one after the other, leave others behind that answer a harmless part.
+
+        Parameters
+        ----------
+        targets : Mapping[int, int]
+            Numbers of targets, by fingerprint of the part and by its common half.
+        """
+        self._answering = targets
+
     def record_end(self, end: TargetEnd) -> bool:
         """Record that a target ended as it began to answer a prompt.
 
@@ -394,6 +411,7 @@
             return False
         if table.answered_at(key) or self._ends_are_widespread(now):
             required += EXTRA_PART_ENDS
+        required += self._answering.get(key, 0)
         return len(evidence.ends) >= required and not table.is_explained(key)
 
     def _concerns_all(self, evidence: PartEvidence, part: int) -> bool:
--- a/src/primrosescale/request/harm/prompt_exposures.py
+++ b/src/primrosescale/request/harm/prompt_exposures.py
@@ -8,9 +8,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
+from primrosescale.request.harm.answer_beginning import BEGINNING_SECONDS
 from primrosescale.request.harm.answer_beginning import LASTING_SECONDS
+from primrosescale.request.harm.part_fingerprint import common_half
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -76,6 +79,26 @@
         """Return whether the target has neither answered nor refused it."""
         return not (self._attempt.is_complete or self._attempt.is_without_answer)
 
+    def is_answered(self, now: float) -> bool:
+        """Return whether the target answered it a moment ago, and may have survived it.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        bool
+            True for an answer that is complete, or goes on, and began at least
+            `BEGINNING_SECONDS` ago.
+        """
+        began_at, attempt = self.began_at, self._attempt
+        if began_at is None or attempt.is_without_answer:
+            return False
+        last = now if attempt.is_complete else attempt.last_received_at
+        return last is not None and last - began_at >= BEGINNING_SECONDS
+
     def may_have_ended_target(self, ended_at: float | None) -> bool:
         """Return whether its target, which has ended, may have ended under it.
 
@@ -220,6 +243,28 @@
         """
         return any(each.is_unanswered for each in self._by_target.get(target, ()))
 
+    def answering(self, now: float) -> dict[int, int]:
+        """Return how many targets answered parts a moment ago and are not known to end.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        dict[int, int]
+            Numbers of targets, by fingerprint of the part and by its common half.
+        """
+        counts: Counter[int] = Counter()
+        for exposures in self._by_target.values():
+            parts: set[int] = set()
+            for each in exposures:
+                if each.is_answered(now):
+                    parts.update(each.parts)
+            counts.update(parts | {common_half(part) for part in parts})
+        return counts
+
     def targets(self) -> list[tuple[int, TargetState]]:
         """Return the targets, with what is known of each.
 
--- a/src/primrosescale/request/harm/suspect_parts.py
+++ b/src/primrosescale/request/harm/suspect_parts.py
@@ -7,7 +7,8 @@
 answer. Such late ends count separately, and only against parts that no target is known
 to have survived: targets that end for other reasons end soon after many harmless
 answers. One lasting answer, whose target was alive when the beginning of the answer
-was long over, voids all late ends under its parts for good.
+was long over, voids all late ends under its parts for good. While no part at all is
+proven by one, as after a start of all routers, late ends say nothing.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from primrosescale.request.harm.harm_reports import PartsAnswered
     from primrosescale.request.harm.harm_reports import SuspectTrial
@@ -39,7 +41,7 @@
         Returns whether targets end so often at a time that chance may explain ends.
     """
 
-    __slots__ = ("_by_early_ends", "_by_late_ends")
+    __slots__ = ("_by_early_ends", "_by_late_ends", "_judges_late_ends")
 
     def __init__(
         self, settings: HarmSettings, ends_are_widespread: Callable[[float], bool]
@@ -52,6 +54,7 @@
         self._by_late_ends = HarmfulParts(
             settings, ends_are_widespread, math.inf, tries_some_alone=False
         )
+        self._judges_late_ends = False
 
     def __len__(self) -> int:
         """Return for how many parts early ends are remembered."""
@@ -60,7 +63,7 @@
     @property
     def may_hold(self) -> bool:
         """Return whether any part may have to be held back."""
-        return self._by_early_ends.may_hold or self._by_late_ends.may_hold
+        return any(judged.may_hold for judged in self._judging())
 
     def configure(self, settings: HarmSettings) -> None:
         """Replace the settings.
@@ -73,6 +76,20 @@
         for judged in self._both():
             judged.configure(settings)
 
+    def judge_late_ends(self) -> None:
+        """Judge by late ends from now on, as another router does."""
+        self._judges_late_ends = True
+
+    def set_answering(self, targets: Mapping[int, int]) -> None:
+        """Set how many targets answered parts a moment ago and go on.
+
+        Parameters
+        ----------
+        targets : Mapping[int, int]
+            Numbers of targets, by fingerprint of the part and by its common half.
+        """
+        self._by_late_ends.set_answering(targets)
+
     def record_end(self, end: TargetEnd) -> bool:
         """Record that a target ended some time after it received a prompt.
 
@@ -103,6 +120,7 @@
         """
         is_new = self._by_early_ends.record_answer(answered)
         if answered.is_lasting:
+            self._judges_late_ends = True
             is_new |= self._by_late_ends.record_answer(answered)
         return is_new
 
@@ -151,7 +169,7 @@
             Those with the required number of ends, which no others explain.
         """
         found = {
-            part for judged in self._both() for part in judged.suspects(parts, now)
+            part for judged in self._judging() for part in judged.suspects(parts, now)
         }
         return tuple(part for part in parts if part in found)
 
@@ -170,7 +188,7 @@
         float
             Seconds; 0 if it may be sent.
         """
-        return max(judged.held_for(parts, now) for judged in self._both())
+        return max(judged.held_for(parts, now) for judged in self._judging())
 
     def held(self, now: float) -> list[int]:
         """Return the parts that are held back.
@@ -185,7 +203,7 @@
         list[int]
             Their fingerprints, one of each organisation that is concerned.
         """
-        return sorted({part for judged in self._both() for part in judged.held(now)})
+        return sorted({part for judged in self._judging() for part in judged.held(now)})
 
     def is_held(self, part: int, now: float) -> bool:
         """Return whether any request with a part is held back.
@@ -202,7 +220,7 @@
         bool
             Whether those are that have all parts which can't be told apart from it.
         """
-        return any(judged.is_held(part, now) for judged in self._both())
+        return any(judged.is_held(part, now) for judged in self._judging())
 
     def sufficient_ends(self, part: int) -> list[TargetEnd]:
         """Return the most recent ends that suffice to hold a part back.
@@ -217,11 +235,11 @@
         list[TargetEnd]
             As many ends as any other router requires to hold it back too.
         """
-        late = self._by_late_ends.sufficient_ends(part)
-        return [
-            *self._by_early_ends.sufficient_ends(part),
-            *(replace(end, is_late=True) for end in late),
-        ]
+        ends = self._by_early_ends.sufficient_ends(part)
+        if self._judges_late_ends:
+            late = self._by_late_ends.sufficient_ends(part)
+            ends += [replace(end, is_late=True) for end in late]
+        return ends
 
     def ends_under(self, part: int) -> int:
         """Return how many ends count against a part, of whatever organisation.
@@ -310,5 +328,9 @@
     def _judged_by(self, *, is_late: bool) -> HarmfulParts:
         return self._by_late_ends if is_late else self._by_early_ends
 
+    def _judging(self) -> tuple[HarmfulParts, ...]:
+        """Return by what parts are held back now."""
+        return self._both() if self._judges_late_ends else (self._by_early_ends,)
+
     def _both(self) -> tuple[HarmfulParts, HarmfulParts]:
         return self._by_early_ends, self._by_late_ends
--- a/tests/request/test_harmful_parts.py
+++ b/tests/request/test_harmful_parts.py
@@ -17,6 +17,7 @@
 from primrosescale.request.harm.harmful_parts import PART_TRIAL_SECONDS
 from primrosescale.request.harm.part_evidence import ANSWER_VALID_SECONDS
 from primrosescale.request.harm.part_evidence import MAX_PART_ENDS
+from primrosescale.request.harm.part_fingerprint import common_half
 from primrosescale.request.harm.part_fingerprint import part_fingerprint
 from primrosescale.request.harm.suspect_parts import SuspectParts
 
@@ -134,6 +135,7 @@
 
     # A target that ends half a second after a whole answer voided the ends of all.
     def test_an_answer_that_its_target_may_not_survive_voids_no_late_end(self):
+        self.answer("proven", NOW - 900, is_lasting=True)
         for _ in range(ENDS):
             self.end("bad", is_late=True)
             self.assertFalse(self.answer("bad"))
@@ -152,6 +154,7 @@
         self.assertEqual(0, self.held_for("a"))
 
     def test_late_ends_hold_back_a_part_that_no_target_has_survived(self):
+        self.answer("proven", NOW - 900, is_lasting=True)
         for _ in range(ENDS):
             self.assertTrue(self.end("bad", is_late=True))
         self.assertEqual(HOLD, self.held_for("bad"))
@@ -167,14 +170,41 @@
         self.assertEqual(self.names("b"), self.parts.unproven(self.names("a b")))
 
     def test_a_lasting_answer_voids_all_late_ends(self):
+        self.answer("proven", NOW - 900, is_lasting=True)
         for _ in range(ENDS):
             self.end("a", NOW, is_late=True)
         self.assertTrue(self.answer("a", NOW - 100, is_lasting=True))
         self.assertEqual(0, self.held_for("a"))
 
+    # After a start of all routers the parts of harmless requests are not proven yet.
+    def test_late_ends_say_nothing_while_no_part_is_proven(self):
+        for _ in range(2 * ENDS):
+            self.end("a", is_late=True)
+        self.assertEqual((0, []), (self.held_for("a"), self.parts.held(NOW)))
+        self.answer("b", NOW - 900, is_lasting=True)
+        self.assertEqual(HOLD, self.held_for("a"))
+
+    # All harmless requests have a part in common that is not proven yet.
+    def test_targets_that_go_on_answering_a_part_outweigh_late_ends(self):
+        self.answer("proven", NOW - 900, is_lasting=True)
+        key = part("a")
+        self.parts.set_answering({key: 2, common_half(key): 2})
+        for _ in range(ENDS + 1):
+            self.end("a", is_late=True)
+        self.assertEqual(0, self.held_for("a"))
+        self.end("a", is_late=True)
+        self.assertEqual(HOLD, self.held_for("a"))
+
+    def test_they_do_not_change_what_early_ends_require(self):
+        self.parts.set_answering({part("a"): 2})
+        for _ in range(ENDS):
+            self.end("a")
+        self.assertEqual(HOLD, self.held_for("a"))
+
     # Harmless requests with the same other parts were refused until a target was known
     # to have survived these.
     def test_a_request_with_some_parts_of_late_ends_is_sent(self):
+        self.answer("proven", NOW - 900, is_lasting=True)
         for _ in range(ENDS):
             self.end("a bad", is_late=True)
         self.assertEqual(HOLD, self.held_for("x a y bad"))
@@ -186,6 +216,7 @@
         self.assertEqual(0, self.held_for("a x"))
 
     def test_a_lasting_answer_to_another_organisation_does_not_release_its_own(self):
+        self.answer("proven", NOW - 900, is_lasting=True)
         for _ in range(ENDS):
             self.end("bad", is_late=True)
         self.answer("bad", NOW - 100, organisation="port", is_lasting=True)
--- a/tests/request/test_prompt_exposures.py
+++ b/tests/request/test_prompt_exposures.py
@@ -6,7 +6,9 @@
 
 from testtools import TestCase
 
+from primrosescale.request.harm.answer_beginning import BEGINNING_SECONDS
 from primrosescale.request.harm.answer_beginning import LASTING_SECONDS
+from primrosescale.request.harm.part_fingerprint import common_half
 from primrosescale.request.harm.prompt_exposures import END_KNOWN_SECONDS
 from primrosescale.request.harm.prompt_exposures import MAX_EXPOSURES
 from primrosescale.request.harm.prompt_exposures import PromptExposure
@@ -117,6 +119,18 @@
         owing = [key for key in (1, 2, 3, 4) if found.has_unanswered(key)]
         self.assertEqual([2], owing)
 
+    def test_targets_speak_for_what_they_answered_a_moment_ago(self):
+        found = PromptExposures()
+        for target in (1, 1, 2):
+            found.add(target, complete())
+        found.add(3, exposure(answer_began_at=NOW, last_received_at=NOW))
+        self.assertEqual({}, found.answering(NOW + BEGINNING_SECONDS - 0.1))
+        found.add(4, exposure(answer_began_at=NOW, last_received_at=NOW + 1))
+        answering = found.answering(NOW + BEGINNING_SECONDS)
+        self.assertEqual({5: 3, common_half(5): 3}, answering)
+        found.take(1, lambda _: True)
+        self.assertEqual(2, found.answering(NOW + BEGINNING_SECONDS)[5])
+
     def test_their_number_is_limited(self):
         found = PromptExposures()
         for number in range(MAX_EXPOSURES + 5):
