--- a/src/primrosescale/request/harm/suspect_parts.py
+++ b/src/primrosescale/request/harm/suspect_parts.py
@@ -66,13 +66,7 @@
         return any(judged.may_hold for judged in self._judging())
 
     def configure(self, settings: HarmSettings) -> None:
-        """Replace the settings.
-
-        Parameters
-        ----------
-        settings : HarmSettings
-            When a part is held back.
-        """
+        """Replace the settings; see `HarmfulParts.configure`."""
         for judged in self._both():
             judged.configure(settings)
 
@@ -81,13 +75,7 @@
         self._judges_late_ends = True
 
     def set_answering(self, targets: Mapping[int, int]) -> None:
-        """Set how many targets answered parts a moment ago and go on.
-
-        Parameters
-        ----------
-        targets : Mapping[int, int]
-            Numbers of targets, by fingerprint of the part and by its common half.
-        """
+        """Set which targets speak for parts; see `HarmfulParts.set_answering`."""
         self._by_late_ends.set_answering(targets)
 
     def record_end(self, end: TargetEnd) -> bool:
@@ -125,101 +113,32 @@
         return is_new
 
     def record_trial(self, trial: SuspectTrial, now: float) -> bool:
-        """Record that a request with suspect parts was sent to a target as a trial.
-
-        Parameters
-        ----------
-        trial : SuspectTrial
-            The trial, with the suspect parts.
-        now : float
-            Current time in seconds.
-
-        Returns
-        -------
-        bool
-            Whether it was new, and about a part that is to be tried alone.
-        """
+        """Record that suspects are tried; see `HarmfulParts.record_trial`."""
         is_new = self._by_early_ends.record_trial(trial, now)
         return self._by_late_ends.record_trial(trial, now) or is_new
 
     def retract_ends(self, target: int) -> None:
-        """Retract the ends of a target that was reported as ended but still runs.
-
-        Parameters
-        ----------
-        target : int
-            Key of its incarnation.
-        """
+        """Retract the ends of a target; see `HarmfulParts.retract_ends`."""
         for judged in self._both():
             judged.retract_ends(target)
 
     def suspects(self, parts: tuple[int, ...], now: float) -> tuple[int, ...]:
-        """Return the parts of a prompt that are to be tried alone.
-
-        Parameters
-        ----------
-        parts : tuple[int, ...]
-            Fingerprints of its parts.
-        now : float
-            Current time in seconds.
-
-        Returns
-        -------
-        tuple[int, ...]
-            Those with the required number of ends, which no others explain.
-        """
+        """Return the parts to be tried alone; see `HarmfulParts.suspects`."""
         found = {
             part for judged in self._judging() for part in judged.suspects(parts, now)
         }
         return tuple(part for part in parts if part in found)
 
     def held_for(self, parts: tuple[int, ...], now: float) -> float:
-        """Return for how long a request with a prompt is held back.
-
-        Parameters
-        ----------
-        parts : tuple[int, ...]
-            Fingerprints of the prompt's parts.
-        now : float
-            Current time in seconds.
-
-        Returns
-        -------
-        float
-            Seconds; 0 if it may be sent.
-        """
+        """Return how long a prompt is held back; see `HarmfulParts.held_for`."""
         return max(judged.held_for(parts, now) for judged in self._judging())
 
     def held(self, now: float) -> list[int]:
-        """Return the parts that are held back.
-
-        Parameters
-        ----------
-        now : float
-            Current time in seconds.
-
-        Returns
-        -------
-        list[int]
-            Their fingerprints, one of each organisation that is concerned.
-        """
+        """Return the parts that are held back; see `HarmfulParts.held`."""
         return sorted({part for judged in self._judging() for part in judged.held(now)})
 
     def is_held(self, part: int, now: float) -> bool:
-        """Return whether any request with a part is held back.
-
-        Parameters
-        ----------
-        part : int
-            Fingerprint of the part.
-        now : float
-            Current time in seconds.
-
-        Returns
-        -------
-        bool
-            Whether those are that have all parts which can't be told apart from it.
-        """
+        """Return whether a part is held back; see `HarmfulParts.is_held`."""
         return any(judged.is_held(part, now) for judged in self._judging())
 
     def sufficient_ends(self, part: int) -> list[TargetEnd]:
@@ -242,33 +161,11 @@
         return ends
 
     def ends_under(self, part: int) -> int:
-        """Return how many ends count against a part, of whatever organisation.
-
-        Parameters
-        ----------
-        part : int
-            Fingerprint of the part.
-
-        Returns
-        -------
-        int
-            Targets.
-        """
+        """Return how many ends count, of either kind; see `HarmfulParts.ends_under`."""
         return max(judged.ends_under(part) for judged in self._both())
 
     def tied_with(self, part: int) -> int:
-        """Return how many other parts were on board at all ends of a part.
-
-        Parameters
-        ----------
-        part : int
-            Fingerprint of the part.
-
-        Returns
-        -------
-        int
-            Parts that can't be told apart from it yet.
-        """
+        """Return how many parts have the same ends; see `HarmfulParts.tied_with`."""
         return max(self._both(), key=lambda each: each.ends_under(part)).tied_with(part)
 
     def to_report(self, parts: tuple[int, ...], ended_at: float) -> tuple[int, ...]:
